--- /dev/null
+++ b/cmd/awagent/main.go
@@ -0,0 +1,12 @@
+// Command awagent is described in docs/design.md.
+package main
+
+import (
+	"os"
+
+	"arbutuswind/io/awcommand"
+)
+
+func main() {
+	os.Exit(awcommand.Agent(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/awentry/main.go
@@ -0,0 +1,12 @@
+// Command awentry is described in docs/design.md.
+package main
+
+import (
+	"os"
+
+	"arbutuswind/io/awcommand"
+)
+
+func main() {
+	os.Exit(awcommand.Entry(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/core/awconfig/change.go
@@ -0,0 +1,117 @@
+package awconfig
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind names a change.
+type Kind string
+
+// The kinds of change.
+const (
+	KindApplySheet         Kind = "ApplySheet"
+	KindDomainOut          Kind = "DomainOut"
+	KindDomainIn           Kind = "DomainIn"
+	KindInstanceDrain      Kind = "InstanceDrain"
+	KindInstanceReturn     Kind = "InstanceReturn"
+	KindHaltVersion        Kind = "HaltVersion"
+	KindPlace              Kind = "Place"
+	KindStoreResetAccepted Kind = "StoreResetAccepted"
+)
+
+// Change is one row of the configuration log.
+type Change struct {
+	Revision uint64
+	ChangeID string // random; tells the writer after a lost answer whether it won
+	Kind     Kind
+	Actor    string // operator or process that asked for the change
+	Target   string `json:",omitempty"` // domain, instance or version digest
+	Reason   string `json:",omitempty"`
+
+	Models     []Model              `json:",omitempty"` // ApplySheet
+	Teams      map[string]Team      `json:",omitempty"` // ApplySheet
+	Placements map[string]Placement `json:",omitempty"` // Place: set; an empty Model removes
+}
+
+// DecodeChange reads one row of the log.
+func DecodeChange(data []byte) (Change, error) {
+	var c Change
+	if err := json.Unmarshal(data, &c); err != nil {
+		return c, eris.Wrap(err, "decode change")
+	}
+	return c, nil
+}
+
+// RevisionError reports a change that does not follow the state.
+type RevisionError struct {
+	Have, Got uint64
+}
+
+// Error implements the error interface.
+func (e *RevisionError) Error() string {
+	return fmt.Sprintf("change of revision %d does not follow revision %d", e.Got, e.Have)
+}
+
+// Apply returns the state after c. The receiver is not changed. It returns a
+// [RevisionError] when c is not the next revision.
+func (s *State) Apply(c Change) (*State, error) {
+	if c.Revision != s.Revision+1 {
+		return nil, &RevisionError{Have: s.Revision, Got: c.Revision}
+	}
+	next := s.Clone()
+	next.Revision = c.Revision
+	switch c.Kind {
+	case KindApplySheet:
+		next.applySheet(c)
+	case KindDomainOut, KindDomainIn:
+		next.Domains[c.Target] = DomainState{Out: c.Kind == KindDomainOut, Since: c.Revision}
+	case KindInstanceDrain, KindInstanceReturn:
+		next.Instances[c.Target] = InstanceState{Drained: c.Kind == KindInstanceDrain, Since: c.Revision}
+	case KindHaltVersion:
+		next.Halted[c.Target] = c.Reason
+	case KindPlace:
+		next.place(c)
+	case KindStoreResetAccepted:
+	default:
+		return nil, eris.Errorf("revision %d: unknown kind of change %q", c.Revision, c.Kind)
+	}
+	return next, nil
+}
+
+func (s *State) applySheet(c Change) {
+	old := s.Models
+	s.Models = make(map[string]Model, len(c.Models))
+	for _, m := range c.Models {
+		if was, ok := old[m.Name]; ok {
+			m.Previous = was.Previous
+			if was.Digest != m.Digest {
+				m.Previous = &Pinned{Version: was.Version, Digest: was.Digest, SizeBytes: was.SizeBytes}
+			}
+		}
+		s.Models[m.Name] = m
+		// Applying a sheet again is how an operator lifts a halt.
+		delete(s.Halted, m.Digest)
+	}
+	if c.Teams != nil {
+		s.Teams = c.Teams
+	}
+	for id, p := range s.Placements {
+		if _, ok := s.Models[p.Model]; !ok {
+			delete(s.Placements, id)
+		}
+	}
+}
+
+func (s *State) place(c Change) {
+	for id, p := range c.Placements {
+		if p.Model == "" {
+			delete(s.Placements, id)
+			continue
+		}
+		p.Fence = c.Revision
+		s.Placements[id] = p
+	}
+}
--- /dev/null
+++ b/internal/awbench/demo.go
@@ -0,0 +1,195 @@
+package awbench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutuswind/core/awconfig"
+	"arbutuswind/io/awcontrol"
+)
+
+// DemoResult is the summary of the demo.
+type DemoResult struct {
+	Experiment      string
+	Replicas        int
+	SecondsToServe  float64
+	Streams         int
+	WholeStreams    int
+	KeyedCalls      int
+	Doubled         int
+	LeftAfterMs     int64 // until the domain that was taken out had no new work
+	StreamsWhileOut int
+	WholeWhileOut   int
+}
+
+const (
+	demoSheet = "Model,Version,Replicas,Domains,TeamShares,Fencing\n" +
+		"rota,v1,3,merrimack narragansett champlain,kitchen=2 parish=1,checked\n"
+	demoWeightBytes = 4 << 20
+	demoChunkBytes  = 256 << 10
+	demoStreams     = 12
+	demoTokens      = 20
+)
+
+// Demo runs the whole path once between real processes.
+func Demo(ctx context.Context, binDir string) (any, error) {
+	c, err := NewCluster(binDir)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	res := &DemoResult{Experiment: "demo", Replicas: 3}
+	if err := demoFleet(ctx, c); err != nil {
+		return nil, err
+	}
+	m, err := c.Publish("rota", "v1", RandomWeights(1, demoWeightBytes), demoChunkBytes)
+	if err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	if _, err := c.Entries[0].Operator().Apply(ctx, []byte(demoSheet), "demo", 0); err != nil {
+		return nil, err
+	}
+	for _, e := range c.Entries {
+		if err := c.WaitServing(ctx, e, "rota", "v1", res.Replicas); err != nil {
+			return nil, err
+		}
+	}
+	res.SecondsToServe = time.Since(began).Seconds()
+	res.Streams = demoStreams
+	if res.WholeStreams, err = demoCalls(ctx, c, m.FileDigest); err != nil {
+		return nil, err
+	}
+	if err := demoKeyed(ctx, c, res); err != nil {
+		return nil, err
+	}
+	if err := demoDomain(ctx, c, m.FileDigest, res); err != nil {
+		return nil, err
+	}
+	if res.WholeStreams != res.Streams || res.WholeWhileOut != res.StreamsWhileOut || res.Doubled != 0 {
+		return res, eris.New("the demo did not keep its promises")
+	}
+	return res, nil
+}
+
+func demoFleet(ctx context.Context, c *Cluster) error {
+	if err := c.StartPlatform(ctx); err != nil {
+		return err
+	}
+	for i, site := range Sites {
+		if _, err := c.StartEntry(fmt.Sprintf("entry-%d", i), site, nil); err != nil {
+			return err
+		}
+		if _, err := c.StartEngine(fmt.Sprintf("engine-%d", i), site, nil); err != nil {
+			return err
+		}
+		if _, err := c.StartService(fmt.Sprintf("roster-%d", i), "roster", site); err != nil {
+			return err
+		}
+	}
+	for _, e := range c.Entries {
+		if err := WaitHTTP(ctx, e.Operators+"/readyz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// demoCalls returns how many streams were answered whole.
+func demoCalls(ctx context.Context, c *Cluster, fileDigest string) (int, error) {
+	caller, whole := NewCaller(), 0
+	for i := range demoStreams {
+		call := Call{Model: "rota", Prompt: fmt.Sprintf("roster for kitchen %d", i), MaxTokens: demoTokens, Team: "kitchen"}
+		a, err := caller.Stream(ctx, c.Entries[i%len(c.Entries)].Callers, call)
+		if err != nil {
+			return whole, err
+		}
+		if a.Whole && a.Text == call.ExpectedText(fileDigest) {
+			whole++
+		}
+	}
+	return whole, nil
+}
+
+// demoKeyed sends every keyed call twice, through two entries.
+func demoKeyed(ctx context.Context, c *Cluster, res *DemoResult) error {
+	caller := NewCaller()
+	res.KeyedCalls = 4
+	for i := range res.KeyedCalls {
+		key := fmt.Sprintf("shift-%d", i)
+		first, err := caller.Service(ctx, c.Entries[0].Callers, "roster", "assign", key, []byte(key))
+		if err != nil {
+			return err
+		}
+		again, err := caller.Service(ctx, c.Entries[1].Callers, "roster", "assign", key, []byte(key))
+		if err != nil {
+			return err
+		}
+		if first.Status != 200 || string(first.Body) != string(again.Body) {
+			return eris.Errorf("keyed call answered %d %q, then %d %q", first.Status, first.Body, again.Status, again.Body)
+		}
+	}
+	total := map[string]int{}
+	for _, n := range c.Agents {
+		runs := map[string]int{}
+		if n.Service == "" {
+			continue
+		}
+		if err := GetJSON(n.Backend+"/admin/runs", &runs); err != nil {
+			return err
+		}
+		for key, k := range runs {
+			total[key] += k
+		}
+	}
+	for _, k := range total {
+		res.Doubled += k - 1
+	}
+	return nil
+}
+
+func demoDomain(ctx context.Context, c *Cluster, fileDigest string, res *DemoResult) error {
+	out := awcontrol.ChangeRequest{Kind: awconfig.KindDomainOut, Target: Sites[2].Domain, Actor: "demo"}
+	began := time.Now()
+	acc, err := c.Entries[0].Operator().Change(ctx, out)
+	if err != nil {
+		return err
+	}
+	if err := c.WaitInForce(ctx, acc.Revision); err != nil {
+		return err
+	}
+	res.LeftAfterMs = time.Since(began).Milliseconds()
+	res.StreamsWhileOut = demoStreams
+	if res.WholeWhileOut, err = demoCalls(ctx, c, fileDigest); err != nil {
+		return err
+	}
+	in := awcontrol.ChangeRequest{Kind: awconfig.KindDomainIn, Target: Sites[2].Domain, Actor: "demo"}
+	if acc, err = c.Entries[1].Operator().Change(ctx, in); err != nil {
+		return err
+	}
+	return c.WaitInForce(ctx, acc.Revision)
+}
+
+// WaitInForce waits until every entry and every agent is at the revision.
+func (c *Cluster) WaitInForce(ctx context.Context, revision uint64) error {
+	return WaitFor(ctx, fmt.Sprintf("revision %d everywhere", revision), func() (bool, error) {
+		for _, e := range c.Entries {
+			st, err := e.Operator().Status(ctx)
+			if err != nil {
+				return false, err
+			}
+			if st.Revision < revision {
+				return false, eris.Errorf("%s is at revision %d", e.ID, st.Revision)
+			}
+			for _, a := range st.Agents {
+				if a.ViewRevision < revision {
+					return false, eris.Errorf("%s is at revision %d", a.Instance, a.ViewRevision)
+				}
+			}
+		}
+		return true, nil
+	})
+}
--- /dev/null
+++ b/internal/awstandin/engine.go
@@ -0,0 +1,318 @@
+package awstandin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-chi/chi/v5"
+
+	"arbutuswind/core/awweights"
+	"arbutuswind/io/awengine"
+)
+
+// EngineConfig configures the stand-in of a model engine.
+type EngineConfig struct {
+	TokenInterval time.Duration // between tokens of one stream
+	FirstToken    time.Duration // time to first token of a warm engine
+	ColdRequests  int           // requests until the engine is warm after a load
+	ColdLimit     int           // concurrent requests that break a cold engine
+	MaxRunning    int           // batch size; more wait
+	MemoryBytes   uint64        // for requests; using more breaks the engine
+	BytesPerToken uint64
+	LoadTime      time.Duration
+	Fencing       bool          // refuse commands with an old token
+	ReportLag     time.Duration // age of the load figures in the status
+}
+
+// EngineFault holds the faults of an engine.
+type EngineFault struct {
+	FailLoad   bool
+	StallMs    int // added before every token
+	CutAfter   int // streams end without their end event after n tokens; 0 is off
+	GoCold     bool
+	Restart    bool
+	LoseLoad   bool // the answer to the next load command is lost
+	FailStarts int  // the next n completions answer 500
+}
+
+// Engine stands in for a model engine with continuous batching.
+type Engine struct {
+	cfg    EngineConfig
+	faults switches[EngineFault]
+	slots  chan struct{}
+
+	mu        sync.Mutex
+	st        awengine.Status
+	finished  int // since the last load or restart
+	overloads int // times a cold engine or its memory was overloaded
+	maxCold   int // most concurrent requests while cold
+	lagged    []awengine.Status
+	laggedAt  []time.Time
+}
+
+// NewEngine returns an engine without a model.
+func NewEngine(cfg EngineConfig) *Engine {
+	e := &Engine{cfg: cfg, slots: make(chan struct{}, max(1, cfg.MaxRunning))}
+	e.st = awengine.Status{BootID: newBootID(), State: "empty", MemoryBytes: cfg.MemoryBytes}
+	return e
+}
+
+func newBootID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// Handler returns the HTTP API of the engine.
+func (e *Engine) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post("/fault", e.setFault)
+	r.Get("/status", e.status)
+	r.Post("/commands/load", e.load)
+	r.Post("/v1/completions", e.complete)
+	r.Get("/admin/counts", e.counts)
+	return r
+}
+
+func (e *Engine) setFault(w http.ResponseWriter, r *http.Request) {
+	e.faults.ServeHTTP(w, r)
+	f := e.faults.get()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if f.Restart {
+		e.restart()
+	} else if f.GoCold {
+		e.goCold()
+	}
+	e.faults.update(func(f *EngineFault) { f.Restart, f.GoCold = false, false })
+}
+
+// restart loses the model and every running request. The caller holds mu.
+func (e *Engine) restart() {
+	e.st = awengine.Status{BootID: newBootID(), State: "empty", MemoryBytes: e.cfg.MemoryBytes}
+	e.finished = 0
+}
+
+func (e *Engine) goCold() {
+	e.finished = 0
+	if e.st.State == "warm" {
+		e.st.State = "cold"
+	}
+}
+
+func (e *Engine) counts(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	writeJSON(w, map[string]int{
+		"Overloads": e.overloads, "MaxCold": e.maxCold, "Finished": e.finished, "Running": e.st.Running,
+	})
+}
+
+// status shows the load figures as they were ReportLag ago.
+func (e *Engine) status(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.lagged, e.laggedAt = append(e.lagged, e.st), append(e.laggedAt, now)
+	for len(e.lagged) > 1 && now.Sub(e.laggedAt[1]) >= e.cfg.ReportLag {
+		e.lagged, e.laggedAt = e.lagged[1:], e.laggedAt[1:]
+	}
+	shown := e.st
+	shown.Running, shown.Waiting, shown.UsedBytes = e.lagged[0].Running, e.lagged[0].Waiting, e.lagged[0].UsedBytes
+	writeJSON(w, shown)
+}
+
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	var cmd awengine.LoadCommand
+	if err := json.NewDecoder(r.Body).Decode(&cmd); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if e.faults.get().FailLoad {
+		http.Error(w, "load failed", http.StatusInternalServerError)
+		return
+	}
+	e.mu.Lock()
+	if e.cfg.Fencing && cmd.Fence < e.st.Fence {
+		e.mu.Unlock()
+		http.Error(w, "old fencing token", http.StatusPreconditionFailed)
+		return
+	}
+	boot := e.st.BootID
+	e.mu.Unlock()
+
+	digest, err := fetchDigest(cmd.URL)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	time.Sleep(e.cfg.LoadTime)
+
+	e.mu.Lock()
+	if e.st.BootID != boot || (e.cfg.Fencing && cmd.Fence < e.st.Fence) {
+		e.mu.Unlock()
+		http.Error(w, "overtaken while loading", http.StatusPreconditionFailed)
+		return
+	}
+	e.st.Model, e.st.Version, e.st.Digest, e.st.Fence = cmd.Model, cmd.Version, digest, cmd.Fence
+	e.st.State, e.finished = "cold", 0
+	e.mu.Unlock()
+
+	lose := false
+	e.faults.update(func(f *EngineFault) { lose, f.LoseLoad = f.LoseLoad, false })
+	if lose {
+		hangUp(w)
+		return
+	}
+	writeJSON(w, struct{}{})
+}
+
+func fetchDigest(url string) (string, error) {
+	resp, err := http.Get(url)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("weights: status %d", resp.StatusCode)
+	}
+	return awweights.Digest(data), nil
+}
+
+// TokenText returns the token that weights of the given digest produce at an
+// index; tests compare whole answers with it.
+func TokenText(digest, prompt string, index uint32) string {
+	sum := xxhash.Sum64String(fmt.Sprintf("%s\x00%s\x00%d", digest, prompt, index))
+	return fmt.Sprintf("%07x ", sum&0xfffffff)
+}
+
+// begin admits a completion as an engine does: it takes what it is given and
+// breaks when that is too much. It returns false when it broke.
+func (e *Engine) begin(need uint64) (awengine.Status, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.st.Running++
+	e.st.UsedBytes += need
+	cold := e.st.State == "cold"
+	if cold {
+		e.maxCold = max(e.maxCold, e.st.Running)
+	}
+	if (cold && e.cfg.ColdLimit > 0 && e.st.Running > e.cfg.ColdLimit) ||
+		(e.cfg.MemoryBytes > 0 && e.st.UsedBytes > e.cfg.MemoryBytes) {
+		e.overloads++
+		e.restart()
+		return e.st, false
+	}
+	return e.st, true
+}
+
+func (e *Engine) end(boot string, need uint64, whole bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.st.BootID != boot {
+		return
+	}
+	e.st.Running--
+	e.st.UsedBytes -= need
+	if !whole {
+		return
+	}
+	e.finished++
+	if e.st.State == "cold" && e.finished >= e.cfg.ColdRequests {
+		e.st.State = "warm"
+	}
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var req awengine.Completion
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	fail := false
+	e.faults.update(func(f *EngineFault) {
+		if fail = f.FailStarts > 0; fail {
+			f.FailStarts--
+		}
+	})
+	e.mu.Lock()
+	serves := e.st.State != "empty" && e.st.Model == req.Model
+	e.mu.Unlock()
+	if fail || !serves {
+		http.Error(w, "model is not loaded", http.StatusServiceUnavailable)
+		return
+	}
+	need := (uint64(len(req.Prompt))/4 + uint64(req.MaxTokens)) * e.cfg.BytesPerToken
+	st, ok := e.begin(need)
+	if !ok {
+		hangUp(w)
+		return
+	}
+	whole := false
+	defer func() { e.end(st.BootID, need, whole) }()
+	select {
+	case e.slots <- struct{}{}:
+		defer func() { <-e.slots }()
+	case <-r.Context().Done():
+		return
+	}
+	whole = e.generate(w, r, req, st)
+}
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request, req awengine.Completion, st awengine.Status) bool {
+	w.Header().Set("Content-Type", "text/event-stream")
+	wait := e.cfg.FirstToken
+	if st.State == "cold" {
+		wait *= 4
+	}
+	enc := json.NewEncoder(w)
+	for i := req.ResumeFrom; i < req.MaxTokens; i++ {
+		f := e.faults.get()
+		if !sleep(r, wait+time.Duration(f.StallMs)*time.Millisecond) {
+			return false
+		}
+		wait = e.cfg.TokenInterval
+		if !e.sameBoot(st.BootID) || (f.CutAfter > 0 && int(i) >= f.CutAfter) {
+			hangUp(w)
+			return false
+		}
+		tok := awengine.Token{Index: i, Text: TokenText(st.Digest, req.Prompt, i), Digest: st.Digest}
+		if i == req.MaxTokens-1 {
+			tok.Finish = "length"
+		}
+		_, _ = io.WriteString(w, "data: ")
+		if err := enc.Encode(tok); err != nil {
+			return false
+		}
+		_, _ = io.WriteString(w, "\n")
+		w.(http.Flusher).Flush()
+	}
+	_, err := io.WriteString(w, "data: [DONE]\n\n")
+	return err == nil
+}
+
+func (e *Engine) sameBoot(boot string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.st.BootID == boot
+}
+
+func sleep(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return r.Context().Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/awstandin/platform.go
@@ -0,0 +1,255 @@
+package awstandin
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
+
+	"arbutuswind/core/awweights"
+	"arbutuswind/io/awstore"
+)
+
+// PlatformConfig configures the stand-in of the platform.
+type PlatformConfig struct {
+	WritesPerSecond float64       // of the table service; 0 means unlimited
+	OriginMbit      float64       // rate of the weight origin; 0 means unlimited
+	ListLag         time.Duration // age of what the instance list shows
+}
+
+// Platform stands in for table service, object store, weight origin and
+// instance list.
+type Platform struct {
+	cfg    PlatformConfig
+	faults switches[PlatformFault]
+	table  *table
+
+	mu        sync.Mutex
+	objects   map[string][]byte
+	manifests map[string][]byte // by "model/version" and by digest
+	chunks    map[string][]byte
+	instances map[string]awstore.Instance
+	history   []listSnapshot
+
+	origin      *rate.Limiter
+	originBytes atomic.Int64
+}
+
+type listSnapshot struct {
+	at   time.Time
+	list []awstore.Instance
+}
+
+// originBurst is how much the origin sends at once; small, so that the rate
+// holds within a second.
+const originBurst = 64 << 10
+
+// NewPlatform returns an empty platform.
+func NewPlatform(cfg PlatformConfig) *Platform {
+	p := &Platform{
+		cfg: cfg, objects: map[string][]byte{}, manifests: map[string][]byte{},
+		chunks: map[string][]byte{}, instances: map[string]awstore.Instance{},
+	}
+	p.table = newTable(&p.faults, cfg.WritesPerSecond)
+	if cfg.OriginMbit > 0 {
+		p.origin = rate.NewLimiter(rate.Limit(cfg.OriginMbit*1e6/8), originBurst)
+	}
+	return p
+}
+
+// Handler returns the HTTP API of the platform.
+func (p *Platform) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Handle("/fault", &p.faults)
+	p.table.routes(r)
+	r.Get("/objects/{name}", p.getObject)
+	r.Put("/objects/{name}", p.putObject)
+	r.Get("/weights/{model}/{version}", p.getManifest)
+	r.Put("/weights/{model}/{version}", p.putManifest)
+	r.Get("/manifests/{digest}", p.getManifestByDigest)
+	r.Get("/chunks/{digest}", p.getChunk)
+	r.Put("/chunks/{digest}", p.putChunk)
+	r.Get("/instances", p.listInstances)
+	r.Put("/instances", p.putInstance)
+	r.Delete("/instances/{id}", p.deleteInstance)
+	r.Get("/admin/origin", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, map[string]int64{"OriginBytes": p.originBytes.Load()})
+	})
+	return r
+}
+
+func pathKey(r *http.Request) string {
+	key := chi.URLParam(r, "key")
+	if plain, err := url.PathUnescape(key); err == nil {
+		return plain
+	}
+	return key
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	if !p.table.available(w, r) {
+		return
+	}
+	p.mu.Lock()
+	data, ok := p.objects[chi.URLParam(r, "name")]
+	p.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	if !p.table.available(w, r) {
+		return
+	}
+	data, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	p.mu.Lock()
+	p.objects[chi.URLParam(r, "name")] = data
+	p.mu.Unlock()
+	writeJSON(w, struct{}{})
+}
+
+func (p *Platform) getManifest(w http.ResponseWriter, r *http.Request) {
+	p.writeManifest(w, chi.URLParam(r, "model")+"/"+chi.URLParam(r, "version"))
+}
+
+func (p *Platform) getManifestByDigest(w http.ResponseWriter, r *http.Request) {
+	p.writeManifest(w, chi.URLParam(r, "digest"))
+}
+
+func (p *Platform) writeManifest(w http.ResponseWriter, key string) {
+	p.mu.Lock()
+	data, ok := p.manifests[key]
+	p.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such version", http.StatusNotFound)
+		return
+	}
+	p.originBytes.Add(int64(len(data)))
+	_, _ = w.Write(data)
+}
+
+// putManifest publishes a version. Every chunk must be there already.
+func (p *Platform) putManifest(w http.ResponseWriter, r *http.Request) {
+	data, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	m, err := awweights.DecodeManifest(data, "")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range m.Chunks {
+		if _, ok := p.chunks[c]; !ok {
+			http.Error(w, "chunk "+c+" is missing", http.StatusConflict)
+			return
+		}
+	}
+	p.manifests[chi.URLParam(r, "model")+"/"+chi.URLParam(r, "version")] = data
+	p.manifests[awweights.Digest(data)] = data
+	writeJSON(w, map[string]string{"Digest": awweights.Digest(data)})
+}
+
+func (p *Platform) putChunk(w http.ResponseWriter, r *http.Request) {
+	data, ok := readBody(w, r)
+	if !ok {
+		return
+	}
+	p.mu.Lock()
+	p.chunks[chi.URLParam(r, "digest")] = data
+	p.mu.Unlock()
+	writeJSON(w, struct{}{})
+}
+
+func (p *Platform) getChunk(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	data, ok := p.chunks[chi.URLParam(r, "digest")]
+	p.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such chunk", http.StatusNotFound)
+		return
+	}
+	if rand.IntN(100) < p.faults.get().CorruptPercent {
+		data = slices.Clone(data)
+		data[len(data)/2] ^= 0xff
+	}
+	for off := 0; off < len(data); off += originBurst {
+		part := data[off:min(off+originBurst, len(data))]
+		if p.origin != nil {
+			if err := p.origin.WaitN(r.Context(), len(part)); err != nil {
+				return
+			}
+		}
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+		p.originBytes.Add(int64(len(part)))
+	}
+}
+
+func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request) {
+	frozen := p.faults.get().ListFrozen
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !frozen {
+		p.snapshotList(now)
+	}
+	shown := []awstore.Instance{}
+	for _, s := range p.history {
+		if now.Sub(s.at) >= p.cfg.ListLag || len(shown) == 0 {
+			shown = s.list
+		}
+	}
+	writeJSON(w, shown)
+}
+
+func (p *Platform) snapshotList(now time.Time) {
+	list := make([]awstore.Instance, 0, len(p.instances))
+	for _, in := range p.instances {
+		list = append(list, in)
+	}
+	slices.SortFunc(list, func(a, b awstore.Instance) int { return strings.Compare(a.ID, b.ID) })
+	p.history = append(p.history, listSnapshot{at: now, list: list})
+	// Keep the newest snapshot that is old enough and all younger ones.
+	for len(p.history) > 1 && now.Sub(p.history[1].at) >= p.cfg.ListLag {
+		p.history = p.history[1:]
+	}
+}
+
+func (p *Platform) putInstance(w http.ResponseWriter, r *http.Request) {
+	var in awstore.Instance
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || in.ID == "" {
+		http.Error(w, "want an instance with an ID", http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances[in.ID] = in
+	p.snapshotList(time.Now())
+	writeJSON(w, struct{}{})
+}
+
+func (p *Platform) deleteInstance(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.instances, chi.URLParam(r, "id"))
+	p.snapshotList(time.Now())
+	writeJSON(w, struct{}{})
+}
--- /dev/null
+++ b/io/awagent/local.go
@@ -0,0 +1,34 @@
+package awagent
+
+import (
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"arbutuswind/io/awproto"
+	"arbutuswind/io/awtelemetry"
+)
+
+// localHandler serves the engine beside the agent, health and metrics.
+func (a *Agent) localHandler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/weights/{digest}", func(w http.ResponseWriter, r *http.Request) {
+		data, ok := a.weights.whole(chi.URLParam(r, "digest"))
+		if !ok {
+			http.Error(w, "weights are not complete", http.StatusNotFound)
+			return
+		}
+		_, _ = w.Write(data) // the engine sees a short body as a failed load
+	})
+	r.Get("/metrics", awtelemetry.MetricsHandler)
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		report, _ := a.report()
+		if report.State != awproto.AgentState_READY && report.State != awproto.AgentState_COLD {
+			http.Error(w, report.State.String(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return r
+}
--- /dev/null
+++ b/io/awengine/awengine.go
@@ -0,0 +1,223 @@
+// Package awengine talks to the backend server beside an agent: a model
+// engine or a plain service.
+//
+// Engines speak the usual completions protocol with server-sent events, plus
+// a status page and load commands that carry a fencing token.
+package awengine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Completion is the request body of the completions protocol.
+type Completion struct {
+	Model      string `json:"model"`
+	Prompt     string `json:"prompt"`
+	MaxTokens  uint32 `json:"max_tokens"`
+	Stream     bool   `json:"stream"`
+	Priority   uint32 `json:"priority,omitempty"`
+	ResumeFrom uint32 `json:"resume_from,omitempty"` // tokens already delivered
+}
+
+// Token is one event of an engine's stream.
+type Token struct {
+	Index  uint32 `json:"index"`
+	Text   string `json:"text"`
+	Digest string `json:"digest"` // weights that produced the token
+	Finish string `json:"finish_reason,omitempty"`
+}
+
+// Status is what an engine reports about itself. The load figures lag.
+type Status struct {
+	BootID      string
+	State       string // "empty", "cold" or "warm"
+	Model       string
+	Version     string
+	Digest      string // BLAKE3 digest of the weights as loaded
+	Fence       uint64 // token of the last command accepted
+	Running     int
+	Waiting     int
+	MemoryBytes uint64
+	UsedBytes   uint64
+}
+
+// LoadCommand tells an engine to load weights from URL.
+type LoadCommand struct {
+	Model   string
+	Version string
+	URL     string
+	Fence   uint64
+}
+
+// StatusError is an answer of a backend server with an error status.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error implements the error interface.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("backend server answered %d: %s", e.Status, e.Body)
+}
+
+// ErrCutShort is returned for a stream that ended without its end event.
+var ErrCutShort = eris.New("stream ended without its end event")
+
+const (
+	statusTimeout    = 2 * time.Second
+	maxEventBytes    = 64 << 10
+	maxErrorBytes    = 1 << 10
+	maxStatusBytes   = 64 << 10
+	streamEnd        = "[DONE]"
+	eventDataPrefix  = "data: "
+	maxIdlePerEngine = 256
+)
+
+// Client talks to one backend server.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the backend server at the base URL.
+func New(base string) *Client {
+	tr := &http.Transport{MaxIdleConnsPerHost: maxIdlePerEngine, ReadBufferSize: 4 << 10}
+	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: tr}}
+}
+
+// Status asks the engine for its state.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	var st Status
+	resp, err := c.send(ctx, http.MethodGet, "/status", "", nil)
+	if err != nil {
+		return st, err
+	}
+	defer resp.Body.Close()
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&st)
+	return st, eris.Wrap(err, "decode engine status")
+}
+
+// Load gives the engine a load command. After any error other than a
+// [StatusError] the caller must ask [Client.Status] what took effect.
+func (c *Client) Load(ctx context.Context, cmd LoadCommand) error {
+	body, err := json.Marshal(cmd)
+	if err != nil {
+		return eris.Wrap(err, "encode load command")
+	}
+	resp, err := c.send(ctx, http.MethodPost, "/commands/load", "application/json", body)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// Stream is one running completion.
+type Stream struct {
+	body io.ReadCloser
+	scan *bufio.Scanner
+}
+
+// Complete starts a completion. Closing the stream or ending ctx cancels it
+// at the engine.
+func (c *Client) Complete(ctx context.Context, req Completion) (*Stream, error) {
+	req.Stream = true
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode completion")
+	}
+	resp, err := c.send(ctx, http.MethodPost, "/v1/completions", "application/json", body) //nolint:bodyclose // closed by Stream.Close
+	if err != nil {
+		return nil, err
+	}
+	scan := bufio.NewScanner(resp.Body)
+	scan.Buffer(make([]byte, 0, 1<<10), maxEventBytes)
+	return &Stream{body: resp.Body, scan: scan}, nil
+}
+
+// Next returns the next token, io.EOF after the end event, and [ErrCutShort]
+// when the stream ends without one.
+func (s *Stream) Next() (Token, error) {
+	var t Token
+	for s.scan.Scan() {
+		data, ok := bytes.CutPrefix(s.scan.Bytes(), []byte(eventDataPrefix))
+		if !ok {
+			continue
+		}
+		if string(data) == streamEnd {
+			return t, io.EOF
+		}
+		if err := json.Unmarshal(data, &t); err != nil {
+			return t, eris.Wrap(err, "decode token")
+		}
+		return t, nil
+	}
+	if err := s.scan.Err(); err != nil {
+		return t, eris.Wrap(err, "read stream")
+	}
+	return t, ErrCutShort
+}
+
+// Close ends the stream; a running completion is cancelled.
+func (s *Stream) Close() error { return s.body.Close() }
+
+// ServiceRequest is a call to a plain service.
+type ServiceRequest struct {
+	Method         string
+	Path           string
+	ContentType    string
+	IdempotencyKey string
+	Body           []byte
+}
+
+// Call sends a request to a plain service once; it is never repeated here.
+// The caller closes the body of the answer.
+func (c *Client) Call(ctx context.Context, r ServiceRequest) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, c.base+"/"+strings.TrimLeft(r.Path, "/"), bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, eris.Wrap(err, "service request")
+	}
+	// The transport repeats requests on reused connections that it takes to be
+	// idempotent, and a request with GetBody can be replayed; neither may
+	// happen to a call that must run at most once.
+	req.GetBody = nil
+	if r.ContentType != "" {
+		req.Header.Set("Content-Type", r.ContentType)
+	}
+	if r.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", r.IdempotencyKey)
+	}
+	resp, err := c.http.Do(req)
+	return resp, eris.Wrap(err, "call service")
+}
+
+func (c *Client) send(ctx context.Context, method, path, contentType string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "engine request")
+	}
+	if contentType != "" {
+		req.Header.Set("Content-Type", contentType)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, eris.Wrapf(err, "%s %s", method, path)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+		_ = resp.Body.Close()
+		return nil, &StatusError{Status: resp.StatusCode, Body: strings.TrimSpace(string(text))}
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/io/awentry/entry.go
@@ -0,0 +1,190 @@
+// Package awentry is the daemon that accepts callers' requests.
+//
+// An entry keeps nothing that must last: configuration and claims live in
+// the platform's table service, the state of agents is rebuilt from their
+// heartbeats, and running streams are lost visibly with the entry.
+package awentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	"arbutuswind/core/awclock"
+	"arbutuswind/core/awconfig"
+	"arbutuswind/io/awcontrol"
+	"arbutuswind/io/awhttp"
+	"arbutuswind/io/awproto"
+	"arbutuswind/io/awrpc"
+	"arbutuswind/io/awsettings"
+	"arbutuswind/io/awstore"
+)
+
+// Config is what an entry is built from.
+type Config struct {
+	Settings    awsettings.Entry
+	Clock       awclock.Clock
+	Logger      log.Logger
+	Tracer      trace.Tracer
+	Incarnation uint64 // larger for every later start
+}
+
+// Entry is the daemon. Create it with [New].
+type Entry struct {
+	cfg      Config
+	identity *awproto.ProcessIdentity
+	store    *awstore.Client
+	dialer   *awrpc.Dialer
+	holder   *awconfig.Holder
+	log      *awcontrol.Log
+	fleet    *fleet
+	claims   *claims
+
+	sequence atomic.Uint64
+	draining atomic.Bool
+	synced   atomic.Bool // the configuration was read at least once
+
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// New returns an entry that does nothing until [Entry.Run].
+func New(cfg Config) *Entry {
+	s := cfg.Settings
+	e := &Entry{
+		cfg: cfg,
+		identity: &awproto.ProcessIdentity{
+			Process: "awentry", Instance: s.Process.Instance, Domain: s.Process.Domain,
+			Region: s.Process.Region, Incarnation: cfg.Incarnation, Address: s.Listen.Inner,
+		},
+		store: awstore.New(awstore.Config{
+			TableURL: s.Platform.TableURL, ObjectURL: s.Platform.ObjectURL, OriginURL: s.Platform.OriginURL,
+			InstanceListURL: s.Platform.InstanceListURL, Timeout: s.Platform.Timeout.Std(),
+		}),
+		holder: awconfig.NewHolder(),
+		rng:    rand.New(rand.NewPCG(cfg.Incarnation, uint64(len(s.Process.Instance)))),
+	}
+	e.dialer = awrpc.NewDialer(awrpc.DialerConfig{
+		Identity: e.identity, Revision: func() uint64 { return e.holder.State().Revision },
+	})
+	e.log = awcontrol.NewLog(e.store, e.holder)
+	e.fleet = newFleet(e)
+	e.claims = &claims{store: e.store}
+	return e
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (e *Entry) Run(ctx context.Context) error {
+	s := e.cfg.Settings
+	inner, err := awrpc.Listen(s.Listen.Inner, nil)
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", s.Listen.Callers)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", s.Listen.Callers)
+	}
+	operators, err := net.Listen("tcp", s.Listen.Operators)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", s.Listen.Operators)
+	}
+	mux := drpcmux.New()
+	if err := awproto.DRPCRegisterEntry(mux, &innerServer{entry: e}); err != nil {
+		return eris.Wrap(err, "register entry service")
+	}
+	_ = e.cfg.Logger.Log("Message", "entry started", "Callers", s.Listen.Callers, "Incarnation", e.cfg.Incarnation)
+
+	base, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, serveCtx := errgroup.WithContext(base)
+	callerServer := awhttp.NewServer(e.callerHandler())
+	operatorServer := awhttp.NewServer(e.operatorHandler())
+	server := awrpc.NewServer(mux, func(error) {})
+	group.Go(func() error { return server.Serve(serveCtx, inner) })
+	group.Go(func() error { return serveHTTP(callerServer, callers) })
+	group.Go(func() error { return serveHTTP(operatorServer, operators) })
+	group.Go(func() error { e.configLoop(serveCtx); return nil })
+	group.Go(func() error { e.fleet.listLoop(serveCtx); return nil })
+	group.Go(func() error { e.reconcileLoop(serveCtx); return nil })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			e.drain(callerServer)
+		case <-serveCtx.Done():
+		}
+		_ = callerServer.Close()
+		_ = operatorServer.Close()
+		stop()
+		return nil
+	})
+	err = group.Wait()
+	_ = e.dialer.Close()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// drainNotice is how long readiness is false before the listener closes, so
+// that the balancer has stopped sending callers here.
+const drainNotice = 500 * time.Millisecond
+
+func (e *Entry) drain(callers *http.Server) {
+	e.draining.Store(true)
+	time.Sleep(drainNotice)
+	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.Settings.Timing.Drain.Std())
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	_ = e.cfg.Logger.Log("Message", "entry stopped", "Whole", err == nil)
+}
+
+func serveHTTP(srv *http.Server, lis net.Listener) error {
+	if err := srv.Serve(lis); err != http.ErrServerClosed {
+		return eris.Wrapf(err, "listener %s", lis.Addr())
+	}
+	return nil
+}
+
+// configLoop keeps the configuration up to date until ctx ends.
+func (e *Entry) configLoop(ctx context.Context) {
+	for {
+		if err := e.log.Poll(ctx); err == nil {
+			e.synced.Store(true)
+		} else if ctx.Err() == nil {
+			_ = e.cfg.Logger.Log("Message", "configuration not read", "Error", err.Error())
+		}
+		period := e.cfg.Settings.Timing.ConfigPoll.Std()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(period/2 + e.jitter(period)):
+		}
+	}
+}
+
+// jitter returns a random time below d.
+func (e *Entry) jitter(d time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Duration(e.rng.Int64N(int64(d)))
+}
+
+func (e *Entry) ready() error {
+	if e.draining.Load() {
+		return eris.New("entry is leaving")
+	}
+	if !e.synced.Load() {
+		return eris.New("no configuration: neither the table service nor a peer answered")
+	}
+	return nil
+}
--- /dev/null
+++ b/io/awentry/operators.go
@@ -0,0 +1,50 @@
+package awentry
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"arbutuswind/io/awcontrol"
+	"arbutuswind/io/awtelemetry"
+)
+
+// operatorHandler returns the operators' API, health and metrics.
+func (e *Entry) operatorHandler() http.Handler {
+	api := &awcontrol.Server{Log: e.log, Holder: e.holder, Platform: e.store, Fleet: e.fleet.status}
+	r := chi.NewRouter()
+	r.Mount(awcontrol.APIPrefix, api.Handler())
+	r.Get("/metrics", awtelemetry.MetricsHandler)
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := e.ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return r
+}
+
+// status returns what this entry knows about each agent.
+func (f *fleet) status() []awcontrol.AgentStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := []awcontrol.AgentStatus{}
+	for id, link := range f.agents {
+		s := awcontrol.AgentStatus{Instance: id, Domain: link.info.Domain, State: "SILENT"}
+		if r := link.report; r != nil {
+			s.State, s.ViewRevision, s.InFlight, s.Limit = r.State.String(), r.ViewRevision, r.InFlight, r.Limit
+			s.ChunksHeld, s.Chunks = r.GetTransfer().GetChunksHeld(), r.GetTransfer().GetChunks()
+			s.OriginBytes = r.GetTransfer().GetOriginBytes()
+			for _, m := range r.Models {
+				s.Model, s.Version, s.VersionDigest = m.Model, m.Version, m.VersionDigest
+			}
+		}
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b awcontrol.AgentStatus) int { return strings.Compare(a.Instance, b.Instance) })
+	return list
+}
--- /dev/null
+++ b/io/awhttp/awhttp.go
@@ -0,0 +1,109 @@
+// Package awhttp holds what the HTTP listeners share: problem documents,
+// bounds on requests and the system's own headers.
+package awhttp
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"arbutuswind/core/awoutcome"
+)
+
+// The headers of the callers' API.
+const (
+	HeaderPrefix   = "Arbutuswind-"
+	HeaderTeam     = HeaderPrefix + "Team"
+	HeaderPriority = HeaderPrefix + "Priority"
+	HeaderDeadline = HeaderPrefix + "Deadline-Ms"
+	HeaderOutcome  = HeaderPrefix + "Outcome"
+	HeaderVersion  = HeaderPrefix + "Version"
+	HeaderRequest  = HeaderPrefix + "Request-Id"
+	HeaderKey      = "Idempotency-Key"
+)
+
+// Bounds on every listener.
+const (
+	MaxHeaderBytes    = 16 << 10
+	ReadHeaderTimeout = 5 * time.Second
+	IdleTimeout       = 60 * time.Second
+)
+
+// callerHeaders are the headers of the system that callers may set.
+var callerHeaders = map[string]bool{HeaderTeam: true, HeaderPriority: true, HeaderDeadline: true}
+
+// StripHeaders removes headers of the system that callers may not set.
+func StripHeaders(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, HeaderPrefix) && !callerHeaders[name] {
+			delete(h, name)
+		}
+	}
+}
+
+// Problem is the body of a refusal or failure, application/problem+json.
+type Problem struct {
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail,omitempty"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+}
+
+// NewProblem describes err. Errors without an outcome become unknown.
+func NewProblem(err error) Problem {
+	var e *awoutcome.Error
+	if !errors.As(err, &e) {
+		e = &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.EngineFailed, Detail: err.Error()}
+	}
+	return Problem{
+		Type: "about:blank", Title: string(e.Reason), Status: Status(e.Reason),
+		Detail: e.Detail, Outcome: e.Outcome.String(), Reason: string(e.Reason),
+	}
+}
+
+// WriteError answers a request with the problem that err describes.
+func WriteError(w http.ResponseWriter, err error) {
+	p := NewProblem(err)
+	var e *awoutcome.Error
+	if errors.As(err, &e) && e.RetryAfterMs > 0 {
+		// Retry-After has whole seconds; rounding up keeps the promise.
+		w.Header().Set("Retry-After", strconv.Itoa(int(e.RetryAfterMs+999)/1000))
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set(HeaderOutcome, p.Outcome)
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p) // the caller may be gone
+}
+
+// Status returns the HTTP status of a reason.
+func Status(reason awoutcome.Reason) int {
+	switch reason {
+	case awoutcome.BadRequest:
+		return http.StatusBadRequest
+	case awoutcome.RateLimited, awoutcome.QueueFull, awoutcome.ColdLimit, awoutcome.MemoryFull, awoutcome.Overloaded:
+		return http.StatusTooManyRequests
+	case awoutcome.Deadline:
+		return http.StatusGatewayTimeout
+	case awoutcome.InProgress:
+		return http.StatusConflict
+	case awoutcome.KeyReused:
+		return http.StatusUnprocessableEntity
+	case awoutcome.EngineFailed, awoutcome.IdentityChanged, awoutcome.Truncated, awoutcome.LinkLost:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// NewServer returns an HTTP server with the bounds of this package.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, MaxHeaderBytes: MaxHeaderBytes,
+		ReadHeaderTimeout: ReadHeaderTimeout, IdleTimeout: IdleTimeout,
+	}
+}
--- /dev/null
+++ b/io/awrpc/awrpc.go
@@ -0,0 +1,243 @@
+// Package awrpc carries the internal protocol: listener, dialer and pool.
+//
+// Every connection starts with Hello, which checks the protocol version and,
+// where the caller knows them, the instance and incarnation of the other
+// side. A connection carries one stream at a time, so that the flow control
+// of TCP belongs to that stream alone.
+package awrpc
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+
+	"arbutuswind/io/awproto"
+)
+
+// ProtocolVersion is raised with every incompatible change of inner.proto.
+const ProtocolVersion = 1
+
+const (
+	// MaxMessageBytes bounds one message of the internal protocol.
+	MaxMessageBytes = 4 << 20
+	// socketBufferBytes bounds what the kernel holds for one slow stream.
+	socketBufferBytes = 32 << 10
+
+	dialTimeout  = 2 * time.Second
+	idleTimeout  = 30 * time.Second
+	idlePerPeer  = 64
+	idleAll      = 2048
+	inactivity   = 2 * time.Minute
+	keepAliveIdl = 5 * time.Second
+)
+
+// IdentityError reports that the process that answered is not the one wanted.
+type IdentityError struct {
+	WantInstance, GotInstance       string
+	WantIncarnation, GotIncarnation uint64
+}
+
+// Error implements the error interface.
+func (e *IdentityError) Error() string {
+	return fmt.Sprintf("reached instance %q incarnation %d, want %q incarnation %d",
+		e.GotInstance, e.GotIncarnation, e.WantInstance, e.WantIncarnation)
+}
+
+// VersionError reports two processes that speak different protocol versions.
+type VersionError struct{ Have, Got uint32 }
+
+// Error implements the error interface.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("protocol version %d, other side speaks %d", e.Have, e.Got)
+}
+
+// Target names a process to connect to. An empty Instance or a zero
+// Incarnation accepts any.
+type Target struct {
+	Address     string
+	Instance    string
+	Incarnation uint64
+	Agent       bool // call the service Agent rather than Entry
+}
+
+// DialerConfig configures a [Dialer].
+type DialerConfig struct {
+	Identity *awproto.ProcessIdentity
+	Revision func() uint64                                            // configuration revision of this process
+	TLS      func() (*tls.Config, error)                              // nil for plain TCP
+	OnHello  func(t Target, reply *awproto.HelloReply)                // may be nil
+	Dial     func(ctx context.Context, addr string) (net.Conn, error) // nil for TCP
+}
+
+// Dialer opens and pools connections.
+type Dialer struct {
+	cfg  DialerConfig
+	pool *drpcpool.Pool[Target, drpcpool.Conn]
+}
+
+// NewDialer returns a dialer without connections.
+func NewDialer(cfg DialerConfig) *Dialer {
+	return &Dialer{cfg: cfg, pool: drpcpool.New[Target, drpcpool.Conn](drpcpool.Options{
+		Expiration: idleTimeout, Capacity: idleAll, KeyCapacity: idlePerPeer,
+	})}
+}
+
+// Close closes the idle connections.
+func (d *Dialer) Close() error { return d.pool.Close() }
+
+// Agent returns a client of the agent at t; connections are taken as needed.
+func (d *Dialer) Agent(ctx context.Context, t Target) awproto.DRPCAgentClient {
+	t.Agent = true
+	return awproto.NewDRPCAgentClient(d.pool.Get(ctx, t, d.connect))
+}
+
+// Entry returns a client of the entry at t; connections are taken as needed.
+func (d *Dialer) Entry(ctx context.Context, t Target) awproto.DRPCEntryClient {
+	t.Agent = false
+	return awproto.NewDRPCEntryClient(d.pool.Get(ctx, t, d.connect))
+}
+
+func (d *Dialer) connect(ctx context.Context, t Target) (drpcpool.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := d.dial(ctx, t.Address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "dial %s", t.Address)
+	}
+	conn := drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()})
+	if err := d.hello(ctx, conn, t); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (d *Dialer) dial(ctx context.Context, addr string) (net.Conn, error) {
+	dial := d.cfg.Dial
+	if dial == nil {
+		nd := &net.Dialer{KeepAlive: keepAliveIdl}
+		dial = func(ctx context.Context, addr string) (net.Conn, error) { return nd.DialContext(ctx, "tcp", addr) }
+	}
+	raw, err := dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	boundSocket(raw)
+	if d.cfg.TLS == nil {
+		return raw, nil
+	}
+	cfg, err := d.cfg.TLS()
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	conn := tls.Client(raw, cfg)
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (d *Dialer) hello(ctx context.Context, conn drpc.Conn, t Target) error {
+	req := &awproto.HelloRequest{
+		ProtocolVersion: ProtocolVersion, Sender: d.cfg.Identity,
+		ExpectedInstance: t.Instance, ExpectedIncarnation: t.Incarnation,
+	}
+	if d.cfg.Revision != nil {
+		req.Revision = d.cfg.Revision()
+	}
+	var reply *awproto.HelloReply
+	var err error
+	if t.Agent {
+		reply, err = awproto.NewDRPCAgentClient(conn).Hello(ctx, req)
+	} else {
+		reply, err = awproto.NewDRPCEntryClient(conn).Hello(ctx, req)
+	}
+	if err != nil {
+		return eris.Wrapf(err, "hello to %s", t.Address)
+	}
+	if err := CheckHello(reply, t); err != nil {
+		return err
+	}
+	if d.cfg.OnHello != nil {
+		d.cfg.OnHello(t, reply)
+	}
+	return nil
+}
+
+// CheckHello returns a [VersionError] or an [IdentityError] when the process
+// that answered is not the one that t names.
+func CheckHello(reply *awproto.HelloReply, t Target) error {
+	if reply.ProtocolVersion != ProtocolVersion {
+		return &VersionError{Have: ProtocolVersion, Got: reply.ProtocolVersion}
+	}
+	got := reply.GetSender()
+	if (t.Instance != "" && got.GetInstance() != t.Instance) ||
+		(t.Incarnation != 0 && got.GetIncarnation() != t.Incarnation) {
+		return &IdentityError{
+			WantInstance: t.Instance, GotInstance: got.GetInstance(),
+			WantIncarnation: t.Incarnation, GotIncarnation: got.GetIncarnation(),
+		}
+	}
+	return nil
+}
+
+// NewServer returns a server of the internal protocol for the handler.
+func NewServer(handler drpc.Handler, onError func(error)) *drpcserver.Server {
+	opts := managerOptions()
+	opts.InactivityTimeout = inactivity
+	return drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: opts, Log: onError})
+}
+
+// Listen opens the listener of the internal protocol. A nil cfg means plain
+// TCP.
+func Listen(addr string, cfg *tls.Config) (net.Listener, error) {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", addr)
+	}
+	lis = boundedListener{lis}
+	if cfg != nil {
+		lis = tls.NewListener(lis, cfg)
+	}
+	return lis, nil
+}
+
+type boundedListener struct{ net.Listener }
+
+// Accept bounds the socket buffers of each connection.
+func (l boundedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		boundSocket(conn)
+	}
+	return conn, err
+}
+
+func boundSocket(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// Failing to shrink a buffer costs memory only.
+		_ = tcp.SetReadBuffer(socketBufferBytes)
+		_ = tcp.SetWriteBuffer(socketBufferBytes)
+	}
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:     drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
+		Stream:     drpcstream.Options{MaximumBufferSize: MaxMessageBytes},
+		SoftCancel: true,
+	}
+}
--- /dev/null
+++ b/io/awstore/awstore.go
@@ -0,0 +1,228 @@
+// Package awstore talks to the platform: table service, object store, weight
+// origin and instance list.
+//
+// The table service keeps rows with a version number each and commits a
+// transaction only if every condition holds. An answer may be lost although
+// the write took effect; callers re-read and compare, they never assume.
+package awstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrNotFound is returned for a row or object that does not exist.
+var ErrNotFound = errors.New("not found")
+
+// ErrNotModified is returned by a conditional read when nothing changed.
+var ErrNotModified = errors.New("not modified")
+
+// ErrConflict is returned when a condition of a transaction did not hold.
+var ErrConflict = errors.New("condition not met")
+
+// Row is one row of the table service.
+type Row struct {
+	Key     string
+	Version uint64 // raised by every write of the row; 0 means that it does not exist
+	Value   json.RawMessage
+}
+
+// Condition demands that a row has a version. Version 0 demands that the row
+// does not exist.
+type Condition struct {
+	Key     string
+	Version uint64
+}
+
+// Txn is written as a whole or not at all.
+type Txn struct {
+	Conditions []Condition
+	Puts       []Put
+	Deletes    []string
+}
+
+// Put sets the value of a row.
+type Put struct {
+	Key   string
+	Value json.RawMessage
+}
+
+// Client talks to the table service and the object store. The zero value is
+// not usable; see [New].
+type Client struct {
+	cfg  Config
+	http *http.Client
+}
+
+// Config names the services of the platform. Empty URLs are allowed for
+// services that a process does not use.
+type Config struct {
+	TableURL        string
+	ObjectURL       string
+	OriginURL       string
+	InstanceListURL string
+	Timeout         time.Duration // of one call; 0 means 2 s
+}
+
+const (
+	defaultTimeout = 2 * time.Second
+	maxReplyBytes  = 64 << 20
+)
+
+// New returns a client.
+func New(cfg Config) *Client {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	tr := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	return &Client{cfg: cfg, http: &http.Client{Transport: tr}}
+}
+
+// Get reads a row. If known is not 0 and the row still has that version, it
+// returns [ErrNotModified].
+func (c *Client) Get(ctx context.Context, key string, known uint64) (Row, error) {
+	u := c.cfg.TableURL + "/rows/" + url.PathEscape(key)
+	if known != 0 {
+		u += "?IfNotVersion=" + strconv.FormatUint(known, 10)
+	}
+	var row Row
+	err := c.call(ctx, http.MethodGet, u, nil, &row)
+	return row, err
+}
+
+// Scan reads rows with from <= key < to in the order of their keys, at most
+// limit of them.
+func (c *Client) Scan(ctx context.Context, from, to string, limit int) ([]Row, error) {
+	q := url.Values{"From": {from}, "To": {to}, "Limit": {strconv.Itoa(limit)}}
+	var rows []Row
+	err := c.call(ctx, http.MethodGet, c.cfg.TableURL+"/scan?"+q.Encode(), nil, &rows)
+	return rows, err
+}
+
+// Commit runs a transaction. [ErrConflict] means that nothing was written;
+// any other error leaves open whether it was.
+func (c *Client) Commit(ctx context.Context, txn Txn) error {
+	body, err := json.Marshal(txn)
+	if err != nil {
+		return eris.Wrap(err, "encode transaction")
+	}
+	return c.call(ctx, http.MethodPost, c.cfg.TableURL+"/txn", body, nil)
+}
+
+// GetObject reads an object of the object store.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	return c.bytes(ctx, c.cfg.ObjectURL+"/objects/"+url.PathEscape(name))
+}
+
+// PutObject writes an object of the object store.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	return c.call(ctx, http.MethodPut, c.cfg.ObjectURL+"/objects/"+url.PathEscape(name), data, nil)
+}
+
+// Manifest reads the manifest that is published under a name.
+func (c *Client) Manifest(ctx context.Context, model, version string) ([]byte, error) {
+	return c.bytes(ctx, c.cfg.OriginURL+"/weights/"+url.PathEscape(model)+"/"+url.PathEscape(version))
+}
+
+// ManifestByDigest reads a manifest by its identity.
+func (c *Client) ManifestByDigest(ctx context.Context, digest string) ([]byte, error) {
+	return c.bytes(ctx, c.cfg.OriginURL+"/manifests/"+url.PathEscape(digest))
+}
+
+// Chunk reads a chunk of weights from the origin. The timeout of the client
+// does not apply, since the origin is rate-limited; ctx bounds the call.
+func (c *Client) Chunk(ctx context.Context, digest string) ([]byte, error) {
+	return c.fetch(ctx, c.cfg.OriginURL+"/chunks/"+url.PathEscape(digest))
+}
+
+// Instance is one row of the platform's instance list.
+type Instance struct {
+	ID          string
+	Role        string // "entry" or "agent"
+	Address     string // internal listener, IP:port
+	Domain      string
+	Region      string
+	Leaving     bool
+	Service     string // plain service it fronts; empty for model engines
+	MemoryBytes uint64
+}
+
+// Instances reads the instance list, which lags.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	var list []Instance
+	err := c.call(ctx, http.MethodGet, c.cfg.InstanceListURL, nil, &list)
+	return list, err
+}
+
+func (c *Client) bytes(ctx context.Context, u string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	return c.fetch(ctx, u)
+}
+
+func (c *Client) fetch(ctx context.Context, u string) ([]byte, error) {
+	resp, err := c.send(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	return data, eris.Wrapf(err, "read %s", u)
+}
+
+func (c *Client) call(ctx context.Context, method, u string, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	resp, err := c.send(ctx, method, u, body)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if out == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReplyBytes))
+		return eris.Wrapf(err, "read %s", u)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(out)
+	return eris.Wrapf(err, "decode %s", u)
+}
+
+func (c *Client) send(ctx context.Context, method, u string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrapf(err, "request %s", u)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, eris.Wrapf(err, "%s %s", method, u)
+	}
+	if err := statusError(resp.StatusCode); err != nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReplyBytes))
+		_ = resp.Body.Close()
+		return nil, eris.Wrapf(err, "%s %s", method, u)
+	}
+	return resp, nil
+}
+
+func statusError(status int) error {
+	switch {
+	case status == http.StatusNotModified:
+		return ErrNotModified
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusConflict:
+		return ErrConflict
+	case status >= http.StatusBadRequest:
+		return fmt.Errorf("status %d", status)
+	}
+	return nil
+}
