Add the window and position of a response

Cause: the window counted data bytes only and lived untested in the agent. A frame of one token is mostly overhead, so the socket buffers filled long before the window and the agent blocked in Send instead of seeing the window closed. Both are pure and tested, the window with rapid.

--- /dev/null
+++ b/core/awstream/awstream_test.go
@@ -0,0 +1,101 @@
+package awstream
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"arbutuswind/core/awoutcome"
+)
+
+// Guards against a sender that holds more in flight than the window plus one
+// frame, and against a paused response that never becomes resumable.
+func TestWindowBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		initial := rapid.Uint32Range(1, 1<<16).Draw(t, "initial")
+		w := NewWindow(initial)
+		var unread []int // frames that the other side has not returned credit for
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				held := 0
+				for _, n := range unread {
+					held += FrameCost(n)
+				}
+				last := 0
+				if len(unread) > 0 {
+					last = FrameCost(unread[len(unread)-1])
+				}
+				require.Less(t, held-last, int(initial))
+				if held == 0 {
+					require.True(t, w.Resumable())
+				}
+			},
+			"send": func(t *rapid.T) {
+				if n := rapid.IntRange(0, 1<<14).Draw(t, "frame"); w.Take(n) {
+					unread = append(unread, n)
+				}
+			},
+			"read": func(t *rapid.T) {
+				if len(unread) == 0 {
+					t.Skip("nothing to read")
+				}
+				w.Add(uint32(FrameCost(unread[0])))
+				unread = unread[1:]
+			},
+		})
+	})
+}
+
+// Guards against credit that wraps around to a closed window.
+func TestWindowOverflow(t *testing.T) {
+	w := NewWindow(math.MaxUint32)
+	for range 1 << 10 {
+		w.Add(math.MaxUint32)
+	}
+	require.True(t, w.Take(1))
+}
+
+// Guards against output that mixes weights, skips or repeats tokens, or is
+// passed on as whole after it was cut.
+func TestPosition(t *testing.T) {
+	type token struct {
+		index  uint32
+		digest string
+	}
+	for name, c := range map[string]struct {
+		from   Position
+		tokens []token
+		finish string
+		want   awoutcome.Reason
+	}{
+		"whole":               {Position{}, []token{{0, "a"}, {1, "a"}}, "stop", ""},
+		"whole at the bound":  {Position{}, []token{{0, "a"}, {1, "a"}, {2, "a"}}, "", ""},
+		"resumed":             {Position{Next: 2, Digest: "a"}, []token{{2, "a"}}, "stop", ""},
+		"other weights":       {Position{}, []token{{0, "a"}, {1, "b"}}, "stop", awoutcome.IdentityChanged},
+		"resumed differently": {Position{Next: 2, Digest: "a"}, []token{{2, "b"}}, "stop", awoutcome.IdentityChanged},
+		"gap":                 {Position{}, []token{{0, "a"}, {2, "a"}}, "stop", awoutcome.IdentityChanged},
+		"repeat":              {Position{}, []token{{0, "a"}, {0, "a"}}, "stop", awoutcome.IdentityChanged},
+		"cut":                 {Position{}, []token{{0, "a"}}, "", awoutcome.Truncated},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := c.from
+			var err *awoutcome.Error
+			for _, tok := range c.tokens {
+				if err = p.Advance(tok.index, tok.digest); err != nil {
+					break
+				}
+			}
+			if err == nil {
+				err = p.Finish(c.finish, 3)
+			}
+			if c.want == "" {
+				require.Nil(t, err)
+				return
+			}
+			require.Equal(t, c.want, err.Reason)
+			require.Equal(t, awoutcome.Unknown, err.Outcome)
+		})
+	}
+}
