Queue, order and bound requests at the agent

Cause: the agent refused whatever exceeded its limit at the moment of arrival, jumped from the cold limit to the full limit on the engine's word alone, held engine memory for readers that had stopped, and kept queued-like refusals repeatable by a delayed copy. Change: awadmit.Gate reserves memory without overflow, queues within bounds of count and bytes, orders by priority and weighted fairness, and raises the limit only on finished requests. Serve waits for its grant; a refusal with the outcome not-run refuses the attempt for good. Streams without credit for PauseAfter release the engine and resume through admission on the same weight digest. The agent takes no work while isolated or after a pause until an entry was heard from. Draining refuses queued work at once, and requests cut by the deadline or a second signal are counted and logged. Metrics cover all of it. The entry returns credit by awstream.FrameCost.

--- a/core/awadmit/awadmit.go
+++ b/core/awadmit/awadmit.go
@@ -1,75 +1,276 @@
 // Package awadmit decides at the agent which requests its backend server
-// takes. The bound holds however many entries send, because every request to
-// the backend server passes here.
+// takes, and when.
+//
+// A [Gate] reserves memory for every request, holds a small queue and keeps
+// the number of running requests at or below a limit. The limit starts at the
+// cold limit and rises only on evidence from finished requests. The bound
+// holds however many entries send, because every request to the backend
+// server passes here.
 package awadmit
 
 import (
+	"fmt"
+	"math/bits"
+	"time"
+
+	"arbutuswind/core/awclock"
 	"arbutuswind/core/awoutcome"
 )
 
-// Config bounds the backend server.
+// Config bounds the backend server and the queue in front of it.
 type Config struct {
 	MaxInFlight   int
 	ColdInFlight  int
 	MemoryBytes   uint64
 	BytesPerToken uint64
+	MaxQueue      int // requests waiting; 0 refuses instead of queueing
+	QueueBytes    int // request bodies held by waiting requests
+	PausedBytes   int // request bodies held by paused streams
+	Clock         awclock.Clock
 }
 
 // Request is what admission needs to know.
 type Request struct {
+	Team         string
+	Priority     uint32
 	PromptTokens uint32
 	MaxTokens    uint32
+	Bytes        int       // size of the body that the agent holds
+	Deadline     time.Time // the request leaves the queue then
+	Resume       bool      // the answer has started; the request is never refused for lack of room
+	Wake         func()    // called once when a queued request is decided; must not call the gate
+}
+
+// OversizeError reports a request that this backend server can never hold.
+type OversizeError struct{ NeedBytes, LimitBytes uint64 }
+
+// Error implements the error interface.
+func (e *OversizeError) Error() string { return e.Unwrap().Error() }
+
+// Unwrap returns the refusal that the sender is told about.
+func (e *OversizeError) Unwrap() error {
+	return awoutcome.Refuse(awoutcome.BadRequest,
+		fmt.Sprintf("request needs %d bytes, the backend server has %d", e.NeedBytes, e.LimitBytes))
+}
+
+// Ticket is one request that the gate has taken in.
+type Ticket struct {
+	req      Request
+	need     uint64
+	arrived  uint64 // order of arrival
+	overtook int    // requests that passed this one while it did not fit
+	epoch    uint64 // of the limit when the request was granted
+	granted  bool
+	started  time.Time
+	refused  error
 }
 
+// Granted reports whether the request may run.
+func (t *Ticket) Granted() bool { return t.granted }
+
+// Refused returns why a queued request was refused, nil if it was not.
+func (t *Ticket) Refused() error { return t.refused }
+
 // Gate counts what the backend server holds. It is not safe for concurrent
 // use.
 type Gate struct {
 	cfg      Config
-	cold     bool
+	queue    []*Ticket
+	paused   int // bodies of paused streams
 	inFlight int
 	reserved uint64
+	arrivals uint64
+	fair     fairness
+	ramp     ramp
+	hold     time.Duration // moving average of the time that a request holds its place
 }
 
 // NewGate returns a gate before a cold backend server.
-func NewGate(cfg Config) *Gate { return &Gate{cfg: cfg, cold: true} }
+func NewGate(cfg Config) *Gate {
+	return &Gate{cfg: cfg, fair: newFairness(), ramp: newRamp(cfg.ColdInFlight, cfg.MaxInFlight)}
+}
 
-// SetCold tells the gate whether the backend server is in cold start.
-func (g *Gate) SetCold(cold bool) { g.cold = cold }
+// SetWeights sets the weights of the teams; a team without one has weight 1.
+func (g *Gate) SetWeights(weights map[string]int) { g.fair.setWeights(weights) }
 
 // Limit returns the number of requests admitted at once now.
-func (g *Gate) Limit() int {
-	if g.cold {
-		return g.cfg.ColdInFlight
-	}
-	return g.cfg.MaxInFlight
-}
+func (g *Gate) Limit() int { return g.ramp.limit }
 
-// InFlight returns the number of requests admitted and not released.
+// InFlight returns the number of requests granted and not released.
 func (g *Gate) InFlight() int { return g.inFlight }
 
+// Queued returns the number of requests that wait.
+func (g *Gate) Queued() int { return len(g.queue) }
+
 // FreeMemory returns the unreserved bytes of the backend server.
 func (g *Gate) FreeMemory() uint64 { return g.cfg.MemoryBytes - g.reserved }
 
-// Admit reserves room for a request and returns the bytes to release.
-func (g *Gate) Admit(r Request) (uint64, *awoutcome.Error) {
-	if g.inFlight >= g.Limit() {
-		reason := awoutcome.QueueFull
-		if g.cold {
-			reason = awoutcome.ColdLimit
+// Offer takes in a request: it is granted, queued or refused. Requests that
+// can never fit are refused with an [OversizeError], others with an
+// [awoutcome.Error] that carries a retry hint.
+func (g *Gate) Offer(r Request) (*Ticket, error) {
+	need, ok := g.need(r)
+	if !ok || need > g.cfg.MemoryBytes {
+		return nil, &OversizeError{NeedBytes: need, LimitBytes: g.cfg.MemoryBytes}
+	}
+	g.arrivals++
+	t := &Ticket{req: r, need: need, arrived: g.arrivals}
+	if len(g.queue) == 0 && g.fits(t) {
+		g.grant(t)
+		return t, nil
+	}
+	if !r.Resume {
+		if left := r.Deadline.Sub(g.cfg.Clock.Now()); left <= 0 || g.waitAt(r.Priority) > left {
+			return nil, g.refusal(awoutcome.Deadline, "the deadline passes before the request could run")
+		}
+		if !g.makeRoom(t) {
+			return nil, g.refusal(g.fullReason(), "the queue is full")
 		}
-		return 0, awoutcome.Refuse(reason, "backend server is at its limit")
 	}
-	need := (uint64(r.PromptTokens) + uint64(r.MaxTokens)) * g.cfg.BytesPerToken
-	if need > g.FreeMemory() {
-		return 0, awoutcome.Refuse(awoutcome.MemoryFull, "backend server has no memory left for the request")
+	g.queue = append(g.queue, t)
+	g.dispatch()
+	return t, nil
+}
+
+// need returns the bytes to reserve; false when the product overflows.
+func (g *Gate) need(r Request) (uint64, bool) {
+	tokens := uint64(r.PromptTokens) + uint64(r.MaxTokens) // two 32-bit numbers cannot overflow
+	hi, lo := bits.Mul64(tokens, g.cfg.BytesPerToken)
+	if hi != 0 {
+		return ^uint64(0), false
 	}
+	return max(lo, uint64(max(0, r.Bytes))), true
+}
+
+func (g *Gate) fits(t *Ticket) bool {
+	return g.inFlight < g.ramp.limit && t.need <= g.FreeMemory()
+}
+
+func (g *Gate) grant(t *Ticket) {
+	t.granted, t.epoch, t.started = true, g.ramp.epoch, g.cfg.Clock.Now()
 	g.inFlight++
-	g.reserved += need
-	return need, nil
+	g.reserved += t.need
+	g.fair.charge(t.req.Team, t.need)
 }
 
-// Release returns what Admit reserved.
-func (g *Gate) Release(need uint64) {
+// Release returns what a granted request holds and lets others in. Later
+// calls for the same ticket do nothing.
+func (g *Gate) Release(t *Ticket) {
+	if !t.granted {
+		return
+	}
+	t.granted = false
 	g.inFlight--
-	g.reserved -= need
+	g.reserved -= t.need
+	g.observeHold(g.cfg.Clock.Now().Sub(t.started))
+	g.dispatch()
+}
+
+// Leave takes a request out of the queue. It returns false when the request
+// was decided before.
+func (g *Gate) Leave(t *Ticket) bool {
+	for i, q := range g.queue {
+		if q == t {
+			g.remove(i)
+			g.dispatch() // the request may have kept smaller ones from passing
+			return true
+		}
+	}
+	return false
+}
+
+// FlushQueue refuses every queued request whose answer has not started.
+func (g *Gate) FlushQueue(reason awoutcome.Reason, detail string) int {
+	n := 0
+	for i := len(g.queue) - 1; i >= 0; i-- {
+		if !g.queue[i].req.Resume {
+			g.refuse(i, awoutcome.Refuse(reason, detail))
+			n++
+		}
+	}
+	return n
+}
+
+// Pause releases a stream that waits for its reader and accounts for the
+// body that is kept to resume it. It returns false, and the stream keeps its
+// place, when paused streams hold their share already.
+func (g *Gate) Pause(t *Ticket) bool {
+	if !t.granted || t.req.Bytes > g.cfg.PausedBytes-g.paused {
+		return false
+	}
+	g.paused += t.req.Bytes
+	g.Release(t)
+	return true
+}
+
+// Unpause accounts for a paused stream that resumes or ends.
+func (g *Gate) Unpause(t *Ticket) { g.paused -= t.req.Bytes }
+
+func (g *Gate) remove(i int) *Ticket {
+	t := g.queue[i]
+	g.queue = append(g.queue[:i], g.queue[i+1:]...)
+	return t
+}
+
+func (g *Gate) refuse(i int, err *awoutcome.Error) {
+	t := g.remove(i)
+	t.refused = err
+	t.wake()
+}
+
+func (t *Ticket) wake() {
+	if t.req.Wake != nil {
+		t.req.Wake()
+	}
+}
+
+func (g *Gate) fullReason() awoutcome.Reason {
+	if g.ramp.limit < g.cfg.MaxInFlight {
+		return awoutcome.ColdLimit
+	}
+	if g.inFlight < g.ramp.limit {
+		return awoutcome.MemoryFull
+	}
+	return awoutcome.QueueFull
+}
+
+const (
+	minRetryAfter = 100 * time.Millisecond // shorter hints make senders spin
+	maxRetryAfter = 30 * time.Second
+)
+
+func (g *Gate) refusal(reason awoutcome.Reason, detail string) *awoutcome.Error {
+	e := awoutcome.Refuse(reason, detail)
+	e.RetryAfterMs = uint32(min(max(g.ExpectedWait(), minRetryAfter), maxRetryAfter).Milliseconds())
+	return e
+}
+
+// holdWeight is the share of a new sample in the moving average of hold
+// times: one in eight follows a change within about 20 requests.
+const holdWeight = 8
+
+func (g *Gate) observeHold(d time.Duration) {
+	if g.hold == 0 {
+		g.hold = d
+		return
+	}
+	g.hold += (d - g.hold) / holdWeight
+}
+
+// ExpectedWait returns how long a new request of the lowest priority would
+// wait for its turn; 0 when there is room or nothing has finished yet.
+func (g *Gate) ExpectedWait() time.Duration { return g.waitAt(0) }
+
+// waitAt counts only the queued requests that a new one does not pass.
+func (g *Gate) waitAt(priority uint32) time.Duration {
+	if len(g.queue) == 0 && g.inFlight < g.ramp.limit {
+		return 0
+	}
+	turns := time.Duration(1)
+	for _, q := range g.queue {
+		if q.req.Priority >= priority {
+			turns++
+		}
+	}
+	return g.hold * turns / time.Duration(g.ramp.limit)
 }
--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/trace"
@@ -33,13 +34,21 @@
 // ServicePrefix marks the routing name of a plain service.
 const ServicePrefix = "service/"
 
+const (
+	// pausedBytes bounds the prompts kept for paused streams, half of the
+	// memory that the agent may take beside weights.
+	pausedBytes     = 64 << 20
+	maxReportedWait = time.Hour
+)
+
 // Config is what an agent is built from.
 type Config struct {
 	Settings    awsettings.Agent
 	Clock       awclock.Clock
 	Logger      log.Logger
 	Tracer      trace.Tracer
-	Incarnation uint64 // larger for every later start
+	Incarnation uint64          // larger for every later start
+	Forced      <-chan struct{} // closed to cut running requests while draining; may be nil
 }
 
 // Agent is the daemon. Create it with [New].
@@ -50,17 +59,27 @@
 	store    *awstore.Client
 	dialer   *awrpc.Dialer
 	weights  *weightStore
-
-	mu       sync.Mutex
-	gate     *awadmit.Gate
-	attempts *awledger.Attempts
-	view     awconfig.AgentView
-	ready    *awproto.ReadyModel // nil until version and digest are confirmed
-	state    awproto.AgentState
-	bootID   string
-	draining bool
-	changed  chan struct{} // closed and replaced when the report changes
-	running  sync.WaitGroup
+	metrics  *agentMetrics
+	cutCtx   context.Context // ends when running requests are cut
+	cut      context.CancelCauseFunc
+	running  sync.WaitGroup // requests queued, running or paused
+
+	mu           sync.Mutex
+	gate         *awadmit.Gate
+	attempts     *awledger.Attempts
+	view         awconfig.AgentView
+	askedFor     uint64              // highest revision that a request made this agent ask for
+	ready        *awproto.ReadyModel // nil until version and digest are confirmed
+	servedDigest string              // of the weights, as the engine reports it while ready
+	state        awproto.AgentState
+	bootID       string
+	draining     bool
+	paused       int       // streams whose reader takes nothing
+	awaiting     bool      // the process was paused and no entry was heard from since
+	wokeAt       time.Time // end of the last pause
+	lastTick     time.Time
+	lastFresh    time.Time     // last heartbeat of an entry with a fresh configuration
+	changed      chan struct{} // closed and replaced when the report changes
 }
 
 // New returns an agent that does nothing until [Agent.Run].
@@ -79,16 +98,21 @@
 		gate: awadmit.NewGate(awadmit.Config{
 			MaxInFlight: s.Limits.MaxInFlight, ColdInFlight: s.Limits.ColdInFlight,
 			MemoryBytes: s.Limits.MemoryBytes, BytesPerToken: s.Limits.BytesPerToken,
+			MaxQueue: s.Limits.MaxQueue, QueueBytes: s.Limits.QueueBytes, PausedBytes: pausedBytes, Clock: cfg.Clock,
 		}),
 		attempts: awledger.NewAttempts(),
-		changed:  make(chan struct{}),
+		metrics:  newMetrics(),
+		lastTick: cfg.Clock.Now(), lastFresh: cfg.Clock.Now(),
+		changed: make(chan struct{}),
 	}
+	a.cutCtx, a.cut = context.WithCancelCause(context.Background())
+	a.metrics.gauges(a)
 	a.dialer = awrpc.NewDialer(awrpc.DialerConfig{Identity: a.identity, Revision: a.revision})
 	a.weights = newWeightStore(a.store)
 	if s.Backend.Service != "" {
 		a.ready = &awproto.ReadyModel{Model: ServicePrefix + s.Backend.Service}
+		// A plain service reports no cold start, so its limit rises on evidence alone.
 		a.state = awproto.AgentState_READY
-		a.gate.SetCold(false)
 	}
 	return a
 }
@@ -111,7 +135,9 @@
 	if err := awproto.DRPCRegisterAgent(mux, &innerServer{agent: a}); err != nil {
 		return eris.Wrap(err, "register agent service")
 	}
-	_ = a.cfg.Logger.Log("Message", "agent started", "Address", s.Listen.Inner, "Incarnation", a.cfg.Incarnation)
+	a.log("Message", "agent started", "Address", s.Listen.Inner, "Incarnation", a.cfg.Incarnation)
+	metrics.RegisterSet(a.metrics.set)
+	defer metrics.UnregisterSet(a.metrics.set, true)
 
 	serveCtx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -123,6 +149,7 @@
 		group.Go(func() error { a.watchEngine(serveCtx); return nil })
 	}
 	group.Go(func() error { a.announceLoop(serveCtx); return nil })
+	group.Go(func() error { a.tickLoop(serveCtx); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -140,29 +167,6 @@
 	return err
 }
 
-// drain refuses new work and waits for running requests.
-func (a *Agent) drain() {
-	a.mu.Lock()
-	a.draining = true
-	a.state = awproto.AgentState_DRAINING
-	a.notify()
-	a.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		a.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		_ = a.cfg.Logger.Log("Message", "agent stopped", "CutRequests", 0)
-	case <-time.After(a.cfg.Settings.Timing.Drain.Std()):
-		a.mu.Lock()
-		n := a.gate.InFlight()
-		a.mu.Unlock()
-		_ = a.cfg.Logger.Log("Message", "drain deadline reached", "CutRequests", n)
-	}
-}
-
 // notify wakes the watchers. The caller holds mu.
 func (a *Agent) notify() {
 	close(a.changed)
@@ -175,24 +179,14 @@
 	return a.view.Revision
 }
 
-// acceptView takes over a newer view and ignores any other.
-func (a *Agent) acceptView(v awconfig.AgentView) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if v.Revision <= a.view.Revision {
-		return
-	}
-	a.view = v
-	a.notify()
-}
-
 // report returns what entries are told about this agent.
 func (a *Agent) report() (*awproto.AgentReport, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := &awproto.AgentReport{
-		Incarnation: a.cfg.Incarnation, State: a.state, ViewRevision: a.view.Revision,
+		Incarnation: a.cfg.Incarnation, State: a.stateAt(a.cfg.Clock.Now()), ViewRevision: a.view.Revision,
 		InFlight: uint32(a.gate.InFlight()), Limit: uint32(a.gate.Limit()), FreeMemoryBytes: a.gate.FreeMemory(),
+		Queued: uint32(a.gate.Queued()), WaitMs: uint32(min(a.gate.ExpectedWait(), maxReportedWait).Milliseconds()),
 		Transfer: a.weights.report(),
 	}
 	if a.ready != nil {
--- /dev/null
+++ b/io/awagent/drain.go
@@ -0,0 +1,72 @@
+package awagent
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutuswind/core/awoutcome"
+	"arbutuswind/io/awproto"
+)
+
+var (
+	errDeadline = eris.New("deadline passed")
+	errGone     = eris.New("entry cancelled the request")
+	errCut      = eris.New("agent stopped before the request ended")
+	errSilent   = eris.New("backend server sent nothing")
+)
+
+// cutGrace is the time to tell entries about requests that were cut.
+const cutGrace = time.Second
+
+// drain refuses new and queued work at once and waits for running requests,
+// until the drain deadline or a second signal cuts them.
+func (a *Agent) drain() {
+	a.mu.Lock()
+	a.draining = true
+	a.state = awproto.AgentState_DRAINING
+	flushed := a.gate.FlushQueue(awoutcome.Leaving, "instance is leaving")
+	a.notify()
+	a.log("Message", "draining", "InFlight", a.gate.InFlight(), "Paused", a.paused, "QueuedRefused", flushed)
+	a.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		a.running.Wait()
+		close(done)
+	}()
+	cause := "drain deadline"
+	deadline := time.NewTimer(a.cfg.Settings.Timing.Drain.Std())
+	defer deadline.Stop()
+	select {
+	case <-done:
+		a.log("Message", "agent stopped", "CutRequests", 0)
+		return
+	case <-deadline.C:
+	case <-a.cfg.Forced:
+		cause = "second signal"
+	}
+	a.mu.Lock()
+	n := a.gate.InFlight() + a.paused
+	a.mu.Unlock()
+	a.metrics.cut.Add(n)
+	a.log("Message", "agent stopped", "CutRequests", n, "Cause", cause)
+	a.cut(errCut)
+	select {
+	case <-done:
+	case <-time.After(cutGrace):
+	}
+}
+
+// bound returns a context that ends with the request, the entry's
+// cancellation or the cutting of all requests.
+func (a *Agent) bound(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(a.cutCtx, func() { cancel(errCut) })
+	return ctx, func(cause error) {
+		stop()
+		cancel(cause)
+	}
+}
+
+func (a *Agent) log(keyvals ...any) { _ = a.cfg.Logger.Log(keyvals...) }
--- a/io/awagent/engine.go
+++ b/io/awagent/engine.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awoutcome"
 	"arbutuswind/io/awengine"
 	"arbutuswind/io/awproto"
 )
@@ -34,18 +35,18 @@
 func (a *Agent) reconcileEngine(ctx context.Context) error {
 	st, err := a.engine.Status(ctx)
 	if err != nil {
-		a.setEngine(nil, awproto.AgentState_FAILED, "")
+		a.setEngine(nil, awproto.AgentState_FAILED, awengine.Status{})
 		return err
 	}
 	a.mu.Lock()
 	view, boot := a.view, a.bootID
 	a.mu.Unlock()
 	if boot != "" && boot != st.BootID {
-		a.setEngine(nil, awproto.AgentState_STARTING, st.BootID)
+		a.setEngine(nil, awproto.AgentState_STARTING, st)
 	}
 	p := view.Placement
 	if p.Model == "" {
-		a.setEngine(nil, awproto.AgentState_STARTING, st.BootID)
+		a.setEngine(nil, awproto.AgentState_STARTING, st)
 		return nil
 	}
 	if a.confirm(st, p) {
@@ -75,7 +76,7 @@
 	if st.State == "cold" {
 		state = awproto.AgentState_COLD
 	}
-	a.setEngine(&awproto.ReadyModel{Model: p.Model, Version: p.Version, VersionDigest: p.Digest}, state, st.BootID)
+	a.setEngine(&awproto.ReadyModel{Model: p.Model, Version: p.Version, VersionDigest: p.Digest}, state, st)
 	return true
 }
 
@@ -84,12 +85,13 @@
 	if err := a.weights.ensure(ctx, p.Digest); err != nil {
 		return err
 	}
-	a.setEngine(nil, awproto.AgentState_LOADING, st.BootID)
+	a.setEngine(nil, awproto.AgentState_LOADING, st)
 	a.mu.Lock()
-	current := a.view.Placement
+	a.checkPause(a.cfg.Clock.Now())
+	current, awaiting := a.view.Placement, a.awaiting
 	a.mu.Unlock()
-	if current.Fence != p.Fence {
-		return nil // the placement changed during the transfer
+	if current.Fence != p.Fence || awaiting {
+		return nil // the placement changed, or may have changed unseen, during the transfer
 	}
 	err := a.engine.Load(ctx, awengine.LoadCommand{
 		Model: p.Model, Version: p.Version, Fence: p.Fence,
@@ -98,15 +100,24 @@
 	return eris.Wrap(err, "load command")
 }
 
-func (a *Agent) setEngine(ready *awproto.ReadyModel, state awproto.AgentState, boot string) {
+// setEngine records what the engine serves. A zero status stands for an
+// engine that did not answer.
+func (a *Agent) setEngine(ready *awproto.ReadyModel, state awproto.AgentState, st awengine.Status) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.draining {
 		state = awproto.AgentState_DRAINING
 	}
-	a.gate.SetCold(state != awproto.AgentState_READY)
+	boot := st.BootID
+	if boot == "" {
+		boot = a.bootID // an engine that comes back with another id has restarted
+	}
+	a.lowered(a.gate.ObserveEngine(boot, ready == nil || st.State == "cold"))
+	if ready == nil {
+		a.gate.FlushQueue(awoutcome.NotReady, "backend server is not ready")
+	}
 	same := a.state == state && (a.ready == nil) == (ready == nil) && a.bootID == boot
-	a.ready, a.state, a.bootID = ready, state, boot
+	a.ready, a.state, a.bootID, a.servedDigest = ready, state, boot, st.Digest
 	if !same {
 		a.notify()
 	}
--- a/io/awagent/serve.go
+++ b/io/awagent/serve.go
@@ -4,14 +4,16 @@
 	"context"
 	"errors"
 	"io"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/trace"
 
 	"arbutuswind/core/awadmit"
 	"arbutuswind/core/awoutcome"
+	"arbutuswind/core/awstream"
 	"arbutuswind/io/awengine"
 	"arbutuswind/io/awproto"
 	"arbutuswind/io/awtelemetry"
@@ -19,99 +21,89 @@
 
 // Serve runs one request of an entry on the backend server.
 func (s *innerServer) Serve(stream awproto.DRPCAgent_ServeStream) error {
+	a := s.agent
 	up, err := stream.Recv()
 	if err != nil {
 		return err
 	}
 	start := up.GetStart()
-	if start == nil {
-		return eris.New("first message of Serve must be Start")
+	if refusal := checkStart(start); refusal != nil {
+		a.metrics.refused(refusal.Reason)
+		return stream.Send(refusalMessage(refusal, a.revision()))
 	}
 	ctx := awtelemetry.Extract(stream.Context(), start.TraceParent)
-	ctx, span := s.agent.cfg.Tracer.Start(ctx, "agent", trace.WithSpanKind(trace.SpanKindServer))
+	ctx, span := a.cfg.Tracer.Start(ctx, "agent", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	need, refusal := s.agent.admit(start)
-	if refusal != nil {
-		return stream.Send(refusalMessage(refusal, s.agent.revision()))
+	ctx, cancel := a.bound(ctx)
+	defer cancel(nil)
+	left := time.Duration(start.DeadlineMs) * time.Millisecond
+	r := &run{
+		agent: a, stream: stream, start: start, window: newWindow(start.CreditBytes),
+		deadline: a.cfg.Clock.Now().Add(left),
+		timer:    newCountdown(left, func() { cancel(errDeadline) }),
+		position: awstream.Position{Next: start.ResumeFrom},
 	}
-	defer s.agent.release(start, need)
-	r := &run{agent: s.agent, stream: stream, start: start, window: newWindow(start.CreditBytes)}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(start.DeadlineMs)*time.Millisecond)
-	defer cancel()
+	defer r.timer.stop()
 	go r.receive(cancel)
+	if refusal := a.admit(ctx, r); refusal != nil {
+		return stream.Send(refusalMessage(refusal, a.revision()))
+	}
+	defer a.leave(r)
 	if start.Service != nil {
 		return r.callService(ctx)
 	}
 	return r.complete(ctx)
 }
 
-// admit applies every rule that protects the backend server.
-func (a *Agent) admit(start *awproto.ServeStart) (uint64, *awoutcome.Error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	switch {
-	case a.draining:
-		return 0, awoutcome.Refuse(awoutcome.Leaving, "instance is leaving")
-	case a.view.Out:
-		return 0, awoutcome.Refuse(awoutcome.DomainOut, "domain or instance is taken out")
-	case a.ready == nil:
-		return 0, awoutcome.Refuse(awoutcome.NotReady, "backend server is not ready")
-	case start.Model != a.ready.Model:
-		return 0, awoutcome.Refuse(awoutcome.NotReady, "another model is served here")
-	case start.VersionDigest != "" && start.VersionDigest != a.ready.VersionDigest:
-		return 0, awoutcome.Refuse(awoutcome.WrongVersion, "another version is served here")
-	}
-	need, err := a.gate.Admit(awadmit.Request{PromptTokens: start.PromptTokens, MaxTokens: start.MaxTokens})
-	if err != nil {
-		return 0, err
-	}
-	if err := a.attempts.Begin(attemptID(start.Attempt)); err != nil {
-		a.gate.Release(need)
-		return 0, err
-	}
-	a.running.Add(1)
-	return need, nil
-}
-
-func (a *Agent) release(start *awproto.ServeStart, need uint64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.gate.Release(need)
-	a.attempts.End(attemptID(start.Attempt))
-	a.running.Done()
-}
-
 var reasonCodes = map[awoutcome.Reason]awproto.Reason{
 	awoutcome.QueueFull: awproto.Reason_QUEUE_FULL, awoutcome.ColdLimit: awproto.Reason_COLD_LIMIT,
 	awoutcome.MemoryFull: awproto.Reason_MEMORY_FULL, awoutcome.Deadline: awproto.Reason_DEADLINE,
 	awoutcome.Leaving: awproto.Reason_LEAVING, awoutcome.DomainOut: awproto.Reason_DOMAIN_OUT,
 	awoutcome.WrongVersion: awproto.Reason_WRONG_VERSION, awoutcome.NotReady: awproto.Reason_NOT_READY,
 	awoutcome.DuplicateID: awproto.Reason_DUPLICATE_ATTEMPT, awoutcome.AttemptRefused: awproto.Reason_ATTEMPT_REFUSED,
+	awoutcome.BadRequest: awproto.Reason_BAD_REQUEST, awoutcome.EngineFailed: awproto.Reason_ENGINE_FAILED,
+	awoutcome.Truncated: awproto.Reason_ENGINE_FAILED, awoutcome.Cancelled: awproto.Reason_CANCELLED,
+	awoutcome.IdentityChanged: awproto.Reason_IDENTITY_CHANGED, awoutcome.Isolated: awproto.Reason_ISOLATED,
+	awoutcome.StaleConfig: awproto.Reason_STALE_CONFIG,
+}
+
+var outcomeCodes = map[awoutcome.Outcome]awproto.Outcome{
+	awoutcome.NotRun: awproto.Outcome_NOT_RUN, awoutcome.Ran: awproto.Outcome_RAN, awoutcome.Unknown: awproto.Outcome_UNKNOWN,
 }
 
 func refusalMessage(e *awoutcome.Error, revision uint64) *awproto.ServeDown {
-	outcome := awproto.Outcome_UNKNOWN
-	if e.Outcome == awoutcome.NotRun {
-		outcome = awproto.Outcome_NOT_RUN
-	}
 	return &awproto.ServeDown{Body: &awproto.ServeDown_Refusal{Refusal: &awproto.Refusal{
-		Reason: reasonCodes[e.Reason], Outcome: outcome, Detail: e.Detail, RetryAfterMs: e.RetryAfterMs, Revision: revision,
+		Reason: reasonCodes[e.Reason], Outcome: outcomeCodes[e.Outcome], Detail: e.Detail,
+		RetryAfterMs: e.RetryAfterMs, Revision: revision,
 	}}}
 }
 
-// run is one admitted request.
+// run is one request. The goroutine of Serve owns all fields but those under
+// mu and the window.
 type run struct {
-	agent  *Agent
-	stream awproto.DRPCAgent_ServeStream
-	start  *awproto.ServeStart
-	window *window
-	frames uint64
-	digest string
+	agent    *Agent
+	stream   awproto.DRPCAgent_ServeStream
+	start    *awproto.ServeStart
+	window   *window
+	deadline time.Time // for leaving the queue
+	timer    *countdown
+	version  string // digest of the version that serves the request
+	frames   uint64
+	accepted bool
+	position awstream.Position
+	stall    *time.Timer // runs while a token waits to be delivered
+
+	mu         sync.Mutex
+	ticket     *awadmit.Ticket
+	delivering bool // waits for credit or for the connection to the entry
+	paused     bool
+	held       *awadmit.Ticket // of a paused stream, guarded by the agent's mu
+	stopEngine context.CancelCauseFunc
 }
 
 // receive takes credits and cancellation until the stream ends.
-func (r *run) receive(cancel context.CancelFunc) {
-	defer cancel()
+func (r *run) receive(cancel context.CancelCauseFunc) {
+	defer cancel(errGone)
 	for {
 		up, err := r.stream.Recv()
 		if err != nil || up.GetCancel() != nil {
@@ -121,53 +113,14 @@
 	}
 }
 
-func (r *run) complete(ctx context.Context) error {
-	a := r.agent
-	a.mu.Lock()
-	ready := a.ready
-	a.mu.Unlock()
-	if ready == nil {
-		return r.fail(awproto.Reason_NOT_READY, awproto.Outcome_NOT_RUN, "backend server turned unready")
-	}
-	r.digest = ready.VersionDigest
-	_, span := a.cfg.Tracer.Start(ctx, "engine", trace.WithSpanKind(trace.SpanKindClient))
-	defer span.End()
-	events, err := a.engine.Complete(ctx, awengine.Completion{
-		Model: r.start.Model, Prompt: string(r.start.Body), MaxTokens: r.start.MaxTokens,
-		Priority: r.start.Priority, ResumeFrom: r.start.ResumeFrom,
-	})
-	if err != nil {
-		return r.fail(awproto.Reason_ENGINE_FAILED, awproto.Outcome_UNKNOWN, err.Error())
-	}
-	defer events.Close()
-	accepted := &awproto.Accepted{VersionDigest: r.digest, Revision: a.revision()}
-	if err := r.stream.Send(&awproto.ServeDown{Body: &awproto.ServeDown_Accepted{Accepted: accepted}}); err != nil {
-		return err
-	}
-	return r.forward(ctx, events)
-}
-
-func (r *run) forward(ctx context.Context, events *awengine.Stream) error {
-	want := r.agent.weights.fileDigest()
-	next := r.start.ResumeFrom
-	finish := ""
-	for {
-		tok, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			return r.end(&awproto.End{Tokens: next, FinishReason: finish})
-		}
-		if err != nil {
-			return r.fail(awproto.Reason_ENGINE_FAILED, awproto.Outcome_UNKNOWN, err.Error())
-		}
-		if tok.Digest != want || tok.Index != next {
-			return r.fail(awproto.Reason_IDENTITY_CHANGED, awproto.Outcome_UNKNOWN, "engine changed weights or skipped a token")
-		}
-		next++
-		finish = tok.Finish
-		if err := r.frame(ctx, tok.Index, 1, []byte(tok.Text)); err != nil {
-			return err
-		}
+// accept tells the entry which version answers, once.
+func (r *run) accept() error {
+	if r.accepted {
+		return nil
 	}
+	r.accepted = true
+	accepted := &awproto.Accepted{VersionDigest: r.version, Revision: r.agent.revision()}
+	return r.stream.Send(&awproto.ServeDown{Body: &awproto.ServeDown_Accepted{Accepted: accepted}})
 }
 
 func (r *run) callService(ctx context.Context) error {
@@ -177,62 +130,113 @@
 		IdempotencyKey: call.IdempotencyKey, Body: r.start.Body,
 	})
 	if err != nil {
-		return r.fail(awproto.Reason_ENGINE_FAILED, awproto.Outcome_UNKNOWN, err.Error())
+		return r.fail(ctx, r.startFailure(ctx, err))
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode < http.StatusInternalServerError {
+		r.finishedWhole()
+	}
 	buf := make([]byte, serviceFrameBytes)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
+			// A call that ran once is never replayed, so a slow reader keeps
+			// its place at the service until its deadline.
 			if err := r.frame(ctx, 0, 0, buf[:n]); err != nil {
-				return err
+				return r.fail(ctx, &awoutcome.Error{Outcome: awoutcome.Ran, Reason: awoutcome.Cancelled, Detail: err.Error()})
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			return r.end(&awproto.End{Status: int32(resp.StatusCode), ContentType: resp.Header.Get("Content-Type")})
 		}
 		if err != nil {
-			return r.fail(awproto.Reason_ENGINE_FAILED, awproto.Outcome_RAN, err.Error())
+			return r.fail(ctx, &awoutcome.Error{Outcome: awoutcome.Ran, Reason: awoutcome.EngineFailed, Detail: err.Error()})
 		}
 	}
 }
 
 const serviceFrameBytes = 16 << 10
 
+// startFailure returns the outcome of a request that the backend server did
+// not answer. Only a connection that was never opened proves that it did not
+// run.
+func (r *run) startFailure(ctx context.Context, err error) *awoutcome.Error {
+	var status *awengine.StatusError
+	if !errors.As(err, &status) {
+		r.failedEngine(ctx)
+	}
+	e := &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.EngineFailed, Detail: err.Error()}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" && r.frames == 0 {
+		e.Outcome = awoutcome.NotRun
+	}
+	return e
+}
+
 // frame sends one numbered frame once the entry has granted credit for it.
 func (r *run) frame(ctx context.Context, first, tokens uint32, data []byte) error {
 	if err := r.window.take(ctx, len(data)); err != nil {
 		return err
 	}
-	f := &awproto.Frame{Number: r.frames, FirstToken: first, Tokens: tokens, Data: data, VersionDigest: r.digest}
+	f := &awproto.Frame{Number: r.frames, FirstToken: first, Tokens: tokens, Data: data, VersionDigest: r.version}
 	r.frames++
 	return r.stream.Send(&awproto.ServeDown{Body: &awproto.ServeDown_Frame{Frame: f}})
 }
 
 func (r *run) end(e *awproto.End) error {
+	r.agent.metrics.finished.Inc()
 	e.Frames = r.frames
 	return r.stream.Send(&awproto.ServeDown{Body: &awproto.ServeDown_End{End: e}})
 }
 
-func (r *run) fail(reason awproto.Reason, outcome awproto.Outcome, detail string) error {
-	f := &awproto.Failure{Reason: reason, Outcome: outcome, Detail: detail}
+// fail tells the entry why the answer ends. When the request was ended from
+// outside, that is the reason, whatever broke first because of it.
+func (r *run) fail(ctx context.Context, e *awoutcome.Error) error {
+	r.agent.metrics.failed.Inc()
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errDeadline):
+		e = &awoutcome.Error{Outcome: e.Outcome, Reason: awoutcome.Deadline, Detail: cause.Error()}
+	case errors.Is(cause, errCut):
+		e = &awoutcome.Error{Outcome: e.Outcome, Reason: awoutcome.Leaving, Detail: cause.Error()}
+	}
+	f := &awproto.Failure{Reason: reasonCodes[e.Reason], Outcome: outcomeCodes[e.Outcome], Detail: e.Detail}
 	return r.stream.Send(&awproto.ServeDown{Body: &awproto.ServeDown_Failure{Failure: f}})
 }
 
-// window counts the bytes that the entry is willing to hold.
+// finishedWhole gives the gate its evidence about the backend server.
+func (r *run) finishedWhole() {
+	a := r.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate.Finished(r.ticket)
+}
+
+// failedEngine lowers the limit after a backend server broke off on its own,
+// and asks it for its state at once.
+func (r *run) failedEngine(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
+	a := r.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lowered(a.gate.Failed(r.ticket))
+}
+
+// window shares the credit of a stream between its sender and its receiver.
 type window struct {
 	mu    sync.Mutex
-	free  int64
+	w     *awstream.Window
 	added chan struct{}
 }
 
 func newWindow(bytes uint32) *window {
-	return &window{free: int64(bytes), added: make(chan struct{}, 1)}
+	return &window{w: awstream.NewWindow(bytes), added: make(chan struct{}, 1)}
 }
 
 func (w *window) add(bytes uint32) {
 	w.mu.Lock()
-	w.free += int64(bytes)
+	w.w.Add(bytes)
 	w.mu.Unlock()
 	select {
 	case w.added <- struct{}{}:
@@ -240,21 +244,52 @@
 	}
 }
 
-// take waits until the window has room. A frame may overdraw a window that
-// is not empty, so that a frame larger than the window still passes.
+// take waits until the window has room for n bytes of data.
 func (w *window) take(ctx context.Context, n int) error {
+	return w.wait(ctx, func(w *awstream.Window) bool { return w.Take(n) })
+}
+
+// resumable waits until a paused stream should start again.
+func (w *window) resumable(ctx context.Context) error {
+	return w.wait(ctx, (*awstream.Window).Resumable)
+}
+
+func (w *window) wait(ctx context.Context, ok func(*awstream.Window) bool) error {
 	for {
 		w.mu.Lock()
-		if w.free > 0 {
-			w.free -= int64(n)
-			w.mu.Unlock()
+		done := ok(w.w)
+		w.mu.Unlock()
+		if done {
 			return nil
 		}
-		w.mu.Unlock()
 		select {
 		case <-w.added:
 		case <-ctx.Done():
-			return ctx.Err()
+			return context.Cause(ctx)
 		}
 	}
 }
+
+// countdown is a deadline that can be held: the time that a caller takes to
+// read is its own and not the system's.
+type countdown struct {
+	timer *time.Timer
+	left  time.Duration
+	since time.Time
+}
+
+func newCountdown(left time.Duration, expire func()) *countdown {
+	return &countdown{timer: time.AfterFunc(left, expire), left: left, since: time.Now()}
+}
+
+func (c *countdown) hold() {
+	c.timer.Stop()
+	c.left -= time.Since(c.since)
+}
+
+func (c *countdown) goOn() {
+	c.since = time.Now()
+	c.timer.Reset(max(0, c.left))
+}
+
+func (c *countdown) stop() { c.timer.Stop() }
--- a/io/awcommand/daemon.go
+++ b/io/awcommand/daemon.go
@@ -63,13 +63,31 @@
 	if err != nil || opts.Check {
 		return checked(err, stderr)
 	}
+	forced, stop := secondSignal()
+	defer stop()
 	return runDaemon(stderr, "awagent", cfg.Process.Instance, cfg.Trace, func(ctx context.Context, env environment) error {
 		return awagent.New(awagent.Config{
 			Settings: cfg, Clock: awclock.System{}, Logger: env.logger, Tracer: env.tracer, Incarnation: incarnation(),
+			Forced: forced,
 		}).Run(ctx)
 	})
 }
 
+// secondSignal returns a channel that is closed by the second signal to stop,
+// so that the process can count and report the requests that it cuts. A third
+// one ends the process.
+func secondSignal() (<-chan struct{}, func()) {
+	signals, forced := make(chan os.Signal, 2), make(chan struct{})
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		<-signals
+		close(forced)
+		signal.Stop(signals)
+	}()
+	return forced, func() { signal.Stop(signals) }
+}
+
 func parseDaemon(name string, args []string, stdout, stderr io.Writer) (daemonOptions, int, bool) {
 	var opts daemonOptions
 	code, ok := parse(flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash), &opts, args, stdout, stderr)
--- a/io/awentry/dispatch.go
+++ b/io/awentry/dispatch.go
@@ -9,6 +9,7 @@
 
 	"arbutuswind/core/awledger"
 	"arbutuswind/core/awoutcome"
+	"arbutuswind/core/awstream"
 	"arbutuswind/core/awweights"
 	"arbutuswind/io/awproto"
 	"arbutuswind/io/awstore"
@@ -108,7 +109,7 @@
 			}
 			// Credit is returned only after the caller took the bytes, so a
 			// slow caller stops the backend server and not this process.
-			credit := &awproto.Credit{Bytes: uint32(len(b.Frame.Data))}
+			credit := &awproto.Credit{Bytes: uint32(awstream.FrameCost(len(b.Frame.Data)))}
 			if err := stream.Send(&awproto.ServeUp{Body: &awproto.ServeUp_Credit{Credit: credit}}); err != nil && !errors.Is(err, io.EOF) {
 				return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.LinkLost, Detail: err.Error()}
 			}
