Add process-level failure tests and a fault-injecting proxy

Cause: nothing showed yet what the path does under failure.

An agent may advertise an address that differs from the one it binds.

--- a/internal/awstandin/engine.go
+++ b/internal/awstandin/engine.go
@@ -52,6 +52,7 @@
 	finished  int // since the last load or restart
 	overloads int // times a cold engine or its memory was overloaded
 	maxCold   int // most concurrent requests while cold
+	started   int // completions since the process started
 	lagged    []awengine.Status
 	laggedAt  []time.Time
 }
@@ -106,7 +107,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	writeJSON(w, map[string]int{
-		"Overloads": e.overloads, "MaxCold": e.maxCold, "Finished": e.finished, "Running": e.st.Running,
+		"Overloads": e.overloads, "MaxCold": e.maxCold, "Finished": e.finished, "Running": e.st.Running, "Started": e.started,
 	})
 }
 
@@ -197,6 +198,7 @@
 func (e *Engine) begin(need uint64) (awengine.Status, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.started++
 	e.st.Running++
 	e.st.UsedBytes += need
 	cold := e.st.State == "cold"
--- /dev/null
+++ b/internal/awstandin/proxy.go
@@ -0,0 +1,179 @@
+package awstandin
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
+)
+
+// ProxyFault holds the faults of a proxied link.
+type ProxyFault struct {
+	DelayMs        int     // one way, each direction
+	Stall          bool    // nothing passes, connections stay open
+	DropToServer   bool    // bytes towards the server vanish, the other way passes
+	DropToClient   bool    // bytes towards the client vanish, the other way passes
+	Refuse         bool    // new connections are closed at once
+	CorruptPercent int     // of blocks in which one byte is changed
+	Mbit           float64 // each direction, shared by all connections; 0 means unlimited
+}
+
+// Proxy is a TCP relay that injects faults into one link.
+type Proxy struct {
+	faults switches[ProxyFault]
+	target string
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	up    *rate.Limiter
+	down  *rate.Limiter
+	seed  uint32
+}
+
+const (
+	proxyBlockBytes = 16 << 10
+	proxyPoll       = 10 * time.Millisecond // while a link stalls
+)
+
+// NewProxy returns a relay to the target address, IP:port.
+func NewProxy(target string) *Proxy {
+	return &Proxy{
+		target: target, conns: map[net.Conn]struct{}{},
+		up: rate.NewLimiter(rate.Inf, proxyBlockBytes), down: rate.NewLimiter(rate.Inf, proxyBlockBytes),
+	}
+}
+
+// Handler returns the control API: POST /fault, POST /reset.
+func (p *Proxy) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post("/fault", func(w http.ResponseWriter, r *http.Request) {
+		p.faults.ServeHTTP(w, r)
+		p.setRate(p.faults.get().Mbit)
+	})
+	r.Post("/reset", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, map[string]int{"Reset": p.reset()}) })
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	return r
+}
+
+func (p *Proxy) setRate(mbit float64) {
+	limit := rate.Inf
+	if mbit > 0 {
+		limit = rate.Limit(mbit * 1e6 / 8)
+	}
+	p.up.SetLimit(limit)
+	p.down.SetLimit(limit)
+}
+
+// reset closes every connection with a TCP reset and returns their number.
+func (p *Proxy) reset() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	return len(p.conns)
+}
+
+// ListenAndServe relays connections to addr, IP:port, until accepting fails.
+func (p *Proxy) ListenAndServe(addr string) error {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	defer lis.Close()
+	for {
+		conn, err := lis.Accept()
+		if err != nil {
+			return err
+		}
+		go p.relay(conn)
+	}
+}
+
+func (p *Proxy) relay(client net.Conn) {
+	defer client.Close()
+	if p.faults.get().Refuse {
+		return
+	}
+	server, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	defer server.Close()
+	p.track(client, server)
+	defer p.untrack(client, server)
+	done := make(chan struct{}, 2)
+	go func() {
+		p.pump(server, client, p.up, func(f ProxyFault) bool { return f.DropToServer })
+		done <- struct{}{}
+	}()
+	go func() {
+		p.pump(client, server, p.down, func(f ProxyFault) bool { return f.DropToClient })
+		done <- struct{}{}
+	}()
+	<-done
+}
+
+func (p *Proxy) track(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		p.conns[c] = struct{}{}
+	}
+}
+
+func (p *Proxy) untrack(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		delete(p.conns, c)
+	}
+}
+
+// pump copies one direction and applies the faults of the moment.
+func (p *Proxy) pump(dst io.Writer, src io.Reader, limit *rate.Limiter, drops func(ProxyFault) bool) {
+	buf := make([]byte, proxyBlockBytes)
+	for {
+		n, err := src.Read(buf)
+		if n > 0 {
+			f := p.faults.get()
+			for f.Stall {
+				time.Sleep(proxyPoll)
+				f = p.faults.get()
+			}
+			time.Sleep(time.Duration(f.DelayMs) * time.Millisecond)
+			time.Sleep(limit.ReserveN(time.Now(), n).Delay())
+			p.corrupt(buf[:n], f.CorruptPercent)
+			if !drops(f) {
+				if _, err := dst.Write(buf[:n]); err != nil {
+					return
+				}
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// corrupt changes one byte in percent of the blocks, the same ones in every
+// run.
+func (p *Proxy) corrupt(block []byte, percent int) {
+	if percent == 0 {
+		return
+	}
+	p.mu.Lock()
+	p.seed = p.seed*1664525 + 1013904223 // a linear congruential generator keeps runs alike
+	hit := int(p.seed>>16)%100 < percent
+	p.mu.Unlock()
+	if hit {
+		block[len(block)/2] ^= 0xff
+	}
+}
--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -6,6 +6,7 @@
 package awagent
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -70,7 +71,7 @@
 		cfg: cfg,
 		identity: &awproto.ProcessIdentity{
 			Process: "awagent", Instance: s.Process.Instance, Domain: s.Process.Domain,
-			Region: s.Process.Region, Incarnation: cfg.Incarnation, Address: s.Listen.Inner,
+			Region: s.Process.Region, Incarnation: cfg.Incarnation, Address: cmp.Or(s.Listen.Advertised, s.Listen.Inner),
 		},
 		engine: awengine.New(s.Backend.URL),
 		store: awstore.New(awstore.Config{
--- a/io/awsettings/daemons.go
+++ b/io/awsettings/daemons.go
@@ -58,8 +58,9 @@
 
 // AgentListen holds the addresses of awagent, IP:port each.
 type AgentListen struct {
-	Inner string // fixed for the instance: binding it makes this the only agent
-	Local string // for the engine and for metrics
+	Inner      string // fixed for the instance: binding it makes this the only agent
+	Advertised string // address at which others reach Inner; empty means Inner
+	Local      string // for the engine and for metrics
 }
 
 // Backend describes the backend server beside the agent.
@@ -207,6 +208,9 @@
 	var f faults
 	f.common(c.Process, c.TLS, c.Trace)
 	f.address("Listen.Inner", c.Listen.Inner)
+	if c.Listen.Advertised != "" {
+		f.address("Listen.Advertised", c.Listen.Advertised)
+	}
 	f.address("Listen.Local", c.Listen.Local)
 	f.require(c.Platform.InstanceListURL != "", "Platform.InstanceListURL", "missing; want the URL of the instance list")
 	f.require(c.Backend.URL != "", "Backend.URL", "missing; want the URL of the backend server")
