--- a/io/awentry/inner.go
+++ b/io/awentry/inner.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/rotisserie/eris"
 
 	"arbutuswind/io/awproto"
 	"arbutuswind/io/awrpc"
-	"arbutuswind/io/awstore"
 )
 
 // innerServer implements the service Entry of the internal protocol.
@@ -50,28 +48,3 @@
 	reply.Snapshot = data
 	return reply, nil
 }
-
-// claims keeps non-repeatable calls from running twice.
-type claims struct{ store *awstore.Client }
-
-func claimKey(team, key string) string { return "claim/" + team + "/" + key }
-
-func (c *claims) get(ctx context.Context, team, key string, into any) (uint64, error) {
-	row, err := c.store.Get(ctx, claimKey(team, key), 0)
-	if err != nil {
-		return 0, err
-	}
-	return row.Version, eris.Wrap(json.Unmarshal(row.Value, into), "decode claim")
-}
-
-func (c *claims) put(ctx context.Context, team, key string, version uint64, claim any) error {
-	data, err := json.Marshal(claim)
-	if err != nil {
-		return eris.Wrap(err, "encode claim")
-	}
-	k := claimKey(team, key)
-	return c.store.Commit(ctx, awstore.Txn{
-		Conditions: []awstore.Condition{{Key: k, Version: version}},
-		Puts:       []awstore.Put{{Key: k, Value: data}},
-	})
-}
