Run keyed calls at most once across entries, agents and lost replies

A second call with a key got "in progress" forever when its claimant died, a lost reply of the store was taken for a failure, and the agent's table grew without bound and did not remember what admission refused.

The decisions are pure now (core/awledger): the step after reading a row, the step after asking the agent named in it, and the resolution of a lost write reply. The agent remembers refusals, keeps finished results within a byte bound and forgets only by raising a watermark, so that a forgotten attempt is never taken for a new one. A keyed call runs to its end at the agent when its entry is lost.

net/http repeats a request with an empty body and an Idempotency-Key on a reused connection, and follows redirects; both are off for calls to plain services.

--- a/core/awledger/awledger.go
+++ b/core/awledger/awledger.go
@@ -1,31 +1,40 @@
 // Package awledger keeps calls that may not be repeated from running twice.
 //
-// The entry inserts a claim row before it dispatches a call. The agent keeps
-// a table of attempts for its life and runs each attempt at most once.
+// The claim row of a key is inserted before its call is dispatched and names
+// one attempt, sent to one incarnation of one agent. [OnRow] and [OnAgent]
+// decide what an entry does with the row it read and with the answer of the
+// agent named in it. A key may be claimed again, under the next attempt
+// number and by compare-and-set, only when the attempt before is proved not
+// to have run and never to run later. The agent keeps [Attempts] for its
+// life: it runs each attempt at most once and remembers every refusal. What
+// is not proved is unknown, and an unknown call is never run again.
 package awledger
 
-import (
-	"arbutuswind/core/awoutcome"
-)
+import "time"
 
 // ClaimState is the state of a claim row.
 type ClaimState string
 
-// The states of a claim.
+// The states of a claim. Finished and Unknown are final.
 const (
-	Claimed  ClaimState = "Claimed"
-	Finished ClaimState = "Finished"
+	Claimed  ClaimState = "Claimed"  // the attempt may run
+	Finished ClaimState = "Finished" // the attempt ran; Result holds its answer
+	Refused  ClaimState = "Refused"  // the attempt has not run and never will
+	Unknown  ClaimState = "Unknown"  // the agent was lost before it told the outcome
 )
 
 // Claim is the value of a claim row.
 type Claim struct {
 	State       ClaimState
-	AttemptNo   uint64
+	AttemptNo   uint64 // from 1
 	Attempt     AttemptID
 	BodyDigest  string
 	Agent       string // instance the attempt was sent to
+	Address     string // of the agent
 	Incarnation uint64 // of the agent
-	Result      *Result
+	At          time.Time
+	Expires     time.Time
+	Result      *Result `json:",omitempty"`
 }
 
 // Result is the recorded answer of a call.
@@ -33,6 +42,7 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	Dropped     bool // the body was larger than a row may hold
 }
 
 // AttemptID identifies one dispatch.
@@ -42,43 +52,125 @@
 	Sequence    uint64
 }
 
-// AttemptState is what an agent knows about an attempt.
-type AttemptState int
+// Again returns the claim of the next attempt at the key of c.
+func (c Claim) Again(next Claim) Claim {
+	next.State, next.AttemptNo, next.Result = Claimed, c.AttemptNo+1, nil
+	return next
+}
+
+// Finish returns the closed claim. A body of more than maxBytes is dropped:
+// the row then proves that the call ran, without its answer.
+func (c Claim) Finish(r Result, maxBytes int) Claim {
+	if len(r.Body) > maxBytes {
+		r.Body, r.Dropped = nil, true
+	}
+	c.State, c.Result = Finished, &r
+	return c
+}
 
-// The states of an attempt.
+// Close returns the claim with a final state that has no result.
+func (c Claim) Close(s ClaimState) Claim {
+	c.State = s
+	return c
+}
+
+// sweepMargin covers the difference between the clocks of two entries.
+const sweepMargin = time.Minute
+
+// Expired reports whether a sweep may delete the row.
+func (c Claim) Expired(now time.Time) bool { return now.After(c.Expires.Add(sweepMargin)) }
+
+// Step is what an entry does next with a keyed call.
+type Step int
+
+// The steps.
 const (
-	NeverSeen AttemptState = iota
-	Running
-	Done
-	Refused
+	Insert        Step = iota // no row: insert a claim for attempt 1
+	ClaimAgain                // replace the row by a claim for the next attempt
+	Ask                       // ask the agent in the row, which goes on as it was
+	AskRefuse                 // have the agent refuse the attempt unless it has it
+	Answer                    // answer with the result in the row
+	Record                    // record the result that the agent kept, then answer
+	RecordUnknown             // close the row as unknown
+	InProgress                // the attempt is running or about to be dispatched
+	IsUnknown                 // the outcome cannot be learnt now
+	KeyReused                 // the row is of another body
 )
 
-// Attempts is the agent's table. It is not safe for concurrent use.
-type Attempts struct{ states map[AttemptID]AttemptState }
+// OnRow returns the step after reading the row of the key; nil means that
+// there is none. For dispatchTime after the claim its owner is given time to
+// dispatch; after that the agent is made to refuse. The time only avoids
+// needless refusals, so that clocks may differ.
+func OnRow(row *Claim, bodyDigest string, now time.Time, dispatchTime time.Duration) Step {
+	switch {
+	case row == nil:
+		return Insert
+	case row.BodyDigest != bodyDigest:
+		return KeyReused
+	case row.State == Finished:
+		return Answer
+	case row.State == Refused:
+		return ClaimAgain
+	case row.State != Claimed:
+		return IsUnknown
+	case now.Sub(row.At) < dispatchTime:
+		return Ask
+	default:
+		return AskRefuse
+	}
+}
 
-// NewAttempts returns an empty table.
-func NewAttempts() *Attempts { return &Attempts{states: map[AttemptID]AttemptState{}} }
+// AgentAnswer is what the agent named in a claim told about its attempt.
+type AgentAnswer struct {
+	Reached     bool
+	Incarnation uint64
+	State       AttemptState
+	Result      *Result // nil when the agent has dropped it
+}
 
-// Begin marks an attempt as running. It refuses an attempt seen before.
-func (a *Attempts) Begin(id AttemptID) *awoutcome.Error {
-	switch a.states[id] {
-	case NeverSeen:
-		a.states[id] = Running
-		return nil
-	case Refused:
-		return awoutcome.Refuse(awoutcome.AttemptRefused, "attempt was refused before")
-	default:
-		return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.DuplicateID, Detail: "attempt was seen before"}
+// OnAgent returns the step after asking the agent named in the row.
+func OnAgent(row Claim, a AgentAnswer) Step {
+	switch {
+	case !a.Reached:
+		return IsUnknown // it may return: the row stays as it is
+	case a.Incarnation != row.Incarnation:
+		return RecordUnknown
 	}
+	switch a.State {
+	case NeverSeen, Running:
+		return InProgress
+	case NotRun:
+		return ClaimAgain
+	case Done:
+		if a.Result != nil {
+			return Record
+		}
+	}
+	return RecordUnknown
 }
 
-// End marks an attempt as run.
-func (a *Attempts) End(id AttemptID) { a.states[id] = Done }
+// WriteState is what a re-read row tells about a write without a reply.
+type WriteState int
 
-// Refuse refuses an attempt for good unless it was seen running.
-func (a *Attempts) Refuse(id AttemptID) AttemptState {
-	if a.states[id] == NeverSeen {
-		a.states[id] = Refused
+// The states of a write.
+const (
+	NotWritten WriteState = iota // not yet: it may be written again
+	Written
+	Overtaken // another process has moved the row on
+)
+
+// Resolve compares the row read after a lost reply with the claim written.
+func Resolve(row *Claim, mine Claim) WriteState {
+	switch {
+	case row == nil || row.AttemptNo < mine.AttemptNo:
+		return NotWritten
+	case row.AttemptNo != mine.AttemptNo || row.Attempt != mine.Attempt:
+		return Overtaken
+	case row.State == mine.State:
+		return Written
+	case row.State == Claimed:
+		return NotWritten
+	default:
+		return Overtaken
 	}
-	return a.states[id]
 }
--- a/core/awoutcome/awoutcome.go
+++ b/core/awoutcome/awoutcome.go
@@ -58,6 +58,7 @@
 	InProgress      Reason = "in-progress"
 	Truncated       Reason = "truncated"
 	LinkLost        Reason = "link-lost"
+	ResultNotKept   Reason = "result-not-kept"
 )
 
 // Error is a refusal or failure of one request.
--- a/io/awagent/serve.go
+++ b/io/awagent/serve.go
@@ -30,8 +30,10 @@
 	ctx := awtelemetry.Extract(stream.Context(), start.TraceParent)
 	ctx, span := s.agent.cfg.Tracer.Start(ctx, "agent", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
+	s.agent.takeWatermark(start)
 	need, refusal := s.agent.admit(start)
 	if refusal != nil {
+		refusal = s.agent.rememberRefusal(start, refusal)
 		return stream.Send(refusalMessage(refusal, s.agent.revision()))
 	}
 	defer s.agent.release(start, need)
@@ -39,6 +41,9 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(start.DeadlineMs)*time.Millisecond)
 	defer cancel()
 	go r.receive(cancel)
+	if start.Service.GetIdempotencyKey() != "" {
+		return r.callOnce(ctx)
+	}
 	if start.Service != nil {
 		return r.callService(ctx)
 	}
@@ -180,16 +185,21 @@
 		return r.fail(awproto.Reason_ENGINE_FAILED, awproto.Outcome_UNKNOWN, err.Error())
 	}
 	defer resp.Body.Close()
+	return r.forwardBody(ctx, resp.Body, resp.StatusCode, resp.Header.Get("Content-Type"))
+}
+
+// forwardBody sends the answer of a plain service in frames.
+func (r *run) forwardBody(ctx context.Context, body io.Reader, status int, contentType string) error {
 	buf := make([]byte, serviceFrameBytes)
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := body.Read(buf)
 		if n > 0 {
 			if err := r.frame(ctx, 0, 0, buf[:n]); err != nil {
 				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return r.end(&awproto.End{Status: int32(resp.StatusCode), ContentType: resp.Header.Get("Content-Type")})
+			return r.end(&awproto.End{Status: int32(status), ContentType: contentType})
 		}
 		if err != nil {
 			return r.fail(awproto.Reason_ENGINE_FAILED, awproto.Outcome_RAN, err.Error())
--- a/io/awagent/settle.go
+++ b/io/awagent/settle.go
@@ -1,35 +1,103 @@
 package awagent
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
 
 	"arbutuswind/core/awledger"
+	"arbutuswind/core/awoutcome"
+	"arbutuswind/io/awengine"
 	"arbutuswind/io/awproto"
 )
 
 // SettleAttempt tells what became of an attempt and refuses it for good when
 // asked to.
 func (s *innerServer) SettleAttempt(_ context.Context, req *awproto.SettleRequest) (*awproto.SettleReply, error) {
-	a := s.agent
+	a, id := s.agent, attemptID(req.Attempt)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	reply := &awproto.SettleReply{Incarnation: a.cfg.Incarnation, State: awproto.AttemptState_ATTEMPT_NEVER_SEEN}
-	if !req.Refuse {
-		return reply, nil
-	}
-	switch a.attempts.Refuse(attemptID(req.Attempt)) {
-	case awledger.Running:
-		reply.State = awproto.AttemptState_ATTEMPT_RUNNING
-	case awledger.Done:
-		reply.State = awproto.AttemptState_ATTEMPT_FINISHED
-	default:
-		reply.State = awproto.AttemptState_ATTEMPT_REFUSED_FOR_GOOD
+	state := a.attempts.State(id)
+	if req.Refuse {
+		state = a.attempts.Refuse(id)
+	}
+	reply := &awproto.SettleReply{Incarnation: a.cfg.Incarnation, State: attemptStates[state]}
+	if r := a.attempts.Result(id); r != nil {
+		reply.HasResult, reply.Status, reply.ContentType, reply.Result = true, int32(r.Status), r.ContentType, r.Body
 	}
 	return reply, nil
 }
 
+var attemptStates = map[awledger.AttemptState]awproto.AttemptState{
+	awledger.NeverSeen: awproto.AttemptState_ATTEMPT_NEVER_SEEN,
+	awledger.Running:   awproto.AttemptState_ATTEMPT_RUNNING,
+	awledger.Done:      awproto.AttemptState_ATTEMPT_FINISHED,
+	awledger.NotRun:    awproto.AttemptState_ATTEMPT_REFUSED_FOR_GOOD,
+	awledger.Forgotten: awproto.AttemptState_ATTEMPT_FORGOTTEN,
+}
+
 func attemptID(id *awproto.AttemptId) awledger.AttemptID {
 	return awledger.AttemptID{
 		Entry: id.GetEntryInstance(), Incarnation: id.GetEntryIncarnation(), Sequence: id.GetSequence(),
 	}
 }
+
+// takeWatermark drops the attempts that the sender has settled.
+func (a *Agent) takeWatermark(start *awproto.ServeStart) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.attempts.Settled(start.Attempt.GetEntryInstance(), start.Attempt.GetEntryIncarnation(), start.LowWatermark)
+}
+
+// rememberRefusal makes a refusal permanent before the entry is told of it.
+// A refusal of an attempt that has run, or may have, proves nothing.
+func (a *Agent) rememberRefusal(start *awproto.ServeStart, refusal *awoutcome.Error) *awoutcome.Error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if refusal.Outcome != awoutcome.NotRun || a.attempts.Refuse(attemptID(start.Attempt)) == awledger.NotRun {
+		return refusal
+	}
+	return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.DuplicateID, Detail: "attempt was seen before"}
+}
+
+// maxKeptBytes bounds the answer of one keyed call that is kept for entries
+// that ask for it later.
+const maxKeptBytes = 256 << 10
+
+// callOnce runs a keyed call to its end even when the entry is lost, so that
+// the entry that next asks for the attempt gets its answer.
+func (r *run) callOnce(ctx context.Context) error {
+	a, call, id := r.agent, r.start.Service, attemptID(r.start.Attempt)
+	left := time.Duration(r.start.DeadlineMs) * time.Millisecond
+	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), left)
+	defer cancel()
+	resp, err := a.engine.Call(runCtx, awengine.ServiceRequest{
+		Method: call.Method, Path: call.Path, ContentType: call.ContentType,
+		IdempotencyKey: call.IdempotencyKey, Body: r.start.Body,
+	})
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		a.mu.Lock()
+		a.attempts.Withdraw(id)
+		a.mu.Unlock()
+		return r.fail(awproto.Reason_NOT_READY, awproto.Outcome_NOT_RUN, err.Error())
+	}
+	if err != nil {
+		return r.fail(awproto.Reason_ENGINE_FAILED, awproto.Outcome_UNKNOWN, err.Error())
+	}
+	defer resp.Body.Close()
+	contentType := resp.Header.Get("Content-Type")
+	head, err := io.ReadAll(io.LimitReader(resp.Body, maxKeptBytes+1))
+	if err != nil {
+		return r.fail(awproto.Reason_ENGINE_FAILED, awproto.Outcome_RAN, err.Error())
+	}
+	if len(head) <= maxKeptBytes {
+		a.mu.Lock()
+		a.attempts.Finish(id, &awledger.Result{Status: resp.StatusCode, ContentType: contentType, Body: head})
+		a.mu.Unlock()
+	}
+	return r.forwardBody(ctx, io.MultiReader(bytes.NewReader(head), resp.Body), resp.StatusCode, contentType)
+}
--- a/io/awengine/awengine.go
+++ b/io/awengine/awengine.go
@@ -192,16 +192,22 @@
 	// idempotent, and a request with GetBody can be replayed; neither may
 	// happen to a call that must run at most once.
 	req.GetBody = nil
+	// An empty body counts as replayable too, unless its type hides that it
+	// is empty; and a redirect would send the call a second time.
+	req.Body = io.NopCloser(struct{ io.Reader }{bytes.NewReader(r.Body)})
 	if r.ContentType != "" {
 		req.Header.Set("Content-Type", r.ContentType)
 	}
 	if r.IdempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", r.IdempotencyKey)
 	}
-	resp, err := c.http.Do(req)
+	once := &http.Client{Transport: c.http.Transport, CheckRedirect: noRedirect}
+	resp, err := once.Do(req)
 	return resp, eris.Wrap(err, "call service")
 }
 
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 func (c *Client) send(ctx context.Context, method, path, contentType string, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
--- /dev/null
+++ b/io/awentry/claimstore.go
@@ -0,0 +1,304 @@
+package awentry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
+
+	"arbutuswind/core/awledger"
+	"arbutuswind/io/awsettings"
+	"arbutuswind/io/awstore"
+)
+
+// claimTable is the part of the table service that claims need.
+type claimTable interface {
+	Get(ctx context.Context, key string, known uint64) (awstore.Row, error)
+	Scan(ctx context.Context, from, to string, limit int) ([]awstore.Row, error)
+	Commit(ctx context.Context, txn awstore.Txn) error
+}
+
+// claims reads and writes claim rows within the write budget. One goroutine
+// puts the writes that wait for a transaction into the next one.
+type claims struct {
+	table     claimTable
+	cfg       awsettings.Claims
+	limiter   *rate.Limiter
+	queue     chan *claimWrite
+	recording chan struct{} // slots of results being recorded
+}
+
+// claimWrite is one row that waits for a transaction.
+type claimWrite struct {
+	ctx     context.Context
+	key     string
+	version uint64
+	value   []byte
+	done    chan error // buffered
+}
+
+const (
+	// maxRecording times Claims.MaxResultBytes bounds the memory of results
+	// that the store does not take.
+	maxRecording = 256
+	// maxGroupBytes bounds one transaction.
+	maxGroupBytes = 1 << 20
+	// writeTries bounds the writes of one claim while its caller waits.
+	writeTries = 3
+
+	firstRecordPause = 100 * time.Millisecond
+	maxRecordPause   = 5 * time.Second
+)
+
+// errNotQueued reports a write that was not handed to the store.
+var errNotQueued = errors.New("too many claims wait to be written")
+
+func newClaims(table claimTable, cfg awsettings.Claims) *claims {
+	return &claims{
+		table: table, cfg: cfg, limiter: rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), 1),
+		queue: make(chan *claimWrite, cfg.MaxQueue), recording: make(chan struct{}, maxRecording),
+	}
+}
+
+// get returns the row and its version, nil and 0 when there is none.
+func (c *claims) get(ctx context.Context, key string) (*awledger.Claim, uint64, error) {
+	row, err := c.table.Get(ctx, key, 0)
+	if errors.Is(err, awstore.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	claim := &awledger.Claim{}
+	if err := json.Unmarshal(row.Value, claim); err != nil {
+		return nil, 0, eris.Wrapf(err, "decode row %s", key)
+	}
+	return claim, row.Version, nil
+}
+
+// write replaces the row if it still has the version, 0 for none. A lost
+// reply is resolved by reading the row again. With Overtaken it returns the
+// row of the other process; NotWritten includes that it could not be learnt.
+func (c *claims) write(ctx context.Context, key string, version uint64, mine awledger.Claim) (*awledger.Claim, uint64, awledger.WriteState) {
+	value, err := json.Marshal(mine)
+	if err != nil {
+		return nil, 0, awledger.NotWritten
+	}
+	for range writeTries {
+		err := c.commit(ctx, &claimWrite{ctx: ctx, key: key, version: version, value: value, done: make(chan error, 1)})
+		if err == nil {
+			return &mine, version + 1, awledger.Written
+		}
+		if errors.Is(err, errNotQueued) {
+			break
+		}
+		row, now, readErr := c.get(ctx, key)
+		if readErr != nil {
+			break
+		}
+		switch state := awledger.Resolve(row, mine); {
+		case state != awledger.NotWritten:
+			return row, now, state
+		case now == version:
+		case row != nil && row.AttemptNo == mine.AttemptNo:
+			version = now // the claim that is being closed
+		default:
+			return row, now, awledger.Overtaken
+		}
+	}
+	return nil, 0, awledger.NotWritten
+}
+
+// record closes a row in the background and calls done, which may be nil,
+// when the row is closed or the attempt is given up.
+func (c *claims) record(key string, version uint64, closed awledger.Claim, done func()) {
+	if done == nil {
+		done = func() {}
+	}
+	select {
+	case c.recording <- struct{}{}:
+	default:
+		done()
+		return
+	}
+	go func() {
+		defer func() { <-c.recording; done() }()
+		ctx, cancel := context.WithTimeout(context.Background(), c.cfg.RecordTime.Std())
+		defer cancel()
+		for pause := firstRecordPause; ctx.Err() == nil; pause = min(2*pause, maxRecordPause) {
+			if _, _, state := c.write(ctx, key, version, closed); state != awledger.NotWritten {
+				return
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause):
+			}
+		}
+	}()
+}
+
+// commit waits until the write is part of a transaction and returns its
+// error. [awstore.ErrConflict] means that the row had another version.
+func (c *claims) commit(ctx context.Context, w *claimWrite) error {
+	if c.cfg.MaxGroup == 1 {
+		return c.commitAll(ctx, []*claimWrite{w})
+	}
+	select {
+	case c.queue <- w:
+	default:
+		return errNotQueued
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// writeLoop groups the writes that wait until ctx ends.
+func (c *claims) writeLoop(ctx context.Context) {
+	var held []*claimWrite
+	for {
+		var group []*claimWrite
+		group, held = c.collect(ctx, held)
+		if len(group) == 0 {
+			return
+		}
+		c.commitGroup(ctx, group)
+	}
+}
+
+// collect returns the next group and the writes held back for the one after.
+// Two writes of one key are never in one transaction: the conditions of both
+// would hold, and both writers would take the row for theirs.
+func (c *claims) collect(ctx context.Context, held []*claimWrite) (group, rest []*claimWrite) {
+	if len(held) == 0 {
+		select {
+		case w := <-c.queue:
+			held = append(held, w)
+		case <-ctx.Done():
+			return nil, nil
+		}
+	}
+	for len(held) < 2*c.cfg.MaxGroup {
+		select {
+		case w := <-c.queue:
+			held = append(held, w)
+			continue
+		default:
+		}
+		break
+	}
+	keys, bytes := map[string]bool{}, 0
+	for _, w := range held {
+		if len(group) == c.cfg.MaxGroup || keys[w.key] || (bytes > 0 && bytes+len(w.value) > maxGroupBytes) {
+			rest = append(rest, w)
+			continue
+		}
+		keys[w.key] = true
+		bytes += len(w.value)
+		group = append(group, w)
+	}
+	return group, rest
+}
+
+// commitGroup commits the writes together. When a condition fails, nothing
+// was written; the writes whose rows have moved on are told so, and the
+// others are written without them.
+func (c *claims) commitGroup(ctx context.Context, group []*claimWrite) {
+	for len(group) > 0 {
+		ctx, cancel := context.WithTimeout(ctx, maxRecordPause)
+		err := c.commitAll(ctx, group)
+		cancel()
+		if len(group) == 1 || !errors.Is(err, awstore.ErrConflict) {
+			finish(group, err)
+			return
+		}
+		conflicting, rest := c.split(group)
+		if len(conflicting) == 0 {
+			// A row was changed and changed back, or cannot be read.
+			half := len(rest) / 2
+			c.commitGroup(ctx, rest[:half])
+			group = rest[half:]
+			continue
+		}
+		finish(conflicting, awstore.ErrConflict)
+		group = rest
+	}
+}
+
+func finish(group []*claimWrite, err error) {
+	for _, w := range group {
+		w.done <- err
+	}
+}
+
+// split reads the rows of a group and returns the writes whose condition
+// does not hold. Reads are cheaper than further transactions.
+func (c *claims) split(group []*claimWrite) (conflicting, rest []*claimWrite) {
+	moved := make([]bool, len(group))
+	ready := make(chan struct{}, len(group))
+	for i, w := range group {
+		go func() {
+			_, version, err := c.get(w.ctx, w.key)
+			moved[i] = err == nil && version != w.version
+			ready <- struct{}{}
+		}()
+	}
+	for range group {
+		<-ready
+	}
+	for i, w := range group {
+		if moved[i] {
+			conflicting = append(conflicting, w)
+		} else {
+			rest = append(rest, w)
+		}
+	}
+	return conflicting, rest
+}
+
+func (c *claims) commitAll(ctx context.Context, group []*claimWrite) error {
+	if err := c.limiter.Wait(ctx); err != nil {
+		return errNotQueued
+	}
+	var txn awstore.Txn
+	for _, w := range group {
+		txn.Conditions = append(txn.Conditions, awstore.Condition{Key: w.key, Version: w.version})
+		txn.Puts = append(txn.Puts, awstore.Put{Key: w.key, Value: w.value})
+	}
+	return c.table.Commit(ctx, txn)
+}
+
+// sweep deletes the expired claims among the next rows from a key on and
+// returns the key to go on from.
+func (c *claims) sweep(ctx context.Context, from string, now time.Time) (string, error) {
+	rows, err := c.table.Scan(ctx, from, awledger.RowEnd, c.cfg.SweepRows)
+	if err != nil {
+		return from, err
+	}
+	next := awledger.RowPrefix
+	if len(rows) == c.cfg.SweepRows {
+		next = rows[len(rows)-1].Key + "\x00"
+	}
+	var txn awstore.Txn
+	for _, row := range rows {
+		var claim awledger.Claim
+		if err := json.Unmarshal(row.Value, &claim); err != nil || !claim.Expired(now) {
+			continue
+		}
+		txn.Conditions = append(txn.Conditions, awstore.Condition{Key: row.Key, Version: row.Version})
+		txn.Deletes = append(txn.Deletes, row.Key)
+	}
+	if len(txn.Deletes) == 0 {
+		return next, nil
+	}
+	if err := c.limiter.Wait(ctx); err != nil {
+		return from, err
+	}
+	return next, c.table.Commit(ctx, txn)
+}
--- a/io/awentry/dispatch.go
+++ b/io/awentry/dispatch.go
@@ -25,7 +25,9 @@
 			break
 		}
 		tried[t.Instance] = true
-		err := e.attempt(ctx, req, start, t, e.nextAttempt(), out)
+		id := e.nextAttempt()
+		err := e.attempt(ctx, req, start, t, id, out)
+		e.attempts.settle(id.Sequence)
 		t.done()
 		if err == nil {
 			return nil
@@ -50,7 +52,7 @@
 
 func (e *Entry) nextAttempt() *awproto.AttemptId {
 	return &awproto.AttemptId{
-		EntryInstance: e.identity.Instance, EntryIncarnation: e.cfg.Incarnation, Sequence: e.sequence.Add(1),
+		EntryInstance: e.identity.Instance, EntryIncarnation: e.cfg.Incarnation, Sequence: e.attempts.next(),
 	}
 }
 
@@ -70,6 +72,7 @@
 	}
 	defer stream.Close()
 	start.RequestId, start.Attempt, start.Team, start.Priority = req.id, id, req.team, req.priority
+	start.LowWatermark = e.attempts.low()
 	start.DeadlineMs = uint32(left.Milliseconds())
 	start.Revision = e.holder.State().Revision
 	start.TraceParent = awtelemetry.Inject(ctx)
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -22,6 +22,7 @@
 
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awledger"
 	"arbutuswind/io/awcontrol"
 	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awproto"
@@ -50,7 +51,7 @@
 	fleet    *fleet
 	claims   *claims
 
-	sequence atomic.Uint64
+	attempts attemptIDs
 	draining atomic.Bool
 	synced   atomic.Bool // the configuration was read at least once
 
@@ -79,7 +80,8 @@
 	})
 	e.log = awcontrol.NewLog(e.store, e.holder)
 	e.fleet = newFleet(e)
-	e.claims = &claims{store: e.store}
+	e.attempts.watermark = awledger.NewWatermark()
+	e.claims = newClaims(e.store, s.Claims)
 	return e
 }
 
@@ -116,6 +118,8 @@
 	group.Go(func() error { e.configLoop(serveCtx); return nil })
 	group.Go(func() error { e.fleet.listLoop(serveCtx); return nil })
 	group.Go(func() error { e.reconcileLoop(serveCtx); return nil })
+	group.Go(func() error { e.claims.writeLoop(serveCtx); return nil })
+	group.Go(func() error { e.sweepLoop(serveCtx); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/io/awhttp/awhttp.go
+++ b/io/awhttp/awhttp.go
@@ -91,6 +91,8 @@
 		return http.StatusGatewayTimeout
 	case awoutcome.InProgress:
 		return http.StatusConflict
+	case awoutcome.ResultNotKept:
+		return http.StatusGone
 	case awoutcome.KeyReused:
 		return http.StatusUnprocessableEntity
 	case awoutcome.EngineFailed, awoutcome.IdentityChanged, awoutcome.Truncated, awoutcome.LinkLost:
--- a/io/awsettings/daemons.go
+++ b/io/awsettings/daemons.go
@@ -14,6 +14,7 @@
 	TLS      TLS
 	Trace    Trace
 	Limits   EntryLimits
+	Claims   Claims
 	Timing   EntryTiming
 }
 
@@ -124,6 +125,7 @@
 			MaxBodyBytes: 1 << 20, HeldBytes: 64 << 20, StreamBytes: 64 << 10,
 			DefaultDeadline: seconds(60), MaxDeadline: seconds(600),
 		},
+		Claims: defaultClaims(),
 		Timing: EntryTiming{
 			ConfigPoll: seconds(0.5), ListPoll: seconds(2), Heartbeat: seconds(1),
 			MissingAfter: seconds(15), MaxIsolation: seconds(30), Drain: seconds(60),
@@ -194,6 +196,7 @@
 		"%d is not allowed; want 4096 to 65536", c.Limits.StreamBytes)
 	f.duration("Limits.DefaultDeadline", c.Limits.DefaultDeadline)
 	f.duration("Limits.MaxDeadline", c.Limits.MaxDeadline)
+	c.Claims.check(&f, c.Limits.MaxDeadline)
 	f.duration("Timing.ConfigPoll", c.Timing.ConfigPoll)
 	f.duration("Timing.ListPoll", c.Timing.ListPoll)
 	f.duration("Timing.Heartbeat", c.Timing.Heartbeat)
