--- a/io/awentry/dispatch.go
+++ b/io/awentry/dispatch.go
@@ -4,14 +4,10 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
-	"arbutuswind/core/awledger"
 	"arbutuswind/core/awoutcome"
-	"arbutuswind/core/awweights"
 	"arbutuswind/io/awproto"
-	"arbutuswind/io/awstore"
 	"arbutuswind/io/awtelemetry"
 )
 
@@ -29,7 +25,9 @@
 			break
 		}
 		tried[t.Instance] = true
-		err := e.attempt(ctx, req, start, t, e.nextAttempt(), out)
+		id := e.nextAttempt()
+		err := e.attempt(ctx, req, start, t, id, out)
+		e.attempts.settle(id.Sequence)
 		t.done()
 		if err == nil {
 			return nil
@@ -54,7 +52,7 @@
 
 func (e *Entry) nextAttempt() *awproto.AttemptId {
 	return &awproto.AttemptId{
-		EntryInstance: e.identity.Instance, EntryIncarnation: e.cfg.Incarnation, Sequence: e.sequence.Add(1),
+		EntryInstance: e.identity.Instance, EntryIncarnation: e.cfg.Incarnation, Sequence: e.attempts.next(),
 	}
 }
 
@@ -74,6 +72,7 @@
 	}
 	defer stream.Close()
 	start.RequestId, start.Attempt, start.Team, start.Priority = req.id, id, req.team, req.priority
+	start.LowWatermark = e.attempts.low()
 	start.DeadlineMs = uint32(left.Milliseconds())
 	start.Revision = e.holder.State().Revision
 	start.TraceParent = awtelemetry.Inject(ctx)
@@ -161,54 +160,3 @@
 	}
 	return awoutcome.EngineFailed
 }
-
-// serveClaimed runs a call with an Idempotency-Key at most once.
-func (e *Entry) serveClaimed(
-	ctx context.Context, w http.ResponseWriter, req *request, start *awproto.ServeStart, out *bufferSink,
-) error {
-	t, ok := e.pick(start.Model, "", nil)
-	if !ok {
-		return awoutcome.Refuse(awoutcome.NoBackend, "no backend server serves "+start.Model)
-	}
-	defer t.done()
-	id := e.nextAttempt()
-	claim := awledger.Claim{
-		State: awledger.Claimed, AttemptNo: 1, BodyDigest: awweights.Digest(req.body),
-		Attempt: awledger.AttemptID{Entry: id.EntryInstance, Incarnation: id.EntryIncarnation, Sequence: id.Sequence},
-		Agent:   t.Instance, Incarnation: t.Incarnation,
-	}
-	if err := e.claims.put(ctx, req.team, req.key, 0, claim); err != nil {
-		if errors.Is(err, awstore.ErrConflict) {
-			return e.answerClaimed(ctx, w, req, claim.BodyDigest)
-		}
-		return awoutcome.Refuse(awoutcome.StoreDown, "claim could not be written")
-	}
-	if err := e.attempt(ctx, req, start, t, id, out); err != nil {
-		return err
-	}
-	claim.State = awledger.Finished
-	claim.Result = &awledger.Result{Status: out.status, ContentType: out.contentType, Body: out.body.Bytes()}
-	if err := e.claims.put(ctx, req.team, req.key, 1, claim); err != nil {
-		_ = e.cfg.Logger.Log("Message", "result of a claim was not recorded", "Error", err.Error())
-	}
-	out.write(w)
-	return nil
-}
-
-// answerClaimed answers a call whose key was claimed before.
-func (e *Entry) answerClaimed(ctx context.Context, w http.ResponseWriter, req *request, body string) error {
-	var claim awledger.Claim
-	if _, err := e.claims.get(ctx, req.team, req.key, &claim); err != nil {
-		return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.StoreDown, Detail: err.Error()}
-	}
-	if claim.BodyDigest != body {
-		return awoutcome.Refuse(awoutcome.KeyReused, "the key was used with another body")
-	}
-	if claim.Result == nil {
-		return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.InProgress, Detail: "the call is in progress"}
-	}
-	out := &bufferSink{status: claim.Result.Status, contentType: claim.Result.ContentType}
-	out.body.Write(claim.Result.Body)
-	out.write(w)
-	return nil
-}
