--- a/io/awagent/admission.go
+++ b/io/awagent/admission.go
@@ -188,11 +188,8 @@
 // refuse makes a refusal true: an attempt that was refused is never run
 // later, and one that runs or ran is not called not-run. The caller holds mu.
 func (a *Agent) refuse(start *awproto.ServeStart, err *awoutcome.Error) *awoutcome.Error {
-	if err.Outcome == awoutcome.NotRun {
-		switch a.attempts.Refuse(attemptID(start.Attempt)) {
-		case awledger.Running, awledger.Done:
-			err = &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.DuplicateID, Detail: "attempt was seen before"}
-		}
+	if err.Outcome == awoutcome.NotRun && a.attempts.Refuse(attemptID(start.Attempt)) != awledger.NotRun {
+		err = &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.DuplicateID, Detail: "attempt was seen before"}
 	}
 	a.metrics.refused(err.Reason)
 	return err
--- a/io/awagent/serve.go
+++ b/io/awagent/serve.go
@@ -34,6 +34,7 @@
 	ctx := awtelemetry.Extract(stream.Context(), start.TraceParent)
 	ctx, span := a.cfg.Tracer.Start(ctx, "agent", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
+	a.takeWatermark(start)
 	ctx, cancel := a.bound(ctx)
 	defer cancel(nil)
 	left := time.Duration(start.DeadlineMs) * time.Millisecond
@@ -49,6 +50,9 @@
 		return stream.Send(refusalMessage(refusal, a.revision()))
 	}
 	defer a.leave(r)
+	if start.Service.GetIdempotencyKey() != "" {
+		return r.callOnce(ctx)
+	}
 	if start.Service != nil {
 		return r.callService(ctx)
 	}
@@ -133,12 +137,23 @@
 		return r.fail(ctx, r.startFailure(ctx, err))
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode < http.StatusInternalServerError {
+	r.serviceAnswered(resp.StatusCode)
+	return r.forwardBody(ctx, resp.Body, resp.StatusCode, resp.Header.Get("Content-Type"))
+}
+
+// serviceAnswered counts every answer but a failure of the service itself as
+// evidence that it can take more.
+func (r *run) serviceAnswered(status int) {
+	if status < http.StatusInternalServerError {
 		r.finishedWhole()
 	}
+}
+
+// forwardBody sends the answer of a plain service in frames.
+func (r *run) forwardBody(ctx context.Context, body io.Reader, status int, contentType string) error {
 	buf := make([]byte, serviceFrameBytes)
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := body.Read(buf)
 		if n > 0 {
 			// A call that ran once is never replayed, so a slow reader keeps
 			// its place at the service until its deadline.
@@ -147,7 +162,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return r.end(&awproto.End{Status: int32(resp.StatusCode), ContentType: resp.Header.Get("Content-Type")})
+			return r.end(&awproto.End{Status: int32(status), ContentType: contentType})
 		}
 		if err != nil {
 			return r.fail(ctx, &awoutcome.Error{Outcome: awoutcome.Ran, Reason: awoutcome.EngineFailed, Detail: err.Error()})
@@ -168,7 +183,11 @@
 	e := &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.EngineFailed, Detail: err.Error()}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" && r.frames == 0 {
-		e.Outcome = awoutcome.NotRun
+		a := r.agent
+		a.mu.Lock()
+		a.attempts.Withdraw(attemptID(r.start.Attempt))
+		a.mu.Unlock()
+		e.Outcome, e.Reason = awoutcome.NotRun, awoutcome.NotReady
 	}
 	return e
 }
