Refuse queued work that cannot end in time; add the burst experiment

Cause: with a queue in first-in order, three times the load made requests wait until little of their deadline was left; they were started and then cut, and a small team was refused for the queue of a large one. Change: the gate estimates the time that an answer needs (mean and four deviations, per permitted token) and refuses a queued request when less is left; the estimated wait counts the fair share of the team. awbench burst offers 3x the capacity through three entries and compares what callers are told with what the engines ran.

--- a/core/awadmit/awadmit.go
+++ b/core/awadmit/awadmit.go
@@ -10,6 +10,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/bits"
 	"time"
 
@@ -83,6 +84,7 @@
 	fair     fairness
 	ramp     ramp
 	hold     time.Duration // moving average of the time that a request holds its place
+	estimate estimate      // of the time that a request needs once it runs
 }
 
 // NewGate returns a gate before a cold backend server.
@@ -120,7 +122,7 @@
 		return t, nil
 	}
 	if !r.Resume {
-		if left := r.Deadline.Sub(g.cfg.Clock.Now()); left <= 0 || g.waitAt(r.Priority) > left {
+		if left := r.Deadline.Sub(g.cfg.Clock.Now()); left <= 0 || g.waitOf(r)+g.estimate.of(r) > left {
 			return nil, g.refusal(awoutcome.Deadline, "the deadline passes before the request could run")
 		}
 		if !g.makeRoom(t) {
@@ -257,20 +259,69 @@
 	g.hold += (d - g.hold) / holdWeight
 }
 
-// ExpectedWait returns how long a new request of the lowest priority would
-// wait for its turn; 0 when there is room or nothing has finished yet.
-func (g *Gate) ExpectedWait() time.Duration { return g.waitAt(0) }
+// ExpectedWait returns how long a new request that passes no other would wait
+// for its turn; 0 when there is room or nothing has finished yet.
+func (g *Gate) ExpectedWait() time.Duration {
+	return g.turns(float64(len(g.queue)) + 1)
+}
 
-// waitAt counts only the queued requests that a new one does not pass.
-func (g *Gate) waitAt(priority uint32) time.Duration {
+func (g *Gate) turns(n float64) time.Duration {
 	if len(g.queue) == 0 && g.inFlight < g.ramp.limit {
 		return 0
 	}
-	turns := time.Duration(1)
+	return time.Duration(float64(g.hold) * n / float64(g.ramp.limit))
+}
+
+// waitOf estimates the wait of a request with its priority and the fair share
+// of its team in mind: a team below its share passes the others' requests.
+func (g *Gate) waitOf(r Request) time.Duration {
+	higher, same, own := 0.0, 0.0, 0.0
+	teams := map[string]bool{r.Team: true}
 	for _, q := range g.queue {
-		if q.req.Priority >= priority {
-			turns++
+		switch {
+		case q.req.Priority > r.Priority:
+			higher++
+		case q.req.Priority == r.Priority:
+			same++
+			teams[q.req.Team] = true
+			if q.req.Team == r.Team {
+				own++
+			}
 		}
 	}
-	return g.hold * turns / time.Duration(g.ramp.limit)
+	weights := 0.0
+	for team := range teams {
+		weights += g.fair.weight(team)
+	}
+	return g.turns(higher + min(same+1, (own+1)*weights/g.fair.weight(r.Team)))
+}
+
+// LatestStart returns when a queued request must leave the queue: later, the
+// backend server could no longer finish it before its deadline, and its work
+// would be wasted.
+func (g *Gate) LatestStart(t *Ticket) time.Time { return t.req.Deadline.Add(-g.estimate.of(t.req)) }
+
+// estimate follows the time that answers take for each token they may have.
+// Requests that are granted at once are not held to it, so that an estimate
+// that has grown too large is corrected.
+type estimate struct {
+	mean, deviation float64 // nanoseconds a token
+}
+
+// deviations is the distance from the mean that nearly all answers stay
+// within, as in the retransmission timers of TCP.
+const deviations = 4
+
+func (e *estimate) observe(r Request, d time.Duration) {
+	sample := float64(d) / float64(max(1, r.MaxTokens))
+	if e.mean == 0 {
+		e.mean, e.deviation = sample, sample/2
+		return
+	}
+	e.deviation += (math.Abs(sample-e.mean) - e.deviation) / holdWeight
+	e.mean += (sample - e.mean) / holdWeight
+}
+
+func (e *estimate) of(r Request) time.Duration {
+	return time.Duration((e.mean + deviations*e.deviation) * float64(max(1, r.MaxTokens)))
 }
--- a/core/awadmit/queue.go
+++ b/core/awadmit/queue.go
@@ -25,12 +25,12 @@
 	}
 }
 
-// expire refuses queued requests whose deadline has passed.
+// expire refuses queued requests that can no longer meet their deadline.
 func (g *Gate) expire() {
 	now := g.cfg.Clock.Now()
 	for i := len(g.queue) - 1; i >= 0; i-- {
-		if t := g.queue[i]; !t.req.Resume && !now.Before(t.req.Deadline) {
-			g.refuse(i, awoutcome.Refuse(awoutcome.Deadline, "the deadline passed in the queue"))
+		if t := g.queue[i]; !t.req.Resume && !now.Before(g.LatestStart(t)) {
+			g.refuse(i, awoutcome.Refuse(awoutcome.Deadline, "the request waited too long to meet its deadline"))
 		}
 	}
 }
--- a/core/awadmit/ramp.go
+++ b/core/awadmit/ramp.go
@@ -116,6 +116,9 @@
 // Finished records that t was answered whole. Only requests granted since the
 // limit was last lowered are evidence that it may rise.
 func (g *Gate) Finished(t *Ticket) {
+	if !t.req.Resume {
+		g.estimate.observe(t.req, g.cfg.Clock.Now().Sub(t.started))
+	}
 	if t.epoch == g.ramp.epoch {
 		g.ramp.raise()
 		g.dispatch()
--- a/internal/awbench/caller.go
+++ b/internal/awbench/caller.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -34,6 +35,7 @@
 	MaxTokens int
 	Team      string
 	Priority  string
+	Deadline  time.Duration // 0 leaves it to the entry
 }
 
 // ExpectedText returns the whole answer that weights with the digest give.
@@ -70,6 +72,9 @@
 	if call.Priority != "" {
 		req.Header.Set(awhttp.HeaderPriority, call.Priority)
 	}
+	if call.Deadline > 0 {
+		req.Header.Set(awhttp.HeaderDeadline, strconv.FormatInt(call.Deadline.Milliseconds(), 10))
+	}
 	began := time.Now()
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
@@ -93,6 +98,9 @@
 		line := scan.Text()
 		if line == "event: error" {
 			a.Outcome = "error-event"
+			if scan.Scan() {
+				a.Body = []byte(strings.TrimPrefix(scan.Text(), "data: "))
+			}
 			return nil
 		}
 		data, ok := strings.CutPrefix(line, "data: ")
--- a/internal/awstandin/engine.go
+++ b/internal/awstandin/engine.go
@@ -49,17 +49,18 @@
 
 	mu        sync.Mutex
 	st        awengine.Status
-	finished  int // since the last load or restart
-	overloads int // times a cold engine or its memory was overloaded
-	maxCold   int // most concurrent requests while cold
-	started   int // completions since the process started
+	finished  int            // since the last load or restart
+	overloads int            // times a cold engine or its memory was overloaded
+	maxCold   int            // most concurrent requests while cold
+	started   int            // completions since the process started
+	runs      map[uint64]int // starts from the first token, by hash of the prompt
 	lagged    []awengine.Status
 	laggedAt  []time.Time
 }
 
 // NewEngine returns an engine without a model.
 func NewEngine(cfg EngineConfig) *Engine {
-	e := &Engine{cfg: cfg, slots: make(chan struct{}, max(1, cfg.MaxRunning))}
+	e := &Engine{cfg: cfg, slots: make(chan struct{}, max(1, cfg.MaxRunning)), runs: map[uint64]int{}}
 	e.st = awengine.Status{BootID: newBootID(), State: "empty", MemoryBytes: cfg.MemoryBytes}
 	return e
 }
@@ -74,6 +75,11 @@
 	r.Post("/commands/load", e.load)
 	r.Post("/v1/completions", e.complete)
 	r.Get("/admin/counts", e.counts)
+	r.Get("/admin/runs", func(w http.ResponseWriter, _ *http.Request) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		writeJSON(w, e.runs)
+	})
 	return r
 }
 
@@ -186,6 +192,9 @@
 	return awweights.Digest(data), nil
 }
 
+// PromptHash is the key of a prompt in /admin/runs.
+func PromptHash(prompt string) uint64 { return xxhash.Sum64String(prompt) }
+
 // TokenText returns the token that weights of the given digest produce at an
 // index; tests compare whole answers with it.
 func TokenText(digest, prompt string, index uint32) string {
@@ -244,6 +253,9 @@
 		}
 	})
 	e.mu.Lock()
+	if req.ResumeFrom == 0 {
+		e.runs[PromptHash(req.Prompt)]++
+	}
 	serves := e.st.State != "empty" && e.st.Model == req.Model
 	e.mu.Unlock()
 	if fail || !serves {
--- a/io/awagent/admission.go
+++ b/io/awagent/admission.go
@@ -142,15 +142,17 @@
 func (a *Agent) await(ctx context.Context, r *run, woken <-chan struct{}) *awoutcome.Error {
 	a.mu.Lock()
 	decided := r.ticket.Granted() || r.ticket.Refused() != nil
+	left := a.gate.LatestStart(r.ticket).Sub(a.cfg.Clock.Now())
 	a.mu.Unlock()
+	late := false
 	if !decided {
-		select {
-		case <-woken:
-		case <-ctx.Done():
-		}
+		late = waitFor(ctx, woken, left, r.held != nil)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if late && a.gate.Leave(r.ticket) {
+		return awoutcome.Refuse(awoutcome.Deadline, "request waited too long to meet its deadline")
+	}
 	var refusal *awoutcome.Error
 	if errors.As(r.ticket.Refused(), &refusal) {
 		return refusal
@@ -168,6 +170,24 @@
 	return awoutcome.Refuse(reason, "request left the queue")
 }
 
+// waitFor waits for a decision and reports whether the request waited until
+// it was too late to start. A resumed answer may wait without bound.
+func waitFor(ctx context.Context, woken <-chan struct{}, left time.Duration, resumed bool) bool {
+	var late <-chan time.Time
+	if !resumed {
+		timer := time.NewTimer(left)
+		defer timer.Stop()
+		late = timer.C
+	}
+	select {
+	case <-woken:
+	case <-ctx.Done():
+	case <-late:
+		return true
+	}
+	return false
+}
+
 // begin starts a granted request unless the state of the agent changed while
 // it was queued.
 func (a *Agent) begin(r *run) *awoutcome.Error {
--- a/io/awcommand/bench.go
+++ b/io/awcommand/bench.go
@@ -18,8 +18,10 @@
 type experiment func(ctx context.Context, binDir string) (any, error)
 
 var experiments = map[string]experiment{
-	"capacity": awbench.Capacity,
-	"demo":     awbench.Demo,
+	"burst":       awbench.Burst,
+	"capacity":    awbench.Capacity,
+	"demo":        awbench.Demo,
+	"slowreaders": awbench.SlowReaders,
 }
 
 type benchCommand struct {
