--- a/internal/awbench/slowreaders.go
+++ b/internal/awbench/slowreaders.go
@@ -72,7 +72,9 @@
 	if err != nil {
 		return nil, err
 	}
+	phase("fleet")
 	warm(ctx, c, slowEngines*8, warmTime)
+	phase("warm")
 	s := &slowRun{c: c, entry: c.Entries[0], digest: digest, fast: make(chan struct{})}
 	res := &SlowReadersResult{Experiment: "slowreaders", SlowStreams: slowStreams}
 	var failed int
@@ -84,20 +86,28 @@
 	if err != nil {
 		return nil, err
 	}
+	phase("normal")
 	if err := s.open(ctx); err != nil {
 		return nil, err
 	}
+	phase("open")
 	res.FirstP99SlowMs, res.TotalP99SlowMs, res.NormalStreams, res.NormalFailed = s.normal(ctx)
 	res.P99Ratio = res.TotalP99SlowMs / res.TotalP99Ms
 	if err := s.measure(res, before); err != nil {
 		return nil, err
 	}
+	phase("measured")
 	close(s.fast)
 	s.wg.Wait()
+	phase("drained")
 	res.Truncated = slowStreams - int(s.whole.Load())
 	return res, nil
 }
 
+var phaseStart = time.Now()
+
+func phase(s string) { println(s, time.Since(phaseStart).Milliseconds()) }
+
 type slowRun struct {
 	c      *Cluster
 	entry  *Node
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -92,9 +92,9 @@
 	if err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", s.Listen.Callers)
+	callers, err := awhttp.Listen(s.Listen.Callers)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", s.Listen.Callers)
+		return err
 	}
 	operators, err := net.Listen("tcp", s.Listen.Operators)
 	if err != nil {
