--- a/internal/awbench/cluster.go
+++ b/internal/awbench/cluster.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -137,14 +139,34 @@
 	}
 }
 
-// FreeAddress returns a loopback address that is free now.
+// Ports are taken below the range that the system gives to outgoing
+// connections: a port from that range may be taken again between this check
+// and the start of the process that binds it.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+// nextPort starts at random so that benches that run at once rarely meet.
+var nextPort = func() *atomic.Int64 {
+	n := &atomic.Int64{}
+	n.Store(rand.Int64N(lastPort - firstPort))
+	return n
+}()
+
+// FreeAddress returns a loopback address that is free now and is not given
+// out again soon.
 func FreeAddress() (string, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "free address")
+	var last error
+	for range lastPort - firstPort {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
+		lis, err := net.Listen("tcp", addr)
+		if err == nil {
+			return addr, lis.Close()
+		}
+		last = err
 	}
-	defer lis.Close()
-	return lis.Addr().String(), nil
+	return "", eris.Wrap(last, "free address")
 }
 
 func (c *Cluster) settings(name string, v any) (string, error) {
