--- a/core/awledger/attempts.go
+++ b/core/awledger/attempts.go
@@ -1,6 +1,8 @@
 package awledger
 
 import (
+	"slices"
+
 	"arbutuswind/core/awoutcome"
 )
 
@@ -280,11 +282,16 @@
 			largest = s
 		}
 	}
-	oldest, newest := ^uint64(0), uint64(0)
-	for seq := range largest.known {
-		oldest, newest = min(oldest, seq), max(newest, seq)
+	var ended []uint64
+	for seq, at := range largest.known {
+		if at.state != Running {
+			ended = append(ended, seq)
+		}
+	}
+	if len(ended) > 0 {
+		slices.Sort(ended)
+		a.raise(largest, ended[len(ended)/2])
 	}
-	a.raise(largest, oldest+(newest-oldest)/2)
 }
 
 // Len returns the number of records and the bytes of results held.
