Report every fault of a sheet with its place; add the experiment config

The parser stopped at the first CSV fault and reported columns of fields, not of the file. It now reads the whole sheet in one pass and checks encoding, names, bounds, domains, teams, fencing against the settings of instances, and the sum of replicas against every union of allowed domains.

awbench config measures time in force, cost and store load at three sizes; awrpc and awstore count the bytes of their connections.

--- a/core/awsheet/awsheet.go
+++ b/core/awsheet/awsheet.go
@@ -1,29 +1,43 @@
 // Package awsheet reads the planners' sheet, a CSV file that states what
 // should run where.
+//
+// [Parse] reports every fault of a sheet in one pass, each with the line and
+// column where the field starts in the file and with what is allowed there.
 package awsheet
 
 import (
 	"bytes"
-	"encoding/csv"
 	"fmt"
-	"strconv"
 	"strings"
 
 	"arbutuswind/core/awconfig"
 )
 
+// Bounds of a sheet. They are far above the design size of 7,300 replicas and
+// keep a wrong file from filling the memory of an entry.
+const (
+	MaxBytes    = 1 << 20
+	MaxRows     = 4096
+	MaxFaults   = 200     // reported at once; a last fault says that there are more
+	MaxReplicas = 100_000 // of one model
+	MaxWeight   = 1_000_000
+	MaxName     = 128 // bytes of a model, version, domain or team
+)
+
 // Row is one row of the sheet.
 type Row struct {
-	Line       int
-	Model      string
-	Version    string
-	Replicas   int
-	Domains    []string
-	TeamShares map[string]int
-	Fencing    awconfig.Fencing
+	Line          int
+	VersionColumn int // where the version stands in the file
+	Model         string
+	Version       string
+	Replicas      int
+	Domains       []string
+	TeamShares    map[string]int
+	Fencing       awconfig.Fencing
 }
 
-// Fault is one error in a sheet.
+// Fault is one error in a sheet. Line and Column count from 1; a column is a
+// character of the line in the file.
 type Fault struct {
 	Line, Column int
 	Message      string // what is wrong and what is allowed
@@ -35,82 +49,72 @@
 // Columns lists the headings of the sheet.
 var Columns = []string{"Model", "Version", "Replicas", "Domains", "TeamShares", "Fencing"}
 
+const (
+	colModel = iota
+	colVersion
+	colReplicas
+	colDomains
+	colTeamShares
+	colFencing
+)
+
 // Facts is what a sheet is checked against.
 type Facts struct {
 	Domains   []string       // known failure domains
 	Instances map[string]int // instances with an engine by domain
+	Unfenced  map[string]int // instances by domain whose settings say that the engine ignores fencing tokens
 }
 
-// Parse reads a sheet and returns its rows or all its faults.
+// Parse reads a sheet and returns its rows, or all its faults in the order of
+// the file.
 func Parse(data []byte, facts Facts) ([]Row, []Fault) {
-	data = bytes.TrimPrefix(data, []byte("\xef\xbb\xbf"))
-	r := csv.NewReader(bytes.NewReader(data))
-	if head, _, _ := bytes.Cut(data, []byte("\n")); bytes.Count(head, []byte(";")) > bytes.Count(head, []byte(",")) {
-		r.Comma = ';'
+	data, fault := plainText(data)
+	if fault != nil {
+		return nil, []Fault{*fault}
 	}
-	r.FieldsPerRecord = -1
-	records, err := r.ReadAll()
-	if err != nil {
-		return nil, []Fault{{Line: 1, Column: 1, Message: err.Error()}}
+	p := &parser{facts: facts, seen: map[string]int{}}
+	p.encoding(data)
+	s := &scanner{data: data, comma: separator(data), line: 1, column: 1, fault: p.fault}
+	head, ok := s.record()
+	if !ok || !isHeading(head) {
+		p.fault(1, 1, "headings must be %s", strings.Join(Columns, ", "))
+		return nil, p.sorted()
 	}
-	if len(records) == 0 || strings.Join(records[0], ",") != strings.Join(Columns, ",") {
-		return nil, []Fault{{Line: 1, Column: 1, Message: "headings must be " + strings.Join(Columns, ", ")}}
+	for {
+		rec, ok := s.record()
+		if !ok {
+			break
+		}
+		if len(p.rows) >= MaxRows {
+			p.fault(rec[0].line, 1, "more than %d rows; want fewer", MaxRows)
+			break
+		}
+		p.row(rec)
 	}
-	p := &parser{facts: facts, seen: map[string]int{}}
-	for i, rec := range records[1:] {
-		p.row(i+2, rec)
+	p.capacity()
+	if len(p.faults) > 0 {
+		return nil, p.sorted()
 	}
-	return p.rows, p.faults
+	return p.rows, nil
 }
 
-type parser struct {
-	facts  Facts
-	rows   []Row
-	faults []Fault
-	seen   map[string]int
-}
-
-func (p *parser) fault(line, column int, format string, args ...any) {
-	p.faults = append(p.faults, Fault{Line: line, Column: column, Message: fmt.Sprintf(format, args...)})
-}
-
-func (p *parser) row(line int, rec []string) {
+func isHeading(rec []field) bool {
 	if len(rec) != len(Columns) {
-		p.fault(line, len(rec), "%d fields; want %d", len(rec), len(Columns))
-		return
+		return false
 	}
-	row := Row{Line: line, Model: rec[0], Version: rec[1], Domains: strings.Fields(rec[3]), Fencing: awconfig.Fencing(rec[5])}
-	if first, ok := p.seen[row.Model]; ok {
-		p.fault(line, 1, "model %q stands in line %d already; want one row a model", row.Model, first)
-	}
-	p.seen[row.Model] = line
-	n, err := strconv.Atoi(rec[2])
-	if err != nil || n < 0 {
-		p.fault(line, 3, "%q is not a number of replicas; want 0 or more", rec[2])
-	}
-	row.Replicas = n
-	for _, d := range row.Domains {
-		if _, ok := p.facts.Instances[d]; !ok {
-			p.fault(line, 4, "unknown domain %q; want one of %s", d, strings.Join(p.facts.Domains, ", "))
+	for i, f := range rec {
+		if strings.TrimSpace(f.text) != Columns[i] {
+			return false
 		}
 	}
-	row.TeamShares = p.shares(line, rec[4])
-	if row.Fencing != awconfig.FencingChecked && row.Fencing != awconfig.FencingIgnored {
-		p.fault(line, 6, "%q is not allowed; want checked or ignored", rec[5])
-	}
-	p.rows = append(p.rows, row)
+	return true
 }
 
-func (p *parser) shares(line int, text string) map[string]int {
-	shares := map[string]int{}
-	for _, field := range strings.Fields(text) {
-		team, weight, ok := strings.Cut(field, "=")
-		n, err := strconv.Atoi(weight)
-		if !ok || team == "" || err != nil || n < 1 {
-			p.fault(line, 5, "%q is not a team share; want team=weight with a weight of 1 or more", field)
-			continue
-		}
-		shares[team] = n
+// separator returns the separator that the heading uses more often.
+func separator(data []byte) byte {
+	head, _, _ := bytes.Cut(data, []byte("\n"))
+	if bytes.Count(head, []byte(";")) > bytes.Count(head, []byte(",")) {
+		return ';'
 	}
-	return shares
+	return ','
 }
--- /dev/null
+++ b/core/awsheet/scanner.go
@@ -0,0 +1,184 @@
+package awsheet
+
+import (
+	"bytes"
+	"strings"
+	"unicode/utf8"
+)
+
+// plainText returns the text behind the byte-order mark, or why the file as a
+// whole cannot be read.
+func plainText(data []byte) ([]byte, *Fault) {
+	at := func(message string) *Fault { return &Fault{Line: 1, Column: 1, Message: message} }
+	switch {
+	case len(data) > MaxBytes:
+		return nil, at("the sheet is larger than 1 MiB; want a smaller one")
+	case bytes.HasPrefix(data, []byte("\xff\xfe")), bytes.HasPrefix(data, []byte("\xfe\xff")):
+		return nil, at("the sheet is encoded as UTF-16; want UTF-8")
+	case utf16WithoutMark(data):
+		return nil, at("the sheet looks like UTF-16 without a byte-order mark; want UTF-8")
+	}
+	data = bytes.TrimPrefix(data, []byte("\xef\xbb\xbf"))
+	if len(bytes.TrimSpace(data)) == 0 {
+		return nil, at("the sheet is empty; want the headings " + strings.Join(Columns, ", "))
+	}
+	return data, nil
+}
+
+// utf16WithoutMark reports whether every other byte of the start is NUL.
+func utf16WithoutMark(data []byte) bool {
+	const probe = 8
+	if len(data) < probe {
+		return false
+	}
+	even, odd := 0, 0
+	for i, b := range data[:probe] {
+		if b == 0 && i%2 == 0 {
+			even++
+		} else if b == 0 {
+			odd++
+		}
+	}
+	return even == probe/2 || odd == probe/2
+}
+
+// encoding reports bytes that are not UTF-8 and NUL characters, once a line.
+// Lines in Latin-1 between lines in UTF-8 come from sheets pasted together.
+func (p *parser) encoding(data []byte) {
+	for i, line := range bytes.Split(data, []byte("\n")) {
+		column := 1
+		for len(line) > 0 {
+			r, n := utf8.DecodeRune(line)
+			if r == utf8.RuneError && n == 1 {
+				p.fault(i+1, column, "byte 0x%02x is not UTF-8; want the whole sheet in UTF-8", line[0])
+				break
+			}
+			if r == 0 {
+				p.fault(i+1, column, "NUL character; want text in UTF-8")
+				break
+			}
+			line = line[n:]
+			column++
+		}
+	}
+}
+
+// field is one field and the place in the file where it starts.
+type field struct {
+	text         string
+	line, column int
+	quoted       bool
+}
+
+// scanner splits a sheet into records. encoding/csv stops at the first
+// fault; this one reports it and goes on with the next line.
+type scanner struct {
+	data         []byte
+	comma        byte
+	line, column int
+	fault        func(line, column int, format string, args ...any)
+}
+
+// record returns the next record that is not blank.
+func (s *scanner) record() ([]field, bool) {
+	for len(s.data) > 0 {
+		var rec []field
+		for {
+			f, last := s.field()
+			rec = append(rec, f)
+			if last {
+				break
+			}
+		}
+		if len(rec) > 1 || rec[0].quoted || strings.TrimSpace(rec[0].text) != "" {
+			return rec, true
+		}
+	}
+	return nil, false
+}
+
+// field reads one field and reports whether it ends its record.
+func (s *scanner) field() (field, bool) {
+	f := field{line: s.line, column: s.column}
+	if len(s.data) > 0 && s.data[0] == '"' {
+		f.quoted = true
+		f.text = s.quoted(f)
+	} else {
+		f.text = s.plain()
+	}
+	switch {
+	case len(s.data) == 0:
+		return f, true
+	case s.data[0] == s.comma:
+		s.advance()
+		return f, false
+	}
+	s.newline()
+	return f, true
+}
+
+func (s *scanner) plain() string {
+	var b strings.Builder
+	for len(s.data) > 0 && s.data[0] != s.comma && !s.atNewline() {
+		if s.data[0] == '"' {
+			s.fault(s.line, s.column, `stray quote; want the whole field in quotes and quotes inside doubled ("")`)
+		}
+		b.Write(s.advance())
+	}
+	return b.String()
+}
+
+func (s *scanner) quoted(start field) string {
+	s.advance()
+	var b strings.Builder
+	for len(s.data) > 0 {
+		switch {
+		case bytes.HasPrefix(s.data, []byte(`""`)):
+			s.advance()
+			b.Write(s.advance())
+		case s.data[0] == '"':
+			s.advance()
+			if len(s.data) > 0 && s.data[0] != s.comma && !s.atNewline() {
+				s.fault(s.line, s.column, "text after the closing quote; want a separator or the end of the line")
+				s.plainRest()
+			}
+			return b.String()
+		case s.atNewline():
+			b.WriteByte('\n')
+			s.newline()
+		default:
+			b.Write(s.advance())
+		}
+	}
+	s.fault(start.line, start.column, "quote is not closed; want a closing quote")
+	return b.String()
+}
+
+func (s *scanner) plainRest() {
+	for len(s.data) > 0 && s.data[0] != s.comma && !s.atNewline() {
+		s.advance()
+	}
+}
+
+func (s *scanner) atNewline() bool {
+	return s.data[0] == '\n' || s.data[0] == '\r' && (len(s.data) == 1 || s.data[1] == '\n')
+}
+
+func (s *scanner) newline() {
+	if s.data[0] == '\r' {
+		s.data = s.data[1:]
+	}
+	if len(s.data) > 0 {
+		s.data = s.data[1:]
+	}
+	s.line, s.column = s.line+1, 1
+}
+
+// advance consumes one character and returns its bytes.
+func (s *scanner) advance() []byte {
+	_, n := utf8.DecodeRune(s.data)
+	c := s.data[:n]
+	s.data = s.data[n:]
+	s.column++
+	return c
+}
--- a/internal/awbench/cluster.go
+++ b/internal/awbench/cluster.go
@@ -345,15 +345,24 @@
 // WaitHTTP waits until the URL answers with status 200.
 func WaitHTTP(ctx context.Context, url string) error {
 	return WaitFor(ctx, url, func() (bool, error) {
-		resp, err := http.Get(url)
-		if err != nil {
-			return false, err
-		}
-		_ = resp.Body.Close()
-		return resp.StatusCode == http.StatusOK, eris.Errorf("status %d", resp.StatusCode)
+		err := CheckHTTP(url)
+		return err == nil, err
 	})
 }
 
+// CheckHTTP returns an error unless the URL answers with status 200.
+func CheckHTTP(url string) error {
+	resp, err := http.Get(url)
+	if err != nil {
+		return eris.Wrapf(err, "get %s", url)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("get %s: status %d", url, resp.StatusCode)
+	}
+	return nil
+}
+
 // Operator returns a client of the operators' API of an entry.
 func (n *Node) Operator() *awcontrol.Client {
 	return &awcontrol.Client{Base: n.Operators, HTTP: http.DefaultClient}
--- /dev/null
+++ b/internal/awbench/config.go
@@ -0,0 +1,379 @@
+package awbench
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutuswind/core/awconfig"
+	"arbutuswind/internal/awstandin"
+	"arbutuswind/io/awcontrol"
+	"arbutuswind/io/awsettings"
+)
+
+// ConfigResult holds the figures of the experiment config.
+type ConfigResult struct {
+	Experiment string
+	Sizes      []ConfigSize
+
+	// The worst of all sizes.
+	InForceP99Ms int64
+	Reverted     int
+
+	OutageServedOn       bool    // every entry stayed ready while the store was down
+	OutageRefused        bool    // changes were refused while the store was down
+	OutageInForceMs      int64   // of the first change after the outage
+	CutEntryInForceMs    int64   // at the entry that was cut off from the platform; -1 never
+	CutEntryReturnMs     int64   // after its link came back
+	EntryCoreSlope       float64 // percent of a core for each further process
+	EntryRSSMBSlope      float64
+	EntryRPCBytesSlope   float64 // bytes a second for each further process
+	EntryStoreBytesSlope float64
+	AgentCoreSlope       float64
+	AgentRPCBytesSlope   float64
+	StoreReadsSlope      float64 // reads a second for each further entry
+	StoreWritesSlope     float64
+}
+
+// ConfigSize holds the figures of one number of processes.
+type ConfigSize struct {
+	Entries, Agents                     int
+	Changes                             int
+	InForceP50Ms, InForceP99Ms          int64
+	Reverted                            int
+	Entry, Agent                        Cost
+	StoreReadsPerSec, StoreWritesPerSec float64
+	CostSeconds                         float64
+	CostChanges                         int
+}
+
+const (
+	configChanges     = 14              // measured one after the other for each size
+	configCost        = 8 * time.Second // in which processes are left alone but for configCostChanges
+	configCostChanges = 4
+	configLook        = 15 * time.Millisecond
+	configLimit       = 8 * time.Second // ConfigMonotonic's limit
+)
+
+// configSizes are the numbers of entries and agents.
+var configSizes = [][2]int{{3, 15}, {6, 30}, {12, 60}}
+
+// Config measures how long changes take until they are in force everywhere
+// and what that costs each process.
+func Config(ctx context.Context, binDir string) (any, error) {
+	res := &ConfigResult{Experiment: "config", CutEntryInForceMs: -1}
+	for _, size := range configSizes {
+		if err := configRun(ctx, binDir, size[0], size[1], res); err != nil {
+			return res, err
+		}
+	}
+	res.slopes()
+	if res.InForceP99Ms > 2000 || res.Reverted > 0 {
+		return res, eris.New("the configuration missed its target")
+	}
+	return res, nil
+}
+
+func configRun(ctx context.Context, binDir string, entries, agents int, res *ConfigResult) error {
+	c, err := NewCluster(binDir)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	link, err := c.configFleet(ctx, entries, agents)
+	if err != nil {
+		return err
+	}
+	defer link.Close()
+	o := newObserver(c)
+	size := ConfigSize{Entries: entries, Agents: agents, Changes: configChanges}
+	var took []time.Duration
+	for i := range configChanges {
+		d, err := o.change(ctx, i)
+		if err != nil {
+			return err
+		}
+		took = append(took, d)
+	}
+	slices.Sort(took)
+	size.InForceP50Ms = took[len(took)/2].Milliseconds()
+	size.InForceP99Ms = took[(len(took)*99)/100].Milliseconds()
+	if err := c.configCost(ctx, &size); err != nil {
+		return err
+	}
+	if entries == configSizes[1][0] {
+		if err := c.configFaults(ctx, o, link, res); err != nil {
+			return err
+		}
+	}
+	size.Reverted = o.reverted
+	res.Sizes = append(res.Sizes, size)
+	res.InForceP99Ms = max(res.InForceP99Ms, size.InForceP99Ms)
+	res.Reverted += size.Reverted
+	return nil
+}
+
+// configFleet starts the processes. The last entry reaches the platform
+// through the link.
+func (c *Cluster) configFleet(ctx context.Context, entries, agents int) (*Link, error) {
+	if err := c.StartPlatform(ctx); err != nil {
+		return nil, err
+	}
+	link, err := NewLink(strings.TrimPrefix(c.Platform, "http://"))
+	if err != nil {
+		return nil, err
+	}
+	for i := range entries {
+		tune := func(s *awsettings.Entry) {
+			if i == entries-1 {
+				base := "http://" + link.Address()
+				s.Platform.TableURL, s.Platform.ObjectURL, s.Platform.OriginURL = base, base, base
+				s.Platform.InstanceListURL = base + "/instances"
+			}
+		}
+		if _, err := c.StartEntry(fmt.Sprintf("entry-%d", i), Sites[i%len(Sites)], tune); err != nil {
+			return link, err
+		}
+	}
+	addr, err := FreeAddress()
+	if err != nil {
+		return link, err
+	}
+	// One backend server for all agents: only the control plane is measured.
+	if _, err := c.Start("backend", "awstandin", "service", "--listen", addr); err != nil {
+		return link, err
+	}
+	for i := range agents {
+		n := &Node{ID: fmt.Sprintf("agent-%02d", i), Site: Sites[i%len(Sites)], Service: "roster", Backend: "http://" + addr}
+		if err := c.StartAgent(n, nil); err != nil {
+			return link, err
+		}
+	}
+	for _, e := range c.Entries {
+		if err := WaitHTTP(ctx, e.Operators+"/readyz"); err != nil {
+			return link, err
+		}
+	}
+	return link, WaitFor(ctx, "agents watched by every entry", func() (bool, error) {
+		return c.configWatched(ctx)
+	})
+}
+
+func (c *Cluster) configWatched(ctx context.Context) (bool, error) {
+	seen := map[string]bool{}
+	for _, e := range c.Entries {
+		st, err := e.Operator().Status(ctx)
+		if err != nil {
+			return false, err
+		}
+		for _, a := range st.Agents {
+			if a.State != "SILENT" {
+				seen[a.Instance] = true
+			}
+		}
+	}
+	return len(seen) == len(c.Agents), eris.Errorf("%d agents are seen", len(seen))
+}
+
+// observer looks at every process and notes when one goes back.
+type observer struct {
+	cluster *Cluster
+
+	mu       sync.Mutex
+	entries  map[string]uint64
+	reverted int
+}
+
+func newObserver(c *Cluster) *observer { return &observer{cluster: c, entries: map[string]uint64{}} }
+
+// change commits one change through an entry and returns the time until it
+// is in force at every entry and agent.
+func (o *observer) change(ctx context.Context, i int) (time.Duration, error) {
+	c := o.cluster
+	kinds := []awconfig.Kind{awconfig.KindDomainOut, awconfig.KindDomainIn}
+	req := awcontrol.ChangeRequest{Kind: kinds[i%2], Target: Sites[(i/2)%len(Sites)].Domain, Actor: "bench"}
+	began := time.Now()
+	acc, err := c.Entries[i%(len(c.Entries)-1)].Operator().Change(ctx, req)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, configLimit)
+	defer cancel()
+	err = o.inForce(ctx, acc.Revision, c.Entries)
+	return time.Since(began), eris.Wrapf(err, "revision %d", acc.Revision)
+}
+
+// inForce waits until the entries and the agents they know are at revision.
+func (o *observer) inForce(ctx context.Context, revision uint64, entries []*Node) error {
+	errs := make(chan error, len(entries))
+	for _, e := range entries {
+		go func() { errs <- o.entryInForce(ctx, revision, e) }()
+	}
+	var first error
+	for range entries {
+		if err := <-errs; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (o *observer) entryInForce(ctx context.Context, revision uint64, e *Node) error {
+	for {
+		st, err := e.Operator().Status(ctx)
+		if err == nil {
+			o.note(e.ID, st.Revision)
+			if st.Revision >= revision && !slices.ContainsFunc(st.Agents, func(a awcontrol.AgentStatus) bool {
+				return a.ViewRevision < revision
+			}) {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "%s is at revision %d", e.ID, st.Revision)
+		case <-time.After(configLook):
+		}
+	}
+}
+
+func (o *observer) note(id string, revision uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if revision < o.entries[id] {
+		o.reverted++
+	}
+	o.entries[id] = max(o.entries[id], revision)
+}
+
+type storeCounts struct{ Reads, Writes int64 }
+
+// configCost leaves the processes alone but for a few changes and reads what
+// they used.
+func (c *Cluster) configCost(ctx context.Context, size *ConfigSize) error {
+	entries, agents, counts, err := c.configUsage()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	for i := range configCostChanges {
+		req := awcontrol.ChangeRequest{Kind: awconfig.KindDomainOut, Target: Sites[0].Domain, Actor: "bench"}
+		if i%2 == 1 {
+			req.Kind = awconfig.KindDomainIn
+		}
+		if _, err := c.Entries[0].Operator().Change(ctx, req); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(configCost / configCostChanges):
+		}
+	}
+	size.CostSeconds, size.CostChanges = time.Since(began).Seconds(), configCostChanges
+	entries2, agents2, counts2, err := c.configUsage()
+	if err != nil {
+		return err
+	}
+	size.Entry, size.Agent = MeanCost(entries, entries2), MeanCost(agents, agents2)
+	size.StoreReadsPerSec = float64(counts2.Reads-counts.Reads) / size.CostSeconds
+	size.StoreWritesPerSec = float64(counts2.Writes-counts.Writes) / size.CostSeconds
+	return nil
+}
+
+func (c *Cluster) configUsage() (entries, agents []Usage, counts storeCounts, err error) {
+	for _, n := range c.Entries {
+		u, err := ReadUsage(n.Process.PID(), n.Operators+"/metrics")
+		if err != nil {
+			return nil, nil, counts, err
+		}
+		entries = append(entries, u)
+	}
+	for _, n := range c.Agents {
+		u, err := ReadUsage(n.Process.PID(), n.Local+"/metrics")
+		if err != nil {
+			return nil, nil, counts, err
+		}
+		agents = append(agents, u)
+	}
+	base, err := url.JoinPath(c.Platform, "admin", "counts")
+	if err != nil {
+		return nil, nil, counts, err
+	}
+	return entries, agents, counts, GetJSON(base, &counts)
+}
+
+// configFaults takes the store down, then cuts one entry off the platform.
+func (c *Cluster) configFaults(ctx context.Context, o *observer, link *Link, res *ConfigResult) error {
+	if err := Fault(c.Platform, awstandin.PlatformFault{StoreDown: true}); err != nil {
+		return err
+	}
+	req := awcontrol.ChangeRequest{Kind: awconfig.KindDomainOut, Target: Sites[1].Domain, Actor: "bench"}
+	_, err := c.Entries[0].Operator().Change(ctx, req)
+	res.OutageRefused = err != nil
+	res.OutageServedOn = true
+	for _, e := range c.Entries {
+		if CheckHTTP(e.Operators+"/readyz") != nil {
+			res.OutageServedOn = false
+		}
+	}
+	if err := Fault(c.Platform, awstandin.PlatformFault{}); err != nil {
+		return err
+	}
+	took, err := o.change(ctx, 0)
+	if err != nil {
+		return err
+	}
+	res.OutageInForceMs = took.Milliseconds()
+
+	link.Cut(true)
+	acc, err := c.Entries[0].Operator().Change(ctx, awcontrol.ChangeRequest{
+		Kind: awconfig.KindDomainIn, Target: Sites[0].Domain, Actor: "bench",
+	})
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	cut := c.Entries[len(c.Entries)-1:]
+	waitCtx, cancel := context.WithTimeout(ctx, configLimit)
+	defer cancel()
+	if o.inForce(waitCtx, acc.Revision, cut) == nil {
+		res.CutEntryInForceMs = time.Since(began).Milliseconds()
+	}
+	link.Cut(false)
+	began = time.Now()
+	if err := o.inForce(ctx, acc.Revision, cut); err != nil {
+		return err
+	}
+	res.CutEntryReturnMs = time.Since(began).Milliseconds()
+	return nil
+}
+
+// slopes fits the cost of a process over the number of processes.
+func (r *ConfigResult) slopes() {
+	fit := func(of func(ConfigSize) float64) float64 {
+		var x, y []float64
+		for _, s := range r.Sizes {
+			x, y = append(x, float64(s.Entries+s.Agents)), append(y, of(s))
+		}
+		return Slope(x, y)
+	}
+	r.EntryCoreSlope = fit(func(s ConfigSize) float64 { return s.Entry.CorePercent })
+	r.EntryRSSMBSlope = fit(func(s ConfigSize) float64 { return s.Entry.RSSMB })
+	r.EntryRPCBytesSlope = fit(func(s ConfigSize) float64 { return s.Entry.RPCBytesPerSec })
+	r.EntryStoreBytesSlope = fit(func(s ConfigSize) float64 { return s.Entry.StoreBytesPerSec })
+	r.AgentCoreSlope = fit(func(s ConfigSize) float64 { return s.Agent.CorePercent })
+	r.AgentRPCBytesSlope = fit(func(s ConfigSize) float64 { return s.Agent.RPCBytesPerSec })
+	var x, reads, writes []float64
+	for _, s := range r.Sizes {
+		x = append(x, float64(s.Entries))
+		reads, writes = append(reads, s.StoreReadsPerSec), append(writes, s.StoreWritesPerSec)
+	}
+	r.StoreReadsSlope, r.StoreWritesSlope = Slope(x, reads), Slope(x, writes)
+}
--- a/io/awcommand/bench.go
+++ b/io/awcommand/bench.go
@@ -18,7 +18,8 @@
 type experiment func(ctx context.Context, binDir string) (any, error)
 
 var experiments = map[string]experiment{
-	"demo": awbench.Demo,
+	"config": awbench.Config,
+	"demo":   awbench.Demo,
 }
 
 type benchCommand struct {
--- a/io/awcontrol/api.go
+++ b/io/awcontrol/api.go
@@ -184,7 +184,7 @@
 	data, err := s.Platform.Manifest(ctx, row.Model, row.Version)
 	if errors.Is(err, awstore.ErrNotFound) {
 		return awconfig.Model{}, &SheetError{Faults: []awsheet.Fault{{
-			Line: row.Line, Column: 2, Message: "unknown version " + strconv.Quote(row.Version) + "; want a published one",
+			Line: row.Line, Column: row.VersionColumn, Message: "unknown version " + strconv.Quote(row.Version) + "; want a published one",
 		}}}
 	}
 	if err != nil {
--- a/io/awrpc/awrpc.go
+++ b/io/awrpc/awrpc.go
@@ -23,6 +23,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"arbutuswind/io/awproto"
+	"arbutuswind/io/awtelemetry"
 )
 
 // ProtocolVersion is raised with every incompatible change of inner.proto.
@@ -134,6 +135,7 @@
 		return nil, err
 	}
 	boundSocket(raw)
+	raw = traffic.Count(raw)
 	if d.cfg.TLS == nil {
 		return raw, nil
 	}
@@ -215,15 +217,19 @@
 	return lis, nil
 }
 
+// traffic counts the bytes of every internal connection, TLS included.
+var traffic = awtelemetry.NewTraffic("Rpc")
+
 type boundedListener struct{ net.Listener }
 
 // Accept bounds the socket buffers of each connection.
 func (l boundedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if err == nil {
-		boundSocket(conn)
+	if err != nil {
+		return nil, err
 	}
-	return conn, err
+	boundSocket(conn)
+	return traffic.Count(conn), nil
 }
 
 func boundSocket(conn net.Conn) {
--- a/io/awstore/awstore.go
+++ b/io/awstore/awstore.go
@@ -13,12 +13,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"arbutuswind/io/awtelemetry"
 )
 
 // ErrNotFound is returned for a row or object that does not exist.
@@ -84,10 +87,20 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = defaultTimeout
 	}
-	tr := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	tr := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DialContext: dialCounted}
 	return &Client{cfg: cfg, http: &http.Client{Transport: tr}}
 }
 
+var traffic = awtelemetry.NewTraffic("Store")
+
+func dialCounted(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return traffic.Count(conn), nil
+}
+
 // Get reads a row. If known is not 0 and the row still has that version, it
 // returns [ErrNotModified].
 func (c *Client) Get(ctx context.Context, key string, known uint64) (Row, error) {
--- /dev/null
+++ b/io/awtelemetry/conn.go
@@ -0,0 +1,40 @@
+package awtelemetry
+
+import (
+	"net"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Traffic counts the bytes of the connections of one kind.
+type Traffic struct{ sent, received *metrics.Counter }
+
+// NewTraffic returns counters named kind+"SentBytes" and kind+"ReceivedBytes".
+func NewTraffic(kind string) Traffic {
+	return Traffic{
+		sent:     metrics.GetOrCreateCounter(kind + "SentBytes"),
+		received: metrics.GetOrCreateCounter(kind + "ReceivedBytes"),
+	}
+}
+
+// Count returns conn with its bytes counted.
+func (t Traffic) Count(conn net.Conn) net.Conn { return &countedConn{Conn: conn, traffic: t} }
+
+type countedConn struct {
+	net.Conn
+	traffic Traffic
+}
+
+// Read implements [net.Conn].
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.received.Add(n)
+	return n, err
+}
+
+// Write implements [net.Conn].
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.sent.Add(n)
+	return n, err
+}
