--- a/core/awconfig/change.go
+++ b/core/awconfig/change.go
@@ -81,6 +81,63 @@
 	return next, nil
 }
 
+// ApplyAll applies the changes that follow the state and skips those up to
+// its revision. It returns a [RevisionError] at a gap.
+func (s *State) ApplyAll(changes []Change) (*State, error) {
+	for _, c := range changes {
+		if c.Revision <= s.Revision {
+			continue
+		}
+		next, err := s.Apply(c)
+		if err != nil {
+			return nil, err
+		}
+		s = next
+	}
+	return s, nil
+}
+
+// InEffect reports whether the change would leave the state as it is.
+func (s *State) InEffect(c Change) bool {
+	switch c.Kind {
+	case KindDomainOut, KindDomainIn:
+		return s.Domains[c.Target].Out == (c.Kind == KindDomainOut)
+	case KindInstanceDrain, KindInstanceReturn:
+		return s.Instances[c.Target].Drained == (c.Kind == KindInstanceDrain)
+	case KindHaltVersion:
+		_, halted := s.Halted[c.Target]
+		return halted
+	case KindApplySheet:
+		for _, m := range c.Models {
+			if _, halted := s.Halted[m.Digest]; halted {
+				return false // the sheet lifts the halt
+			}
+		}
+		return c.Teams == nil && len(DiffSheet(s, c.Models)) == 0
+	}
+	return false
+}
+
+// Subject names what the change decides about. Changes of different subjects
+// by operators do not contradict each other.
+func (c Change) Subject() string {
+	switch c.Kind {
+	case KindApplySheet:
+		return "sheet"
+	case KindDomainOut, KindDomainIn:
+		return "domain " + c.Target
+	case KindInstanceDrain, KindInstanceReturn:
+		return "instance " + c.Target
+	case KindHaltVersion:
+		return "version " + c.Target
+	}
+	return string(c.Kind)
+}
+
+// ByOperator reports whether an operator asked for the change; the
+// reconciler's placements and halts follow from the state.
+func (c Change) ByOperator() bool { return c.Kind != KindPlace && c.Kind != KindHaltVersion }
+
 func (s *State) applySheet(c Change) {
 	old := s.Models
 	s.Models = make(map[string]Model, len(c.Models))
--- a/io/awcontrol/api.go
+++ b/io/awcontrol/api.go
@@ -6,15 +6,12 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/rotisserie/eris"
 
 	"arbutuswind/core/awconfig"
 	"arbutuswind/core/awsheet"
-	"arbutuswind/core/awweights"
 	"arbutuswind/io/awstore"
 )
 
@@ -23,10 +20,15 @@
 
 // Server offers the operators' API.
 type Server struct {
-	Log      *Log
-	Holder   *awconfig.Holder
-	Platform Platform
-	Fleet    func() []AgentStatus
+	Log             *Log
+	Holder          *awconfig.Holder
+	Platform        Platform
+	Fleet           func() []AgentStatus
+	MaxRemovedShare float64                                                // of the wanted replicas, 0 to 1
+	SourceAge       func() (ms int64, fresh bool)                          // of the configuration
+	Progress        func(ctx context.Context, revision uint64) Progress    // of all processes
+	Committed       func(ctx context.Context, change awconfig.Change)      // called after a commit; may be nil
+	Logged          func(message string, change awconfig.Change, by error) // audit log; may be nil
 }
 
 // Platform is the part of the platform that operators' calls need.
@@ -35,72 +37,46 @@
 	Manifest(ctx context.Context, model, version string) ([]byte, error)
 }
 
-// AgentStatus is what an entry knows about an agent.
-type AgentStatus struct {
-	Instance      string
-	Domain        string
-	State         string
-	Model         string
-	Version       string
-	VersionDigest string
-	ViewRevision  uint64
-	InFlight      uint32
-	Limit         uint32
-	ChunksHeld    uint32
-	Chunks        uint32
-	OriginBytes   uint64
-}
-
-// Status is the answer of GET /status.
-type Status struct {
-	Revision uint64
-	Digest   string
-	State    *awconfig.State
-	Agents   []AgentStatus
-}
-
-// Refusal is the body of every error of the operators' API.
-type Refusal struct {
-	Error   string
-	Faults  []string          `json:",omitempty"`
-	Winners []awconfig.Change `json:",omitempty"` // changes committed first
-}
-
-// Accepted is the answer to an accepted change.
-type Accepted struct {
-	Revision uint64
-	ChangeID string
-}
-
-// ChangeRequest asks for a change of a domain or an instance.
-type ChangeRequest struct {
-	Kind   awconfig.Kind
-	Target string
-	Actor  string
-	Base   uint64 // revision the operator looked at; 0 means the newest
-}
-
-const maxSheetBytes = 8 << 20
+const maxChangeBytes = 64 << 10
 
 // Handler returns the operators' API below [APIPrefix].
 func (s *Server) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/status", s.status)
+	r.Get("/progress", s.progress)
 	r.Post("/sheet", s.apply)
+	r.Post("/sheet/check", s.check)
 	r.Post("/changes", s.change)
+	r.Post("/reset", s.acceptReset)
 	r.Get("/history", s.history)
 	return r
 }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
 	st := s.Holder.State()
-	reply(w, http.StatusOK, Status{Revision: st.Revision, Digest: st.Digest(), State: st, Agents: s.Fleet()})
+	answer := Status{Revision: st.Revision, Digest: st.Digest(), State: st, Agents: s.Fleet()}
+	if s.SourceAge != nil {
+		answer.SourceAgeMs, answer.SourceFresh = s.SourceAge()
+	}
+	if reset := s.Log.Reset(); reset != nil {
+		answer.StoreReset = reset.Error()
+	}
+	reply(w, http.StatusOK, answer)
+}
+
+func (s *Server) progress(w http.ResponseWriter, r *http.Request) {
+	revision, err := strconv.ParseUint(r.URL.Query().Get("Revision"), 10, 64)
+	if err != nil {
+		reply(w, http.StatusBadRequest, Refusal{Error: "Revision must be a number"})
+		return
+	}
+	reply(w, http.StatusOK, s.Progress(r.Context(), revision))
 }
 
 func (s *Server) history(w http.ResponseWriter, r *http.Request) {
-	n, err := strconv.ParseUint(r.URL.Query().Get("N"), 10, 16)
-	if err != nil || n == 0 {
-		reply(w, http.StatusBadRequest, Refusal{Error: "N must be 1 to 65535"})
+	n, err := strconv.ParseUint(r.URL.Query().Get("N"), 10, 64)
+	if err != nil || n == 0 || n > maxHistory {
+		reply(w, http.StatusBadRequest, Refusal{Error: "N must be 1 to " + strconv.Itoa(maxHistory)})
 		return
 	}
 	changes, err := s.Log.History(r.Context(), n)
@@ -113,124 +89,194 @@
 
 func (s *Server) change(w http.ResponseWriter, r *http.Request) {
 	var req ChangeRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxSheetBytes)).Decode(&req); err != nil {
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxChangeBytes)).Decode(&req); err != nil {
 		reply(w, http.StatusBadRequest, Refusal{Error: "body is not a change: " + err.Error()})
 		return
 	}
 	switch req.Kind {
 	case awconfig.KindDomainOut, awconfig.KindDomainIn, awconfig.KindInstanceDrain, awconfig.KindInstanceReturn:
 	default:
-		reply(w, http.StatusBadRequest, Refusal{Error: "kind must be DomainOut, DomainIn, InstanceDrain or InstanceReturn"})
+		reply(w, http.StatusBadRequest, Refusal{Error: "Kind must be DomainOut, DomainIn, InstanceDrain or InstanceReturn"})
 		return
 	}
-	s.commit(w, r, req.Base, awconfig.Change{Kind: req.Kind, Target: req.Target, Actor: req.Actor})
+	if err := s.known(r.Context(), req.Kind, req.Target); err != nil {
+		replyError(w, err)
+		return
+	}
+	s.commit(w, r, req.Base, awconfig.Change{Kind: req.Kind, Target: req.Target, Actor: req.Actor, Reason: req.Reason})
 }
 
-func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxSheetBytes))
-	if err != nil {
-		reply(w, http.StatusBadRequest, Refusal{Error: "sheet: " + err.Error()})
+func (s *Server) acceptReset(w http.ResponseWriter, r *http.Request) {
+	var req ChangeRequest
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxChangeBytes)).Decode(&req); err != nil {
+		reply(w, http.StatusBadRequest, Refusal{Error: "body is not a change: " + err.Error()})
 		return
 	}
-	models, err := s.models(r.Context(), data)
+	c, err := s.Log.AcceptReset(r.Context(), req.Actor, req.Reason)
+	s.audit(c, err)
 	if err != nil {
 		replyError(w, err)
 		return
 	}
-	base, _ := strconv.ParseUint(r.URL.Query().Get("Base"), 10, 64)
-	s.commit(w, r, base, awconfig.Change{Kind: awconfig.KindApplySheet, Actor: r.URL.Query().Get("Actor"), Models: models})
+	s.accepted(w, r, c)
 }
 
-// SheetError holds every fault of a sheet.
-type SheetError struct{ Faults []awsheet.Fault }
+// sheet reads the body of a request that holds a sheet.
+func (s *Server) sheet(w http.ResponseWriter, r *http.Request) ([]awconfig.Model, error) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, awsheet.MaxBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	// The sheet is compared with the newest configuration. Without the store
+	// the one held here is the newest that is known.
+	_ = s.Log.Poll(r.Context())
+	return s.models(r.Context(), data)
+}
 
-// Error implements the error interface.
-func (e *SheetError) Error() string {
-	return "the sheet has " + strconv.Itoa(len(e.Faults)) + " faults"
+// check reports on a sheet and changes nothing.
+func (s *Server) check(w http.ResponseWriter, r *http.Request) {
+	models, err := s.sheet(w, r)
+	st := s.Holder.State()
+	report := SheetReport{Revision: st.Revision, Faults: []string{}, Differences: []awconfig.Difference{}}
+	var faulty *SheetError
+	switch {
+	case errors.As(err, &faulty):
+		report.Faults = faulty.lines()
+	case err != nil:
+		replyError(w, err)
+		return
+	default:
+		report.Valid = true
+		report.RemovedShare = awconfig.RemovedShare(st, models)
+		report.RemovalOK = report.RemovedShare <= s.MaxRemovedShare
+		report.Differences = append(report.Differences, awconfig.DiffSheet(st, models)...)
+	}
+	reply(w, http.StatusOK, report)
 }
 
-func (s *Server) models(ctx context.Context, sheet []byte) ([]awconfig.Model, error) {
-	list, err := s.Platform.Instances(ctx)
+func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	base, err := strconv.ParseUint(q.Get("Base"), 10, 64)
+	if err != nil && q.Get("Base") != "" {
+		reply(w, http.StatusBadRequest, Refusal{Error: "Base must be a revision"})
+		return
+	}
+	models, err := s.sheet(w, r)
 	if err != nil {
-		return nil, eris.Wrap(err, "read instance list")
+		replyError(w, err)
+		return
 	}
-	facts := awsheet.Facts{Instances: map[string]int{}}
-	for _, in := range list {
-		if in.Role == "agent" && in.Service == "" {
-			facts.Instances[in.Domain]++
-		}
+	if share := awconfig.RemovedShare(s.Holder.State(), models); share > s.MaxRemovedShare && q.Get("AllowRemoval") != "true" {
+		replyError(w, &RemovalError{Share: share, Limit: s.MaxRemovedShare})
+		return
 	}
-	for d := range facts.Instances {
-		facts.Domains = append(facts.Domains, d)
+	s.commit(w, r, base, awconfig.Change{Kind: awconfig.KindApplySheet, Actor: q.Get("Actor"), Models: models})
+}
+
+// rebases bounds how often a change is put on top of others that do not
+// contradict it.
+const rebases = 8
+
+// commit writes an operator's change. With a base, any operator's change
+// after it is a conflict; without one, only a change of the same subject
+// that was committed at the same time. Placements of the reconciler never
+// are, since they follow from the rest.
+func (s *Server) commit(w http.ResponseWriter, r *http.Request, base uint64, c awconfig.Change) {
+	ctx := r.Context()
+	if err := s.Log.Poll(ctx); err != nil {
+		replyError(w, err)
+		return
 	}
-	slices.Sort(facts.Domains)
-	rows, faults := awsheet.Parse(sheet, facts)
-	if len(faults) > 0 {
-		return nil, &SheetError{Faults: faults}
+	if err := s.checkBase(ctx, base, c); err != nil {
+		s.audit(c, err)
+		replyError(w, err)
+		return
 	}
-	models := make([]awconfig.Model, 0, len(rows))
-	for _, row := range rows {
-		m, err := s.pin(ctx, row)
-		if err != nil {
-			return nil, err
+	var err error
+	for range rebases {
+		st := s.Holder.State()
+		if st.InEffect(c) {
+			reply(w, http.StatusOK, Accepted{Revision: st.Revision, NoOp: true})
+			return
+		}
+		var done awconfig.Change
+		if done, err = s.Log.Commit(ctx, st.Revision, c); err == nil {
+			s.audit(done, nil)
+			s.accepted(w, r, done)
+			return
+		}
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) || contradicted(conflict.Winners, base != 0, c) {
+			break
 		}
-		models = append(models, m)
 	}
-	return models, nil
+	s.audit(c, err)
+	replyError(w, err)
 }
 
-// pin reads the identity of the row's version from the origin.
-func (s *Server) pin(ctx context.Context, row awsheet.Row) (awconfig.Model, error) {
-	data, err := s.Platform.Manifest(ctx, row.Model, row.Version)
-	if errors.Is(err, awstore.ErrNotFound) {
-		return awconfig.Model{}, &SheetError{Faults: []awsheet.Fault{{
-			Line: row.Line, Column: row.VersionColumn, Message: "unknown version " + strconv.Quote(row.Version) + "; want a published one",
-		}}}
+// checkBase compares what was committed after the operator's base.
+func (s *Server) checkBase(ctx context.Context, base uint64, c awconfig.Change) error {
+	if base == 0 || base >= s.Holder.State().Revision {
+		return nil
 	}
+	changes, err := s.Log.Since(ctx, base)
 	if err != nil {
-		return awconfig.Model{}, eris.Wrap(err, "read manifest")
+		return err
 	}
-	m, err := awweights.DecodeManifest(data, "")
-	if err != nil {
-		return awconfig.Model{}, err
+	if !contradicted(changes, true, c) {
+		return nil
 	}
-	return awconfig.Model{
-		Name: row.Model, Version: row.Version, Digest: awweights.Digest(data), SizeBytes: m.SizeBytes,
-		Replicas: row.Replicas, Domains: row.Domains, TeamShares: row.TeamShares, Fencing: row.Fencing,
-	}, nil
+	return s.Log.Conflict(ctx, base, c)
 }
 
-func (s *Server) commit(w http.ResponseWriter, r *http.Request, base uint64, c awconfig.Change) {
-	if base == 0 {
-		if err := s.Log.Poll(r.Context()); err != nil {
-			replyError(w, err)
-			return
+func contradicted(winners []awconfig.Change, strict bool, c awconfig.Change) bool {
+	for _, w := range winners {
+		if w.ByOperator() && (strict || w.Subject() == c.Subject()) {
+			return true
 		}
-		base = s.Holder.State().Revision
 	}
-	done, err := s.Log.Commit(r.Context(), base, c)
+	return false
+}
+
+func (s *Server) audit(c awconfig.Change, err error) {
+	if s.Logged == nil {
+		return
+	}
 	if err != nil {
-		replyError(w, err)
+		s.Logged("change refused", c, err)
 		return
 	}
-	reply(w, http.StatusOK, Accepted{Revision: done.Revision, ChangeID: done.ChangeID})
+	s.Logged("change accepted", c, nil)
+}
+
+func (s *Server) accepted(w http.ResponseWriter, r *http.Request, c awconfig.Change) {
+	if s.Committed != nil {
+		s.Committed(r.Context(), c)
+	}
+	reply(w, http.StatusOK, Accepted{Revision: c.Revision, ChangeID: c.ChangeID})
 }
 
 func replyError(w http.ResponseWriter, err error) {
+	body := Refusal{Error: err.Error()}
 	var conflict *ConflictError
 	var sheet *SheetError
+	var removal *RemovalError
+	var unknown *UnknownError
+	var reset *ResetError
+	status := http.StatusServiceUnavailable
 	switch {
 	case errors.As(err, &conflict):
-		reply(w, http.StatusConflict, Refusal{Error: err.Error(), Winners: conflict.Winners})
+		status, body.Winners, body.Difference = http.StatusConflict, conflict.Winners, conflict.Difference
 	case errors.As(err, &sheet):
-		body := Refusal{Error: err.Error()}
-		for _, f := range sheet.Faults {
-			body.Faults = append(body.Faults, f.String())
-		}
-		reply(w, http.StatusUnprocessableEntity, body)
-	default:
-		reply(w, http.StatusServiceUnavailable, Refusal{Error: err.Error()})
+		status, body.Faults = http.StatusUnprocessableEntity, sheet.lines()
+	case errors.As(err, &unknown):
+		status, body.Known = http.StatusUnprocessableEntity, unknown.Known
+	case errors.As(err, &removal):
+		status = http.StatusUnprocessableEntity
+	case errors.As(err, &reset):
+		status = http.StatusConflict
 	}
+	reply(w, status, body)
 }
 
 func reply(w http.ResponseWriter, status int, v any) {
--- a/io/awcontrol/client.go
+++ b/io/awcontrol/client.go
@@ -24,7 +24,14 @@
 
 // Error implements the error interface.
 func (e *APIError) Error() string {
-	return fmt.Sprintf("%s\n%s", e.Refusal.Error, strings.Join(e.Refusal.Faults, "\n"))
+	lines := append([]string{e.Refusal.Error}, e.Refusal.Faults...)
+	for _, w := range e.Refusal.Winners {
+		lines = append(lines, fmt.Sprintf("committed first: revision %d, %s %s by %s", w.Revision, w.Kind, w.Target, w.Actor))
+	}
+	for _, d := range e.Refusal.Difference {
+		lines = append(lines, "refused: "+d.String())
+	}
+	return strings.Join(lines, "\n")
 }
 
 // Client calls the operators' API of an entry.
@@ -33,27 +40,63 @@
 	HTTP *http.Client
 }
 
+// ApplyOptions holds what an operator states with a sheet.
+type ApplyOptions struct {
+	Actor        string
+	Base         uint64 // revision the operator looked at; 0 means the newest
+	AllowRemoval bool   // more than MaxRemovedShare
+}
+
 // Status reads the state of the fleet.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	var s Status
 	return s, c.call(ctx, http.MethodGet, "/status", nil, &s)
 }
 
+// Progress reads how far a revision is in force.
+func (c *Client) Progress(ctx context.Context, revision uint64) (Progress, error) {
+	var p Progress
+	return p, c.call(ctx, http.MethodGet, "/progress?Revision="+strconv.FormatUint(revision, 10), nil, &p)
+}
+
+// Check reports on a sheet and changes nothing.
+func (c *Client) Check(ctx context.Context, sheet []byte) (SheetReport, error) {
+	var r SheetReport
+	return r, c.call(ctx, http.MethodPost, "/sheet/check", sheet, &r)
+}
+
 // Apply sends a sheet.
 func (c *Client) Apply(ctx context.Context, sheet []byte, actor string, base uint64) (Accepted, error) {
+	return c.ApplyWith(ctx, sheet, ApplyOptions{Actor: actor, Base: base})
+}
+
+// ApplyWith sends a sheet with options.
+func (c *Client) ApplyWith(ctx context.Context, sheet []byte, opts ApplyOptions) (Accepted, error) {
 	var a Accepted
-	q := url.Values{"Actor": {actor}, "Base": {strconv.FormatUint(base, 10)}}
+	q := url.Values{
+		"Actor": {opts.Actor}, "Base": {strconv.FormatUint(opts.Base, 10)},
+		"AllowRemoval": {strconv.FormatBool(opts.AllowRemoval)},
+	}
 	return a, c.call(ctx, http.MethodPost, "/sheet?"+q.Encode(), sheet, &a)
 }
 
 // Change asks for a change of a domain or an instance.
 func (c *Client) Change(ctx context.Context, req ChangeRequest) (Accepted, error) {
+	return c.post(ctx, "/changes", req)
+}
+
+// AcceptReset tells the system to go on although the store was set back.
+func (c *Client) AcceptReset(ctx context.Context, actor, reason string) (Accepted, error) {
+	return c.post(ctx, "/reset", ChangeRequest{Kind: awconfig.KindStoreResetAccepted, Actor: actor, Reason: reason})
+}
+
+func (c *Client) post(ctx context.Context, path string, req ChangeRequest) (Accepted, error) {
 	var a Accepted
 	body, err := json.Marshal(req)
 	if err != nil {
 		return a, eris.Wrap(err, "encode change")
 	}
-	return a, c.call(ctx, http.MethodPost, "/changes", body, &a)
+	return a, c.call(ctx, http.MethodPost, path, body, &a)
 }
 
 // History reads the last n changes, oldest first.
--- a/io/awcontrol/log.go
+++ b/io/awcontrol/log.go
@@ -2,7 +2,11 @@
 // service and offers it to operators over HTTP.
 //
 // The log has one row per revision and a head row. A commit is one
-// transaction on both, so that of two racing writers exactly one wins.
+// transaction on both, so that of two racing writers exactly one wins. The
+// head names the newest snapshot in the object store, from which a process
+// starts; older change rows stay for the history. A head that is behind what
+// a process holds means that the store was set back: the log then refuses
+// changes until [Log.AcceptReset], and the process keeps what it holds.
 package awcontrol
 
 import (
@@ -12,6 +16,7 @@
 	"fmt"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
@@ -19,14 +24,23 @@
 	"arbutuswind/io/awstore"
 )
 
-// Keys of the table service.
+// Keys of the table service and the object store.
 const (
-	headKey      = "config/head"
-	changePrefix = "config/change/"
+	headKey        = "config/head"
+	changePrefix   = "config/change/"
+	snapshotPrefix = "config/snapshot/"
 )
 
-// scanLimit bounds the changes read at once.
-const scanLimit = 512
+const (
+	// scanLimit bounds the changes read at once.
+	scanLimit = 512
+	// SnapshotEvery is the number of revisions after which a snapshot is due.
+	SnapshotEvery = 256
+	// maxHistory bounds one answer to operators.
+	maxHistory = 4096
+	// commitTries bounds how often a commit is sent whose reply was lost.
+	commitTries = 3
+)
 
 // Table is the part of the table service that the log needs.
 type Table interface {
@@ -35,14 +49,38 @@
 	Commit(ctx context.Context, txn awstore.Txn) error
 }
 
+// Objects is the part of the object store that the log needs.
+type Objects interface {
+	GetObject(ctx context.Context, name string) ([]byte, error)
+	PutObject(ctx context.Context, name string, data []byte) error
+}
+
 // Head is the value of the head row.
 type Head struct {
 	Revision uint64
-	Digest   string // of the state at Revision
+	Digest   string   // of the state at Revision
+	Snapshot Snapshot // the newest one; the zero value before the first
+	// AcceptedReset is the revision at which an operator last accepted that
+	// the store was set back. Change rows before it may be missing or belong
+	// to another history.
+	AcceptedReset uint64
+}
+
+// Snapshot names a state in the object store.
+type Snapshot struct {
+	Revision uint64
+	Digest   string
+}
+
+func (s Snapshot) object() string {
+	return fmt.Sprintf("%s%020d-%s", snapshotPrefix, s.Revision, s.Digest)
 }
 
 // ConflictError reports that other changes were committed first.
-type ConflictError struct{ Winners []awconfig.Change }
+type ConflictError struct {
+	Winners    []awconfig.Change
+	Difference []awconfig.Difference // what the refused change would alter now
+}
 
 // Error implements the error interface.
 func (e *ConflictError) Error() string {
@@ -53,30 +91,61 @@
 	return fmt.Sprintf("revision %d (%s %s by %s) was committed first", w.Revision, w.Kind, w.Target, w.Actor)
 }
 
-// ResetError reports that the store holds an older head than this process.
-type ResetError struct{ Have, Store uint64 }
+// ResetError reports that the store holds an older head than this process,
+// or another history.
+type ResetError struct {
+	Have, Store uint64
+	Diverged    bool // the store has the revision, but with another content
+}
 
 // Error implements the error interface.
 func (e *ResetError) Error() string {
-	return fmt.Sprintf("the store is at revision %d, this process at %d: the store was set back", e.Store, e.Have)
+	if e.Diverged {
+		return fmt.Sprintf("the store is at revision %d with another history than this process at %d: the store was set back; "+
+			"changes are refused until an operator runs `awctl config accept-reset`", e.Store, e.Have)
+	}
+	return fmt.Sprintf("the store is at revision %d, this process at %d: the store was set back; "+
+		"changes are refused until an operator runs `awctl config accept-reset`", e.Store, e.Have)
+}
+
+// UnsettledError reports a change of which it is not known whether it was or
+// will be written.
+type UnsettledError struct {
+	ChangeID string
+	Cause    error
+}
+
+// Error implements the error interface.
+func (e *UnsettledError) Error() string {
+	return fmt.Sprintf("change %s may have been written, look for it in the history: %v", e.ChangeID, e.Cause)
 }
 
+// Unwrap returns the cause.
+func (e *UnsettledError) Unwrap() error { return e.Cause }
+
 // Log reads and writes the configuration log. It is safe for concurrent use.
 type Log struct {
-	table  Table
-	holder *awconfig.Holder
+	table   Table
+	objects Objects
+	holder  *awconfig.Holder
 
-	mu      sync.Mutex
-	version uint64 // of the head row as last read; 0 before the first change
+	mu              sync.Mutex
+	version         uint64 // of the head row as last read; 0 before the first change
+	head            Head
+	reset           *ResetError // nil while store and holder agree
+	snapshotMissing bool
 }
 
 // NewLog returns a log that feeds the holder.
-func NewLog(table Table, holder *awconfig.Holder) *Log {
-	return &Log{table: table, holder: holder}
+func NewLog(table Table, objects Objects, holder *awconfig.Holder) *Log {
+	return &Log{table: table, objects: objects, holder: holder}
 }
 
 func changeKey(revision uint64) string { return fmt.Sprintf("%s%020d", changePrefix, revision) }
 
+// resets counts how often this process found the store set back.
+var resets = metrics.NewCounter("ConfigStoreReset")
+
 // Poll reads the head row if it changed and brings the holder up to it. It
 // returns a [ResetError] when the store was set back.
 func (l *Log) Poll(ctx context.Context) error {
@@ -86,15 +155,16 @@
 }
 
 func (l *Log) poll(ctx context.Context) error {
+	// Peers feed the holder as well. Only what was held before the read can
+	// prove that the store is behind.
+	had := l.holder.State()
 	row, err := l.table.Get(ctx, headKey, l.version)
 	switch {
 	case errors.Is(err, awstore.ErrNotModified):
-		return nil
+		return l.compare(had)
 	case errors.Is(err, awstore.ErrNotFound):
-		if have := l.holder.State().Revision; have > 0 {
-			return &ResetError{Have: have}
-		}
-		return nil
+		l.version, l.head = 0, Head{}
+		return l.compare(had)
 	case err != nil:
 		return err
 	}
@@ -102,52 +172,45 @@
 	if err := json.Unmarshal(row.Value, &head); err != nil {
 		return eris.Wrap(err, "decode head row")
 	}
-	have := l.holder.State().Revision
-	if head.Revision < have {
-		return &ResetError{Have: have, Store: head.Revision}
-	}
 	if err := l.catchUp(ctx, head); err != nil {
-		return err
+		return l.noteReset(err)
 	}
-	l.version = row.Version
-	return nil
+	l.version, l.head = row.Version, head
+	return l.compare(had)
 }
 
-func (l *Log) catchUp(ctx context.Context, head Head) error {
-	for l.holder.State().Revision < head.Revision {
-		changes, err := l.read(ctx, l.holder.State().Revision)
-		if err != nil {
-			return err
-		}
-		if len(changes) == 0 {
-			return eris.Errorf("changes after revision %d are missing", l.holder.State().Revision)
-		}
-		if err := l.holder.ApplyAll(changes); err != nil {
-			return err
-		}
+// compare checks the head as last read against a state held before that.
+func (l *Log) compare(had *awconfig.State) error {
+	if l.head.Revision < had.Revision {
+		return l.noteReset(&ResetError{Have: had.Revision, Store: l.head.Revision})
 	}
+	l.reset = nil
 	return nil
 }
 
-func (l *Log) read(ctx context.Context, after uint64) ([]awconfig.Change, error) {
-	rows, err := l.table.Scan(ctx, changeKey(after+1), changePrefix+"~", scanLimit)
-	if err != nil {
-		return nil, err
-	}
-	changes := make([]awconfig.Change, 0, len(rows))
-	for _, row := range rows {
-		c, err := awconfig.DecodeChange(row.Value)
-		if err != nil {
-			return nil, err
+func (l *Log) noteReset(err error) error {
+	var reset *ResetError
+	if errors.As(err, &reset) {
+		if l.reset == nil {
+			resets.Inc()
 		}
-		changes = append(changes, c)
+		l.reset = reset
+		// Row versions of the old history may come again with other content.
+		l.version = 0
 	}
-	return changes, nil
+	return err
+}
+
+// Reset returns the [ResetError] while the store is set back, otherwise nil.
+func (l *Log) Reset() *ResetError {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reset
 }
 
 // Commit writes c as the revision after base. It returns a [ConflictError]
-// when the log has moved on, and any other error when it is not known
-// whether the change was written.
+// when the log has moved on, a [ResetError] when the store was set back, and
+// an [UnsettledError] when it is not known whether the change was written.
 func (l *Log) Commit(ctx context.Context, base uint64, c awconfig.Change) (awconfig.Change, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -156,21 +219,56 @@
 	}
 	s := l.holder.State()
 	if s.Revision != base {
-		return c, l.conflict(ctx, base)
+		return c, l.conflict(ctx, base, c)
 	}
 	c.Revision, c.ChangeID = base+1, uuid.NewString()
 	next, err := s.Apply(c)
 	if err != nil {
 		return c, err
 	}
-	txn, err := l.transaction(c, Head{Revision: c.Revision, Digest: next.Digest()})
+	head := l.head
+	head.Revision, head.Digest = c.Revision, next.Digest()
+	if l.snapshotMissing || base-head.Snapshot.Revision >= SnapshotEvery {
+		if snap, err := l.writeSnapshot(ctx, s); err == nil {
+			head.Snapshot = snap // a failure is made up for by the next commit
+		}
+	}
+	return c, l.write(ctx, c, head, next)
+}
+
+// write commits c and settles lost replies. The same transaction is sent
+// again when its change is not found, since its conditions let it take
+// effect only once.
+func (l *Log) write(ctx context.Context, c awconfig.Change, head Head, next *awconfig.State) error {
+	txn, err := l.transaction(c, head)
 	if err != nil {
-		return c, err
+		return err
 	}
-	if err := l.table.Commit(ctx, txn); err != nil {
-		return c, l.settle(ctx, base, c, err)
+	for range commitTries {
+		if err = l.table.Commit(ctx, txn); err == nil {
+			return l.holder.Extend(l.holder.State(), []awconfig.Change{c}, head.Digest)
+		}
+		row, readErr := l.table.Get(ctx, changeKey(c.Revision), 0)
+		if errors.Is(readErr, awstore.ErrNotFound) && !errors.Is(err, awstore.ErrConflict) {
+			continue
+		}
+		if readErr != nil {
+			if errors.Is(err, awstore.ErrConflict) && errors.Is(readErr, awstore.ErrNotFound) {
+				return &ConflictError{} // the head moved in a way that leaves this revision free
+			}
+			continue
+		}
+		found, err := awconfig.DecodeChange(row.Value)
+		if err != nil {
+			return err
+		}
+		if found.ChangeID != c.ChangeID {
+			_ = l.poll(ctx) // the conflict is the answer either way
+			return l.conflict(ctx, c.Revision-1, c)
+		}
+		return l.holder.Extend(l.holder.State(), []awconfig.Change{found}, head.Digest)
 	}
-	return c, l.poll(ctx)
+	return &UnsettledError{ChangeID: c.ChangeID, Cause: err}
 }
 
 func (l *Log) transaction(c awconfig.Change, head Head) (awstore.Txn, error) {
@@ -188,34 +286,84 @@
 	}, nil
 }
 
-// settle finds out whether a commit with the error cause took effect.
-func (l *Log) settle(ctx context.Context, base uint64, c awconfig.Change, cause error) error {
-	changes, err := l.read(ctx, base)
-	if err != nil {
-		return eris.Wrapf(cause, "change %s may have been written", c.ChangeID)
-	}
-	for _, other := range changes {
-		if other.ChangeID == c.ChangeID {
-			return l.poll(ctx)
-		}
+// Conflict returns the [ConflictError] of a change whose base is too old.
+func (l *Log) Conflict(ctx context.Context, base uint64, c awconfig.Change) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conflict(ctx, base, c)
+}
+
+func (l *Log) conflict(ctx context.Context, base uint64, c awconfig.Change) error {
+	e := &ConflictError{}
+	s := l.holder.State()
+	if changes, err := l.read(ctx, base, scanLimit); err == nil {
+		e.Winners = changes
 	}
-	if len(changes) == 0 {
-		return cause
+	c.Revision = s.Revision + 1
+	if next, err := s.Apply(c); err == nil {
+		e.Difference = awconfig.Diff(s, next)
 	}
-	_ = l.poll(ctx) // the conflict is the answer either way
-	return &ConflictError{Winners: changes}
+	return e
 }
 
-func (l *Log) conflict(ctx context.Context, base uint64) error {
-	changes, err := l.read(ctx, base)
+// AcceptReset records the decision of an operator that the state held here
+// is the accepted one although the store was set back. The log goes on above
+// every revision seen, so that no process goes back.
+func (l *Log) AcceptReset(ctx context.Context, actor, reason string) (awconfig.Change, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var reset *ResetError
+	if err := l.poll(ctx); err == nil {
+		return awconfig.Change{}, eris.New("the store was not set back; there is nothing to accept")
+	} else if !errors.As(err, &reset) {
+		return awconfig.Change{}, err
+	}
+	// The row is read again, since a diverged one was not taken over.
+	row, err := l.table.Get(ctx, headKey, 0)
+	if err != nil && !errors.Is(err, awstore.ErrNotFound) {
+		return awconfig.Change{}, err
+	}
+	var stored Head
+	if err == nil {
+		if err := json.Unmarshal(row.Value, &stored); err != nil {
+			return awconfig.Change{}, eris.Wrap(err, "decode head row")
+		}
+	}
+	l.version = row.Version
+	base := l.holder.State().Clone()
+	base.Revision = max(base.Revision, stored.Revision)
+	c := awconfig.Change{
+		Revision: base.Revision + 1, ChangeID: uuid.NewString(), Kind: awconfig.KindStoreResetAccepted,
+		Actor: actor, Reason: reason,
+	}
+	next, err := base.Apply(c)
+	if err != nil {
+		return c, err
+	}
+	snap, err := l.writeSnapshot(ctx, next)
 	if err != nil {
-		return &ConflictError{}
+		return c, eris.Wrap(err, "write snapshot")
 	}
-	return &ConflictError{Winners: changes}
+	head := Head{Revision: next.Revision, Digest: next.Digest(), Snapshot: snap, AcceptedReset: next.Revision}
+	return c, l.writeReset(ctx, c, head, next)
 }
 
-// History returns the last n changes, oldest first.
-func (l *Log) History(ctx context.Context, n uint64) ([]awconfig.Change, error) {
-	revision := l.holder.State().Revision
-	return l.read(ctx, revision-min(n, revision))
+func (l *Log) writeReset(ctx context.Context, c awconfig.Change, head Head, next *awconfig.State) error {
+	txn, err := l.transaction(c, head)
+	if err != nil {
+		return err
+	}
+	if err := l.table.Commit(ctx, txn); err != nil {
+		row, readErr := l.table.Get(ctx, changeKey(c.Revision), 0)
+		if readErr != nil {
+			return &UnsettledError{ChangeID: c.ChangeID, Cause: err}
+		}
+		if found, err := awconfig.DecodeChange(row.Value); err != nil || found.ChangeID != c.ChangeID {
+			return &ConflictError{Winners: []awconfig.Change{found}}
+		}
+	}
+	if err := l.holder.Replace(next); err != nil {
+		return err
+	}
+	return l.poll(ctx)
 }
--- /dev/null
+++ b/io/awcontrol/read.go
@@ -0,0 +1,186 @@
+package awcontrol
+
+import (
+	"context"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"arbutuswind/core/awconfig"
+	"arbutuswind/io/awstore"
+)
+
+// catchUp brings the holder to the head. It returns a [ResetError] when the
+// head belongs to another history than the one held.
+func (l *Log) catchUp(ctx context.Context, head Head) error {
+	s := l.holder.State()
+	switch {
+	case head.Revision < s.Revision:
+		return nil // a peer may have been faster; compare decides
+	case head.Revision == s.Revision:
+		if head.Revision > 0 && s.Digest() != head.Digest {
+			return &ResetError{Have: s.Revision, Store: head.Revision, Diverged: true}
+		}
+		return nil
+	case head.AcceptedReset > s.Revision:
+		// The rows in between may be missing or belong to another history.
+		return l.fromSnapshot(ctx, head)
+	}
+	if err := l.sameHistory(ctx, s); err != nil {
+		return err
+	}
+	if head.Revision-s.Revision > scanLimit && head.Snapshot.Revision > s.Revision {
+		if err := l.fromSnapshot(ctx, head); err == nil {
+			return nil
+		}
+		l.snapshotMissing = true
+	}
+	err := l.fromChanges(ctx, s, head)
+	var gap *awconfig.RevisionError
+	if errors.As(err, &gap) && head.Snapshot.Revision > s.Revision {
+		return l.fromSnapshot(ctx, head)
+	}
+	return err
+}
+
+// sameHistory checks that the store still has the change that led to s. A
+// store that was set back and written to again has another one or none.
+func (l *Log) sameHistory(ctx context.Context, s *awconfig.State) error {
+	last, ok := l.holder.LastChange()
+	if !ok || last.Revision != s.Revision {
+		return nil // s came from a snapshot; digests are compared at the head
+	}
+	row, err := l.table.Get(ctx, changeKey(s.Revision), 0)
+	if errors.Is(err, awstore.ErrNotFound) {
+		return &ResetError{Have: s.Revision, Store: s.Revision, Diverged: true}
+	}
+	if err != nil {
+		return err
+	}
+	found, err := awconfig.DecodeChange(row.Value)
+	if err != nil {
+		return err
+	}
+	if found.ChangeID != last.ChangeID {
+		return &ResetError{Have: s.Revision, Store: s.Revision, Diverged: true}
+	}
+	return nil
+}
+
+// fromChanges applies the rows after s in bounded reads. A snapshot that was
+// found missing is written again on the way.
+func (l *Log) fromChanges(ctx context.Context, s *awconfig.State, head Head) error {
+	for s.Revision < head.Revision {
+		to := head.Revision
+		if snap := head.Snapshot.Revision; l.snapshotMissing && snap > s.Revision {
+			to = snap
+		}
+		changes, err := l.read(ctx, s.Revision, min(scanLimit, int(to-s.Revision)))
+		if err != nil {
+			return err
+		}
+		if len(changes) == 0 {
+			return &awconfig.RevisionError{Have: s.Revision, Got: head.Revision}
+		}
+		next, err := s.ApplyAll(changes)
+		if err != nil {
+			return err
+		}
+		if l.snapshotMissing && next.Revision == head.Snapshot.Revision && next.Digest() == head.Snapshot.Digest {
+			_, _ = l.writeSnapshot(ctx, next) // the next process that misses it tries again
+		}
+		if next.Revision < head.Revision {
+			s = next
+			continue
+		}
+		err = l.holder.Extend(s, changes, head.Digest)
+		var differs *awconfig.DigestError
+		if errors.As(err, &differs) {
+			return &ResetError{Have: l.holder.State().Revision, Store: head.Revision, Diverged: true}
+		}
+		return err
+	}
+	return nil
+}
+
+// fromSnapshot takes over the newest snapshot and the changes after it.
+func (l *Log) fromSnapshot(ctx context.Context, head Head) error {
+	s, err := l.readSnapshot(ctx, head.Snapshot)
+	if err != nil {
+		return err
+	}
+	if s.Revision == head.Revision {
+		return l.holder.Replace(s)
+	}
+	return l.fromChanges(ctx, s, head)
+}
+
+func (l *Log) readSnapshot(ctx context.Context, snap Snapshot) (*awconfig.State, error) {
+	data, err := l.objects.GetObject(ctx, snap.object())
+	if err != nil {
+		return nil, eris.Wrapf(err, "read snapshot of revision %d", snap.Revision)
+	}
+	s, err := awconfig.DecodeState(data)
+	if err != nil {
+		return nil, err
+	}
+	if got := s.Digest(); got != snap.Digest {
+		return nil, &awconfig.DigestError{Revision: snap.Revision, Want: snap.Digest, Got: got}
+	}
+	return s, nil
+}
+
+func (l *Log) writeSnapshot(ctx context.Context, s *awconfig.State) (Snapshot, error) {
+	data, err := s.Encode()
+	if err != nil {
+		return Snapshot{}, err
+	}
+	snap := Snapshot{Revision: s.Revision, Digest: s.Digest()}
+	if err := l.objects.PutObject(ctx, snap.object(), data); err != nil {
+		return Snapshot{}, err
+	}
+	l.snapshotMissing = false
+	return snap, nil
+}
+
+// read returns at most limit changes after a revision.
+func (l *Log) read(ctx context.Context, after uint64, limit int) ([]awconfig.Change, error) {
+	rows, err := l.table.Scan(ctx, changeKey(after+1), changePrefix+"~", limit)
+	if err != nil {
+		return nil, err
+	}
+	changes := make([]awconfig.Change, 0, len(rows))
+	for _, row := range rows {
+		c, err := awconfig.DecodeChange(row.Value)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, c)
+	}
+	return changes, nil
+}
+
+// History returns the last n changes, oldest first, at most 4096.
+func (l *Log) History(ctx context.Context, n uint64) ([]awconfig.Change, error) {
+	revision := l.holder.State().Revision
+	n = min(n, revision, maxHistory)
+	after := revision - n
+	var list []awconfig.Change
+	for uint64(len(list)) < n {
+		page, err := l.read(ctx, after, min(scanLimit, int(n)-len(list)))
+		if err != nil {
+			return nil, err
+		}
+		if len(page) == 0 {
+			break // rows lost when the store was set back
+		}
+		list = append(list, page...)
+		after = page[len(page)-1].Revision
+	}
+	return list, nil
+}
+
+// Since returns the changes after a revision, at most 512.
+func (l *Log) Since(ctx context.Context, revision uint64) ([]awconfig.Change, error) {
+	return l.read(ctx, revision, scanLimit)
+}
--- /dev/null
+++ b/io/awcontrol/sheet.go
@@ -0,0 +1,178 @@
+package awcontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awsheet"
+	"arbutuswind/core/awweights"
+	"arbutuswind/io/awstore"
+)
+
+// SheetError holds every fault of a sheet.
+type SheetError struct{ Faults []awsheet.Fault }
+
+// Error implements the error interface.
+func (e *SheetError) Error() string {
+	return "the sheet has " + strconv.Itoa(len(e.Faults)) + " faults"
+}
+
+func (e *SheetError) lines() []string {
+	list := make([]string, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		list = append(list, f.String())
+	}
+	return list
+}
+
+// RemovalError reports a sheet that removes too much of the fleet.
+type RemovalError struct{ Share, Limit float64 }
+
+// Error implements the error interface.
+func (e *RemovalError) Error() string {
+	return fmt.Sprintf("the sheet removes %.0f%% of the wanted replicas, at most %.0f%% are allowed; "+
+		"use --allow-removal if that is meant", 100*e.Share, 100*e.Limit)
+}
+
+// UnknownError reports a domain or instance that nobody knows.
+type UnknownError struct {
+	What, Name string
+	Known      []string
+}
+
+// Error implements the error interface.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("unknown %s %q; known are %s", e.What, e.Name, strings.Join(e.Known, ", "))
+}
+
+// pinsAtOnce bounds the manifests read from the origin at the same time.
+const pinsAtOnce = 8
+
+// models reads a sheet and pins its versions. It returns a [SheetError] with
+// every fault.
+func (s *Server) models(ctx context.Context, sheet []byte) ([]awconfig.Model, error) {
+	facts, err := s.facts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	rows, faults := awsheet.Parse(sheet, facts)
+	if len(faults) > 0 {
+		return nil, &SheetError{Faults: faults}
+	}
+	models := make([]awconfig.Model, len(rows))
+	unknown := make([]*awsheet.Fault, len(rows))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(pinsAtOnce)
+	for i, row := range rows {
+		group.Go(func() error {
+			var err error
+			models[i], unknown[i], err = s.pin(ctx, row)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	for _, f := range unknown {
+		if f != nil {
+			faults = append(faults, *f)
+		}
+	}
+	if len(faults) > 0 {
+		return nil, &SheetError{Faults: faults}
+	}
+	return models, nil
+}
+
+// facts reads from the instance list and the agents' reports what a sheet is
+// checked against.
+func (s *Server) facts(ctx context.Context) (awsheet.Facts, error) {
+	list, err := s.Platform.Instances(ctx)
+	if err != nil {
+		return awsheet.Facts{}, eris.Wrap(err, "read instance list")
+	}
+	facts := awsheet.Facts{Instances: map[string]int{}, Unfenced: map[string]int{}}
+	engines := map[string]bool{}
+	for _, in := range list {
+		if in.Role == "agent" && in.Service == "" {
+			facts.Instances[in.Domain]++
+			engines[in.ID] = true
+		}
+	}
+	for _, a := range s.Fleet() {
+		if engines[a.Instance] && a.Fencing == string(awconfig.FencingIgnored) {
+			facts.Unfenced[a.Domain]++
+		}
+	}
+	facts.Domains = sortedKeys(facts.Instances)
+	return facts, nil
+}
+
+// pin reads the identity of the row's version from the origin.
+func (s *Server) pin(ctx context.Context, row awsheet.Row) (awconfig.Model, *awsheet.Fault, error) {
+	fault := &awsheet.Fault{Line: row.Line, Column: row.VersionColumn}
+	data, err := s.Platform.Manifest(ctx, row.Model, row.Version)
+	if errors.Is(err, awstore.ErrNotFound) {
+		fault.Message = fmt.Sprintf("unknown version %q of model %q; want a published one", row.Version, row.Model)
+		return awconfig.Model{}, fault, nil
+	}
+	if err != nil {
+		return awconfig.Model{}, nil, eris.Wrapf(err, "read manifest of %s %s", row.Model, row.Version)
+	}
+	m, err := awweights.DecodeManifest(data, "")
+	if err != nil {
+		fault.Message = fmt.Sprintf("version %q of model %q has a bad manifest: %v", row.Version, row.Model, err)
+		return awconfig.Model{}, fault, nil
+	}
+	return awconfig.Model{
+		Name: row.Model, Version: row.Version, Digest: awweights.Digest(data), SizeBytes: m.SizeBytes,
+		Replicas: row.Replicas, Domains: row.Domains, TeamShares: row.TeamShares, Fencing: row.Fencing,
+	}, nil, nil
+}
+
+// known checks that the target of a change exists. What the configuration
+// names already counts, so that a domain whose instances are gone can be
+// taken back.
+func (s *Server) known(ctx context.Context, kind awconfig.Kind, target string) error {
+	list, err := s.Platform.Instances(ctx)
+	if err != nil {
+		return eris.Wrap(err, "read instance list")
+	}
+	st := s.Holder.State()
+	what, names := "domain", map[string]bool{}
+	switch kind {
+	case awconfig.KindInstanceDrain, awconfig.KindInstanceReturn:
+		what = "instance"
+		for _, in := range list {
+			names[in.ID] = true
+		}
+		for _, a := range s.Fleet() {
+			names[a.Instance] = true
+		}
+		for name := range st.Instances {
+			names[name] = true
+		}
+	default:
+		for _, in := range list {
+			names[in.Domain] = true
+		}
+		for name := range st.Domains {
+			names[name] = true
+		}
+	}
+	if names[target] {
+		return nil
+	}
+	return &UnknownError{What: what, Name: target, Known: sortedKeys(names)}
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/io/awcontrol/types.go
@@ -0,0 +1,124 @@
+package awcontrol
+
+import "arbutuswind/core/awconfig"
+
+// AgentStatus is what an entry knows about an agent.
+type AgentStatus struct {
+	Instance      string
+	Domain        string
+	State         string
+	Model         string
+	Version       string
+	VersionDigest string
+	ViewRevision  uint64
+	InFlight      uint32
+	Limit         uint32
+	Fencing       string // of the agent's settings; empty when it does not tell
+	ChunksHeld    uint32
+	Chunks        uint32
+	OriginBytes   uint64
+}
+
+// Status is the answer of GET /status.
+type Status struct {
+	Revision    uint64
+	Digest      string
+	StoreReset  string `json:",omitempty"` // why changes are refused
+	SourceFresh bool   // a configuration source answered within MaxIsolation
+	SourceAgeMs int64  // since the newest news of the store; -1 never
+	State       *awconfig.State
+	Agents      []AgentStatus
+}
+
+// Progress tells how far a revision is in force. An entry and each Watch
+// stream of an entry to an agent count; an agent that several entries watch
+// counts once for each.
+type Progress struct {
+	Revision       uint64
+	Entries        int
+	EntriesInForce int
+	Watches        int
+	WatchesInForce int
+	Behind         []string // some of the processes that are behind or silent
+	Everywhere     bool     // nothing is behind
+}
+
+// Refusal is the body of every error of the operators' API.
+type Refusal struct {
+	Error      string
+	Faults     []string              `json:",omitempty"`
+	Known      []string              `json:",omitempty"` // names that are allowed
+	Winners    []awconfig.Change     `json:",omitempty"` // changes committed first
+	Difference []awconfig.Difference `json:",omitempty"` // what the refused change would alter now
+}
+
+// Accepted is the answer to an accepted change.
+type Accepted struct {
+	Revision uint64
+	ChangeID string `json:",omitempty"`
+	NoOp     bool   // the change was in effect already; no revision was added
+}
+
+// ChangeRequest asks for a change of a domain or an instance.
+type ChangeRequest struct {
+	Kind   awconfig.Kind
+	Target string
+	Actor  string
+	Reason string `json:",omitempty"`
+	Base   uint64 // revision the operator looked at; 0 means the newest
+}
+
+// SheetReport is the answer to a sheet that is only checked.
+type SheetReport struct {
+	Valid        bool
+	Faults       []string // line:column: message
+	Revision     uint64   // that the sheet is compared with; the base of an apply
+	RemovedShare float64  // of the wanted replicas, 0 to 1
+	RemovalOK    bool     // RemovedShare is within MaxRemovedShare
+	Differences  []awconfig.Difference
+}
+
+// RolloutStatus tells how far one model is at its wanted version.
+type RolloutStatus struct {
+	Model     string
+	Version   string
+	Digest    string
+	Halted    string `json:",omitempty"` // reason
+	Replicas  int    // wanted
+	Placed    int    // instances placed for the wanted version
+	Serving   int    // instances that report the wanted version ready
+	Older     int    // instances that serve the version before
+	ChunksPct int    // share of the chunks held by placed instances, percent
+}
+
+// Rollouts returns the status of each model, sorted by name.
+func (s Status) Rollouts() []RolloutStatus {
+	list := []RolloutStatus{}
+	if s.State == nil {
+		return list
+	}
+	for _, name := range sortedKeys(s.State.Models) {
+		m := s.State.Models[name]
+		r := RolloutStatus{
+			Model: name, Version: m.Version, Digest: m.Digest, Halted: s.State.Halted[m.Digest],
+			Replicas: m.Replicas, Placed: len(s.State.PlacedOn(m.Digest)),
+		}
+		var held, chunks uint32
+		for _, a := range s.Agents {
+			switch {
+			case a.Model == name && a.VersionDigest == m.Digest:
+				r.Serving++
+			case a.Model == name:
+				r.Older++
+			}
+			if s.State.Placements[a.Instance].Digest == m.Digest {
+				held, chunks = held+a.ChunksHeld, chunks+a.Chunks
+			}
+		}
+		if chunks > 0 {
+			r.ChunksPct = int(100 * uint64(held) / uint64(chunks))
+		}
+		list = append(list, r)
+	}
+	return list
+}
