--- a/internal/awbench/config.go
+++ b/internal/awbench/config.go
@@ -287,16 +287,16 @@
 	return nil
 }
 
-func (c *Cluster) configUsage() (entries, agents []Usage, counts storeCounts, err error) {
+func (c *Cluster) configUsage() (entries, agents []Reading, counts storeCounts, err error) {
 	for _, n := range c.Entries {
-		u, err := ReadUsage(n.Process.PID(), n.Operators+"/metrics")
+		u, err := ReadUsage(n.Process, n.Operators+"/metrics")
 		if err != nil {
 			return nil, nil, counts, err
 		}
 		entries = append(entries, u)
 	}
 	for _, n := range c.Agents {
-		u, err := ReadUsage(n.Process.PID(), n.Local+"/metrics")
+		u, err := ReadUsage(n.Process, n.Local+"/metrics")
 		if err != nil {
 			return nil, nil, counts, err
 		}
@@ -358,11 +358,11 @@
 // slopes fits the cost of a process over the number of processes.
 func (r *ConfigResult) slopes() {
 	fit := func(of func(ConfigSize) float64) float64 {
-		var x, y []float64
+		var points []Point
 		for _, s := range r.Sizes {
-			x, y = append(x, float64(s.Entries+s.Agents)), append(y, of(s))
+			points = append(points, Point{X: float64(s.Entries + s.Agents), Y: of(s)})
 		}
-		return Slope(x, y)
+		return FitSlope(points).PerUnit
 	}
 	r.EntryCoreSlope = fit(func(s ConfigSize) float64 { return s.Entry.CorePercent })
 	r.EntryRSSMBSlope = fit(func(s ConfigSize) float64 { return s.Entry.RSSMB })
@@ -370,10 +370,10 @@
 	r.EntryStoreBytesSlope = fit(func(s ConfigSize) float64 { return s.Entry.StoreBytesPerSec })
 	r.AgentCoreSlope = fit(func(s ConfigSize) float64 { return s.Agent.CorePercent })
 	r.AgentRPCBytesSlope = fit(func(s ConfigSize) float64 { return s.Agent.RPCBytesPerSec })
-	var x, reads, writes []float64
+	var reads, writes []Point
 	for _, s := range r.Sizes {
-		x = append(x, float64(s.Entries))
-		reads, writes = append(reads, s.StoreReadsPerSec), append(writes, s.StoreWritesPerSec)
+		reads = append(reads, Point{X: float64(s.Entries), Y: s.StoreReadsPerSec})
+		writes = append(writes, Point{X: float64(s.Entries), Y: s.StoreWritesPerSec})
 	}
-	r.StoreReadsSlope, r.StoreWritesSlope = Slope(x, reads), Slope(x, writes)
+	r.StoreReadsSlope, r.StoreWritesSlope = FitSlope(reads).PerUnit, FitSlope(writes).PerUnit
 }
--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -6,6 +6,7 @@
 package awagent
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -50,6 +51,7 @@
 	store    *awstore.Client
 	dialer   *awrpc.Dialer
 	weights  *weightStore
+	tls      *awrpc.TLS
 
 	mu       sync.Mutex
 	gate     *awadmit.Gate
@@ -70,7 +72,7 @@
 		cfg: cfg,
 		identity: &awproto.ProcessIdentity{
 			Process: "awagent", Instance: s.Process.Instance, Domain: s.Process.Domain,
-			Region: s.Process.Region, Incarnation: cfg.Incarnation, Address: s.Listen.Inner,
+			Region: s.Process.Region, Incarnation: cfg.Incarnation, Address: cmp.Or(s.Listen.Advertised, s.Listen.Inner),
 		},
 		engine: awengine.New(s.Backend.URL),
 		store: awstore.New(awstore.Config{
@@ -80,10 +82,11 @@
 			MaxInFlight: s.Limits.MaxInFlight, ColdInFlight: s.Limits.ColdInFlight,
 			MemoryBytes: s.Limits.MemoryBytes, BytesPerToken: s.Limits.BytesPerToken,
 		}),
+		tls:      awrpc.NewTLS(s.TLS, cfg.Clock),
 		attempts: awledger.NewAttempts(),
 		changed:  make(chan struct{}),
 	}
-	a.dialer = awrpc.NewDialer(awrpc.DialerConfig{Identity: a.identity, Revision: a.revision})
+	a.dialer = awrpc.NewDialer(awrpc.DialerConfig{Identity: a.identity, Revision: a.revision, TLS: a.tls.Client})
 	a.weights = newWeightStore(a.store)
 	if s.Backend.Service != "" {
 		a.ready = &awproto.ReadyModel{Model: ServicePrefix + s.Backend.Service}
@@ -98,7 +101,7 @@
 // never gives a command.
 func (a *Agent) Run(ctx context.Context) error {
 	s := a.cfg.Settings
-	inner, err := awrpc.Listen(s.Listen.Inner, nil)
+	inner, err := a.tls.Listen(s.Listen.Inner)
 	if err != nil {
 		return err
 	}
@@ -193,7 +196,7 @@
 	r := &awproto.AgentReport{
 		Incarnation: a.cfg.Incarnation, State: a.state, ViewRevision: a.view.Revision,
 		InFlight: uint32(a.gate.InFlight()), Limit: uint32(a.gate.Limit()), FreeMemoryBytes: a.gate.FreeMemory(),
-		Transfer: a.weights.report(),
+		Transfer: a.weights.report(), Fencing: a.cfg.Settings.Backend.Fencing,
 	}
 	if a.ready != nil {
 		r.Models = append(r.Models, a.ready)
--- a/io/awcommand/bench.go
+++ b/io/awcommand/bench.go
@@ -18,8 +18,9 @@
 type experiment func(ctx context.Context, binDir string) (any, error)
 
 var experiments = map[string]experiment{
-	"config": awbench.Config,
-	"demo":   awbench.Demo,
+	"capacity": awbench.Capacity,
+	"config":   awbench.Config,
+	"demo":     awbench.Demo,
 }
 
 type benchCommand struct {
--- a/io/awcontrol/api.go
+++ b/io/awcontrol/api.go
@@ -27,7 +27,6 @@
 	MaxRemovedShare float64                                                // of the wanted replicas, 0 to 1
 	SourceAge       func() (ms int64, fresh bool)                          // of the configuration
 	Progress        func(ctx context.Context, revision uint64) Progress    // of all processes
-	Committed       func(ctx context.Context, change awconfig.Change)      // called after a commit; may be nil
 	Logged          func(message string, change awconfig.Change, by error) // audit log; may be nil
 }
 
@@ -118,11 +117,11 @@
 		replyError(w, err)
 		return
 	}
-	s.accepted(w, r, c)
+	accepted(w, c)
 }
 
 // sheet reads the body of a request that holds a sheet.
-func (s *Server) sheet(w http.ResponseWriter, r *http.Request) ([]awconfig.Model, error) {
+func (s *Server) sheet(r *http.Request) ([]awconfig.Model, error) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, awsheet.MaxBytes+1))
 	if err != nil {
 		return nil, err
@@ -135,7 +134,7 @@
 
 // check reports on a sheet and changes nothing.
 func (s *Server) check(w http.ResponseWriter, r *http.Request) {
-	models, err := s.sheet(w, r)
+	models, err := s.sheet(r)
 	st := s.Holder.State()
 	report := SheetReport{Revision: st.Revision, Faults: []string{}, Differences: []awconfig.Difference{}}
 	var faulty *SheetError
@@ -161,7 +160,7 @@
 		reply(w, http.StatusBadRequest, Refusal{Error: "Base must be a revision"})
 		return
 	}
-	models, err := s.sheet(w, r)
+	models, err := s.sheet(r)
 	if err != nil {
 		replyError(w, err)
 		return
@@ -202,7 +201,7 @@
 		var done awconfig.Change
 		if done, err = s.Log.Commit(ctx, st.Revision, c); err == nil {
 			s.audit(done, nil)
-			s.accepted(w, r, done)
+			accepted(w, done)
 			return
 		}
 		var conflict *ConflictError
@@ -249,10 +248,7 @@
 	s.Logged("change accepted", c, nil)
 }
 
-func (s *Server) accepted(w http.ResponseWriter, r *http.Request, c awconfig.Change) {
-	if s.Committed != nil {
-		s.Committed(r.Context(), c)
-	}
+func accepted(w http.ResponseWriter, c awconfig.Change) {
 	reply(w, http.StatusOK, Accepted{Revision: c.Revision, ChangeID: c.ChangeID})
 }
 
--- a/io/awentry/fleet.go
+++ b/io/awentry/fleet.go
@@ -36,6 +36,7 @@
 func (f *fleet) listLoop(ctx context.Context) {
 	for {
 		if list, err := f.entry.store.Instances(ctx); err == nil {
+			f.entry.sync.learn(list)
 			f.update(ctx, list)
 		}
 		period := f.entry.cfg.Settings.Timing.ListPoll.Std()
@@ -132,7 +133,7 @@
 func (f *fleet) heartbeat(link *agentLink) (*awproto.WatchUp, <-chan struct{}) {
 	changed := f.entry.holder.Changed()
 	s := f.entry.holder.State()
-	up := &awproto.WatchUp{Revision: s.Revision, SourceFresh: true}
+	up := &awproto.WatchUp{Revision: s.Revision, SourceFresh: f.entry.sync.fresh()}
 	f.mu.Lock()
 	behind := link.report == nil || link.report.ViewRevision < s.Revision
 	f.mu.Unlock()
@@ -151,6 +152,7 @@
 			return err
 		}
 		silence.Reset(limit)
+		f.entry.sync.meet(down.GetReport().GetViewRevision(), nil)
 		f.mu.Lock()
 		link.report = down.Report
 		link.lastSeen = f.entry.cfg.Clock.Now()
--- a/io/awentry/inner.go
+++ b/io/awentry/inner.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/rotisserie/eris"
 
 	"arbutuswind/io/awproto"
 	"arbutuswind/io/awrpc"
-	"arbutuswind/io/awstore"
 )
 
 // innerServer implements the service Entry of the internal protocol.
@@ -22,6 +20,7 @@
 	if req.ProtocolVersion != awrpc.ProtocolVersion {
 		return nil, &awrpc.VersionError{Have: awrpc.ProtocolVersion, Got: req.ProtocolVersion}
 	}
+	s.entry.sync.meet(req.Revision, req.Sender)
 	return &awproto.HelloReply{
 		ProtocolVersion: awrpc.ProtocolVersion, Sender: s.entry.identity, Revision: s.entry.holder.State().Revision,
 	}, nil
@@ -33,45 +32,6 @@
 	if id.GetInstance() == "" || id.GetAddress() == "" {
 		return nil, eris.New("announcement without instance or address")
 	}
+	s.entry.sync.meet(req.GetReport().GetViewRevision(), id)
 	return &awproto.AnnounceReply{Revision: s.entry.holder.State().Revision}, nil
 }
-
-// PullConfig returns the whole configuration when the caller is behind.
-func (s *innerServer) PullConfig(_ context.Context, req *awproto.PullConfigRequest) (*awproto.PullConfigReply, error) {
-	state := s.entry.holder.State()
-	reply := &awproto.PullConfigReply{Revision: state.Revision}
-	if req.HaveRevision >= state.Revision {
-		return reply, nil
-	}
-	data, err := state.Encode()
-	if err != nil {
-		return nil, err
-	}
-	reply.Snapshot = data
-	return reply, nil
-}
-
-// claims keeps non-repeatable calls from running twice.
-type claims struct{ store *awstore.Client }
-
-func claimKey(team, key string) string { return "claim/" + team + "/" + key }
-
-func (c *claims) get(ctx context.Context, team, key string, into any) (uint64, error) {
-	row, err := c.store.Get(ctx, claimKey(team, key), 0)
-	if err != nil {
-		return 0, err
-	}
-	return row.Version, eris.Wrap(json.Unmarshal(row.Value, into), "decode claim")
-}
-
-func (c *claims) put(ctx context.Context, team, key string, version uint64, claim any) error {
-	data, err := json.Marshal(claim)
-	if err != nil {
-		return eris.Wrap(err, "encode claim")
-	}
-	k := claimKey(team, key)
-	return c.store.Commit(ctx, awstore.Txn{
-		Conditions: []awstore.Condition{{Key: k, Version: version}},
-		Puts:       []awstore.Put{{Key: k, Value: data}},
-	})
-}
--- /dev/null
+++ b/io/awentry/offer.go
@@ -0,0 +1,199 @@
+package awentry
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"arbutuswind/core/awconfig"
+	"arbutuswind/io/awcontrol"
+	"arbutuswind/io/awproto"
+	"arbutuswind/io/awrpc"
+)
+
+// maxDeltaBytes bounds the changes in one answer; more than that is sent as
+// a snapshot, which must fit into one message in any case.
+const maxDeltaBytes = 1 << 20
+
+// offerLoop offers every new revision to other entries until ctx ends.
+func (c *configSync) offerLoop(ctx context.Context) {
+	for {
+		changed := c.entry.holder.Changed()
+		if revision := c.entry.holder.State().Revision; revision > 0 {
+			c.offer(ctx, revision)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// offer tells some entries that are not known to have the revision. The
+// choice differs for each sender and revision, so that a few rounds reach
+// entries that cannot read the store.
+func (c *configSync) offer(ctx context.Context, revision uint64) {
+	var wg sync.WaitGroup
+	for _, t := range c.offerTargets(revision) {
+		wg.Go(func() { _ = c.pull(ctx, t, 0) }) // the next revision tries again
+	}
+	wg.Wait()
+}
+
+func (c *configSync) offerTargets(revision uint64) []awrpc.Target {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	type ranked struct {
+		awrpc.Target
+		rank uint64
+	}
+	var list []ranked
+	for id, p := range c.peers {
+		if p.revision >= revision {
+			continue
+		}
+		key := binary.BigEndian.AppendUint64(nil, revision)
+		rank := xxhash.Sum64(append(key, c.entry.identity.Instance+"\x00"+id...))
+		list = append(list, ranked{awrpc.Target{Address: p.info.Address, Instance: id}, rank})
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	var targets []awrpc.Target
+	for _, r := range list[:min(offerTo, len(list))] {
+		targets = append(targets, r.Target)
+	}
+	return targets
+}
+
+// PullConfig returns what is newer than the caller's revision: the changes
+// when they are still held, otherwise a snapshot.
+func (s *innerServer) PullConfig(_ context.Context, req *awproto.PullConfigRequest) (*awproto.PullConfigReply, error) {
+	c := s.entry.sync
+	c.meet(req.HaveRevision, req.Sender)
+	state, changes, ok := s.entry.holder.Since(req.HaveRevision)
+	age, fresh := c.sourceAge()
+	reply := &awproto.PullConfigReply{
+		Revision: state.Revision, SourceFresh: fresh, EverRead: age >= 0, SourceAgeMs: uint32(max(0, age)), Synced: c.isSynced(),
+	}
+	if req.ProgressOf > 0 {
+		reply.Watches, reply.WatchesInForce, reply.Behind = s.entry.fleet.progress(req.ProgressOf)
+	}
+	if req.HaveRevision >= state.Revision {
+		return reply, nil
+	}
+	reply.Digest = c.digestAt(state)
+	if ok {
+		if reply.Changes, ok = encodeChanges(changes); ok {
+			return reply, nil
+		}
+	}
+	var err error
+	reply.Snapshot, err = state.Encode()
+	return reply, err
+}
+
+func encodeChanges(changes []awconfig.Change) ([][]byte, bool) {
+	var rows [][]byte
+	size := 0
+	for _, ch := range changes {
+		row, err := json.Marshal(ch)
+		if err != nil {
+			return nil, false
+		}
+		if size += len(row); size > maxDeltaBytes {
+			return nil, false
+		}
+		rows = append(rows, row)
+	}
+	return rows, true
+}
+
+func (c *configSync) isSynced() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.synced
+}
+
+// maxBehind bounds the names of processes in one report of progress.
+const maxBehind = 8
+
+// progress returns how many of the agents watched are at the revision.
+func (f *fleet) progress(revision uint64) (watches, inForce uint32, behind []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, link := range f.agents {
+		watches++
+		if link.report.GetViewRevision() >= revision {
+			inForce++
+		} else {
+			behind = append(behind, id)
+		}
+	}
+	slices.Sort(behind)
+	return watches, inForce, behind[:min(maxBehind, len(behind))]
+}
+
+// progressAtOnce bounds the peers asked at the same time.
+const progressAtOnce = 16
+
+// progress asks the peers that are not known to be done.
+func (c *configSync) progress(ctx context.Context, revision uint64) awcontrol.Progress {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, progressAtOnce)
+	for _, t := range c.unfinished(revision) {
+		wg.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			_ = c.pull(ctx, t, revision) // a silent peer counts as behind
+		})
+	}
+	wg.Wait()
+	p := awcontrol.Progress{Revision: revision, Entries: 1}
+	watches, inForce, behind := c.entry.fleet.progress(revision)
+	p.Watches, p.WatchesInForce, p.Behind = int(watches), int(inForce), behind
+	if c.entry.holder.State().Revision >= revision {
+		p.EntriesInForce++
+	} else {
+		p.Behind = append(p.Behind, c.entry.identity.Instance)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, other := range c.peers {
+		p.Entries++
+		p.Watches += int(other.progress.GetWatches())
+		p.WatchesInForce += int(other.progress.GetWatchesInForce())
+		p.Behind = append(p.Behind, other.progress.GetBehind()...)
+		if other.progress != nil && other.revision >= revision {
+			p.EntriesInForce++
+		} else {
+			p.Behind = append(p.Behind, id)
+		}
+	}
+	slices.SortFunc(p.Behind, strings.Compare)
+	p.Behind = slices.Compact(p.Behind)
+	p.Behind = p.Behind[:min(maxBehind, len(p.Behind))]
+	p.Everywhere = p.EntriesInForce == p.Entries && p.WatchesInForce == p.Watches
+	return p
+}
+
+func (c *configSync) unfinished(revision uint64) []awrpc.Target {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []awrpc.Target
+	for id, p := range c.peers {
+		if c.progressOf != revision {
+			p.progress = nil
+		}
+		if p.progress == nil || p.revision < revision || p.progress.Watches > p.progress.WatchesInForce {
+			list = append(list, awrpc.Target{Address: p.info.Address, Instance: id})
+		}
+	}
+	c.progressOf = revision
+	return list
+}
--- a/io/awentry/reconcile.go
+++ b/io/awentry/reconcile.go
@@ -14,7 +14,8 @@
 const reconcilePeriod = time.Second
 
 // reconcileLoop makes the fleet match the configuration until ctx ends. Every
-// entry runs it; of two that act at once the log accepts one.
+// entry runs it, and the one with the lease acts; should two act at once, the
+// log accepts one.
 func (e *Entry) reconcileLoop(ctx context.Context) {
 	for {
 		select {
@@ -22,6 +23,9 @@
 			return
 		case <-time.After(reconcilePeriod/2 + e.jitter(reconcilePeriod)):
 		}
+		if active, _ := e.lease.acquire(ctx, e.sync.entries()); !active || !e.sync.canChange() {
+			continue // without the store there is nothing to commit to
+		}
 		if err := e.reconcile(ctx); err != nil && ctx.Err() == nil {
 			_ = e.cfg.Logger.Log("Message", "placement not changed", "Error", err.Error())
 		}
@@ -47,3 +51,12 @@
 	}
 	return err
 }
+
+// releaseTimeout bounds the write that gives the lease up.
+const releaseTimeout = time.Second
+
+func (e *Entry) releaseLease() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	e.lease.release(ctx)
+}
--- a/io/awrpc/awrpc.go
+++ b/io/awrpc/awrpc.go
@@ -76,7 +76,7 @@
 type DialerConfig struct {
 	Identity *awproto.ProcessIdentity
 	Revision func() uint64                                            // configuration revision of this process
-	TLS      func() (*tls.Config, error)                              // nil for plain TCP
+	TLS      func() (*tls.Config, error)                              // of one connection; nil, or a nil result, for plain TCP
 	OnHello  func(t Target, reply *awproto.HelloReply)                // may be nil
 	Dial     func(ctx context.Context, addr string) (net.Conn, error) // nil for TCP
 }
@@ -112,7 +112,7 @@
 func (d *Dialer) connect(ctx context.Context, t Target) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := d.dial(ctx, t.Address)
+	raw, err := d.dial(ctx, t)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial %s", t.Address)
 	}
@@ -124,13 +124,13 @@
 	return conn, nil
 }
 
-func (d *Dialer) dial(ctx context.Context, addr string) (net.Conn, error) {
+func (d *Dialer) dial(ctx context.Context, t Target) (net.Conn, error) {
 	dial := d.cfg.Dial
 	if dial == nil {
 		nd := &net.Dialer{KeepAlive: keepAliveIdl}
 		dial = func(ctx context.Context, addr string) (net.Conn, error) { return nd.DialContext(ctx, "tcp", addr) }
 	}
-	raw, err := dial(ctx, addr)
+	raw, err := dial(ctx, t.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -144,6 +144,10 @@
 		_ = raw.Close()
 		return nil, err
 	}
+	if cfg == nil {
+		return raw, nil
+	}
+	cfg.ServerName = serverName(t)
 	conn := tls.Client(raw, cfg)
 	if err := conn.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
--- a/io/awsettings/daemons.go
+++ b/io/awsettings/daemons.go
@@ -14,6 +14,7 @@
 	TLS      TLS
 	Trace    Trace
 	Limits   EntryLimits
+	Claims   Claims
 	Timing   EntryTiming
 }
 
@@ -31,6 +32,7 @@
 	StreamBytes     int      // per stream
 	DefaultDeadline Duration // of requests that state none
 	MaxDeadline     Duration
+	MaxRemovedShare float64 // of the wanted replicas that one sheet may remove, 0 to 1
 }
 
 // EntryTiming holds the periods of an entry.
@@ -58,8 +60,9 @@
 
 // AgentListen holds the addresses of awagent, IP:port each.
 type AgentListen struct {
-	Inner string // fixed for the instance: binding it makes this the only agent
-	Local string // for the engine and for metrics
+	Inner      string // fixed for the instance: binding it makes this the only agent
+	Advertised string // address at which others reach Inner; empty means Inner
+	Local      string // for the engine and for metrics
 }
 
 // Backend describes the backend server beside the agent.
@@ -122,8 +125,9 @@
 		Trace:    Trace{SampleRatio: 0.01},
 		Limits: EntryLimits{
 			MaxBodyBytes: 1 << 20, HeldBytes: 64 << 20, StreamBytes: 64 << 10,
-			DefaultDeadline: seconds(60), MaxDeadline: seconds(600),
+			DefaultDeadline: seconds(60), MaxDeadline: seconds(600), MaxRemovedShare: 0.3,
 		},
+		Claims: defaultClaims(),
 		Timing: EntryTiming{
 			ConfigPoll: seconds(0.5), ListPoll: seconds(2), Heartbeat: seconds(1),
 			MissingAfter: seconds(15), MaxIsolation: seconds(30), Drain: seconds(60),
@@ -194,6 +198,9 @@
 		"%d is not allowed; want 4096 to 65536", c.Limits.StreamBytes)
 	f.duration("Limits.DefaultDeadline", c.Limits.DefaultDeadline)
 	f.duration("Limits.MaxDeadline", c.Limits.MaxDeadline)
+	f.require(c.Limits.MaxRemovedShare >= 0 && c.Limits.MaxRemovedShare <= 1, "Limits.MaxRemovedShare",
+		"%v is not allowed; want 0 to 1", c.Limits.MaxRemovedShare)
+	c.Claims.check(&f, c.Limits.MaxDeadline)
 	f.duration("Timing.ConfigPoll", c.Timing.ConfigPoll)
 	f.duration("Timing.ListPoll", c.Timing.ListPoll)
 	f.duration("Timing.Heartbeat", c.Timing.Heartbeat)
@@ -207,6 +214,9 @@
 	var f faults
 	f.common(c.Process, c.TLS, c.Trace)
 	f.address("Listen.Inner", c.Listen.Inner)
+	if c.Listen.Advertised != "" {
+		f.address("Listen.Advertised", c.Listen.Advertised)
+	}
 	f.address("Listen.Local", c.Listen.Local)
 	f.require(c.Platform.InstanceListURL != "", "Platform.InstanceListURL", "missing; want the URL of the instance list")
 	f.require(c.Backend.URL != "", "Backend.URL", "missing; want the URL of the backend server")
