--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -60,6 +60,7 @@
 	store    *awstore.Client
 	dialer   *awrpc.Dialer
 	weights  *weightStore
+	tls      *awrpc.TLS
 	metrics  *agentMetrics
 	cutCtx   context.Context // ends when running requests are cut
 	cut      context.CancelCauseFunc
@@ -101,6 +102,7 @@
 			MemoryBytes: s.Limits.MemoryBytes, BytesPerToken: s.Limits.BytesPerToken,
 			MaxQueue: s.Limits.MaxQueue, QueueBytes: s.Limits.QueueBytes, PausedBytes: pausedBytes, Clock: cfg.Clock,
 		}),
+		tls:      awrpc.NewTLS(s.TLS, cfg.Clock),
 		attempts: awledger.NewAttempts(),
 		metrics:  newMetrics(),
 		lastTick: cfg.Clock.Now(), lastFresh: cfg.Clock.Now(),
@@ -108,7 +110,7 @@
 	}
 	a.cutCtx, a.cut = context.WithCancelCause(context.Background())
 	a.metrics.gauges(a)
-	a.dialer = awrpc.NewDialer(awrpc.DialerConfig{Identity: a.identity, Revision: a.revision})
+	a.dialer = awrpc.NewDialer(awrpc.DialerConfig{Identity: a.identity, Revision: a.revision, TLS: a.tls.Client})
 	a.weights = newWeightStore(a.store)
 	if s.Backend.Service != "" {
 		a.ready = &awproto.ReadyModel{Model: ServicePrefix + s.Backend.Service}
@@ -123,7 +125,7 @@
 // never gives a command.
 func (a *Agent) Run(ctx context.Context) error {
 	s := a.cfg.Settings
-	inner, err := awrpc.Listen(s.Listen.Inner, nil)
+	inner, err := a.tls.Listen(s.Listen.Inner)
 	if err != nil {
 		return err
 	}
@@ -188,7 +190,7 @@
 		Incarnation: a.cfg.Incarnation, State: a.stateAt(a.cfg.Clock.Now()), ViewRevision: a.view.Revision,
 		InFlight: uint32(a.gate.InFlight()), Limit: uint32(a.gate.Limit()), FreeMemoryBytes: a.gate.FreeMemory(),
 		Queued: uint32(a.gate.Queued()), WaitMs: uint32(min(a.gate.ExpectedWait(), maxReportedWait).Milliseconds()),
-		Transfer: a.weights.report(),
+		Transfer: a.weights.report(), Fencing: a.cfg.Settings.Backend.Fencing,
 	}
 	if a.ready != nil {
 		r.Models = append(r.Models, a.ready)
