Exchange weights between agents

Every agent read every chunk and the manifest from the origin, so the time to N replicas grew with N and the origin sent N copies.

core/awweights now decides for each agent which chunk to fetch next and from where: panels of five agents per region bring each chunk into the region once, assigned by rendezvous hashing with an even load and taken over by rank when a designated fetcher makes no progress. Inside the region chunks spread rarest first. Views name the panels and ring neighbours. The agent runs the exchange with one deciding goroutine and workers joined by bounded queues. Load commands check the authority after a pause and read back what they did.

--- a/core/awconfig/view.go
+++ b/core/awconfig/view.go
@@ -20,15 +20,18 @@
 	Fencing   Fencing
 	Teams     map[string]int // weights for fair queueing
 	Peers     []Peer
-	Halted    bool // the placed version is halted
+	Duty      bool    // on the panel of its region for the model's weights
+	Halted    bool    // the placed version is halted
+	Next      *Pinned `json:",omitempty"` // version to fetch before it is placed here
 }
 
-// Peer is another agent placed for the same version.
+// Peer is another agent placed for the same model.
 type Peer struct {
 	Instance string
 	Address  string
 	Region   string
 	Domain   string
+	Duty     bool `json:",omitempty"` // on the panel of its region
 }
 
 // View returns the projection of the state for one instance without peers.
@@ -47,9 +50,23 @@
 	v.Fencing = m.Fencing
 	v.Teams = m.TeamShares
 	_, v.Halted = s.Halted[v.Placement.Digest]
+	if target := s.Target(m); v.Placement.Model != "" && target.Digest != v.Placement.Digest {
+		v.Next = &target
+	}
 	return v
 }
 
+// Target returns the version that the replicas of a model are to serve: the
+// one of the sheet, or the one before while that is halted.
+func (s *State) Target(m Model) Pinned {
+	if _, halted := s.Halted[m.Digest]; halted && m.Previous != nil {
+		if _, halted := s.Halted[m.Previous.Digest]; !halted {
+			return *m.Previous
+		}
+	}
+	return Pinned{Version: m.Version, Digest: m.Digest, SizeBytes: m.SizeBytes}
+}
+
 // Encode returns the view as JSON.
 func (v AgentView) Encode() ([]byte, error) {
 	data, err := json.Marshal(v)
--- a/core/awplace/awplace.go
+++ b/core/awplace/awplace.go
@@ -20,6 +20,10 @@
 	Leaving  bool
 	LastSeen time.Time // last heartbeat or appearance in the instance list
 	Digest   string    // weights that it serves now; empty when not ready
+	Held     string    // weights that it holds whole
+	NoRoom   bool      // the version it is to fetch does not fit beside the old one
+	Failed   string    // weights that it could not load
+	Failure  string    // why
 }
 
 // Config configures the reconciler.
--- /dev/null
+++ b/core/awweights/exchange.go
@@ -0,0 +1,429 @@
+package awweights
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"arbutuswind/core/awclock"
+)
+
+// Kind states where a chunk is fetched from.
+type Kind int
+
+// The kinds of source.
+const (
+	FromPeer   Kind = iota // an agent of the own region
+	FromRegion             // an agent of another region
+	FromOrigin
+)
+
+// Source is an agent placed for the version.
+type Source struct {
+	ID     string
+	Region string
+	Duty   bool // on the panel of its region
+}
+
+// Config configures an [Exchange]. Zero durations and counts get defaults.
+type Config struct {
+	Self        Source
+	StoreRegion string
+	Digest      string // of the manifest
+	Manifest    Manifest
+	LinkRate    float64 // bytes a second into this instance; 0 means unlimited
+	RegionRate  float64 // bytes a second over a region link, for the whole region
+
+	Parallel      int           // fetches inside the region at once
+	DutyParallel  int           // fetches from origin or other regions at once
+	PerPeer       int           // fetches from one peer at once
+	TakeoverAfter time.Duration // without progress of a designated fetcher
+	StallAfter    time.Duration // before a chunk is fetched from a second source
+	AvoidFor      time.Duration // after a bad chunk or a stall; doubled each time
+	StartGrace    time.Duration // for the first chunk maps before duties begin
+}
+
+const (
+	defaultParallel      = 8
+	defaultDutyParallel  = 3
+	defaultPerPeer       = 2
+	defaultTakeoverAfter = 2 * time.Second
+	defaultStallAfter    = 1500 * time.Millisecond
+	defaultAvoidFor      = 10 * time.Second
+	defaultStartGrace    = 300 * time.Millisecond
+
+	// busyFor keeps an agent away from a peer whose slots are taken; about
+	// the time in which a slot becomes free.
+	busyFor = 40 * time.Millisecond
+	// failedFor is the first pause after a failed call; doubled each time.
+	failedFor = 250 * time.Millisecond
+	// maxDoublings bounds the growth of pauses.
+	maxDoublings = 5
+	// scanLimit bounds the chunks compared for one choice, so that the cost
+	// of a choice does not grow with the size of the version.
+	scanLimit = 1024
+)
+
+func (c Config) withDefaults() Config {
+	setInt := func(v *int, d int) {
+		if *v == 0 {
+			*v = d
+		}
+	}
+	setDur := func(v *time.Duration, d time.Duration) {
+		if *v == 0 {
+			*v = d
+		}
+	}
+	setInt(&c.Parallel, defaultParallel)
+	setInt(&c.DutyParallel, defaultDutyParallel)
+	setInt(&c.PerPeer, defaultPerPeer)
+	setDur(&c.TakeoverAfter, defaultTakeoverAfter)
+	setDur(&c.StallAfter, defaultStallAfter)
+	setDur(&c.AvoidFor, defaultAvoidFor)
+	setDur(&c.StartGrace, defaultStartGrace)
+	return c
+}
+
+// Fetch is one fetch to start.
+type Fetch struct {
+	ID    uint64
+	Index int
+	Kind  Kind
+	Peer  string // empty for the origin
+}
+
+// Result states how a fetch ended.
+type Result int
+
+// The results.
+const (
+	Whole     Result = iota // the chunk has the right digest
+	Corrupt                 // it has another digest
+	Busy                    // the peer has no free slot
+	Missing                 // the peer does not hold the chunk
+	Failed                  // the call failed or timed out
+	Cancelled               // another fetch brought the chunk first
+)
+
+// Stats counts what a transfer took.
+type Stats struct {
+	Held, Chunks                       int
+	Peers                              int // peers not avoided now
+	Bad                                int
+	OriginBytes, RegionBytes, PeerByte uint64
+	ETA                                time.Duration // 0 when unknown or complete
+}
+
+type peer struct {
+	Source
+	held       Bitmap
+	count      int
+	progressed time.Time // last growth of its map
+	heard      bool      // asked once, with or without an answer
+	avoidUntil time.Time
+	strikes    int // bad chunks and stalls
+	failures   int // failed calls in a row
+	running    int
+}
+
+type running struct {
+	Fetch
+	began   time.Time
+	stalled bool // its source is avoided already
+}
+
+// Exchange decides for one agent and one version which chunk to fetch next
+// and from where. It is not safe for concurrent use.
+type Exchange struct {
+	cfg    Config
+	clock  awclock.Clock
+	rng    *rand.Rand
+	held   Bitmap
+	left   []int // chunks not held, in no order
+	holder []int // peers of the own region that hold chunk i
+	peers  map[string]*peer
+	order  []string // peers in the order of their ids, for equal runs of a seed
+	duties Duties
+	home   string
+	panel  []string
+
+	active  map[uint64]*running
+	byChunk map[int]int // active fetches of a chunk
+	nextID  uint64
+	link    *Bucket
+	region  *Bucket
+	origin  peer // pauses of the origin
+
+	began, progressed time.Time
+	patience          float64 // 1 to 2, spreads the last resort over agents
+	stats             Stats
+}
+
+// NewExchange starts the transfer of a version of which held is held already.
+func NewExchange(cfg Config, clock awclock.Clock, rng *rand.Rand, held Bitmap) *Exchange {
+	now := clock.Now()
+	cfg = cfg.withDefaults()
+	n := len(cfg.Manifest.Chunks)
+	x := &Exchange{
+		cfg: cfg, clock: clock, rng: rng, held: NewBitmap(n), holder: make([]int, n),
+		peers: map[string]*peer{}, active: map[uint64]*running{}, byChunk: map[int]int{},
+		link:   NewBucket(cfg.LinkRate, cfg.Manifest.ChunkBytes, now),
+		region: NewBucket(cfg.RegionRate, cfg.Manifest.ChunkBytes, now),
+		began:  now, progressed: now, patience: 1 + rng.Float64(),
+	}
+	x.stats.Chunks = n
+	for i := range n {
+		if held.Has(i) {
+			x.held.Set(i)
+			x.stats.Held++
+		} else {
+			x.left = append(x.left, i)
+		}
+	}
+	return x
+}
+
+// SetPeers replaces the agents that chunks may come from. What is known about
+// those that remain is kept.
+func (x *Exchange) SetPeers(list []Source) {
+	now := x.clock.Now()
+	old := x.peers
+	x.peers, x.order = map[string]*peer{}, nil
+	regions := []string{x.cfg.Self.Region}
+	x.panel = nil
+	if x.cfg.Self.Duty {
+		x.panel = append(x.panel, x.cfg.Self.ID)
+	}
+	for _, s := range list {
+		p := old[s.ID]
+		if p == nil {
+			p = &peer{held: NewBitmap(x.stats.Chunks), progressed: now}
+		}
+		p.Source = s
+		x.peers[s.ID] = p
+		x.order = append(x.order, s.ID)
+		regions = append(regions, s.Region)
+		if s.Duty && s.Region == x.cfg.Self.Region {
+			x.panel = append(x.panel, s.ID)
+		}
+	}
+	slices.Sort(x.order)
+	slices.Sort(x.panel)
+	x.duties = AssignDuties(x.cfg.Digest, x.stats.Chunks, x.panel)
+	x.home = HomeRegion(x.cfg.StoreRegion, regions)
+	for i := range x.holder {
+		x.holder[i] = 0
+		for _, p := range x.peers {
+			if p.Region == x.cfg.Self.Region && p.held.Has(i) {
+				x.holder[i]++
+			}
+		}
+	}
+}
+
+// Heard takes over the chunk map of a peer; a nil map means that it did not
+// answer.
+func (x *Exchange) Heard(id string, held Bitmap) {
+	p := x.peers[id]
+	if p == nil {
+		return
+	}
+	p.heard = true
+	if held == nil {
+		return
+	}
+	near := p.Region == x.cfg.Self.Region
+	for i := range x.stats.Chunks {
+		if held.Has(i) && !p.held.Has(i) {
+			p.held.Set(i)
+			p.count++
+			p.progressed = x.clock.Now()
+			if near {
+				x.holder[i]++
+			}
+		}
+	}
+}
+
+// SetShare yields a part of the links to live requests.
+func (x *Exchange) SetShare(share float64) {
+	now := x.clock.Now()
+	x.link.SetShare(now, share)
+	x.region.SetShare(now, share)
+}
+
+// Complete reports whether every chunk is held.
+func (x *Exchange) Complete() bool { return len(x.left) == 0 }
+
+// Asks returns the peers whose chunk map is worth asking for: those of the
+// own region, and on the panel those of other regions, that lack a chunk.
+func (x *Exchange) Asks() []string {
+	var ids []string
+	for _, id := range x.order {
+		p := x.peers[id]
+		near := p.Region == x.cfg.Self.Region
+		if p.count < x.stats.Chunks && (near || x.cfg.Self.Duty || x.lastResort(x.clock.Now())) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Next starts the next fetch, or returns false when none can start now.
+func (x *Exchange) Next() (Fetch, bool) {
+	now := x.clock.Now()
+	if x.Complete() || x.link.Wait(now) > 0 {
+		return Fetch{}, false
+	}
+	for _, pick := range []func(time.Time) (Fetch, bool){x.pickDuty, x.pickPeer, x.pickHedge, x.pickLast} {
+		if f, ok := pick(now); ok {
+			x.start(&f, now)
+			return f, true
+		}
+	}
+	return Fetch{}, false
+}
+
+func (x *Exchange) start(f *Fetch, now time.Time) {
+	x.nextID++
+	f.ID = x.nextID
+	x.active[f.ID] = &running{Fetch: *f, began: now}
+	x.byChunk[f.Index]++
+	size := x.cfg.Manifest.ChunkSize(f.Index)
+	x.link.Take(now, size)
+	if f.Kind == FromRegion {
+		x.region.Take(now, size)
+	}
+	if p := x.peers[f.Peer]; p != nil {
+		p.running++
+	}
+}
+
+// count returns the active fetches inside the region, or outside of it.
+func (x *Exchange) count(inside bool) int {
+	n := 0
+	for _, r := range x.active {
+		if (r.Kind == FromPeer) == inside {
+			n++
+		}
+	}
+	return n
+}
+
+// Done records how a fetch ended and returns the other fetches of the same
+// chunk, which are to be cancelled and reported as well.
+func (x *Exchange) Done(id uint64, res Result) (cancel []uint64) {
+	r := x.active[id]
+	if r == nil {
+		return nil
+	}
+	now := x.clock.Now()
+	delete(x.active, id)
+	if x.byChunk[r.Index]--; x.byChunk[r.Index] == 0 {
+		delete(x.byChunk, r.Index)
+	}
+	p := x.peers[r.Peer]
+	if r.Kind == FromOrigin {
+		p = &x.origin
+	} else if p != nil {
+		p.running--
+	}
+	size := x.cfg.Manifest.ChunkSize(r.Index)
+	if res == Whole || res == Corrupt {
+		x.countBytes(r.Kind, size)
+	}
+	x.judge(p, r, res, now)
+	if res != Whole || x.held.Has(r.Index) {
+		return nil
+	}
+	x.held.Set(r.Index)
+	x.stats.Held++
+	x.progressed = now
+	at := slices.Index(x.left, r.Index)
+	x.left[at] = x.left[len(x.left)-1]
+	x.left = x.left[:len(x.left)-1]
+	for other, o := range x.active {
+		if o.Index == r.Index {
+			cancel = append(cancel, other)
+		}
+	}
+	return cancel
+}
+
+func (x *Exchange) countBytes(k Kind, n uint64) {
+	switch k {
+	case FromOrigin:
+		x.stats.OriginBytes += n
+	case FromRegion:
+		x.stats.RegionBytes += n
+	default:
+		x.stats.PeerByte += n
+	}
+}
+
+// judge keeps away from sources that send bad chunks, stall or fail.
+func (x *Exchange) judge(p *peer, r *running, res Result, now time.Time) {
+	if res == Corrupt {
+		x.stats.Bad++
+	}
+	if p == nil {
+		return
+	}
+	switch res {
+	case Whole:
+		p.failures = 0
+	case Corrupt:
+		if r.Kind == FromOrigin {
+			// There is no second origin; the chunk is simply read again.
+			return
+		}
+		x.strike(p, now)
+	case Busy:
+		p.avoidUntil = later(p.avoidUntil, now.Add(busyFor/2+time.Duration(x.rng.Int64N(int64(busyFor)))))
+	case Missing:
+		if p.held.Has(r.Index) {
+			p.held.Clear(r.Index)
+			p.count--
+			if p.Region == x.cfg.Self.Region {
+				x.holder[r.Index]--
+			}
+		}
+	case Failed:
+		if r.stalled {
+			return // already counted as a stall
+		}
+		p.avoidUntil = later(p.avoidUntil, now.Add(failedFor<<min(p.failures, maxDoublings)))
+		p.failures++
+	}
+}
+
+func (x *Exchange) strike(p *peer, now time.Time) {
+	p.avoidUntil = later(p.avoidUntil, now.Add(x.cfg.AvoidFor<<min(p.strikes, maxDoublings)))
+	p.strikes++
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Held returns the chunks held; the caller must not change it.
+func (x *Exchange) Held() Bitmap { return x.held }
+
+// Stats returns the state of the transfer.
+func (x *Exchange) Stats() Stats {
+	now := x.clock.Now()
+	s := x.stats
+	for _, p := range x.peers {
+		if !p.avoidUntil.After(now) {
+			s.Peers++
+		}
+	}
+	if took := now.Sub(x.began); s.Held > 0 && s.Held < s.Chunks {
+		s.ETA = took * time.Duration(s.Chunks-s.Held) / time.Duration(s.Held)
+	}
+	return s
+}
--- /dev/null
+++ b/core/awweights/pick.go
@@ -0,0 +1,201 @@
+package awweights
+
+import "time"
+
+// pickDuty returns a chunk that this agent is to bring into its region. Only
+// chunks that no agent of the region holds are fetched from outside.
+func (x *Exchange) pickDuty(now time.Time) (Fetch, bool) {
+	if !x.cfg.Self.Duty || x.count(false) >= x.cfg.DutyParallel || !x.mapsKnown(now) {
+		return Fetch{}, false
+	}
+	home := x.cfg.Self.Region == x.home
+	if home && x.origin.avoidUntil.After(now) {
+		return Fetch{}, false
+	}
+	if !home {
+		x.region.SetRate(now, x.cfg.RegionRate/float64(x.livePanel(now)))
+		if x.region.Wait(now) > 0 {
+			return Fetch{}, false
+		}
+	}
+	found := Fetch{Index: -1}
+	x.scan(func(i int) bool {
+		if x.byChunk[i] > 0 || x.holder[i] > 0 || !x.mine(i, now) {
+			return true
+		}
+		if home {
+			found = Fetch{Index: i, Kind: FromOrigin}
+		} else if p := x.outside(i, "", now); p != nil {
+			found = Fetch{Index: i, Kind: FromRegion, Peer: p.ID}
+		}
+		return found.Index < 0
+	})
+	return found, found.Index >= 0
+}
+
+// scan calls f with chunks that are not held, from a random one on, until f
+// returns false or scanLimit chunks have been seen.
+func (x *Exchange) scan(f func(i int) bool) {
+	from := x.rng.IntN(len(x.left))
+	for k := range min(len(x.left), scanLimit) {
+		if !f(x.left[(from+k)%len(x.left)]) {
+			return
+		}
+	}
+}
+
+// mine reports whether this agent may fetch chunk i from outside the region
+// now: it is the designated fetcher, or every one before it has made no
+// progress for a time that grows with the rank.
+func (x *Exchange) mine(i int, now time.Time) bool {
+	before, ok := x.duties.Before(i, x.cfg.Self.ID)
+	if !ok {
+		return false
+	}
+	wait := x.cfg.TakeoverAfter * time.Duration(len(before))
+	for _, id := range before {
+		if now.Sub(x.peers[id].progressed) < wait {
+			return false
+		}
+	}
+	return true
+}
+
+// mapsKnown reports whether every peer of the region was asked once. Without
+// its answer a restarted agent would fetch from outside what is there.
+func (x *Exchange) mapsKnown(now time.Time) bool {
+	if now.Sub(x.began) >= x.cfg.StartGrace {
+		return true
+	}
+	for _, p := range x.peers {
+		if p.Region == x.cfg.Self.Region && !p.heard {
+			return false
+		}
+	}
+	return true
+}
+
+// livePanel returns how many members of the panel share the region link.
+func (x *Exchange) livePanel(now time.Time) int {
+	n := 0
+	for _, id := range x.panel {
+		p := x.peers[id]
+		if id == x.cfg.Self.ID || (p != nil && now.Sub(p.progressed) < 2*x.cfg.TakeoverAfter) {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
+// usable reports whether a fetch from the peer may start now.
+func (x *Exchange) usable(p *peer, now time.Time) bool {
+	return p.running < x.cfg.PerPeer && !p.avoidUntil.After(now)
+}
+
+// outside returns an agent of another region that holds chunk i, one of the
+// home region where possible: its chunks come straight from the origin.
+func (x *Exchange) outside(i int, not string, now time.Time) *peer {
+	var best *peer
+	for _, id := range x.order {
+		p := x.peers[id]
+		if p.Region == x.cfg.Self.Region || id == not || !p.held.Has(i) || !x.usable(p, now) {
+			continue
+		}
+		switch {
+		case best == nil,
+			p.Region == x.home && best.Region != x.home,
+			(p.Region == x.home) == (best.Region == x.home) && p.running < best.running:
+			best = p
+		}
+	}
+	return best
+}
+
+// inside returns an agent of the own region that holds chunk i, the one with
+// the fewest fetches of ours.
+func (x *Exchange) inside(i int, not string, now time.Time) *peer {
+	var best *peer
+	ties := 0
+	for _, id := range x.order {
+		p := x.peers[id]
+		if p.Region != x.cfg.Self.Region || id == not || !p.held.Has(i) || !x.usable(p, now) {
+			continue
+		}
+		switch {
+		case best == nil || p.running < best.running:
+			best, ties = p, 1
+		case p.running == best.running:
+			// Each of the equal peers is chosen with the same chance.
+			if ties++; x.rng.IntN(ties) == 0 {
+				best = p
+			}
+		}
+	}
+	return best
+}
+
+// pickPeer returns the chunk that the fewest agents of the region hold, and
+// one of those agents.
+func (x *Exchange) pickPeer(now time.Time) (Fetch, bool) {
+	if x.count(true) >= x.cfg.Parallel {
+		return Fetch{}, false
+	}
+	found, rarest := Fetch{Index: -1}, 0
+	x.scan(func(i int) bool {
+		n := x.holder[i]
+		if n == 0 || x.byChunk[i] > 0 || (found.Index >= 0 && n >= rarest) {
+			return true
+		}
+		if p := x.inside(i, "", now); p != nil {
+			found, rarest = Fetch{Index: i, Kind: FromPeer, Peer: p.ID}, n
+		}
+		return true
+	})
+	return found, found.Index >= 0
+}
+
+// pickHedge returns a second source for a chunk whose first source stalls,
+// and avoids the first.
+func (x *Exchange) pickHedge(now time.Time) (Fetch, bool) {
+	found := Fetch{Index: -1}
+	for _, r := range x.active {
+		if r.Kind == FromOrigin || now.Sub(r.began) < x.cfg.StallAfter {
+			continue
+		}
+		if p := x.peers[r.Peer]; p != nil && !r.stalled {
+			x.strike(p, now)
+		}
+		r.stalled = true
+		if x.byChunk[r.Index] > 1 || (found.Index >= 0 && found.Index < r.Index) {
+			continue
+		}
+		if p := x.inside(r.Index, r.Peer, now); p != nil {
+			found = Fetch{Index: r.Index, Kind: FromPeer, Peer: p.ID}
+		} else if p := x.outside(r.Index, r.Peer, now); p != nil && r.Kind == FromRegion {
+			found = Fetch{Index: r.Index, Kind: FromRegion, Peer: p.ID}
+		}
+	}
+	return found, found.Index >= 0
+}
+
+// lastResort reports whether this agent has made no progress for so long that
+// the whole panel must be gone.
+func (x *Exchange) lastResort(now time.Time) bool {
+	wait := time.Duration(float64(x.cfg.TakeoverAfter) * float64(PanelSize+1) * x.patience)
+	return now.Sub(x.progressed) >= wait
+}
+
+// pickLast fetches one chunk at a time from wherever it can be had.
+func (x *Exchange) pickLast(now time.Time) (Fetch, bool) {
+	if !x.lastResort(now) || len(x.active) > 0 {
+		return Fetch{}, false
+	}
+	i := x.left[x.rng.IntN(len(x.left))]
+	if p := x.outside(i, "", now); p != nil {
+		return Fetch{Index: i, Kind: FromRegion, Peer: p.ID}, true
+	}
+	if x.origin.avoidUntil.After(now) {
+		return Fetch{}, false
+	}
+	return Fetch{Index: i, Kind: FromOrigin}, true
+}
--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -51,6 +51,10 @@
 	dialer   *awrpc.Dialer
 	weights  *weightStore
 
+	addresses addressBook
+	authority authority
+	loader    loader
+
 	mu       sync.Mutex
 	gate     *awadmit.Gate
 	attempts *awledger.Attempts
@@ -84,7 +88,8 @@
 		changed:  make(chan struct{}),
 	}
 	a.dialer = awrpc.NewDialer(awrpc.DialerConfig{Identity: a.identity, Revision: a.revision})
-	a.weights = newWeightStore(a.store)
+	a.weights = newWeightStore(s.Weights, cfg.Clock)
+	a.authority.limit = s.Timing.PauseLimit.Std()
 	if s.Backend.Service != "" {
 		a.ready = &awproto.ReadyModel{Model: ServicePrefix + s.Backend.Service}
 		a.state = awproto.AgentState_READY
--- /dev/null
+++ b/io/awagent/fetch.go
@@ -0,0 +1,235 @@
+package awagent
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awweights"
+	"arbutuswind/io/awrpc"
+)
+
+// addressBook holds the addresses of agents as this instance's own instance
+// list shows them. Where regions reach each other through gateways, the list
+// of a region shows other addresses than the entry that built the view knows.
+type addressBook struct {
+	mu   sync.Mutex
+	byID map[string]string
+	read time.Time
+}
+
+func (b *addressBook) of(p awconfig.Peer) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if addr := b.byID[p.Instance]; addr != "" {
+		return addr
+	}
+	return p.Address
+}
+
+// refreshAddresses reads the instance list when it was not read for a while.
+func (a *Agent) refreshAddresses(ctx context.Context) {
+	b := &a.addresses
+	now := a.cfg.Clock.Now()
+	b.mu.Lock()
+	fresh := b.byID != nil && now.Sub(b.read) < a.cfg.Settings.Timing.ListPoll.Std()
+	b.mu.Unlock()
+	if fresh {
+		return
+	}
+	list, err := a.store.Instances(ctx)
+	if err != nil {
+		return // the addresses of the view are used
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.byID, b.read = make(map[string]string, len(list)), now
+	for _, in := range list {
+		b.byID[in.ID] = in.Address
+	}
+}
+
+// wants returns the view and whether the version is still to be held here.
+func (a *Agent) wants(digest string) (awconfig.AgentView, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.view, slices.Contains(wantedDigests(a.view), digest)
+}
+
+// wantedDigests returns the versions to hold, the most urgent first.
+func wantedDigests(v awconfig.AgentView) []string {
+	var list []string
+	if v.Placement.Model != "" {
+		list = append(list, v.Placement.Digest)
+	}
+	if v.Next != nil {
+		list = append(list, v.Next.Digest)
+	}
+	return list
+}
+
+// weightLoop holds the versions that the view asks for until ctx ends.
+func (a *Agent) weightLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		changed, view := a.changed, a.view
+		a.mu.Unlock()
+		if view.Revision > 0 {
+			a.weights.retain(wantedDigests(view)...)
+		}
+		for _, digest := range wantedDigests(view) {
+			if a.weights.complete(digest) {
+				continue
+			}
+			if err := a.fetchVersion(ctx, digest, view); err != nil && ctx.Err() == nil {
+				_ = a.cfg.Logger.Log("Message", "weights not fetched", "VersionDigest", digest, "Error", err.Error())
+			}
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(a.cfg.Settings.Timing.EnginePoll.Std()):
+		}
+	}
+}
+
+// requestBufferBytes is what the agent holds for one running request.
+const requestBufferBytes = 64 << 10
+
+// fetchVersion brings one version in, within the memory of the instance.
+func (a *Agent) fetchVersion(ctx context.Context, digest string, view awconfig.AgentView) error {
+	a.refreshAddresses(ctx)
+	a.weights.begin(digest)
+	m, err := a.fetchManifest(ctx, digest, view)
+	if err != nil {
+		return err
+	}
+	limits := a.cfg.Settings.Limits
+	memory := awweights.Memory{
+		Total: a.cfg.Settings.Weights.MemoryBytes, Old: a.weights.otherBytes(digest), New: m.SizeBytes,
+		Running: uint64(limits.MaxInFlight) * requestBufferBytes,
+	}
+	plan := memory.Plan()
+	a.weights.setNoRoom(plan == awweights.Drained)
+	switch plan {
+	case awweights.NoRoom:
+		err := eris.Errorf("version of %d bytes does not fit into Weights.MemoryBytes = %d", m.SizeBytes, memory.Total)
+		a.weights.fail(digest, err.Error())
+		return err
+	case awweights.Drained:
+		if digest != view.Placement.Digest {
+			a.wake()
+			return nil // the reconciler learns from the report that it must place first
+		}
+		if err := a.stopServing(ctx); err != nil {
+			return err
+		}
+		a.weights.retain(digest)
+	case awweights.Beside:
+	}
+	a.newTransfer(digest, m).run(ctx)
+	a.wake()
+	return nil
+}
+
+// wake tells the watchers and the engine loop about a new report.
+func (a *Agent) wake() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.notify()
+}
+
+const (
+	// manifestTakeover is the time after which the next rank reads the
+	// manifest from the origin.
+	manifestTakeover = 500 * time.Millisecond
+	manifestRetry    = 50 * time.Millisecond
+)
+
+// fetchManifest gets the manifest from a peer, or from the origin when it is
+// this agent's turn. Read from the origin by all, manifests would take a
+// tenth of a copy at a hundred replicas.
+func (a *Agent) fetchManifest(ctx context.Context, digest string, view awconfig.AgentView) (awweights.Manifest, error) {
+	if m, _, ok := a.weights.manifest(digest); ok {
+		return m, nil
+	}
+	began := a.cfg.Clock.Now()
+	turn := manifestTakeover * time.Duration(a.originRank(view))
+	for {
+		if raw := a.manifestFromPeers(ctx, digest, view.Peers); raw != nil {
+			return a.weights.add(digest, raw)
+		}
+		if a.cfg.Clock.Now().Sub(began) >= turn {
+			raw, err := a.store.ManifestByDigest(ctx, digest)
+			if err == nil {
+				return a.weights.add(digest, raw)
+			}
+			turn += manifestTakeover
+		}
+		if _, ok := a.wants(digest); !ok {
+			return awweights.Manifest{}, eris.New("version is no longer wanted")
+		}
+		select {
+		case <-ctx.Done():
+			return awweights.Manifest{}, ctx.Err()
+		case <-time.After(manifestRetry):
+		}
+	}
+}
+
+// originRank returns the place of this agent among those that read the
+// manifest from the origin: the panel of the home region, then the panels of
+// the others, then all agents.
+func (a *Agent) originRank(v awconfig.AgentView) int {
+	regions, panel := []string{a.identity.Region}, []string{a.identity.Instance}
+	for _, p := range v.Peers {
+		regions = append(regions, p.Region)
+		if p.Duty && p.Region == a.identity.Region {
+			panel = append(panel, p.Instance)
+		}
+	}
+	slices.Sort(panel)
+	rank := slices.Index(panel, a.identity.Instance)
+	if awweights.HomeRegion(a.cfg.Settings.Weights.StoreRegion, regions) != a.identity.Region {
+		rank += awweights.PanelSize
+	}
+	if !v.Duty {
+		rank = 2 * awweights.PanelSize
+	}
+	return rank
+}
+
+// manifestFromPeers asks the panels at once and returns the first manifest
+// with the right digest, or nil.
+func (a *Agent) manifestFromPeers(ctx context.Context, digest string, peers []awconfig.Peer) []byte {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	found := make(chan []byte, len(peers))
+	asked := 0
+	for _, p := range peers {
+		if !p.Duty || (p.Region != a.identity.Region && asked > 2*awweights.PanelSize) {
+			continue
+		}
+		asked++
+		target := awrpc.Target{Address: a.addresses.of(p), Instance: p.Instance}
+		go func() {
+			reply, err := a.chunkMap(ctx, target, digest, true)
+			if err != nil || awweights.Digest(reply.Manifest) != digest {
+				found <- nil
+				return
+			}
+			found <- reply.Manifest
+		}()
+	}
+	for range asked {
+		if raw := <-found; raw != nil {
+			return raw
+		}
+	}
+	return nil
+}
--- a/io/awagent/inner.go
+++ b/io/awagent/inner.go
@@ -68,6 +68,9 @@
 
 func (s *innerServer) takeView(up *awproto.WatchUp) error {
 	if len(up.View) == 0 {
+		if up.Revision <= s.agent.revision() {
+			s.agent.authority.heard(s.agent.cfg.Clock.Now())
+		}
 		return nil
 	}
 	v, err := awconfig.DecodeView(up.View)
@@ -78,6 +81,7 @@
 		return eris.Errorf("view is for instance %q", v.Instance)
 	}
 	s.agent.acceptView(v)
+	s.agent.authority.heard(s.agent.cfg.Clock.Now())
 	return nil
 }
 
--- a/io/awagent/weights.go
+++ b/io/awagent/weights.go
@@ -1,107 +1,263 @@
 package awagent
 
 import (
-	"bytes"
-	"context"
+	"io"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
+	"arbutuswind/core/awclock"
 	"arbutuswind/core/awweights"
 	"arbutuswind/io/awproto"
-	"arbutuswind/io/awstore"
+	"arbutuswind/io/awsettings"
 )
 
-// weightStore holds the checked chunks of one version.
+// weightStore holds the checked chunks of the versions that this agent
+// serves, fetches or passes on. A version is known by the digest of its
+// manifest, so chunks of two versions never mix. It is safe for concurrent
+// use.
 type weightStore struct {
-	store *awstore.Client
+	clock awclock.Clock
 
 	mu       sync.Mutex
-	digest   string
+	versions map[string]*heldVersion
+	serving  string // digest of the version confirmed at the engine
+	transfer awproto.TransferReport
+	slots    *awweights.Slots
+	uplink   *awweights.Bucket
+}
+
+type heldVersion struct {
+	raw      []byte // the manifest as published
 	manifest awweights.Manifest
 	chunks   [][]byte
-	transfer awproto.TransferReport
+	held     awweights.Bitmap
+	count    int
 }
 
-func newWeightStore(store *awstore.Client) *weightStore { return &weightStore{store: store} }
+const bitsPerMbit = 1e6
 
-// ensure fetches every chunk of a version that is not held yet.
-func (w *weightStore) ensure(ctx context.Context, digest string) error {
-	data, err := w.store.ManifestByDigest(ctx, digest)
-	if err != nil {
-		return eris.Wrap(err, "fetch manifest")
+// bytesPerSecond converts a rate of the settings.
+func bytesPerSecond(mbit float64) float64 { return mbit * bitsPerMbit / 8 }
+
+func newWeightStore(cfg awsettings.Weights, clock awclock.Clock) *weightStore {
+	return &weightStore{
+		clock: clock, versions: map[string]*heldVersion{}, slots: awweights.NewSlots(cfg.UploadSlots),
+		uplink: awweights.NewBucket(bytesPerSecond(cfg.LinkMbit), 0, clock.Now()),
 	}
-	m, err := awweights.DecodeManifest(data, digest)
+}
+
+// add starts to hold a version. The manifest must be the one with the digest.
+func (w *weightStore) add(digest string, raw []byte) (awweights.Manifest, error) {
+	m, err := awweights.DecodeManifest(raw, digest)
 	if err != nil {
-		return err
+		return m, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if v := w.versions[digest]; v != nil {
+		return v.manifest, nil
+	}
+	n := len(m.Chunks)
+	w.versions[digest] = &heldVersion{raw: raw, manifest: m, chunks: make([][]byte, n), held: awweights.NewBitmap(n)}
+	return m, nil
+}
+
+// manifest returns the manifest of a version and its published form.
+func (w *weightStore) manifest(digest string) (awweights.Manifest, []byte, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := w.versions[digest]
+	if v == nil {
+		return awweights.Manifest{}, nil, false
+	}
+	return v.manifest, v.raw, true
+}
+
+// put checks a chunk and keeps it; false means that it is corrupt.
+func (w *weightStore) put(digest string, i int, want string, chunk []byte) bool {
+	if awweights.Digest(chunk) != want {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if v := w.versions[digest]; v != nil && v.chunks[i] == nil {
+		v.chunks[i] = chunk
+		v.held.Set(i)
+		v.count++
+	}
+	return true
+}
+
+// chunk returns a checked chunk and the map of those held.
+func (w *weightStore) chunk(digest string, i int) ([]byte, awweights.Bitmap) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := w.versions[digest]
+	if v == nil {
+		return nil, nil
+	}
+	if i < 0 || i >= len(v.chunks) {
+		return nil, slices.Clone(v.held)
+	}
+	return v.chunks[i], slices.Clone(v.held)
+}
+
+func (w *weightStore) held(digest string) awweights.Bitmap {
+	_, held := w.chunk(digest, -1)
+	return held
+}
+
+// complete reports whether every chunk of a version is held.
+func (w *weightStore) complete(digest string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := w.versions[digest]
+	return v != nil && v.count == len(v.chunks)
+}
+
+// writeTo sends the whole version. It returns an error without having
+// written anything when the version is not complete.
+func (w *weightStore) writeTo(out io.Writer, digest string) error {
+	w.mu.Lock()
+	v := w.versions[digest]
+	if v == nil || v.count != len(v.chunks) {
+		w.mu.Unlock()
+		return eris.New("weights are not complete")
 	}
-	w.start(digest, m)
-	for i, want := range m.Chunks {
-		if w.held(i) {
+	chunks := v.chunks
+	w.mu.Unlock()
+	for _, c := range chunks {
+		if _, err := out.Write(c); err != nil {
+			return eris.Wrap(err, "send weights")
+		}
+	}
+	return nil
+}
+
+// retain drops the chunks of every version that is not named.
+func (w *weightStore) retain(digests ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for digest, v := range w.versions {
+		if slices.Contains(digests, digest) {
 			continue
 		}
-		chunk, err := w.store.Chunk(ctx, want)
-		if err != nil {
-			return eris.Wrapf(err, "fetch chunk %d", i)
+		if digest != w.serving {
+			delete(w.versions, digest)
+			continue
 		}
-		if err := w.put(i, want, chunk); err != nil {
-			return err
+		// The manifest of the serving version still identifies its tokens.
+		v.chunks, v.held, v.count = make([][]byte, len(v.chunks)), awweights.NewBitmap(len(v.chunks)), 0
+	}
+}
+
+// otherBytes returns the memory held by versions other than digest.
+func (w *weightStore) otherBytes(digest string) uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var n uint64
+	for d, v := range w.versions {
+		if d != digest {
+			n += uint64(v.count) * v.manifest.ChunkBytes
 		}
 	}
-	return nil
+	return n
 }
 
-func (w *weightStore) start(digest string, m awweights.Manifest) {
+// fileDigest returns the digest that the engine reports for the version that
+// it was last confirmed to serve.
+func (w *weightStore) fileDigest() string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.digest == digest {
-		return
+	if v := w.versions[w.serving]; v != nil {
+		return v.manifest.FileDigest
 	}
-	w.digest, w.manifest, w.chunks = digest, m, make([][]byte, len(m.Chunks))
-	w.transfer = awproto.TransferReport{VersionDigest: digest, Chunks: uint32(len(m.Chunks))}
+	return ""
 }
 
-func (w *weightStore) held(i int) bool {
+func (w *weightStore) setServing(digest string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.chunks[i] != nil
+	w.serving = digest
 }
 
-// put checks a chunk from the origin and keeps it.
-func (w *weightStore) put(i int, want string, chunk []byte) error {
+// begin starts the report of a transfer. The same version again keeps its
+// figures.
+func (w *weightStore) begin(digest string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.transfer.OriginBytes += uint64(len(chunk))
-	if awweights.Digest(chunk) != want {
-		w.transfer.BadChunks++
-		return eris.Errorf("chunk %d is corrupt", i)
+	if w.transfer.VersionDigest != digest {
+		w.transfer = awproto.TransferReport{VersionDigest: digest}
 	}
-	w.chunks[i] = chunk
-	w.transfer.ChunksHeld++
-	return nil
 }
 
-// whole returns the weights of a version if every chunk is held.
-func (w *weightStore) whole(digest string) ([]byte, bool) {
+// progress reports the state of a transfer on top of what was taken before.
+func (w *weightStore) progress(before *awproto.TransferReport, s awweights.Stats) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := &w.transfer
+	t.Chunks, t.ChunksHeld, t.Peers = uint32(s.Chunks), uint32(s.Held), uint32(s.Peers)
+	t.BadChunks = before.BadChunks + uint32(s.Bad)
+	t.OriginBytes = before.OriginBytes + s.OriginBytes
+	t.RegionBytes = before.RegionBytes + s.RegionBytes
+	t.PeerBytes = before.PeerBytes + s.PeerByte
+	t.EtaMs = uint32(s.ETA.Milliseconds())
+}
+
+// fail reports why a version cannot be served here; empty text clears it.
+func (w *weightStore) fail(digest, text string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.digest != digest || digest == "" || int(w.transfer.ChunksHeld) != len(w.chunks) {
-		return nil, false
+	if text == "" && w.transfer.VersionDigest != digest {
+		return
+	}
+	if w.transfer.VersionDigest != digest {
+		w.transfer = awproto.TransferReport{VersionDigest: digest}
 	}
-	return bytes.Join(w.chunks, nil), true
+	w.transfer.Error = text
 }
 
-func (w *weightStore) fileDigest() string {
+func (w *weightStore) setNoRoom(noRoom bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.manifest.FileDigest
+	w.transfer.NoRoom = noRoom
 }
 
 func (w *weightStore) report() *awproto.TransferReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	t := &w.transfer
 	return &awproto.TransferReport{
-		VersionDigest: w.transfer.VersionDigest, Chunks: w.transfer.Chunks, ChunksHeld: w.transfer.ChunksHeld,
-		BadChunks: w.transfer.BadChunks, OriginBytes: w.transfer.OriginBytes,
+		VersionDigest: t.VersionDigest, Chunks: t.Chunks, ChunksHeld: t.ChunksHeld, Peers: t.Peers,
+		BadChunks: t.BadChunks, OriginBytes: t.OriginBytes, RegionBytes: t.RegionBytes, PeerBytes: t.PeerBytes,
+		EtaMs: t.EtaMs, Error: t.Error, NoRoom: t.NoRoom,
 	}
 }
+
+// acquireUpload takes an upload slot and returns the time to wait before n
+// bytes may be sent; false means that no slot is free.
+func (w *weightStore) acquireUpload(sameRegion bool, n int, share float64) (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.slots.Acquire(sameRegion) {
+		return 0, false
+	}
+	now := w.clock.Now()
+	w.uplink.SetShare(now, share)
+	return w.uplink.Take(now, uint64(n)), true
+}
+
+func (w *weightStore) releaseUpload(sameRegion bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slots.Release(sameRegion)
+}
+
+func (w *weightStore) freeSlots() uint32 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return uint32(max(0, w.slots.Free()))
+}
--- a/io/awentry/fleet.go
+++ b/io/awentry/fleet.go
@@ -19,6 +19,8 @@
 
 	mu     sync.Mutex
 	agents map[string]*agentLink
+
+	peers peerCache
 }
 
 // agentLink is one agent and the Watch stream to it.
@@ -137,7 +139,7 @@
 	behind := link.report == nil || link.report.ViewRevision < s.Revision
 	f.mu.Unlock()
 	if behind {
-		if view, err := s.View(link.info.ID, link.info.Domain).Encode(); err == nil {
+		if view, err := f.view(s, link).Encode(); err == nil {
 			up.View = view
 		}
 	}
@@ -245,6 +247,7 @@
 		if link.report != nil && len(link.report.Models) > 0 {
 			in.Digest = link.report.Models[0].VersionDigest
 		}
+		addTransfer(&in, link.report)
 		list = append(list, in)
 	}
 	return list
--- /dev/null
+++ b/io/awentry/peers.go
@@ -0,0 +1,61 @@
+package awentry
+
+import (
+	"sync"
+
+	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awplace"
+	"arbutuswind/io/awproto"
+)
+
+// peerCache keeps the layout of weight peers of one revision, which is the
+// same for the views of all agents.
+type peerCache struct {
+	mu       sync.Mutex
+	table    *awconfig.PeerTable
+	revision uint64
+	members  int
+}
+
+// view returns the view of one agent with its weight peers.
+func (f *fleet) view(s *awconfig.State, link *agentLink) awconfig.AgentView {
+	f.mu.Lock()
+	info, members := link.info, len(f.agents)
+	f.mu.Unlock()
+	v := s.View(info.ID, info.Domain)
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	if f.peers.table == nil || f.peers.revision != s.Revision || f.peers.members != members {
+		f.peers.table = awconfig.NewPeerTable(s, f.members())
+		f.peers.revision, f.peers.members = s.Revision, members
+	}
+	f.peers.table.AddTo(&v, info.Region)
+	return v
+}
+
+func (f *fleet) members() []awconfig.Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]awconfig.Peer, 0, len(f.agents))
+	for id, link := range f.agents {
+		list = append(list, awconfig.Peer{
+			Instance: id, Address: link.info.Address, Region: link.info.Region, Domain: link.info.Domain,
+		})
+	}
+	return list
+}
+
+// addTransfer tells the reconciler what an agent reports about weights.
+func addTransfer(in *awplace.Instance, r *awproto.AgentReport) {
+	t := r.GetTransfer()
+	if t == nil {
+		return
+	}
+	if t.Chunks > 0 && t.ChunksHeld == t.Chunks {
+		in.Held = t.VersionDigest
+	}
+	in.NoRoom = t.NoRoom
+	if t.Error != "" {
+		in.Failed, in.Failure = t.VersionDigest, t.Error
+	}
+}
