--- a/core/awweights/exchange.go
+++ b/core/awweights/exchange.go
@@ -332,6 +332,11 @@
 	size := x.cfg.Manifest.ChunkSize(r.Index)
 	if res == Whole || res == Corrupt {
 		x.countBytes(r.Kind, size)
+	} else {
+		x.link.Return(now, size)
+		if r.Kind == FromRegion {
+			x.region.Return(now, size)
+		}
 	}
 	x.judge(p, r, res, now)
 	if res != Whole || x.held.Has(r.Index) {
--- a/core/awweights/limits.go
+++ b/core/awweights/limits.go
@@ -60,6 +60,12 @@
 	return b.Wait(now)
 }
 
+// Return gives back bytes that were taken and not sent.
+func (b *Bucket) Return(now time.Time, n uint64) {
+	b.refill(now)
+	b.tokens = min(b.burst, b.tokens+float64(n))
+}
+
 // minShare is what weights keep of a link under full live load, so that a
 // rollout to a busy fleet still ends.
 const minShare = 0.25
--- a/internal/awstandin/platform.go
+++ b/internal/awstandin/platform.go
@@ -38,6 +38,7 @@
 	chunks    map[string][]byte
 	instances map[string]awstore.Instance
 	history   []listSnapshot
+	gateways  map[string]map[string]string // address by region of the reader and instance
 
 	origin      *rate.Limiter
 	originBytes atomic.Int64
@@ -56,7 +57,7 @@
 func NewPlatform(cfg PlatformConfig) *Platform {
 	p := &Platform{
 		cfg: cfg, objects: map[string][]byte{}, manifests: map[string][]byte{},
-		chunks: map[string][]byte{}, instances: map[string]awstore.Instance{},
+		chunks: map[string][]byte{}, instances: map[string]awstore.Instance{}, gateways: map[string]map[string]string{},
 	}
 	p.table = newTable(&p.faults, cfg.WritesPerSecond)
 	if cfg.OriginMbit > 0 {
@@ -80,6 +81,7 @@
 	r.Get("/instances", p.listInstances)
 	r.Put("/instances", p.putInstance)
 	r.Delete("/instances/{id}", p.deleteInstance)
+	r.Put("/gateways", p.putGateway)
 	r.Get("/admin/origin", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, map[string]int64{"OriginBytes": p.originBytes.Load()})
 	})
@@ -203,7 +205,7 @@
 	}
 }
 
-func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) listInstances(w http.ResponseWriter, r *http.Request) {
 	frozen := p.faults.get().ListFrozen
 	now := time.Now()
 	p.mu.Lock()
@@ -217,9 +219,36 @@
 			shown = s.list
 		}
 	}
+	if via := p.gateways[r.URL.Query().Get("For")]; via != nil {
+		shown = slices.Clone(shown)
+		for i, in := range shown {
+			if addr := via[in.ID]; addr != "" {
+				shown[i].Address = addr
+			}
+		}
+	}
 	writeJSON(w, shown)
 }
 
+// Gateway is the address through which a region reaches an instance.
+type Gateway struct{ For, Instance, Address string }
+
+// putGateway sets the address of an instance in the list for one region.
+func (p *Platform) putGateway(w http.ResponseWriter, r *http.Request) {
+	var g Gateway
+	if err := json.NewDecoder(r.Body).Decode(&g); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.gateways[g.For] == nil {
+		p.gateways[g.For] = map[string]string{}
+	}
+	p.gateways[g.For][g.Instance] = g.Address
+	writeJSON(w, struct{}{})
+}
+
 func (p *Platform) snapshotList(now time.Time) {
 	list := make([]awstore.Instance, 0, len(p.instances))
 	for _, in := range p.instances {
--- a/io/awcommand/bench.go
+++ b/io/awcommand/bench.go
@@ -26,6 +26,22 @@
 	run experiment
 }
 
+func (c *benchCommand) experiment() experiment { return c.run }
+
+// runnable is a command that runs an experiment.
+type runnable interface{ experiment() experiment }
+
+type rolloutCommand struct {
+	command
+	awbench.RolloutOptions
+}
+
+func (c *rolloutCommand) experiment() experiment {
+	return func(ctx context.Context, binDir string) (any, error) {
+		return awbench.Rollout(ctx, binDir, c.RolloutOptions)
+	}
+}
+
 // benchTimeout bounds one experiment.
 const benchTimeout = 5 * time.Minute
 
@@ -34,7 +50,7 @@
 	p := flags.NewNamedParser("awbench", flags.HelpFlag|flags.PassDoubleDash)
 	var chosen experiment
 	p.CommandHandler = func(cmd flags.Commander, _ []string) error {
-		chosen = cmd.(*benchCommand).run
+		chosen = cmd.(runnable).experiment()
 		return nil
 	}
 	for name, run := range experiments {
@@ -43,6 +59,10 @@
 			return ExitUsage
 		}
 	}
+	if _, err := p.AddCommand("rollout", "Experiment rollout", "", &rolloutCommand{}); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
 	if code, ok := parse(p, nil, args, stdout, stderr); !ok {
 		return code
 	}
