--- a/io/awsettings/daemons.go
+++ b/io/awsettings/daemons.go
@@ -14,6 +14,7 @@
 	TLS      TLS
 	Trace    Trace
 	Limits   EntryLimits
+	Claims   Claims
 	Timing   EntryTiming
 }
 
@@ -58,8 +59,9 @@
 
 // AgentListen holds the addresses of awagent, IP:port each.
 type AgentListen struct {
-	Inner string // fixed for the instance: binding it makes this the only agent
-	Local string // for the engine and for metrics
+	Inner      string // fixed for the instance: binding it makes this the only agent
+	Advertised string // address at which others reach Inner; empty means Inner
+	Local      string // for the engine and for metrics
 }
 
 // Backend describes the backend server beside the agent.
@@ -124,6 +126,7 @@
 			MaxBodyBytes: 1 << 20, HeldBytes: 64 << 20, StreamBytes: 64 << 10,
 			DefaultDeadline: seconds(60), MaxDeadline: seconds(600),
 		},
+		Claims: defaultClaims(),
 		Timing: EntryTiming{
 			ConfigPoll: seconds(0.5), ListPoll: seconds(2), Heartbeat: seconds(1),
 			MissingAfter: seconds(15), MaxIsolation: seconds(30), Drain: seconds(60),
@@ -194,6 +197,7 @@
 		"%d is not allowed; want 4096 to 65536", c.Limits.StreamBytes)
 	f.duration("Limits.DefaultDeadline", c.Limits.DefaultDeadline)
 	f.duration("Limits.MaxDeadline", c.Limits.MaxDeadline)
+	c.Claims.check(&f, c.Limits.MaxDeadline)
 	f.duration("Timing.ConfigPoll", c.Timing.ConfigPoll)
 	f.duration("Timing.ListPoll", c.Timing.ListPoll)
 	f.duration("Timing.Heartbeat", c.Timing.Heartbeat)
@@ -207,6 +211,9 @@
 	var f faults
 	f.common(c.Process, c.TLS, c.Trace)
 	f.address("Listen.Inner", c.Listen.Inner)
+	if c.Listen.Advertised != "" {
+		f.address("Listen.Advertised", c.Listen.Advertised)
+	}
 	f.address("Listen.Local", c.Listen.Local)
 	f.require(c.Platform.InstanceListURL != "", "Platform.InstanceListURL", "missing; want the URL of the instance list")
 	f.require(c.Backend.URL != "", "Backend.URL", "missing; want the URL of the backend server")
