Move versions in bounded steps and halt those that fail to load

The reconciler changed one replica at a time, before it held the new weights, and a freshly started entry took every instance it had not seen for missing.

Instances that are gone are replaced only where a free one exists. awplace.Halt proposes HaltVersion for a version that does not load; placements then return to the previous one. A change of configuration wakes the reconciler. Loopback ports of the bench come from below the ephemeral range, since an outgoing connection took one before its process listened on it.

--- a/core/awplace/awplace.go
+++ b/core/awplace/awplace.go
@@ -1,13 +1,22 @@
 // Package awplace decides which instance serves which model.
 //
-// Next is a pure function that proposes the changes of one step. It keeps
-// every placement that is still valid, so that an instance list that lags or
-// flaps moves nothing.
+// Next is a pure function that proposes the changes of one step from what is
+// observed now; it keeps no plan, so the result after any number of failures
+// is the same as without them. It keeps every placement that is still valid:
+//
+//   - An instance that is missing for at most MissingAfter, and one whose
+//     domain is out of service, keeps its placement. A domain returns warm.
+//   - A drained, leaving or missing instance keeps its placement as well until
+//     a free instance can take it over, so nothing moves without a gain. No
+//     extra replicas are placed for a domain that is out.
+//   - A version change moves instances that hold the new version already, as
+//     many at a time as MaxUnavailable and MaxSurge allow.
 package awplace
 
 import (
+	"cmp"
+	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"arbutuswind/core/awconfig"
@@ -28,8 +37,30 @@
 
 // Config configures the reconciler.
 type Config struct {
-	MissingAfter   time.Duration // silence before an instance is replaced
-	MaxUnavailable int           // replicas of a model that may change version at once; 0 means 1
+	MissingAfter time.Duration // silence before an instance is replaced
+	// Started is when this process began to observe. Until MissingAfter has
+	// passed since, an instance not observed is not taken for missing.
+	Started time.Time
+	// MaxUnavailable is how many replicas of a model a version change may
+	// make unavailable; 0 means a quarter of them, negative means none.
+	MaxUnavailable int
+	// MaxSurge is how many replicas above the wanted number a version change
+	// may place on free instances; 0 means a quarter, negative means none.
+	MaxSurge int
+}
+
+// defaultShare of the replicas may be unavailable, and as many surplus. With
+// a quarter, a version change takes about four load times.
+const defaultShare = 4
+
+func bound(configured, replicas int) int {
+	switch {
+	case configured < 0:
+		return 0
+	case configured == 0:
+		return (replicas + defaultShare - 1) / defaultShare
+	}
+	return configured
 }
 
 // Next returns the placements to change; an empty Model removes one. It
@@ -39,12 +70,15 @@
 	for _, in := range observed {
 		p.byID[in.ID] = in
 	}
-	names := make([]string, 0, len(s.Models))
-	for name := range s.Models {
-		names = append(names, name)
+	for _, id := range slices.Sorted(maps.Keys(s.Placements)) {
+		// The sheet may have dropped the model or its domain.
+		m, ok := s.Models[s.Placements[id].Model]
+		in, seen := p.byID[id]
+		if !ok || (seen && !slices.Contains(m.Domains, in.Domain)) {
+			p.changes[id] = awconfig.Placement{}
+		}
 	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(s.Models)) {
 		p.model(s.Models[name])
 	}
 	if len(p.changes) == 0 {
@@ -61,90 +95,178 @@
 	changes map[string]awconfig.Placement
 }
 
-func (p *planner) usable(in Instance) bool {
-	return !in.Leaving && !p.state.Instances[in.ID].Drained && p.now.Sub(in.LastSeen) <= p.cfg.MissingAfter
+// gone reports whether an instance is to be replaced where capacity allows.
+func (p *planner) gone(id string) bool {
+	in, ok := p.byID[id]
+	if !ok {
+		return p.now.Sub(p.cfg.Started) > p.cfg.MissingAfter
+	}
+	return in.Leaving || p.state.Instances[id].Drained || p.now.Sub(in.LastSeen) > p.cfg.MissingAfter
+}
+
+// available reports whether the instance serves callers the weights that it
+// is placed for.
+func (p *planner) available(id string) bool {
+	in, ok := p.byID[id]
+	return ok && !p.gone(id) && in.Digest != "" && in.Digest == p.state.Placements[id].Digest &&
+		!p.state.Domains[in.Domain].Out
 }
 
 func (p *planner) model(m awconfig.Model) {
+	target := p.state.Target(m)
+	want := awconfig.Placement{Model: m.Name, Version: target.Version, Digest: target.Digest}
 	var kept []string
 	for id, pl := range p.state.Placements {
-		if pl.Model != m.Name {
-			continue
+		if _, removed := p.changes[id]; pl.Model == m.Name && !removed {
+			kept = append(kept, id)
 		}
-		in, ok := p.byID[id]
-		if !ok || !p.usable(in) || !slices.Contains(m.Domains, in.Domain) {
-			p.changes[id] = awconfig.Placement{}
-			continue
+	}
+	slices.Sort(kept)
+	kept = p.replace(want, m, kept)
+	for len(kept) < m.Replicas {
+		id := p.freeInstance(m)
+		if id == "" {
+			break
 		}
+		p.changes[id] = want
 		kept = append(kept, id)
 	}
-	slices.Sort(kept)
-	for len(kept) > m.Replicas {
-		last := len(kept) - 1
-		p.changes[kept[last]] = awconfig.Placement{}
-		kept = kept[:last]
+	if p.upgrade(want, m, kept) {
+		return
 	}
-	p.upgrade(m, kept)
-	p.fill(m, len(kept))
+	p.shrink(m, kept)
 }
 
-// upgrade moves replicas to the wanted version, a bounded number at a time.
-func (p *planner) upgrade(m awconfig.Model, kept []string) {
-	if _, halted := p.state.Halted[m.Digest]; halted {
-		return
-	}
-	moving := 0
-	for _, id := range kept {
-		pl := p.state.Placements[id]
-		if pl.Digest == m.Digest && p.byID[id].Digest != m.Digest {
-			moving++
+// replace moves the placements of instances that are gone to free ones.
+func (p *planner) replace(want awconfig.Placement, m awconfig.Model, kept []string) []string {
+	for i, id := range kept {
+		if !p.gone(id) {
+			continue
 		}
+		to := p.freeInstance(m)
+		if to == "" {
+			break
+		}
+		p.changes[id] = awconfig.Placement{}
+		p.changes[to] = want
+		kept[i] = to
 	}
+	return kept
+}
+
+// upgrade moves replicas to the wanted version and reports whether any is
+// left on another one.
+func (p *planner) upgrade(want awconfig.Placement, m awconfig.Model, kept []string) bool {
+	var old []string
+	available := 0
 	for _, id := range kept {
-		if moving >= max(1, p.cfg.MaxUnavailable) {
-			return
+		if p.available(id) {
+			available++
 		}
-		if p.state.Placements[id].Digest != m.Digest {
-			p.changes[id] = awconfig.Placement{Model: m.Name, Version: m.Version, Digest: m.Digest}
-			moving++
+		pl, ok := p.state.Placements[id]
+		if _, changed := p.changes[id]; ok && !changed && pl.Digest != want.Digest {
+			old = append(old, id)
 		}
 	}
+	if len(old) == 0 {
+		return false
+	}
+	p.surge(want, m, len(kept))
+	budget := available - (m.Replicas - bound(p.cfg.MaxUnavailable, m.Replicas))
+	if bound(p.cfg.MaxUnavailable, m.Replicas) == 0 && available >= m.Replicas && len(p.changes) == 0 {
+		// Without room for a surge one replica at a time must give way.
+		budget = max(1, budget)
+	}
+	for _, id := range old {
+		switch {
+		case !p.available(id):
+			p.changes[id] = want // costs no capacity
+		case budget > 0 && p.movable(id, want.Digest):
+			p.changes[id] = want
+			budget--
+		}
+	}
+	return true
 }
 
-// fill adds replicas on free instances, evenly over the allowed domains.
-func (p *planner) fill(m awconfig.Model, have int) {
-	for ; have < m.Replicas; have++ {
+// movable reports whether an instance that serves can load the version at
+// once, or cannot fetch it before it gives up the old one.
+func (p *planner) movable(id, digest string) bool {
+	in := p.byID[id]
+	return in.Held == digest || in.NoRoom
+}
+
+// surge places the version on free instances beyond the wanted number.
+func (p *planner) surge(want awconfig.Placement, m awconfig.Model, have int) {
+	for ; have < m.Replicas+bound(p.cfg.MaxSurge, m.Replicas); have++ {
 		id := p.freeInstance(m)
 		if id == "" {
 			return
 		}
-		p.changes[id] = awconfig.Placement{Model: m.Name, Version: m.Version, Digest: m.Digest}
+		p.changes[id] = want
 	}
 }
 
-func (p *planner) freeInstance(m awconfig.Model) string {
-	perDomain := map[string]int{}
-	for id := range p.byID {
-		if p.placed(id) == m.Name {
+// shrink removes what is above the wanted number, first what serves nobody,
+// then from the fullest domain. Nothing that serves is removed while the
+// others do not make up the wanted number.
+func (p *planner) shrink(m awconfig.Model, kept []string) {
+	for surplus := len(kept) - m.Replicas; surplus > 0; surplus-- {
+		available, perDomain := 0, map[string]int{}
+		for _, id := range kept {
 			perDomain[p.byID[id].Domain]++
+			if p.available(id) {
+				available++
+			}
+		}
+		victim := slices.MinFunc(kept, func(a, b string) int {
+			return cmp.Or(
+				compareBool(p.available(a), p.available(b)),
+				cmp.Compare(perDomain[p.byID[b].Domain], perDomain[p.byID[a].Domain]),
+				cmp.Compare(b, a),
+			)
+		})
+		if _, fresh := p.changes[victim]; fresh || (p.available(victim) && available <= m.Replicas) {
+			return
 		}
+		p.changes[victim] = awconfig.Placement{}
+		kept = slices.DeleteFunc(kept, func(id string) bool { return id == victim })
+	}
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
 	}
+	return 1
+}
+
+// freeInstance returns a free instance in the domain with the fewest replicas
+// of the model, domains out of service last.
+func (p *planner) freeInstance(m awconfig.Model) string {
+	perDomain := map[string]int{}
 	var free []Instance
 	for id, in := range p.byID {
-		if p.placed(id) == "" && p.usable(in) && slices.Contains(m.Domains, in.Domain) {
+		switch placed := p.placed(id); {
+		case placed == m.Name && !p.gone(id):
+			perDomain[in.Domain]++
+		case placed == "" && !p.gone(id) && slices.Contains(m.Domains, in.Domain):
 			free = append(free, in)
 		}
 	}
 	if len(free) == 0 {
 		return ""
 	}
-	slices.SortFunc(free, func(a, b Instance) int {
-		if d := perDomain[a.Domain] - perDomain[b.Domain]; d != 0 {
-			return d
-		}
-		return strings.Compare(a.ID, b.ID)
-	})
-	return free[0].ID
+	return slices.MinFunc(free, func(a, b Instance) int {
+		return cmp.Or(
+			compareBool(p.state.Domains[a.Domain].Out, p.state.Domains[b.Domain].Out),
+			cmp.Compare(perDomain[a.Domain], perDomain[b.Domain]),
+			cmp.Compare(a.ID, b.ID),
+		)
+	}).ID
 }
 
 func (p *planner) placed(id string) string {
--- a/internal/awbench/cluster.go
+++ b/internal/awbench/cluster.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -137,14 +138,39 @@
 	}
 }
 
-// FreeAddress returns a loopback address that is free now.
+const (
+	// Addresses come from below the ports that the kernel gives to outgoing
+	// connections. One of those took a port between the check and the start
+	// of the process that was to listen on it.
+	firstPort = 10_000
+	lastPort  = 32_000
+)
+
+var nextPort struct {
+	mu   sync.Mutex
+	port int
+}
+
+// FreeAddress returns a loopback address that is free now and that this
+// process has not returned lately.
 func FreeAddress() (string, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "free address")
+	nextPort.mu.Lock()
+	defer nextPort.mu.Unlock()
+	if nextPort.port == 0 {
+		nextPort.port = firstPort + rand.IntN(lastPort-firstPort)
+	}
+	for range lastPort - firstPort {
+		if nextPort.port++; nextPort.port > lastPort {
+			nextPort.port = firstPort
+		}
+		lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort.port))
+		if err != nil {
+			continue
+		}
+		_ = lis.Close()
+		return lis.Addr().String(), nil
 	}
-	defer lis.Close()
-	return lis.Addr().String(), nil
+	return "", eris.New("no loopback port is free")
 }
 
 func (c *Cluster) settings(name string, v any) (string, error) {
--- a/io/awentry/reconcile.go
+++ b/io/awentry/reconcile.go
@@ -13,34 +13,52 @@
 // reconcilePeriod is the time between two looks at the fleet.
 const reconcilePeriod = time.Second
 
+// changeDelay bounds the time after which a change of configuration is acted
+// upon; entries spread over it.
+const changeDelay = 100 * time.Millisecond
+
 // reconcileLoop makes the fleet match the configuration until ctx ends. Every
 // entry runs it; of two that act at once the log accepts one.
 func (e *Entry) reconcileLoop(ctx context.Context) {
+	started := e.cfg.Clock.Now()
 	for {
+		changed := e.holder.Changed()
 		select {
 		case <-ctx.Done():
 			return
+		case <-changed:
+			// A new sheet is placed soon, and not by every entry at once.
+			time.Sleep(e.jitter(changeDelay))
 		case <-time.After(reconcilePeriod/2 + e.jitter(reconcilePeriod)):
 		}
-		if err := e.reconcile(ctx); err != nil && ctx.Err() == nil {
+		if err := e.reconcile(ctx, started); err != nil && ctx.Err() == nil {
 			_ = e.cfg.Logger.Log("Message", "placement not changed", "Error", err.Error())
 		}
 	}
 }
 
-func (e *Entry) reconcile(ctx context.Context) error {
+func (e *Entry) reconcile(ctx context.Context, started time.Time) error {
 	if e.ready() != nil {
 		return nil
 	}
 	s := e.holder.State()
-	cfg := awplace.Config{MissingAfter: e.cfg.Settings.Timing.MissingAfter.Std()}
-	moves := awplace.Next(s, e.fleet.observed(), cfg, e.cfg.Clock.Now())
+	observed := e.fleet.observed()
+	if digest, reason, halt := awplace.Halt(s, observed); halt {
+		_ = e.cfg.Logger.Log("Message", "version halted", "VersionDigest", digest, "Reason", reason)
+		return e.commitStep(ctx, s.Revision, awconfig.Change{Kind: awconfig.KindHaltVersion, Target: digest, Reason: reason})
+	}
+	cfg := awplace.Config{MissingAfter: e.cfg.Settings.Timing.MissingAfter.Std(), Started: started}
+	moves := awplace.Next(s, observed, cfg, e.cfg.Clock.Now())
 	if moves == nil {
 		return nil
 	}
-	_, err := e.log.Commit(ctx, s.Revision, awconfig.Change{
-		Kind: awconfig.KindPlace, Actor: e.identity.Instance, Placements: moves,
-	})
+	return e.commitStep(ctx, s.Revision, awconfig.Change{Kind: awconfig.KindPlace, Placements: moves})
+}
+
+// commitStep commits one step of the reconciler.
+func (e *Entry) commitStep(ctx context.Context, base uint64, c awconfig.Change) error {
+	c.Actor = e.identity.Instance
+	_, err := e.log.Commit(ctx, base, c)
 	var conflict *awcontrol.ConflictError
 	if errors.As(err, &conflict) {
 		return nil // another entry acted first; the next look starts from its result
