Distrust peers that only send bad chunks, and end the wait for a dead panel

The simulated failures of the exchange found three transfers that never ended: with the whole panel of a region dead, agents read one chunk per last-resort timeout; a peer that held a chunk and only sent bad ones, or was always busy, kept the region from fetching it again. A peer is now taken to hold nothing after three bad chunks in a row, and the last resort stays in force once reached.

--- a/core/awweights/exchange.go
+++ b/core/awweights/exchange.go
@@ -39,7 +39,7 @@
 	PerPeer       int           // fetches from one peer at once
 	TakeoverAfter time.Duration // without progress of a designated fetcher
 	StallAfter    time.Duration // before a chunk is fetched from a second source
-	AvoidFor      time.Duration // after a bad chunk or a stall; doubled each time
+	AvoidFor      time.Duration // after a bad chunk or a stall; doubled for each in a row
 	StartGrace    time.Duration // for the first chunk maps before duties begin
 }
 
@@ -49,7 +49,7 @@
 	defaultPerPeer       = 2
 	defaultTakeoverAfter = 2 * time.Second
 	defaultStallAfter    = 1500 * time.Millisecond
-	defaultAvoidFor      = 10 * time.Second
+	defaultAvoidFor      = 2 * time.Second
 	defaultStartGrace    = 300 * time.Millisecond
 
 	// busyFor keeps an agent away from a peer whose slots are taken; about
@@ -57,6 +57,10 @@
 	busyFor = 40 * time.Millisecond
 	// failedFor is the first pause after a failed call; doubled each time.
 	failedFor = 250 * time.Millisecond
+	// distrustAfter is the number of bad chunks in a row after which a peer is
+	// taken to hold nothing. A link that corrupts one chunk in a hundred gets
+	// there once in a million chunks.
+	distrustAfter = 3
 	// maxDoublings bounds the growth of pauses.
 	maxDoublings = 5
 	// scanLimit bounds the chunks compared for one choice, so that the cost
@@ -122,7 +126,9 @@
 	progressed time.Time // last growth of its map
 	heard      bool      // asked once, with or without an answer
 	avoidUntil time.Time
-	strikes    int // bad chunks and stalls
+	strikes    int // bad chunks and stalls in a row
+	badRun     int // bad chunks in a row
+	distrusted bool
 	failures   int // failed calls in a row
 	running    int
 }
@@ -156,7 +162,8 @@
 	origin  peer // pauses of the origin
 
 	began, progressed time.Time
-	patience          float64 // 1 to 2, spreads the last resort over agents
+	patience          float64   // 1 to 2, spreads the last resort over agents
+	rescue            time.Time // since when the panel is taken for gone; zero while it works
 	stats             Stats
 }
 
@@ -230,7 +237,7 @@
 		return
 	}
 	p.heard = true
-	if held == nil {
+	if held == nil || p.distrusted {
 		return
 	}
 	near := p.Region == x.cfg.Self.Region
@@ -263,7 +270,7 @@
 	for _, id := range x.order {
 		p := x.peers[id]
 		near := p.Region == x.cfg.Self.Region
-		if p.count < x.stats.Chunks && (near || x.cfg.Self.Duty || x.lastResort(x.clock.Now())) {
+		if p.count < x.stats.Chunks && !p.distrusted && (near || x.cfg.Self.Duty || !x.rescue.IsZero()) {
 			ids = append(ids, id)
 		}
 	}
@@ -377,23 +384,20 @@
 	}
 	switch res {
 	case Whole:
-		p.failures = 0
+		p.failures, p.strikes, p.badRun = 0, 0, 0
 	case Corrupt:
 		if r.Kind == FromOrigin {
 			// There is no second origin; the chunk is simply read again.
 			return
 		}
 		x.strike(p, now)
+		if p.badRun++; p.badRun >= distrustAfter {
+			x.distrust(p)
+		}
 	case Busy:
 		p.avoidUntil = later(p.avoidUntil, now.Add(busyFor/2+time.Duration(x.rng.Int64N(int64(busyFor)))))
 	case Missing:
-		if p.held.Has(r.Index) {
-			p.held.Clear(r.Index)
-			p.count--
-			if p.Region == x.cfg.Self.Region {
-				x.holder[r.Index]--
-			}
-		}
+		x.forget(p, r.Index)
 	case Failed:
 		if r.stalled {
 			return // already counted as a stall
@@ -408,6 +412,27 @@
 	p.strikes++
 }
 
+// forget notes that a peer does not hold chunk i.
+func (x *Exchange) forget(p *peer, i int) {
+	if !p.held.Has(i) {
+		return
+	}
+	p.held.Clear(i)
+	p.count--
+	if p.Region == x.cfg.Self.Region {
+		x.holder[i]--
+	}
+}
+
+// distrust takes a peer to hold nothing, so that its chunks are fetched from
+// outside the region again.
+func (x *Exchange) distrust(p *peer) {
+	p.distrusted = true
+	for i := range x.stats.Chunks {
+		x.forget(p, i)
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -423,7 +448,7 @@
 	now := x.clock.Now()
 	s := x.stats
 	for _, p := range x.peers {
-		if !p.avoidUntil.After(now) {
+		if !p.distrusted && !p.avoidUntil.After(now) {
 			s.Peers++
 		}
 	}
--- /dev/null
+++ b/core/awweights/exchange_test.go
@@ -0,0 +1,289 @@
+package awweights_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutuswind/core/awclock"
+	"arbutuswind/core/awweights"
+)
+
+const (
+	simChunks = 60
+	simStep   = 10 * time.Millisecond
+	simLimit  = 2 * time.Minute // of simulated time
+)
+
+// swarm runs the exchanges of several agents over a simulated network in
+// which a chunk takes two steps inside a region and four otherwise.
+type swarm struct {
+	t       *testing.T
+	clock   *awclock.Fake
+	nodes   map[string]*node
+	ids     []string
+	origin  int            // chunks read from the origin
+	crossed map[string]int // chunks by "from>to" region
+	corrupt map[string]bool
+	stalled map[string]bool
+	busy    map[string]bool
+	badRead int // reads of the origin that are corrupt, counted down
+}
+
+type node struct {
+	self  awweights.Source
+	x     *awweights.Exchange
+	dead  bool
+	calls map[uint64]call
+}
+
+type call struct {
+	awweights.Fetch
+	due time.Time
+}
+
+func newSwarm(t *testing.T, regions, perRegion int) *swarm {
+	s := &swarm{
+		t: t, clock: awclock.NewFake(time.Unix(0, 0)), nodes: map[string]*node{}, crossed: map[string]int{},
+		corrupt: map[string]bool{}, stalled: map[string]bool{}, busy: map[string]bool{},
+	}
+	for r := range regions {
+		region := fmt.Sprintf("r%d", r)
+		var ids []string
+		for i := range perRegion {
+			ids = append(ids, fmt.Sprintf("%s-%02d", region, i))
+		}
+		panel := awweights.Panel(region, ids)
+		for _, id := range ids {
+			s.nodes[id] = &node{self: awweights.Source{ID: id, Region: region, Duty: slices.Contains(panel, id)}}
+		}
+		s.ids = append(s.ids, ids...)
+	}
+	for _, id := range s.ids {
+		s.start(id, nil)
+	}
+	return s
+}
+
+func (s *swarm) start(id string, held awweights.Bitmap) {
+	n := s.nodes[id]
+	m := awweights.NewManifest("m", "v", make([]byte, simChunks*100), 100)
+	cfg := awweights.Config{Self: n.self, StoreRegion: "r0", Digest: "d", Manifest: m}
+	n.x = awweights.NewExchange(cfg, s.clock, rand.New(rand.NewPCG(1, awweights.Score("", id))), held)
+	n.calls = map[uint64]call{}
+	var peers []awweights.Source
+	for _, other := range s.ids {
+		if o := s.nodes[other].self; other != id && (o.Region == n.self.Region || o.Duty) {
+			peers = append(peers, o)
+		}
+	}
+	n.x.SetPeers(peers)
+}
+
+// run steps the simulation until every live agent is complete.
+func (s *swarm) run() {
+	for step := 0; ; step++ {
+		done := true
+		for _, id := range s.ids {
+			n := s.nodes[id]
+			if !n.dead && !s.stalled[id] {
+				s.step(n, step)
+				done = done && n.x.Complete()
+			}
+		}
+		if done {
+			return
+		}
+		s.clock.Advance(simStep)
+		require.Less(s.t, time.Duration(step)*simStep, simLimit, "the transfer does not end")
+	}
+}
+
+func (s *swarm) step(n *node, step int) {
+	if step%20 == 0 {
+		for _, id := range n.x.Asks() {
+			if p := s.nodes[id]; p.dead || s.stalled[id] {
+				n.x.Heard(id, nil)
+			} else {
+				n.x.Heard(id, p.x.Held())
+			}
+		}
+	}
+	now := s.clock.Now()
+	for _, id := range sortedCalls(n.calls) {
+		if c, ok := n.calls[id]; ok && !now.Before(c.due) {
+			s.finish(n, c)
+		}
+	}
+	for f, ok := n.x.Next(); ok; f, ok = n.x.Next() {
+		steps := 2
+		if f.Kind != awweights.FromPeer {
+			steps = 4
+		}
+		if s.stalled[f.Peer] {
+			steps = 2000 // the call's timeout
+		}
+		n.calls[f.ID] = call{Fetch: f, due: now.Add(time.Duration(steps) * simStep)}
+	}
+}
+
+func sortedCalls(calls map[uint64]call) []uint64 {
+	var ids []uint64
+	for id := range calls {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (s *swarm) finish(n *node, c call) {
+	delete(n.calls, c.ID)
+	res := awweights.Whole
+	if c.Kind == awweights.FromOrigin {
+		s.origin++
+		if s.badRead > 0 {
+			s.badRead--
+			res = awweights.Corrupt
+		}
+	} else {
+		p := s.nodes[c.Peer]
+		switch {
+		case p.dead || s.stalled[c.Peer]:
+			res = awweights.Failed
+		case s.busy[c.Peer]:
+			res = awweights.Busy
+		case !p.x.Held().Has(c.Index):
+			res = awweights.Missing
+		case s.corrupt[c.Peer]:
+			res = awweights.Corrupt
+		}
+		if c.Kind == awweights.FromRegion && res == awweights.Whole {
+			s.crossed[p.self.Region+">"+n.self.Region]++
+		}
+	}
+	for _, other := range n.x.Done(c.ID, res) {
+		delete(n.calls, other)
+		n.x.Done(other, awweights.Cancelled)
+	}
+}
+
+func (s *swarm) panel(region string) []string {
+	var list []string
+	for _, id := range s.ids {
+		if n := s.nodes[id]; n.self.Region == region && n.self.Duty {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// Guards against duplicate reads of the origin and duplicate copies over the
+// region links, and against a time that grows with the fleet.
+func TestOneCopyPerLink(t *testing.T) {
+	var took []time.Duration
+	for _, perRegion := range []int{2, 8, 24} {
+		s := newSwarm(t, 3, perRegion)
+		began := s.clock.Now()
+		s.run()
+		took = append(took, s.clock.Now().Sub(began))
+		require.Equal(t, simChunks, s.origin)
+		require.Equal(t, map[string]int{"r0>r1": simChunks, "r0>r2": simChunks}, s.crossed)
+	}
+	require.LessOrEqual(t, float64(took[2]), 1.3*float64(took[0]), "times to 6 and 72 replicas: %v", took)
+}
+
+// Each case brings about one failure and bounds the extra reads that the
+// failure may cost.
+func TestTransferSurvives(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		fault  func(s *swarm)
+		origin int // most chunks read from the origin
+	}{
+		{"designated fetcher dead", func(s *swarm) { s.nodes[s.panel("r0")[0]].dead = true }, simChunks + simChunks/5},
+		{"designated fetcher stalled", func(s *swarm) { s.stalled[s.panel("r0")[0]] = true }, simChunks + simChunks/5},
+		{"panel of the home region dead", func(s *swarm) {
+			for _, id := range s.panel("r0") {
+				s.nodes[id].dead = true
+			}
+		}, 3 * simChunks},
+		{"panel of a far region dead", func(s *swarm) {
+			for _, id := range s.panel("r2") {
+				s.nodes[id].dead = true
+			}
+		}, 3 * simChunks},
+		{"peer sends bad chunks", func(s *swarm) { s.corrupt[s.panel("r0")[1]] = true }, 2 * simChunks},
+		{"peer always busy", func(s *swarm) { s.busy[s.panel("r0")[1]] = true }, 2 * simChunks},
+		{"origin sends bad chunks", func(s *swarm) { s.badRead = 7 }, simChunks + 7},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSwarm(t, 3, 8)
+			c.fault(s)
+			s.run()
+			require.LessOrEqual(t, s.origin, c.origin)
+		})
+	}
+}
+
+// Guards against a peer that keeps sending bad chunks being asked again and
+// again.
+func TestBadPeerIsAvoided(t *testing.T) {
+	s := newSwarm(t, 1, 6)
+	bad := s.ids[0]
+	s.nodes[bad].x = nil
+	held := awweights.NewBitmap(simChunks)
+	for i := range simChunks {
+		held.Set(i)
+	}
+	s.start(bad, held)
+	s.corrupt[bad] = true
+	s.run()
+	for _, id := range s.ids {
+		require.LessOrEqual(t, s.nodes[id].x.Stats().Bad, 4, "%s asked the bad peer too often", id)
+	}
+}
+
+// Guards against a restarted agent that reads the origin although its region
+// holds everything.
+func TestRestartedAgentAsksItsRegion(t *testing.T) {
+	s := newSwarm(t, 2, 6)
+	s.run()
+	origin, crossed := s.origin, s.crossed["r0>r1"]
+	for _, id := range []string{s.panel("r0")[0], s.panel("r1")[0]} {
+		s.start(id, nil)
+	}
+	s.run()
+	require.Equal(t, origin, s.origin)
+	require.Equal(t, crossed, s.crossed["r0>r1"])
+}
+
+// Guards against a chunk whose source stalls holding up the transfer until
+// the call times out.
+func TestStalledSourceIsHedged(t *testing.T) {
+	s := newSwarm(t, 1, 3)
+	s.run()
+	s.start(s.ids[0], nil)
+	s.stalled[s.ids[1]] = true
+	began := s.clock.Now()
+	s.nodes[s.ids[0]].x.Heard(s.ids[1], s.nodes[s.ids[1]].x.Held())
+	s.run()
+	require.Less(t, s.clock.Now().Sub(began), 4*time.Second)
+	require.Zero(t, s.nodes[s.ids[0]].x.Stats().OriginBytes)
+}
+
+// Guards against tokens lost to fetches that a peer refused: they halved the
+// rate of a transfer among busy peers.
+func TestRefusedFetchCostsNoTokens(t *testing.T) {
+	clock := awclock.NewFake(time.Unix(0, 0))
+	b := awweights.NewBucket(1000, 100, clock.Now())
+	b.Take(clock.Now(), 100)
+	require.Equal(t, 100*time.Millisecond, b.Take(clock.Now(), 100))
+	b.Return(clock.Now(), 100)
+	require.Zero(t, b.Wait(clock.Now()))
+	b.SetShare(clock.Now(), 0.5)
+	require.Equal(t, 200*time.Millisecond, b.Take(clock.Now(), 100), "weights yield half of the link")
+}
--- a/core/awweights/pick.go
+++ b/core/awweights/pick.go
@@ -54,7 +54,7 @@
 	}
 	wait := x.cfg.TakeoverAfter * time.Duration(len(before))
 	for _, id := range before {
-		if now.Sub(x.peers[id].progressed) < wait {
+		if p := x.peers[id]; !p.distrusted && now.Sub(p.progressed) < wait {
 			return false
 		}
 	}
@@ -178,24 +178,36 @@
 	return found, found.Index >= 0
 }
 
-// lastResort reports whether this agent has made no progress for so long that
-// the whole panel must be gone.
-func (x *Exchange) lastResort(now time.Time) bool {
-	wait := time.Duration(float64(x.cfg.TakeoverAfter) * float64(PanelSize+1) * x.patience)
-	return now.Sub(x.progressed) >= wait
-}
-
-// pickLast fetches one chunk at a time from wherever it can be had.
+// pickLast fetches from outside the region without a duty, one chunk at a
+// time, once this agent has made no progress for so long that the whole panel
+// must be gone. Chunks that a peer of the region claims to hold are included
+// while there is no progress.
 func (x *Exchange) pickLast(now time.Time) (Fetch, bool) {
-	if !x.lastResort(now) || len(x.active) > 0 {
-		return Fetch{}, false
-	}
-	i := x.left[x.rng.IntN(len(x.left))]
-	if p := x.outside(i, "", now); p != nil {
-		return Fetch{Index: i, Kind: FromRegion, Peer: p.ID}, true
+	idle := now.Sub(x.progressed)
+	if x.rescue.IsZero() {
+		wait := float64(x.cfg.TakeoverAfter) * float64(PanelSize+1) * x.patience
+		if idle < time.Duration(wait) {
+			return Fetch{}, false
+		}
+		x.rescue = now
 	}
-	if x.origin.avoidUntil.After(now) {
+	if x.count(false) > 0 {
 		return Fetch{}, false
 	}
-	return Fetch{Index: i, Kind: FromOrigin}, true
+	// Another region's copy is preferred; its chunk maps come in first.
+	originToo := !x.origin.avoidUntil.After(now) &&
+		(x.cfg.Self.Region == x.home || now.Sub(x.rescue) >= x.cfg.TakeoverAfter)
+	found := Fetch{Index: -1}
+	x.scan(func(i int) bool {
+		if x.byChunk[i] > 0 || (x.holder[i] > 0 && idle < x.cfg.TakeoverAfter) {
+			return true
+		}
+		if p := x.outside(i, "", now); p != nil {
+			found = Fetch{Index: i, Kind: FromRegion, Peer: p.ID}
+		} else if originToo {
+			found = Fetch{Index: i, Kind: FromOrigin}
+		}
+		return found.Index < 0
+	})
+	return found, found.Index >= 0
 }
