--- /dev/null
+++ b/core/awconfig/peers_test.go
@@ -0,0 +1,66 @@
+package awconfig_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutuswind/core/awconfig"
+)
+
+// Guards against views that grow with the fleet, agents that disagree about
+// the panels, and regions in which a chunk takes long to reach everyone.
+func TestPeersOfLargeFleet(t *testing.T) {
+	const replicas, regions = 960, 4
+	s := awconfig.NewState()
+	var members []awconfig.Peer
+	for i := range replicas {
+		p := awconfig.Peer{
+			Instance: fmt.Sprintf("instance-%04d", i), Address: "10.0.0.1:7000",
+			Region: fmt.Sprintf("region-%d", i%regions), Domain: fmt.Sprintf("domain-%d", i%9),
+		}
+		s.Placements[p.Instance] = awconfig.Placement{Model: "rota", Version: "v1", Digest: "d"}
+		members = append(members, p)
+	}
+	table := awconfig.NewPeerTable(s, members)
+	links, panels := map[string][]string{}, map[string]map[string]bool{}
+	for _, m := range members {
+		v := s.View(m.Instance, m.Domain)
+		table.AddTo(&v, m.Region)
+		require.LessOrEqual(t, len(v.Peers), awconfig.MaxPeers)
+		data, err := v.Encode()
+		require.NoError(t, err)
+		require.Less(t, len(data), 8<<10, "bytes of one view")
+		panel := map[string]bool{}
+		for _, p := range v.Peers {
+			if p.Duty {
+				panel[p.Instance] = true
+			}
+			if p.Region == m.Region {
+				links[m.Instance] = append(links[m.Instance], p.Instance)
+			}
+		}
+		if v.Duty {
+			panel[m.Instance] = true
+		}
+		if panels[""] == nil {
+			panels[""] = panel
+		}
+		require.Equal(t, panels[""], panel, "every agent knows the same panels")
+	}
+	// A chunk goes the other way along a link: from a peer to who lists it.
+	far := 0
+	steps := map[string]int{members[0].Instance: 0}
+	for queue := []string{members[0].Instance}; len(queue) > 0; queue = queue[1:] {
+		for _, next := range links[queue[0]] {
+			if _, seen := steps[next]; !seen {
+				steps[next] = steps[queue[0]] + 1
+				far = max(far, steps[next])
+				queue = append(queue, next)
+			}
+		}
+	}
+	require.Len(t, steps, replicas/regions)
+	require.LessOrEqual(t, far, 6, "steps to the farthest agent of the region")
+}
