--- a/internal/awbench/rollout.go
+++ b/internal/awbench/rollout.go
@@ -71,7 +71,7 @@
 	links   *awstandin.RegionLinks
 	engines map[string]string // URL by instance
 	stopped map[string]bool   // agents killed or stalled
-	results []RolloutResult
+	results []any
 }
 
 // Rollout measures the time from an accepted version to N serving replicas.
@@ -281,6 +281,7 @@
 				continue
 			}
 			live++
+			res.BadChunks += a.BadChunks
 			if a.Chunks > 0 && a.ChunksHeld == a.Chunks {
 				fetched++
 			}
--- a/io/awcommand/bench.go
+++ b/io/awcommand/bench.go
@@ -75,12 +75,21 @@
 	ctx, cancel := context.WithTimeout(context.Background(), benchTimeout)
 	defer cancel()
 	result, err := chosen(ctx, filepath.Dir(self))
-	if result != nil {
-		_ = json.NewEncoder(stdout).Encode(result)
-	}
+	printResults(stdout, result)
 	if err != nil {
 		fmt.Fprintln(stderr, "awbench:", err)
 		return ExitFailed
 	}
 	return ExitOK
 }
+
+// printResults writes one JSON line per result.
+func printResults(w io.Writer, result any) {
+	list, ok := result.([]any)
+	if !ok && result != nil {
+		list = []any{result}
+	}
+	for _, r := range list {
+		_ = json.NewEncoder(w).Encode(r) // the reader may be gone
+	}
+}
--- a/io/awcontrol/api.go
+++ b/io/awcontrol/api.go
@@ -49,6 +49,16 @@
 	ChunksHeld    uint32
 	Chunks        uint32
 	OriginBytes   uint64
+
+	// The transfer of weights that runs or ran last.
+	TransferDigest string
+	RegionBytes    uint64 // from other regions
+	PeerBytes      uint64 // from the own region
+	Peers          uint32 // that chunks may come from now
+	BadChunks      uint32
+	EtaMs          uint32
+	NoRoom         bool   `json:",omitempty"` // the version does not fit beside the one served
+	TransferError  string `json:",omitempty"`
 }
 
 // Status is the answer of GET /status.
--- a/io/awentry/operators.go
+++ b/io/awentry/operators.go
@@ -39,6 +39,7 @@
 			s.State, s.ViewRevision, s.InFlight, s.Limit = r.State.String(), r.ViewRevision, r.InFlight, r.Limit
 			s.ChunksHeld, s.Chunks = r.GetTransfer().GetChunksHeld(), r.GetTransfer().GetChunks()
 			s.OriginBytes = r.GetTransfer().GetOriginBytes()
+			addTransferStatus(&s, r.GetTransfer())
 			for _, m := range r.Models {
 				s.Model, s.Version, s.VersionDigest = m.Model, m.Version, m.VersionDigest
 			}
--- a/io/awentry/peers.go
+++ b/io/awentry/peers.go
@@ -5,6 +5,7 @@
 
 	"arbutuswind/core/awconfig"
 	"arbutuswind/core/awplace"
+	"arbutuswind/io/awcontrol"
 	"arbutuswind/io/awproto"
 )
 
@@ -59,3 +60,10 @@
 		in.Failed, in.Failure = t.VersionDigest, t.Error
 	}
 }
+
+// addTransferStatus shows operators what an agent reports about weights.
+func addTransferStatus(s *awcontrol.AgentStatus, t *awproto.TransferReport) {
+	s.TransferDigest, s.TransferError, s.NoRoom = t.GetVersionDigest(), t.GetError(), t.GetNoRoom()
+	s.RegionBytes, s.PeerBytes = t.GetRegionBytes(), t.GetPeerBytes()
+	s.Peers, s.BadChunks, s.EtaMs = t.GetPeers(), t.GetBadChunks(), t.GetEtaMs()
+}
