--- a/internal/awbench/cluster.go
+++ b/internal/awbench/cluster.go
@@ -18,6 +18,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -138,39 +139,34 @@
 	}
 }
 
+// Ports are taken below the range that the system gives to outgoing
+// connections: a port from that range may be taken again between this check
+// and the start of the process that binds it.
 const (
-	// Addresses come from below the ports that the kernel gives to outgoing
-	// connections. One of those took a port between the check and the start
-	// of the process that was to listen on it.
-	firstPort = 10_000
-	lastPort  = 32_000
+	firstPort = 10000
+	lastPort  = 32000
 )
 
-var nextPort struct {
-	mu   sync.Mutex
-	port int
-}
+// nextPort starts at random so that benches that run at once rarely meet.
+var nextPort = func() *atomic.Int64 {
+	n := &atomic.Int64{}
+	n.Store(rand.Int64N(lastPort - firstPort))
+	return n
+}()
 
-// FreeAddress returns a loopback address that is free now and that this
-// process has not returned lately.
+// FreeAddress returns a loopback address that is free now and is not given
+// out again soon.
 func FreeAddress() (string, error) {
-	nextPort.mu.Lock()
-	defer nextPort.mu.Unlock()
-	if nextPort.port == 0 {
-		nextPort.port = firstPort + rand.IntN(lastPort-firstPort)
-	}
+	var last error
 	for range lastPort - firstPort {
-		if nextPort.port++; nextPort.port > lastPort {
-			nextPort.port = firstPort
-		}
-		lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort.port))
-		if err != nil {
-			continue
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
+		lis, err := net.Listen("tcp", addr)
+		if err == nil {
+			return addr, lis.Close()
 		}
-		_ = lis.Close()
-		return lis.Addr().String(), nil
+		last = err
 	}
-	return "", eris.New("no loopback port is free")
+	return "", eris.Wrap(last, "free address")
 }
 
 func (c *Cluster) settings(name string, v any) (string, error) {
--- a/io/awagent/engine.go
+++ b/io/awagent/engine.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
 	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awoutcome"
 	"arbutuswind/io/awengine"
 	"arbutuswind/io/awproto"
 )
@@ -33,63 +33,14 @@
 	notBefore time.Time
 }
 
-// authority tells whether this process may give commands. A process that was
-// paused may have been replaced in the configuration meanwhile, so it waits
-// for news from an entry first.
-type authority struct {
-	mu     sync.Mutex
-	limit  time.Duration
-	last   time.Time // last sign that the process runs
-	paused bool      // until an entry is heard
-	since  time.Time // end of the pause
-}
-
-// check notes that the process runs at now and reports whether it may act.
-func (u *authority) check(now time.Time) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !u.last.IsZero() && now.Sub(u.last) > u.limit {
-		u.paused, u.since = true, now
-	}
-	u.last = now
-	return !u.paused
-}
-
-// heard ends a pause: the view is as new as the entry's. Heartbeats that
-// waited in the socket during the pause arrive at once after it and are as
-// old as the pause, so they do not count.
-func (u *authority) heard(now time.Time) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.paused && now.Sub(u.since) >= u.limit/2 {
-		u.paused = false
-	}
-}
-
 // watchEngine keeps weights and engine at the placed version until ctx ends.
 func (a *Agent) watchEngine(ctx context.Context) {
 	group := errgroup.Group{}
 	group.Go(func() error { a.weightLoop(ctx); return nil })
-	group.Go(func() error { a.authorityLoop(ctx); return nil })
 	group.Go(func() error { a.engineLoop(ctx); return nil })
 	_ = group.Wait() // no member returns an error
 }
 
-// authorityLoop notices pauses of the process.
-func (a *Agent) authorityLoop(ctx context.Context) {
-	period := a.cfg.Settings.Timing.PauseLimit.Std() / 4
-	tick := time.NewTicker(period)
-	defer tick.Stop()
-	for {
-		a.authority.check(a.cfg.Clock.Now())
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
-}
-
 func (a *Agent) engineLoop(ctx context.Context) {
 	for {
 		a.mu.Lock()
@@ -112,18 +63,18 @@
 func (a *Agent) reconcileEngine(ctx context.Context) error {
 	st, err := a.engine.Status(ctx)
 	if err != nil {
-		a.setEngine(nil, awproto.AgentState_FAILED, "")
+		a.setEngine(nil, awproto.AgentState_FAILED, awengine.Status{})
 		return err
 	}
 	a.mu.Lock()
 	view, boot := a.view, a.bootID
 	a.mu.Unlock()
 	if boot != "" && boot != st.BootID {
-		a.setEngine(nil, awproto.AgentState_STARTING, st.BootID)
+		a.setEngine(nil, awproto.AgentState_STARTING, st)
 	}
 	p := view.Placement
 	if p.Model == "" {
-		a.setEngine(nil, awproto.AgentState_STARTING, st.BootID)
+		a.setEngine(nil, awproto.AgentState_STARTING, st)
 		return nil
 	}
 	if a.confirm(st, p) || !a.weights.complete(p.Digest) {
@@ -146,8 +97,7 @@
 	if st.State == "cold" {
 		state = awproto.AgentState_COLD
 	}
-	a.weights.setServing(p.Digest)
-	a.setEngine(&awproto.ReadyModel{Model: p.Model, Version: p.Version, VersionDigest: p.Digest}, state, st.BootID)
+	a.setEngine(&awproto.ReadyModel{Model: p.Model, Version: p.Version, VersionDigest: p.Digest}, state, st)
 	return true
 }
 
@@ -157,17 +107,15 @@
 	if a.loader.digest == p.Digest && a.cfg.Clock.Now().Before(a.loader.notBefore) {
 		return nil
 	}
-	if err := a.stopServing(ctx); err != nil {
+	if err := a.stopServing(ctx, st); err != nil {
 		return err
 	}
 	a.mu.Lock()
-	current := a.view.Placement
+	a.checkPause(a.cfg.Clock.Now())
+	current, awaiting := a.view.Placement, a.awaiting
 	a.mu.Unlock()
-	if current != p {
-		return nil // the placement changed meanwhile
-	}
-	if !a.authority.check(a.cfg.Clock.Now()) {
-		return eris.New("process was paused; waiting for an entry before the next command")
+	if current != p || awaiting {
+		return nil // the placement changed, or may have changed unseen, during the transfer
 	}
 	if view.Fencing == awconfig.FencingChecked && st.Fence > p.Fence {
 		return eris.Errorf("engine holds fencing token %d, newer than %d of the placement", st.Fence, p.Fence)
@@ -216,11 +164,8 @@
 
 // stopServing refuses new work and waits for the requests that run on the
 // weights loaded now, at most for the drain time.
-func (a *Agent) stopServing(ctx context.Context) error {
-	a.mu.Lock()
-	boot := a.bootID
-	a.mu.Unlock()
-	a.setEngine(nil, awproto.AgentState_LOADING, boot)
+func (a *Agent) stopServing(ctx context.Context, st awengine.Status) error {
+	a.setEngine(nil, awproto.AgentState_LOADING, st)
 	deadline := time.After(a.cfg.Settings.Timing.Drain.Std())
 	for {
 		a.mu.Lock()
@@ -240,15 +185,24 @@
 	}
 }
 
-func (a *Agent) setEngine(ready *awproto.ReadyModel, state awproto.AgentState, boot string) {
+// setEngine records what the engine serves. A zero status stands for an
+// engine that did not answer.
+func (a *Agent) setEngine(ready *awproto.ReadyModel, state awproto.AgentState, st awengine.Status) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.draining {
 		state = awproto.AgentState_DRAINING
 	}
-	a.gate.SetCold(state != awproto.AgentState_READY)
+	boot := st.BootID
+	if boot == "" {
+		boot = a.bootID // an engine that comes back with another id has restarted
+	}
+	a.lowered(a.gate.ObserveEngine(boot, ready == nil || st.State == "cold"))
+	if ready == nil {
+		a.gate.FlushQueue(awoutcome.NotReady, "backend server is not ready")
+	}
 	same := a.state == state && a.ready.GetVersionDigest() == ready.GetVersionDigest() && a.bootID == boot
-	a.ready, a.state, a.bootID = ready, state, boot
+	a.ready, a.state, a.bootID, a.servedDigest = ready, state, boot, st.Digest
 	if !same {
 		a.notify()
 	}
--- a/io/awagent/fetch.go
+++ b/io/awagent/fetch.go
@@ -10,6 +10,7 @@
 
 	"arbutuswind/core/awconfig"
 	"arbutuswind/core/awweights"
+	"arbutuswind/io/awengine"
 	"arbutuswind/io/awrpc"
 )
 
@@ -126,7 +127,7 @@
 			a.wake()
 			return nil // the reconciler learns from the report that it must place first
 		}
-		if err := a.stopServing(ctx); err != nil {
+		if err := a.stopServing(ctx, awengine.Status{}); err != nil {
 			return err
 		}
 		a.weights.retain(digest)
--- a/io/awagent/settle.go
+++ b/io/awagent/settle.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
-	"net"
 	"time"
 
 	"arbutuswind/core/awledger"
@@ -52,17 +50,6 @@
 	a.attempts.Settled(start.Attempt.GetEntryInstance(), start.Attempt.GetEntryIncarnation(), start.LowWatermark)
 }
 
-// rememberRefusal makes a refusal permanent before the entry is told of it.
-// A refusal of an attempt that has run, or may have, proves nothing.
-func (a *Agent) rememberRefusal(start *awproto.ServeStart, refusal *awoutcome.Error) *awoutcome.Error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if refusal.Outcome != awoutcome.NotRun || a.attempts.Refuse(attemptID(start.Attempt)) == awledger.NotRun {
-		return refusal
-	}
-	return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.DuplicateID, Detail: "attempt was seen before"}
-}
-
 // maxKeptBytes bounds the answer of one keyed call that is kept for entries
 // that ask for it later.
 const maxKeptBytes = 256 << 10
@@ -78,21 +65,20 @@
 		Method: call.Method, Path: call.Path, ContentType: call.ContentType,
 		IdempotencyKey: call.IdempotencyKey, Body: r.start.Body,
 	})
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		a.mu.Lock()
-		a.attempts.Withdraw(id)
-		a.mu.Unlock()
-		return r.fail(awproto.Reason_NOT_READY, awproto.Outcome_NOT_RUN, err.Error())
-	}
 	if err != nil {
-		return r.fail(awproto.Reason_ENGINE_FAILED, awproto.Outcome_UNKNOWN, err.Error())
+		failure := r.startFailure(ctx, err)
+		if failure.Outcome == awoutcome.NotRun {
+			a.mu.Lock()
+			a.attempts.Withdraw(id)
+			a.mu.Unlock()
+		}
+		return r.fail(ctx, failure)
 	}
 	defer resp.Body.Close()
 	contentType := resp.Header.Get("Content-Type")
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxKeptBytes+1))
 	if err != nil {
-		return r.fail(awproto.Reason_ENGINE_FAILED, awproto.Outcome_RAN, err.Error())
+		return r.fail(ctx, &awoutcome.Error{Outcome: awoutcome.Ran, Reason: awoutcome.EngineFailed, Detail: err.Error()})
 	}
 	if len(head) <= maxKeptBytes {
 		a.mu.Lock()
--- a/io/awagent/weights.go
+++ b/io/awagent/weights.go
@@ -23,7 +23,6 @@
 
 	mu       sync.Mutex
 	versions map[string]*heldVersion
-	serving  string // digest of the version confirmed at the engine
 	transfer awproto.TransferReport
 	slots    *awweights.Slots
 	uplink   *awweights.Bucket
@@ -141,16 +140,10 @@
 func (w *weightStore) retain(digests ...string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for digest, v := range w.versions {
-		if slices.Contains(digests, digest) {
-			continue
-		}
-		if digest != w.serving {
+	for digest := range w.versions {
+		if !slices.Contains(digests, digest) {
 			delete(w.versions, digest)
-			continue
 		}
-		// The manifest of the serving version still identifies its tokens.
-		v.chunks, v.held, v.count = make([][]byte, len(v.chunks)), awweights.NewBitmap(len(v.chunks)), 0
 	}
 }
 
@@ -167,23 +160,6 @@
 	return n
 }
 
-// fileDigest returns the digest that the engine reports for the version that
-// it was last confirmed to serve.
-func (w *weightStore) fileDigest() string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if v := w.versions[w.serving]; v != nil {
-		return v.manifest.FileDigest
-	}
-	return ""
-}
-
-func (w *weightStore) setServing(digest string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.serving = digest
-}
-
 // begin starts the report of a transfer. The same version again keeps its
 // figures.
 func (w *weightStore) begin(digest string) {
--- a/io/awentry/dispatch.go
+++ b/io/awentry/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"arbutuswind/core/awoutcome"
+	"arbutuswind/core/awstream"
 	"arbutuswind/io/awproto"
 	"arbutuswind/io/awtelemetry"
 )
@@ -107,7 +108,7 @@
 			}
 			// Credit is returned only after the caller took the bytes, so a
 			// slow caller stops the backend server and not this process.
-			credit := &awproto.Credit{Bytes: uint32(len(b.Frame.Data))}
+			credit := &awproto.Credit{Bytes: uint32(awstream.FrameCost(len(b.Frame.Data)))}
 			if err := stream.Send(&awproto.ServeUp{Body: &awproto.ServeUp_Credit{Credit: credit}}); err != nil && !errors.Is(err, io.EOF) {
 				return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.LinkLost, Detail: err.Error()}
 			}
