--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -66,6 +66,9 @@
 	cut      context.CancelCauseFunc
 	running  sync.WaitGroup // requests queued, running or paused
 
+	addresses addressBook
+	loader    loader
+
 	mu           sync.Mutex
 	gate         *awadmit.Gate
 	attempts     *awledger.Attempts
@@ -111,7 +114,7 @@
 	a.cutCtx, a.cut = context.WithCancelCause(context.Background())
 	a.metrics.gauges(a)
 	a.dialer = awrpc.NewDialer(awrpc.DialerConfig{Identity: a.identity, Revision: a.revision, TLS: a.tls.Client})
-	a.weights = newWeightStore(a.store)
+	a.weights = newWeightStore(s.Weights, cfg.Clock)
 	if s.Backend.Service != "" {
 		a.ready = &awproto.ReadyModel{Model: ServicePrefix + s.Backend.Service}
 		// A plain service reports no cold start, so its limit rises on evidence alone.
