--- /dev/null
+++ b/io/awcontrol/log_test.go
@@ -0,0 +1,402 @@
+package awcontrol_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutuswind/core/awconfig"
+	"arbutuswind/internal/awstandin"
+	"arbutuswind/io/awcontrol"
+	"arbutuswind/io/awstore"
+)
+
+// platform is a stand-in of the platform with its faults.
+type platform struct {
+	t   *testing.T
+	url string
+}
+
+func newPlatform(t *testing.T) platform {
+	srv := httptest.NewServer(awstandin.NewPlatform(awstandin.PlatformConfig{}).Handler())
+	t.Cleanup(srv.Close)
+	return platform{t: t, url: srv.URL}
+}
+
+func (p platform) post(path string, v any) {
+	data, err := json.Marshal(v)
+	require.NoError(p.t, err)
+	resp, err := http.Post(p.url+path, "application/json", bytes.NewReader(data))
+	require.NoError(p.t, err)
+	require.Equal(p.t, http.StatusOK, resp.StatusCode)
+	require.NoError(p.t, resp.Body.Close())
+}
+
+func (p platform) fault(f awstandin.PlatformFault) { p.post("/fault", f) }
+
+func (p platform) client() *awstore.Client {
+	return awstore.New(awstore.Config{TableURL: p.url, ObjectURL: p.url, OriginURL: p.url, InstanceListURL: p.url + "/instances"})
+}
+
+// process is the part of an entry that holds the configuration.
+type process struct {
+	holder *awconfig.Holder
+	log    *awcontrol.Log
+}
+
+func (p platform) process() process {
+	h := awconfig.NewHolder()
+	return process{holder: h, log: awcontrol.NewLog(p.client(), p.client(), h)}
+}
+
+func (p process) commit(t *testing.T, kind awconfig.Kind, target string) awconfig.Change {
+	c, err := p.log.Commit(t.Context(), p.holder.State().Revision, awconfig.Change{Kind: kind, Target: target, Actor: "ana"})
+	require.NoError(t, err)
+	return c
+}
+
+// Guards against a lost reply that makes a change fail or run twice.
+func TestCommitSettlesLostReply(t *testing.T) {
+	pl := newPlatform(t)
+	p := pl.process()
+	pl.fault(awstandin.PlatformFault{LoseReplies: 1})
+	c := p.commit(t, awconfig.KindDomainOut, "serra")
+	require.Equal(t, uint64(1), c.Revision)
+	other := pl.process()
+	require.NoError(t, other.log.Poll(t.Context()))
+	require.Equal(t, p.holder.State().Digest(), other.holder.State().Digest())
+	require.Equal(t, uint64(1), other.holder.State().Revision)
+}
+
+// Guards against an answer "accepted" or "refused" while nobody can know.
+func TestCommitDuringOutage(t *testing.T) {
+	pl := newPlatform(t)
+	p := pl.process()
+	p.commit(t, awconfig.KindDomainOut, "serra")
+	pl.fault(awstandin.PlatformFault{StoreDown: true})
+	_, err := p.log.Commit(t.Context(), 1, awconfig.Change{Kind: awconfig.KindDomainIn, Target: "serra"})
+	require.Error(t, err)
+	require.Equal(t, uint64(1), p.holder.State().Revision)
+	pl.fault(awstandin.PlatformFault{})
+	require.Equal(t, uint64(2), p.commit(t, awconfig.KindDomainIn, "serra").Revision)
+}
+
+// Guards against two racing operators who both win, or a loser who does not
+// learn who won and what is different.
+func TestCommitRace(t *testing.T) {
+	pl := newPlatform(t)
+	a, b := pl.process(), pl.process()
+	a.commit(t, awconfig.KindDomainOut, "serra")
+	require.NoError(t, b.log.Poll(t.Context()))
+	var wg sync.WaitGroup
+	errs := make([]error, 2)
+	for i, p := range []process{a, b} {
+		wg.Go(func() {
+			_, errs[i] = p.log.Commit(t.Context(), 1, awconfig.Change{
+				Kind: awconfig.KindDomainOut, Target: fmt.Sprintf("domain-%d", i), Actor: fmt.Sprintf("operator-%d", i),
+			})
+		})
+	}
+	wg.Wait()
+	winner := 0
+	if errs[0] != nil {
+		winner = 1
+	}
+	require.NoError(t, errs[winner])
+	var conflict *awcontrol.ConflictError
+	require.ErrorAs(t, errs[1-winner], &conflict)
+	require.Len(t, conflict.Winners, 1)
+	require.Equal(t, fmt.Sprintf("operator-%d", winner), conflict.Winners[0].Actor)
+	require.Equal(t, []awconfig.Difference{{
+		Subject: fmt.Sprintf("domain domain-%d", 1-winner), Field: "State", Becomes: "out",
+	}}, conflict.Difference)
+}
+
+// scans counts the rows that a process reads.
+type scans struct {
+	*awstore.Client
+	rows int
+}
+
+func (s *scans) Scan(ctx context.Context, from, to string, limit int) ([]awstore.Row, error) {
+	rows, err := s.Client.Scan(ctx, from, to, limit)
+	s.rows += len(rows)
+	return rows, err
+}
+
+// lossy loses objects.
+type lossy struct {
+	*awstore.Client
+	lost bool
+	puts int
+}
+
+func (l *lossy) GetObject(ctx context.Context, name string) ([]byte, error) {
+	if l.lost {
+		return nil, awstore.ErrNotFound
+	}
+	return l.Client.GetObject(ctx, name)
+}
+
+func (l *lossy) PutObject(ctx context.Context, name string, data []byte) error {
+	l.puts++
+	return l.Client.PutObject(ctx, name, data)
+}
+
+// Guards against a start that reads the whole history, and against a missing
+// snapshot that stays missing.
+func TestStartFromSnapshot(t *testing.T) {
+	pl := newPlatform(t)
+	p := pl.process()
+	const revisions = 2*awcontrol.SnapshotEvery + 100
+	for i := range revisions {
+		p.commit(t, []awconfig.Kind{awconfig.KindDomainOut, awconfig.KindDomainIn}[i%2], "serra")
+	}
+	start := func(lost bool) (*awconfig.Holder, *scans, *lossy) {
+		h, table, objects := awconfig.NewHolder(), &scans{Client: pl.client()}, &lossy{Client: pl.client(), lost: lost}
+		require.NoError(t, awcontrol.NewLog(table, objects, h).Poll(t.Context()))
+		require.Equal(t, p.holder.State().Digest(), h.State().Digest())
+		return h, table, objects
+	}
+	_, table, _ := start(false)
+	require.Equal(t, 100, table.rows, "snapshot at 512 and the changes after it")
+	_, table, objects := start(true)
+	require.Equal(t, revisions, table.rows, "rebuilt from all changes")
+	require.Equal(t, 1, objects.puts, "the missing snapshot is written again")
+
+	history, err := p.log.History(t.Context(), revisions)
+	require.NoError(t, err)
+	require.Len(t, history, revisions, "old changes stay for the history")
+}
+
+// Guards against a process that goes back with the store, against changes on
+// top of a store that was set back, and against a system that cannot go on
+// after an operator's decision.
+func TestStoreReset(t *testing.T) {
+	pl := newPlatform(t)
+	a, behind := pl.process(), pl.process()
+	a.commit(t, awconfig.KindDomainOut, "serra")
+	pl.post("/admin/save", nil)
+	a.commit(t, awconfig.KindDomainOut, "litoral")
+	require.NoError(t, behind.log.Poll(t.Context()))
+	a.commit(t, awconfig.KindDomainIn, "serra")
+	pl.post("/admin/restore", nil)
+
+	var reset *awcontrol.ResetError
+	require.ErrorAs(t, a.log.Poll(t.Context()), &reset)
+	require.ErrorAs(t, behind.log.Poll(t.Context()), &reset)
+	_, err := a.log.Commit(t.Context(), 3, awconfig.Change{Kind: awconfig.KindDomainOut, Target: "planalto"})
+	require.ErrorAs(t, err, &reset)
+	require.Equal(t, uint64(3), a.holder.State().Revision)
+	require.NotNil(t, a.log.Reset())
+
+	c, err := a.log.AcceptReset(t.Context(), "ana", "restored from backup")
+	require.NoError(t, err)
+	require.Equal(t, uint64(4), c.Revision)
+	require.Nil(t, a.log.Reset())
+	a.commit(t, awconfig.KindDomainOut, "planalto")
+	fresh := pl.process()
+	for _, p := range []process{behind, fresh} {
+		require.NoError(t, p.log.Poll(t.Context()))
+		require.Equal(t, a.holder.State().Digest(), p.holder.State().Digest())
+	}
+	_, err = a.log.AcceptReset(t.Context(), "ana", "again")
+	require.Error(t, err, "there is nothing to accept")
+}
+
+// Guards against two histories of the same revisions being mixed when the
+// store was set back and written to before anyone noticed.
+func TestStoreResetAndWrittenTo(t *testing.T) {
+	for _, writes := range []int{1, 2, 5} {
+		t.Run(fmt.Sprint(writes), func(t *testing.T) {
+			pl := newPlatform(t)
+			a := pl.process()
+			a.commit(t, awconfig.KindDomainOut, "serra")
+			pl.post("/admin/save", nil)
+			a.commit(t, awconfig.KindDomainOut, "litoral")
+			a.commit(t, awconfig.KindDomainIn, "serra")
+			pl.post("/admin/restore", nil)
+			b := pl.process()
+			require.NoError(t, b.log.Poll(t.Context()))
+			for i := range writes {
+				b.commit(t, awconfig.KindDomainOut, fmt.Sprintf("other-%d", i))
+			}
+			before := a.holder.State().Digest()
+			var reset *awcontrol.ResetError
+			require.ErrorAs(t, a.log.Poll(t.Context()), &reset)
+			require.Equal(t, before, a.holder.State().Digest())
+			_, err := a.log.AcceptReset(t.Context(), "ana", "the entries are right")
+			require.NoError(t, err)
+			// b may hold the same revision with another content; its next look
+			// takes the accepted state at a higher revision.
+			require.NoError(t, b.log.Poll(t.Context()))
+			require.Equal(t, a.holder.State().Digest(), b.holder.State().Digest())
+			require.Greater(t, b.holder.State().Revision, uint64(3))
+			require.False(t, b.holder.State().Domains["other-0"].Out)
+		})
+	}
+}
+
+// racing feeds the holder while a read is on its way.
+type racing struct {
+	*awstore.Client
+	during func()
+}
+
+func (r *racing) Get(ctx context.Context, key string, known uint64) (awstore.Row, error) {
+	row, err := r.Client.Get(ctx, key, known)
+	if r.during != nil {
+		r.during()
+		r.during = nil
+	}
+	return row, err
+}
+
+// Guards against a false alarm when a peer is faster than the read.
+func TestPeerFasterThanRead(t *testing.T) {
+	pl := newPlatform(t)
+	a := pl.process()
+	first := a.commit(t, awconfig.KindDomainOut, "serra")
+	h := awconfig.NewHolder()
+	require.NoError(t, h.ApplyAll([]awconfig.Change{first}))
+	table := &racing{Client: pl.client()}
+	l := awcontrol.NewLog(table, pl.client(), h)
+	require.NoError(t, l.Poll(t.Context()))
+	for range 2 {
+		table.during = func() {
+			require.NoError(t, h.ApplyAll([]awconfig.Change{a.commit(t, awconfig.KindDomainIn, "litoral")}))
+		}
+		require.NoError(t, l.Poll(t.Context()))
+		require.NoError(t, l.Poll(t.Context()))
+	}
+	require.Equal(t, uint64(3), h.State().Revision)
+}
+
+func newServer(t *testing.T, pl platform) (*awcontrol.Client, process) {
+	for i, domain := range []string{"serra", "serra", "litoral"} {
+		data, err := json.Marshal(awstore.Instance{ID: fmt.Sprintf("engine-%d", i), Role: "agent", Domain: domain})
+		require.NoError(t, err)
+		req, err := http.NewRequest(http.MethodPut, pl.url+"/instances", bytes.NewReader(data))
+		require.NoError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+	}
+	p := pl.process()
+	api := &awcontrol.Server{
+		Log: p.log, Holder: p.holder, Platform: fakeOrigin{pl.client()}, MaxRemovedShare: 0.3,
+		Fleet: func() []awcontrol.AgentStatus { return nil },
+	}
+	mux := http.NewServeMux()
+	mux.Handle(awcontrol.APIPrefix+"/", http.StripPrefix(awcontrol.APIPrefix, api.Handler()))
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	return &awcontrol.Client{Base: srv.URL, HTTP: &http.Client{Timeout: 10 * time.Second}}, p
+}
+
+// fakeOrigin knows every version but v404.
+type fakeOrigin struct{ *awstore.Client }
+
+func (fakeOrigin) Manifest(_ context.Context, model, version string) ([]byte, error) {
+	if version == "v404" {
+		return nil, awstore.ErrNotFound
+	}
+	return json.Marshal(map[string]any{"Model": model, "Version": version, "SizeBytes": 1, "ChunkBytes": 1, "Chunks": []string{strings.Repeat("0", 64)}})
+}
+
+func sheet(rows ...string) []byte {
+	return []byte("Model,Version,Replicas,Domains,TeamShares,Fencing\n" + strings.Join(rows, "\n"))
+}
+
+// Guards against operators' calls that answer accepted without a commit, add
+// a revision for nothing, or refuse without saying what is allowed.
+func TestOperatorChanges(t *testing.T) {
+	pl := newPlatform(t)
+	c, p := newServer(t, pl)
+	ctx := t.Context()
+	change := func(kind awconfig.Kind, target string, base uint64) (awcontrol.Accepted, *awcontrol.APIError) {
+		acc, err := c.Change(ctx, awcontrol.ChangeRequest{Kind: kind, Target: target, Actor: "ana", Base: base})
+		if err == nil {
+			return acc, nil
+		}
+		var refused *awcontrol.APIError
+		require.ErrorAs(t, err, &refused)
+		return acc, refused
+	}
+	_, refused := change(awconfig.KindDomainOut, "sera", 0)
+	require.Equal(t, http.StatusUnprocessableEntity, refused.Status)
+	require.Equal(t, []string{"litoral", "serra"}, refused.Refusal.Known)
+	_, refused = change(awconfig.KindInstanceDrain, "engine-9", 0)
+	require.Equal(t, []string{"engine-0", "engine-1", "engine-2"}, refused.Refusal.Known)
+
+	acc, refused := change(awconfig.KindDomainOut, "serra", 0)
+	require.Nil(t, refused)
+	require.Equal(t, uint64(1), acc.Revision)
+	acc, refused = change(awconfig.KindDomainOut, "serra", 0)
+	require.Nil(t, refused)
+	require.True(t, acc.NoOp)
+	require.Equal(t, uint64(1), p.holder.State().Revision, "a change in effect adds no revision")
+
+	p.commit(t, awconfig.KindPlace, "")
+	acc, refused = change(awconfig.KindDomainIn, "serra", 1)
+	require.Nil(t, refused, "placements are no conflict")
+	require.Equal(t, uint64(3), acc.Revision)
+	_, refused = change(awconfig.KindDomainOut, "litoral", 1)
+	require.Equal(t, http.StatusConflict, refused.Status)
+	require.Equal(t, awconfig.KindDomainIn, refused.Refusal.Winners[len(refused.Refusal.Winners)-1].Kind)
+
+	pl.fault(awstandin.PlatformFault{StoreDown: true})
+	_, refused = change(awconfig.KindDomainOut, "litoral", 0)
+	require.Equal(t, http.StatusServiceUnavailable, refused.Status)
+}
+
+// Guards against a sheet that is applied in part, removes a large part of the
+// fleet by mistake, or overwrites what another operator applied.
+func TestApplySheet(t *testing.T) {
+	pl := newPlatform(t)
+	c, p := newServer(t, pl)
+	ctx := t.Context()
+	first := sheet("rota,v1,1,serra,,checked", "pan,v1,1,serra litoral,,checked")
+	acc, err := c.Apply(ctx, first, "ana", 0)
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), acc.Revision)
+	acc, err = c.Apply(ctx, first, "ana", 0)
+	require.NoError(t, err)
+	require.True(t, acc.NoOp)
+
+	var refused *awcontrol.APIError
+	_, err = c.Apply(ctx, sheet("rota,v404,1,serra,,checked", "pan,v404,1,serra,,checked"), "ana", 0)
+	require.ErrorAs(t, err, &refused)
+	require.Len(t, refused.Refusal.Faults, 2, "every unknown version")
+	require.Contains(t, refused.Refusal.Faults[0], "2:6: unknown version")
+
+	report, err := c.Check(ctx, sheet("rota,v2,1,serra,,checked"))
+	require.NoError(t, err)
+	require.True(t, report.Valid)
+	require.InDelta(t, 0.5, report.RemovedShare, 1e-9)
+	require.False(t, report.RemovalOK)
+	require.Contains(t, report.Differences, awconfig.Difference{Subject: "model rota", Field: "Version", Was: "v1", Becomes: "v2"})
+	_, err = c.Apply(ctx, sheet("rota,v2,1,serra,,checked"), "ana", 0)
+	require.ErrorAs(t, err, &refused)
+	require.Contains(t, refused.Refusal.Error, "--allow-removal")
+	require.Equal(t, uint64(1), p.holder.State().Revision, "nothing was applied")
+
+	_, err = c.Apply(ctx, sheet("rota,v2,1,serra,,checked", "pan,v1,1,serra,,checked"), "ana", 1)
+	require.NoError(t, err)
+	_, err = c.Apply(ctx, sheet("rota,v3,1,serra,,checked", "pan,v1,1,serra,,checked"), "rui", 1)
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, http.StatusConflict, refused.Status)
+	require.Equal(t, "ana", refused.Refusal.Winners[0].Actor)
+	require.Contains(t, refused.Error(), "Version: v2 -> v3")
+	_, err = c.ApplyWith(ctx, sheet("rota,v2,1,serra,,checked"), awcontrol.ApplyOptions{Actor: "rui", AllowRemoval: true})
+	require.NoError(t, err)
+}
