--- a/io/awentry/config.go
+++ b/io/awentry/config.go
@@ -347,19 +347,30 @@
 			return
 		case <-time.After(beatPeriod):
 		}
-		c.mu.Lock()
-		now := c.entry.cfg.Clock.Now()
-		if now.Sub(c.lastBeat) > pauseLimit {
-			c.pausedAt = now
-			_ = c.entry.cfg.Logger.Log("Message", "process was paused", "Seconds", now.Sub(c.lastBeat).Seconds())
-			select {
-			case c.wake <- nil:
-			default:
-			}
+		c.beat()
+	}
+}
+
+func (c *configSync) beat() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.entry.cfg.Clock.Now()
+	if now.Sub(c.lastBeat) > pauseLimit {
+		c.pausedAt = now
+		_ = c.entry.cfg.Logger.Log("Message", "process was paused", "Seconds", now.Sub(c.lastBeat).Seconds())
+		select {
+		case c.wake <- nil:
+		default: // a look is due already
 		}
-		c.lastBeat = now
-		c.mu.Unlock()
 	}
+	c.lastBeat = now
+}
+
+// failed reports whether the store did not answer the last look.
+func (c *configSync) failed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.storeErr != nil
 }
 
 // sourceAge returns the age of the newest news of the store and whether it
@@ -449,8 +460,4 @@
 
 // canChange reports whether the store answered the last look and is not set
 // back.
-func (c *configSync) canChange() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.synced && c.storeErr == nil
-}
+func (c *configSync) canChange() bool { return c.isSynced() && !c.failed() }
--- /dev/null
+++ b/io/awentry/config_test.go
@@ -0,0 +1,285 @@
+package awentry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"arbutuswind/core/awclock"
+	"arbutuswind/core/awconfig"
+	"arbutuswind/internal/awstandin"
+	"arbutuswind/io/awproto"
+	"arbutuswind/io/awrpc"
+	"arbutuswind/io/awsettings"
+	"arbutuswind/io/awstore"
+)
+
+const settled = 10 * time.Second // limit for reaching a state; passing runs need far less
+
+type testbed struct {
+	t   *testing.T
+	url string
+}
+
+func newTestbed(t *testing.T) testbed {
+	srv := httptest.NewServer(awstandin.NewPlatform(awstandin.PlatformConfig{}).Handler())
+	t.Cleanup(srv.Close)
+	return testbed{t: t, url: srv.URL}
+}
+
+func (b testbed) send(method, path string, v any) {
+	data, err := json.Marshal(v)
+	require.NoError(b.t, err)
+	req, err := http.NewRequest(method, b.url+path, bytes.NewReader(data))
+	require.NoError(b.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(b.t, err)
+	require.Equal(b.t, http.StatusOK, resp.StatusCode)
+	require.NoError(b.t, resp.Body.Close())
+}
+
+func freeAddress(t *testing.T) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+// entry returns an entry that is in the instance list but does not run.
+func (b testbed) entry(id, region, store string, clock awclock.Clock) *Entry {
+	cfg := awsettings.DefaultEntry()
+	cfg.Process = awsettings.Process{Instance: id, Domain: region, Region: region}
+	cfg.Listen = awsettings.EntryListen{Callers: freeAddress(b.t), Operators: freeAddress(b.t), Inner: freeAddress(b.t)}
+	cfg.Platform = awsettings.Platform{
+		TableURL: store, ObjectURL: store, OriginURL: store, InstanceListURL: b.url + "/instances",
+		Timeout: awsettings.Duration(time.Second),
+	}
+	cfg.Timing.ConfigPoll, cfg.Timing.ListPoll = awsettings.Duration(50*time.Millisecond), awsettings.Duration(50*time.Millisecond)
+	cfg.TLS.Plain = true
+	b.send(http.MethodPut, "/instances", awstore.Instance{ID: id, Role: "entry", Address: cfg.Listen.Inner, Domain: region, Region: region})
+	return New(Config{
+		Settings: cfg, Clock: clock, Logger: log.NewNopLogger(), Tracer: noop.NewTracerProvider().Tracer("test"), Incarnation: 1,
+	})
+}
+
+func (b testbed) run(e *Entry) *Entry {
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	b.t.Cleanup(func() {
+		stop()
+		require.NoError(b.t, <-done)
+	})
+	return e
+}
+
+func (b testbed) reach(e *Entry, revision uint64) {
+	require.Eventually(b.t, func() bool { return e.holder.State().Revision >= revision && e.sync.admit() == nil },
+		settled, 5*time.Millisecond, "%s is at %d, wants %d: %v", e.identity.Instance, e.holder.State().Revision, revision, e.sync.admit())
+}
+
+func (b testbed) commit(e *Entry, target string) uint64 {
+	c, err := e.log.Commit(b.t.Context(), e.holder.State().Revision, awconfig.Change{Kind: awconfig.KindDomainOut, Target: target, Actor: "ana"})
+	require.NoError(b.t, err)
+	return c.Revision
+}
+
+const nowhere = "http://127.0.0.1:1" // nothing listens there
+
+// Guards against an entry that cannot start or follow without the store
+// although a peer has the configuration, and one that starts without any.
+func TestStartAndFollowWithoutStore(t *testing.T) {
+	b := newTestbed(t)
+	alone := b.run(b.entry("alone", "south", nowhere, awclock.System{}))
+	require.Eventually(t, func() bool { return alone.sync.admit() != nil && alone.sync.failed() }, settled, 5*time.Millisecond)
+	require.ErrorContains(t, alone.ready(), "no configuration")
+
+	a := b.run(b.entry("entry-a", "north", b.url, awclock.System{}))
+	b.reach(a, 0)
+	revision := b.commit(a, "serra")
+	b.reach(alone, revision)
+	require.True(t, alone.sync.fresh(), "a fresh peer is a fresh source")
+	for i := range 600 { // more than the peer keeps as changes for one that starts
+		revision = b.commit(a, fmt.Sprintf("domain-%d", i%9))
+	}
+	b.reach(alone, revision)
+	late := b.run(b.entry("late", "south", nowhere, awclock.System{}))
+	b.reach(late, revision)
+	require.Equal(t, a.holder.State().Digest(), late.holder.State().Digest())
+	progress := a.sync.progress(t.Context(), revision)
+	require.Equal(t, 3, progress.EntriesInForce, "%+v", progress)
+	require.True(t, progress.Everywhere)
+}
+
+// Guards against a peer's answer that is taken over with another content
+// than the peer has, or that takes a process back.
+func TestTakeOverChecksDigest(t *testing.T) {
+	change := awconfig.Change{Revision: 1, Kind: awconfig.KindDomainOut, Target: "serra"}
+	row, err := json.Marshal(change)
+	require.NoError(t, err)
+	s, err := awconfig.NewState().Apply(change)
+	require.NoError(t, err)
+	data, err := s.Encode()
+	require.NoError(t, err)
+	for name, c := range map[string]struct {
+		reply *awproto.PullConfigReply
+		ok    bool
+	}{
+		"changes":              {&awproto.PullConfigReply{Revision: 1, Changes: [][]byte{row}, Digest: s.Digest()}, true},
+		"changes, bad digest":  {&awproto.PullConfigReply{Revision: 1, Changes: [][]byte{row}, Digest: "bad"}, false},
+		"snapshot":             {&awproto.PullConfigReply{Revision: 1, Snapshot: data, Digest: s.Digest()}, true},
+		"snapshot, bad digest": {&awproto.PullConfigReply{Revision: 1, Snapshot: data, Digest: "bad"}, false},
+		"other revision":       {&awproto.PullConfigReply{Revision: 9, Snapshot: data, Digest: s.Digest()}, false},
+	} {
+		h := awconfig.NewHolder()
+		err := takeOver(h, h.State(), c.reply)
+		require.Equal(t, c.ok, err == nil, "%s: %v", name, err)
+		require.Equal(t, c.ok, h.State().Revision == 1, name)
+	}
+}
+
+// Guards against an isolated entry that goes on taking work, an outage of the
+// store that stops every entry, and freshness that entries renew for each
+// other without the store.
+func TestIsolation(t *testing.T) {
+	b := newTestbed(t)
+	clock := awclock.NewFake(time.Now())
+	e := b.entry("entry-a", "north", b.url, clock)
+	e.sync.learn([]awstore.Instance{
+		{ID: "near", Role: "entry", Region: "north"}, {ID: "far", Role: "entry", Region: "south"},
+	})
+	const age = 20_000 // ms, of the peers' news when they tell
+	limit := e.cfg.Settings.Timing.MaxIsolation.Std()
+	hear := func(from string, everRead bool, ageMs uint32) {
+		e.sync.heard(from, &awproto.PullConfigReply{Synced: true, EverRead: everRead, SourceAgeMs: ageMs}, clock.Now(), 0)
+	}
+	step := func(d time.Duration) {
+		clock.Advance(d)
+		e.sync.mu.Lock()
+		e.sync.lastBeat = clock.Now()
+		e.sync.mu.Unlock()
+	}
+	e.sync.read(clock.Now(), nil)
+	require.NoError(t, e.ready())
+	step(limit)
+	require.True(t, e.sync.fresh())
+	step(time.Second)
+	require.False(t, e.sync.fresh())
+	require.ErrorContains(t, e.ready(), "isolated")
+
+	hear("near", true, 600_000)
+	require.Error(t, e.ready(), "the own region may be cut off as a whole")
+	hear("far", true, 600_000)
+	require.NoError(t, e.ready(), "the store is down for all")
+	require.False(t, e.sync.fresh())
+	hear("far", true, age)
+	require.True(t, e.sync.fresh())
+	step(limit - age*time.Millisecond)
+	require.True(t, e.sync.fresh())
+	step(time.Second)
+	require.False(t, e.sync.fresh(), "the age of the news counts, not of the answer")
+	step(limit)
+	require.ErrorContains(t, e.ready(), "isolated")
+	e.sync.read(clock.Now(), nil)
+	require.NoError(t, e.ready())
+}
+
+// Guards against an entry that admits work after a pause before it has
+// looked for a newer configuration.
+func TestPausedEntryLooksFirst(t *testing.T) {
+	b := newTestbed(t)
+	clock := awclock.NewFake(time.Now())
+	e := b.entry("entry-a", "north", b.url, clock)
+	e.sync.look(t.Context())
+	e.sync.learn(nil)
+	e.sync.look(t.Context())
+	require.NoError(t, e.ready())
+	clock.Advance(pauseLimit + time.Millisecond)
+	require.ErrorContains(t, e.ready(), "paused")
+	e.sync.beat()
+	require.ErrorContains(t, e.ready(), "paused", "a heartbeat alone is not a look")
+	clock.Advance(time.Millisecond)
+	e.sync.look(t.Context())
+	require.NoError(t, e.ready())
+}
+
+// Guards against many entries that reconcile at once, and against none after
+// the holder died, stopped or was paused.
+func TestLease(t *testing.T) {
+	b := newTestbed(t)
+	clock := awclock.NewFake(time.Now())
+	table := awstore.New(awstore.Config{TableURL: b.url})
+	var leases []*lease
+	for i := range 3 {
+		leases = append(leases, newLease(table, clock, leaseRow{Instance: fmt.Sprintf("entry-%d", i), Incarnation: 1}))
+	}
+	active := func(among ...*lease) []int {
+		var list []int
+		for i, l := range among {
+			if held, err := l.acquire(t.Context(), len(among)); held {
+				require.NoError(t, err)
+				list = append(list, i)
+			}
+		}
+		return list
+	}
+	for range 20 {
+		require.Equal(t, []int{0}, active(leases...))
+		clock.Advance(time.Second)
+	}
+	took := 0
+	for took = 1; len(active(leases[1:]...)) == 0; took++ { // the holder is silent
+		clock.Advance(time.Second)
+		require.Less(t, took, 12)
+	}
+	require.GreaterOrEqual(t, time.Duration(took)*time.Second, leaseExpiry-leaseRenew)
+	held, err := leases[0].acquire(t.Context(), 3)
+	require.NoError(t, err)
+	require.False(t, held, "the former holder finds that it lost the lease")
+
+	leases[1].release(t.Context())
+	clock.Advance(leaseRenew)
+	require.Len(t, active(leases...), 1, "a released lease is taken at the next look")
+	b.send(http.MethodPost, "/fault", awstandin.PlatformFault{LoseReplies: 1})
+	clock.Advance(leaseRenew)
+	require.Empty(t, active(leases...), "the writer of a lost reply does not take itself for the holder")
+	for range 20 {
+		clock.Advance(time.Second)
+		require.LessOrEqual(t, len(active(leases...)), 1)
+	}
+	require.Len(t, active(leases...), 1)
+}
+
+// Guards against offers that always reach the same entries.
+func TestOfferTargets(t *testing.T) {
+	b := newTestbed(t)
+	e := b.entry("entry-a", "north", b.url, awclock.System{})
+	var list []awstore.Instance
+	for i := range 30 {
+		list = append(list, awstore.Instance{ID: fmt.Sprintf("entry-%d", i), Role: "entry"})
+	}
+	e.sync.learn(list)
+	reached := map[string]bool{}
+	for revision := uint64(1); revision <= 100; revision++ {
+		targets := e.sync.offerTargets(revision)
+		require.Len(t, targets, offerTo)
+		for _, target := range targets {
+			reached[target.Instance] = true
+		}
+	}
+	require.Len(t, reached, 30)
+	for i := range 29 {
+		e.sync.meet(200, &awproto.ProcessIdentity{Process: "awentry", Instance: fmt.Sprintf("entry-%d", i)})
+	}
+	require.Equal(t, []awrpc.Target{{Instance: "entry-29"}}, e.sync.offerTargets(200), "who has it is not told")
+}
