--- a/io/awcontrol/log.go
+++ b/io/awcontrol/log.go
@@ -233,42 +233,38 @@
 			head.Snapshot = snap // a failure is made up for by the next commit
 		}
 	}
-	return c, l.write(ctx, c, head, next)
+	return c, l.write(ctx, c, head)
 }
 
 // write commits c and settles lost replies. The same transaction is sent
 // again when its change is not found, since its conditions let it take
 // effect only once.
-func (l *Log) write(ctx context.Context, c awconfig.Change, head Head, next *awconfig.State) error {
+func (l *Log) write(ctx context.Context, c awconfig.Change, head Head) error {
 	txn, err := l.transaction(c, head)
 	if err != nil {
 		return err
 	}
 	for range commitTries {
 		if err = l.table.Commit(ctx, txn); err == nil {
-			return l.holder.Extend(l.holder.State(), []awconfig.Change{c}, head.Digest)
+			break
 		}
-		row, readErr := l.table.Get(ctx, changeKey(c.Revision), 0)
-		if errors.Is(readErr, awstore.ErrNotFound) && !errors.Is(err, awstore.ErrConflict) {
-			continue
+		found, readErr := l.change(ctx, c.Revision)
+		if readErr == nil && found.ChangeID == c.ChangeID {
+			err = nil
+			break
 		}
-		if readErr != nil {
-			if errors.Is(err, awstore.ErrConflict) && errors.Is(readErr, awstore.ErrNotFound) {
-				return &ConflictError{} // the head moved in a way that leaves this revision free
-			}
-			continue
-		}
-		found, err := awconfig.DecodeChange(row.Value)
-		if err != nil {
-			return err
-		}
-		if found.ChangeID != c.ChangeID {
+		if readErr == nil {
 			_ = l.poll(ctx) // the conflict is the answer either way
 			return l.conflict(ctx, c.Revision-1, c)
 		}
-		return l.holder.Extend(l.holder.State(), []awconfig.Change{found}, head.Digest)
+		if errors.Is(readErr, awstore.ErrNotFound) && errors.Is(err, awstore.ErrConflict) {
+			return &ConflictError{} // the head moved in a way that leaves this revision free
+		}
+	}
+	if err != nil {
+		return &UnsettledError{ChangeID: c.ChangeID, Cause: err}
 	}
-	return &UnsettledError{ChangeID: c.ChangeID, Cause: err}
+	return l.holder.Extend(l.holder.State(), []awconfig.Change{c}, head.Digest)
 }
 
 func (l *Log) transaction(c awconfig.Change, head Head) (awstore.Txn, error) {
@@ -354,11 +350,11 @@
 		return err
 	}
 	if err := l.table.Commit(ctx, txn); err != nil {
-		row, readErr := l.table.Get(ctx, changeKey(c.Revision), 0)
+		found, readErr := l.change(ctx, c.Revision)
 		if readErr != nil {
 			return &UnsettledError{ChangeID: c.ChangeID, Cause: err}
 		}
-		if found, err := awconfig.DecodeChange(row.Value); err != nil || found.ChangeID != c.ChangeID {
+		if found.ChangeID != c.ChangeID {
 			return &ConflictError{Winners: []awconfig.Change{found}}
 		}
 	}
--- a/io/awcontrol/read.go
+++ b/io/awcontrol/read.go
@@ -26,10 +26,10 @@
 		// The rows in between may be missing or belong to another history.
 		return l.fromSnapshot(ctx, head)
 	}
-	if err := l.sameHistory(ctx, s); err != nil {
-		return err
-	}
 	if head.Revision-s.Revision > scanLimit && head.Snapshot.Revision > s.Revision {
+		if err := l.sameHistory(ctx, s); err != nil {
+			return err
+		}
 		if err := l.fromSnapshot(ctx, head); err == nil {
 			return nil
 		}
@@ -50,21 +50,20 @@
 	if !ok || last.Revision != s.Revision {
 		return nil // s came from a snapshot; digests are compared at the head
 	}
-	row, err := l.table.Get(ctx, changeKey(s.Revision), 0)
-	if errors.Is(err, awstore.ErrNotFound) {
+	found, err := l.change(ctx, s.Revision)
+	if errors.Is(err, awstore.ErrNotFound) || err == nil && found.ChangeID != last.ChangeID {
 		return &ResetError{Have: s.Revision, Store: s.Revision, Diverged: true}
 	}
+	return err
+}
+
+// change reads one row of the log.
+func (l *Log) change(ctx context.Context, revision uint64) (awconfig.Change, error) {
+	row, err := l.table.Get(ctx, changeKey(revision), 0)
 	if err != nil {
-		return err
-	}
-	found, err := awconfig.DecodeChange(row.Value)
-	if err != nil {
-		return err
+		return awconfig.Change{}, err
 	}
-	if found.ChangeID != last.ChangeID {
-		return &ResetError{Have: s.Revision, Store: s.Revision, Diverged: true}
-	}
-	return nil
+	return awconfig.DecodeChange(row.Value)
 }
 
 // fromChanges applies the rows after s in bounded reads. A snapshot that was
@@ -75,7 +74,7 @@
 		if snap := head.Snapshot.Revision; l.snapshotMissing && snap > s.Revision {
 			to = snap
 		}
-		changes, err := l.read(ctx, s.Revision, min(scanLimit, int(to-s.Revision)))
+		changes, err := l.follow(ctx, s, min(scanLimit, int(to-s.Revision)))
 		if err != nil {
 			return err
 		}
@@ -103,6 +102,23 @@
 	return nil
 }
 
+// follow returns at most limit changes after s. When the change that led to s
+// is known it is read with them, which saves the read of [Log.sameHistory].
+func (l *Log) follow(ctx context.Context, s *awconfig.State, limit int) ([]awconfig.Change, error) {
+	last, ok := l.holder.LastChange()
+	if !ok || last.Revision != s.Revision {
+		return l.read(ctx, s.Revision, limit)
+	}
+	changes, err := l.read(ctx, s.Revision-1, limit+1)
+	if err != nil {
+		return nil, err
+	}
+	if len(changes) == 0 || changes[0].ChangeID != last.ChangeID {
+		return nil, &ResetError{Have: s.Revision, Store: s.Revision, Diverged: true}
+	}
+	return changes[1:], nil
+}
+
 // fromSnapshot takes over the newest snapshot and the changes after it.
 func (l *Log) fromSnapshot(ctx context.Context, head Head) error {
 	s, err := l.readSnapshot(ctx, head.Snapshot)
