--- a/internal/awstandin/platform.go
+++ b/internal/awstandin/platform.go
@@ -2,15 +2,18 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/time/rate"
 
@@ -203,7 +206,7 @@
 	}
 }
 
-func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) listInstances(w http.ResponseWriter, r *http.Request) {
 	frozen := p.faults.get().ListFrozen
 	now := time.Now()
 	p.mu.Lock()
@@ -217,7 +220,18 @@
 			shown = s.list
 		}
 	}
-	writeJSON(w, shown)
+	body, err := json.Marshal(shown)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(body) // the client may be gone
 }
 
 func (p *Platform) snapshotList(now time.Time) {
--- a/io/awstore/awstore.go
+++ b/io/awstore/awstore.go
@@ -16,7 +16,9 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -65,6 +67,7 @@
 type Client struct {
 	cfg  Config
 	http *http.Client
+	list listCache
 }
 
 // Config names the services of the platform. Empty URLs are allowed for
@@ -170,11 +173,37 @@
 	MemoryBytes uint64
 }
 
+// listCache is the instance list as last read. Every process reads the list
+// every few seconds and it rarely changes, so it is read conditionally.
+type listCache struct {
+	mu   sync.Mutex
+	etag string
+	list []Instance
+}
+
 // Instances reads the instance list, which lags.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	c.list.mu.Lock()
+	known, cached := c.list.etag, c.list.list
+	c.list.mu.Unlock()
+	resp, err := c.send(ctx, http.MethodGet, c.cfg.InstanceListURL, nil, known)
+	if errors.Is(err, ErrNotModified) && known != "" {
+		return slices.Clone(cached), nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
 	var list []Instance
-	err := c.call(ctx, http.MethodGet, c.cfg.InstanceListURL, nil, &list)
-	return list, err
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&list); err != nil {
+		return nil, eris.Wrap(err, "decode instance list")
+	}
+	c.list.mu.Lock()
+	defer c.list.mu.Unlock()
+	c.list.etag, c.list.list = resp.Header.Get("ETag"), list
+	return slices.Clone(list), nil
 }
 
 func (c *Client) bytes(ctx context.Context, u string) ([]byte, error) {
@@ -184,7 +213,7 @@
 }
 
 func (c *Client) fetch(ctx context.Context, u string) ([]byte, error) {
-	resp, err := c.send(ctx, http.MethodGet, u, nil)
+	resp, err := c.send(ctx, http.MethodGet, u, nil, "")
 	if err != nil {
 		return nil, err
 	}
@@ -196,7 +225,7 @@
 func (c *Client) call(ctx context.Context, method, u string, body []byte, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
-	resp, err := c.send(ctx, method, u, body)
+	resp, err := c.send(ctx, method, u, body, "")
 	if err != nil {
 		return err
 	}
@@ -209,11 +238,15 @@
 	return eris.Wrapf(err, "decode %s", u)
 }
 
-func (c *Client) send(ctx context.Context, method, u string, body []byte) (*http.Response, error) {
+// send calls a service. A known entity tag makes a read conditional.
+func (c *Client) send(ctx context.Context, method, u string, body []byte, etag string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
 	if err != nil {
 		return nil, eris.Wrapf(err, "request %s", u)
 	}
+	if etag != "" {
+		req.Header.Set("If-None-Match", etag)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, eris.Wrapf(err, "%s %s", method, u)
--- /dev/null
+++ b/io/awstore/awstore_test.go
@@ -0,0 +1,59 @@
+package awstore_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutuswind/internal/awstandin"
+	"arbutuswind/io/awstore"
+)
+
+// Guards against an instance list that is read whole again and again, and
+// against one that stays at what was read first.
+func TestInstancesReadConditionally(t *testing.T) {
+	platform := awstandin.NewPlatform(awstandin.PlatformConfig{}).Handler()
+	var full atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rec := httptest.NewRecorder()
+		platform.ServeHTTP(rec, r)
+		if r.Method == http.MethodGet && rec.Code == http.StatusOK {
+			full.Add(1)
+		}
+		for k, v := range rec.Header() {
+			w.Header()[k] = v
+		}
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+	}))
+	t.Cleanup(srv.Close)
+	put := func(id string) {
+		data, err := json.Marshal(awstore.Instance{ID: id, Role: "agent"})
+		require.NoError(t, err)
+		req, err := http.NewRequest(http.MethodPut, srv.URL+"/instances", bytes.NewReader(data))
+		require.NoError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+	}
+	c := awstore.New(awstore.Config{InstanceListURL: srv.URL + "/instances"})
+	put("a")
+	for range 5 {
+		list, err := c.Instances(t.Context())
+		require.NoError(t, err)
+		require.Len(t, list, 1)
+		list[0].ID = "changed by the caller"
+	}
+	require.Equal(t, int64(1), full.Load())
+	put("b")
+	list, err := c.Instances(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, "a", list[0].ID)
+	require.Len(t, list, 2)
+	require.Equal(t, int64(2), full.Load())
+}
