--- a/internal/awbench/cluster.go
+++ b/internal/awbench/cluster.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -137,14 +139,34 @@
 	}
 }
 
-// FreeAddress returns a loopback address that is free now.
+// Ports are taken below the range that the system gives to outgoing
+// connections: a port from that range may be taken again between this check
+// and the start of the process that binds it.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+// nextPort starts at random so that benches that run at once rarely meet.
+var nextPort = func() *atomic.Int64 {
+	n := &atomic.Int64{}
+	n.Store(rand.Int64N(lastPort - firstPort))
+	return n
+}()
+
+// FreeAddress returns a loopback address that is free now and is not given
+// out again soon.
 func FreeAddress() (string, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "free address")
+	var last error
+	for range lastPort - firstPort {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
+		lis, err := net.Listen("tcp", addr)
+		if err == nil {
+			return addr, lis.Close()
+		}
+		last = err
 	}
-	defer lis.Close()
-	return lis.Addr().String(), nil
+	return "", eris.Wrap(last, "free address")
 }
 
 func (c *Cluster) settings(name string, v any) (string, error) {
@@ -373,15 +395,24 @@
 // WaitHTTP waits until the URL answers with status 200.
 func WaitHTTP(ctx context.Context, url string) error {
 	return WaitFor(ctx, url, func() (bool, error) {
-		resp, err := http.Get(url)
-		if err != nil {
-			return false, err
-		}
-		_ = resp.Body.Close()
-		return resp.StatusCode == http.StatusOK, eris.Errorf("status %d", resp.StatusCode)
+		err := CheckHTTP(url)
+		return err == nil, err
 	})
 }
 
+// CheckHTTP returns an error unless the URL answers with status 200.
+func CheckHTTP(url string) error {
+	resp, err := http.Get(url)
+	if err != nil {
+		return eris.Wrapf(err, "get %s", url)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("get %s: status %d", url, resp.StatusCode)
+	}
+	return nil
+}
+
 // Operator returns a client of the operators' API of an entry.
 func (n *Node) Operator() *awcontrol.Client {
 	return &awcontrol.Client{Base: n.Operators, HTTP: http.DefaultClient}
--- a/io/awentry/dispatch.go
+++ b/io/awentry/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"arbutuswind/core/awoutcome"
+	"arbutuswind/core/awstream"
 	"arbutuswind/io/awproto"
 	"arbutuswind/io/awtelemetry"
 )
@@ -80,10 +81,10 @@
 	if err := stream.Send(&awproto.ServeUp{Body: &awproto.ServeUp_Start{Start: start}}); err != nil {
 		return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.LinkLost, Detail: err.Error()}
 	}
-	return receiveAnswer(stream, out)
+	return e.receiveAnswer(stream, out)
 }
 
-func receiveAnswer(stream awproto.DRPCAgent_ServeClient, out sink) error {
+func (e *Entry) receiveAnswer(stream awproto.DRPCAgent_ServeClient, out sink) error {
 	var frames uint64
 	var digest string
 	for {
@@ -93,6 +94,7 @@
 		}
 		switch b := down.Body.(type) {
 		case *awproto.ServeDown_Refusal:
+			e.sync.meet(b.Refusal.Revision, nil)
 			return refusalError(b.Refusal)
 		case *awproto.ServeDown_Accepted:
 			digest = b.Accepted.VersionDigest
@@ -107,7 +109,7 @@
 			}
 			// Credit is returned only after the caller took the bytes, so a
 			// slow caller stops the backend server and not this process.
-			credit := &awproto.Credit{Bytes: uint32(len(b.Frame.Data))}
+			credit := &awproto.Credit{Bytes: uint32(awstream.FrameCost(len(b.Frame.Data)))}
 			if err := stream.Send(&awproto.ServeUp{Body: &awproto.ServeUp_Credit{Credit: credit}}); err != nil && !errors.Is(err, io.EOF) {
 				return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.LinkLost, Detail: err.Error()}
 			}
--- a/io/awentry/operators.go
+++ b/io/awentry/operators.go
@@ -7,13 +7,20 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"arbutuswind/core/awconfig"
 	"arbutuswind/io/awcontrol"
 	"arbutuswind/io/awtelemetry"
 )
 
 // operatorHandler returns the operators' API, health and metrics.
 func (e *Entry) operatorHandler() http.Handler {
-	api := &awcontrol.Server{Log: e.log, Holder: e.holder, Platform: e.store, Fleet: e.fleet.status}
+	api := &awcontrol.Server{
+		Log: e.log, Holder: e.holder, Platform: e.store, Fleet: e.fleet.status,
+		MaxRemovedShare: e.cfg.Settings.Limits.MaxRemovedShare, SourceAge: e.sync.sourceAge, Progress: e.sync.progress,
+		Logged: func(message string, c awconfig.Change, err error) {
+			_ = e.cfg.Logger.Log("Message", message, "Kind", c.Kind, "Target", c.Target, "Actor", c.Actor, "Revision", c.Revision, "Error", err)
+		},
+	}
 	r := chi.NewRouter()
 	r.Mount(awcontrol.APIPrefix, api.Handler())
 	r.Get("/metrics", awtelemetry.MetricsHandler)
@@ -37,6 +44,7 @@
 		s := awcontrol.AgentStatus{Instance: id, Domain: link.info.Domain, State: "SILENT"}
 		if r := link.report; r != nil {
 			s.State, s.ViewRevision, s.InFlight, s.Limit = r.State.String(), r.ViewRevision, r.InFlight, r.Limit
+			s.Fencing = r.Fencing
 			s.ChunksHeld, s.Chunks = r.GetTransfer().GetChunksHeld(), r.GetTransfer().GetChunks()
 			s.OriginBytes = r.GetTransfer().GetOriginBytes()
 			for _, m := range r.Models {
--- a/io/awsettings/daemons.go
+++ b/io/awsettings/daemons.go
@@ -32,6 +32,7 @@
 	StreamBytes     int      // per stream
 	DefaultDeadline Duration // of requests that state none
 	MaxDeadline     Duration
+	MaxRemovedShare float64 // of the wanted replicas that one sheet may remove, 0 to 1
 }
 
 // EntryTiming holds the periods of an entry.
@@ -124,7 +125,7 @@
 		Trace:    Trace{SampleRatio: 0.01},
 		Limits: EntryLimits{
 			MaxBodyBytes: 1 << 20, HeldBytes: 64 << 20, StreamBytes: 64 << 10,
-			DefaultDeadline: seconds(60), MaxDeadline: seconds(600),
+			DefaultDeadline: seconds(60), MaxDeadline: seconds(600), MaxRemovedShare: 0.3,
 		},
 		Claims: defaultClaims(),
 		Timing: EntryTiming{
@@ -197,6 +198,8 @@
 		"%d is not allowed; want 4096 to 65536", c.Limits.StreamBytes)
 	f.duration("Limits.DefaultDeadline", c.Limits.DefaultDeadline)
 	f.duration("Limits.MaxDeadline", c.Limits.MaxDeadline)
+	f.require(c.Limits.MaxRemovedShare >= 0 && c.Limits.MaxRemovedShare <= 1, "Limits.MaxRemovedShare",
+		"%v is not allowed; want 0 to 1", c.Limits.MaxRemovedShare)
 	c.Claims.check(&f, c.Limits.MaxDeadline)
 	f.duration("Timing.ConfigPoll", c.Timing.ConfigPoll)
 	f.duration("Timing.ListPoll", c.Timing.ListPoll)
