--- a/io/awcommand/bench.go
+++ b/io/awcommand/bench.go
@@ -18,10 +18,12 @@
 type experiment func(ctx context.Context, binDir string) (any, error)
 
 var experiments = map[string]experiment{
-	"capacity": awbench.Capacity,
-	"claims":   awbench.Claims,
-	"config":   awbench.Config,
-	"demo":     awbench.Demo,
+	"burst":       awbench.Burst,
+	"capacity":    awbench.Capacity,
+	"claims":      awbench.Claims,
+	"config":      awbench.Config,
+	"demo":        awbench.Demo,
+	"slowreaders": awbench.SlowReaders,
 }
 
 type benchCommand struct {
