Tell unknown versions together with the other faults of a sheet

Cause: a new test of awctl validate between real processes failed: versions were looked up only when a sheet had no other fault, so that an operator needed two rounds.

Change: ParseAll returns the readable rows beside the faults; versions of these are looked up too, and all faults come in the order of the file.

Conclusion: validate reports every fault in one pass.

--- a/core/awsheet/awsheet.go
+++ b/core/awsheet/awsheet.go
@@ -68,6 +68,17 @@
 // Parse reads a sheet and returns its rows, or all its faults in the order of
 // the file.
 func Parse(data []byte, facts Facts) ([]Row, []Fault) {
+	rows, faults := ParseAll(data, facts)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return rows, nil
+}
+
+// ParseAll is [Parse] for a caller that adds checks of its own: it returns the
+// rows that have every field also when there are faults, so that all faults
+// can be told at once.
+func ParseAll(data []byte, facts Facts) ([]Row, []Fault) {
 	data, fault := plainText(data)
 	if fault != nil {
 		return nil, []Fault{*fault}
@@ -92,10 +103,7 @@
 		p.row(rec)
 	}
 	p.capacity()
-	if len(p.faults) > 0 {
-		return nil, p.sorted()
-	}
-	return p.rows, nil
+	return p.rows, p.sorted()
 }
 
 func isHeading(rec []field) bool {
--- a/io/awcontrol/sheet.go
+++ b/io/awcontrol/sheet.go
@@ -1,6 +1,7 @@
 package awcontrol
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -64,33 +65,46 @@
 	if err != nil {
 		return nil, err
 	}
-	rows, faults := awsheet.Parse(sheet, facts)
+	rows, faults := awsheet.ParseAll(sheet, facts)
+	models, unknown, err := s.pinAll(ctx, rows)
+	if err != nil && len(faults) == 0 {
+		return nil, err
+	}
+	faults = append(faults, unknown...)
 	if len(faults) > 0 {
+		slices.SortStableFunc(faults, func(a, b awsheet.Fault) int {
+			return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+		})
 		return nil, &SheetError{Faults: faults}
 	}
+	return models, nil
+}
+
+// pinAll pins the versions of the rows and returns a fault for each version
+// that is not published.
+func (s *Server) pinAll(ctx context.Context, rows []awsheet.Row) ([]awconfig.Model, []awsheet.Fault, error) {
 	models := make([]awconfig.Model, len(rows))
 	unknown := make([]*awsheet.Fault, len(rows))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(pinsAtOnce)
 	for i, row := range rows {
+		if row.Model == "" || row.Version == "" {
+			continue // a fault already
+		}
 		group.Go(func() error {
 			var err error
 			models[i], unknown[i], err = s.pin(ctx, row)
 			return err
 		})
 	}
-	if err := group.Wait(); err != nil {
-		return nil, err
-	}
+	err := group.Wait()
+	var faults []awsheet.Fault
 	for _, f := range unknown {
 		if f != nil {
 			faults = append(faults, *f)
 		}
 	}
-	if len(faults) > 0 {
-		return nil, &SheetError{Faults: faults}
-	}
-	return models, nil
+	return models, faults, err
 }
 
 // facts reads from the instance list and the agents' reports what a sheet is
