--- a/io/awentry/dispatch.go
+++ b/io/awentry/dispatch.go
@@ -81,10 +81,10 @@
 	if err := stream.Send(&awproto.ServeUp{Body: &awproto.ServeUp_Start{Start: start}}); err != nil {
 		return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.LinkLost, Detail: err.Error()}
 	}
-	return receiveAnswer(stream, out)
+	return e.receiveAnswer(stream, out)
 }
 
-func receiveAnswer(stream awproto.DRPCAgent_ServeClient, out sink) error {
+func (e *Entry) receiveAnswer(stream awproto.DRPCAgent_ServeClient, out sink) error {
 	var frames uint64
 	var digest string
 	for {
@@ -94,6 +94,7 @@
 		}
 		switch b := down.Body.(type) {
 		case *awproto.ServeDown_Refusal:
+			e.sync.meet(b.Refusal.Revision, nil)
 			return refusalError(b.Refusal)
 		case *awproto.ServeDown_Accepted:
 			digest = b.Accepted.VersionDigest
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -3,6 +3,11 @@
 // An entry keeps nothing that must last: configuration and claims live in
 // the platform's table service, the state of agents is rebuilt from their
 // heartbeats, and running streams are lost visibly with the entry.
+//
+// Claims that wait for the table service share a transaction, because its
+// budget counts transactions. Grouping of requests by a proxy process in
+// front of a global transaction manager is described in "Postgres-XC
+// Architecture, Implementation and Evaluation Version 0.900", section 5.2.
 package awentry
 
 import (
@@ -48,12 +53,14 @@
 	dialer   *awrpc.Dialer
 	holder   *awconfig.Holder
 	log      *awcontrol.Log
+	sync     *configSync
+	lease    *lease
+	tls      *awrpc.TLS
 	fleet    *fleet
 	claims   *claims
 
 	attempts attemptIDs
 	draining atomic.Bool
-	synced   atomic.Bool // the configuration was read at least once
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -73,12 +80,16 @@
 			InstanceListURL: s.Platform.InstanceListURL, Timeout: s.Platform.Timeout.Std(),
 		}),
 		holder: awconfig.NewHolder(),
+		tls:    awrpc.NewTLS(s.TLS, cfg.Clock),
 		rng:    rand.New(rand.NewPCG(cfg.Incarnation, uint64(len(s.Process.Instance)))),
 	}
 	e.dialer = awrpc.NewDialer(awrpc.DialerConfig{
-		Identity: e.identity, Revision: func() uint64 { return e.holder.State().Revision },
+		Identity: e.identity, Revision: func() uint64 { return e.holder.State().Revision }, TLS: e.tls.Client,
+		OnHello: func(_ awrpc.Target, r *awproto.HelloReply) { e.sync.meet(r.Revision, r.Sender) },
 	})
-	e.log = awcontrol.NewLog(e.store, e.holder)
+	e.log = awcontrol.NewLog(e.store, e.store, e.holder)
+	e.sync = newConfigSync(e)
+	e.lease = newLease(e.store, cfg.Clock, leaseRow{Instance: s.Process.Instance, Incarnation: cfg.Incarnation})
 	e.fleet = newFleet(e)
 	e.attempts.watermark = awledger.NewWatermark()
 	e.claims = newClaims(e.store, s.Claims)
@@ -88,7 +99,7 @@
 // Run serves until ctx ends, then stops gracefully.
 func (e *Entry) Run(ctx context.Context) error {
 	s := e.cfg.Settings
-	inner, err := awrpc.Listen(s.Listen.Inner, nil)
+	inner, err := e.tls.Listen(s.Listen.Inner)
 	if err != nil {
 		return err
 	}
@@ -145,6 +156,7 @@
 
 func (e *Entry) drain(callers *http.Server) {
 	e.draining.Store(true)
+	e.releaseLease()
 	time.Sleep(drainNotice)
 	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.Settings.Timing.Drain.Std())
 	defer cancel()
@@ -159,23 +171,6 @@
 	return nil
 }
 
-// configLoop keeps the configuration up to date until ctx ends.
-func (e *Entry) configLoop(ctx context.Context) {
-	for {
-		if err := e.log.Poll(ctx); err == nil {
-			e.synced.Store(true)
-		} else if ctx.Err() == nil {
-			_ = e.cfg.Logger.Log("Message", "configuration not read", "Error", err.Error())
-		}
-		period := e.cfg.Settings.Timing.ConfigPoll.Std()
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(period/2 + e.jitter(period)):
-		}
-	}
-}
-
 // jitter returns a random time below d.
 func (e *Entry) jitter(d time.Duration) time.Duration {
 	e.mu.Lock()
@@ -187,8 +182,5 @@
 	if e.draining.Load() {
 		return eris.New("entry is leaving")
 	}
-	if !e.synced.Load() {
-		return eris.New("no configuration: neither the table service nor a peer answered")
-	}
-	return nil
+	return e.sync.admit()
 }
--- a/io/awentry/fleet.go
+++ b/io/awentry/fleet.go
@@ -19,6 +19,8 @@
 
 	mu     sync.Mutex
 	agents map[string]*agentLink
+
+	peers peerCache
 }
 
 // agentLink is one agent and the Watch stream to it.
@@ -36,6 +38,7 @@
 func (f *fleet) listLoop(ctx context.Context) {
 	for {
 		if list, err := f.entry.store.Instances(ctx); err == nil {
+			f.entry.sync.learn(list)
 			f.update(ctx, list)
 		}
 		period := f.entry.cfg.Settings.Timing.ListPoll.Std()
@@ -132,12 +135,12 @@
 func (f *fleet) heartbeat(link *agentLink) (*awproto.WatchUp, <-chan struct{}) {
 	changed := f.entry.holder.Changed()
 	s := f.entry.holder.State()
-	up := &awproto.WatchUp{Revision: s.Revision, SourceFresh: true}
+	up := &awproto.WatchUp{Revision: s.Revision, SourceFresh: f.entry.sync.fresh()}
 	f.mu.Lock()
 	behind := link.report == nil || link.report.ViewRevision < s.Revision
 	f.mu.Unlock()
 	if behind {
-		if view, err := s.View(link.info.ID, link.info.Domain).Encode(); err == nil {
+		if view, err := f.view(s, link).Encode(); err == nil {
 			up.View = view
 		}
 	}
@@ -151,6 +154,7 @@
 			return err
 		}
 		silence.Reset(limit)
+		f.entry.sync.meet(down.GetReport().GetViewRevision(), nil)
 		f.mu.Lock()
 		link.report = down.Report
 		link.lastSeen = f.entry.cfg.Clock.Now()
@@ -245,6 +249,7 @@
 		if link.report != nil && len(link.report.Models) > 0 {
 			in.Digest = link.report.Models[0].VersionDigest
 		}
+		addTransfer(&in, link.report)
 		list = append(list, in)
 	}
 	return list
--- a/io/awentry/inner.go
+++ b/io/awentry/inner.go
@@ -20,6 +20,7 @@
 	if req.ProtocolVersion != awrpc.ProtocolVersion {
 		return nil, &awrpc.VersionError{Have: awrpc.ProtocolVersion, Got: req.ProtocolVersion}
 	}
+	s.entry.sync.meet(req.Revision, req.Sender)
 	return &awproto.HelloReply{
 		ProtocolVersion: awrpc.ProtocolVersion, Sender: s.entry.identity, Revision: s.entry.holder.State().Revision,
 	}, nil
@@ -31,20 +32,6 @@
 	if id.GetInstance() == "" || id.GetAddress() == "" {
 		return nil, eris.New("announcement without instance or address")
 	}
+	s.entry.sync.meet(req.GetReport().GetViewRevision(), id)
 	return &awproto.AnnounceReply{Revision: s.entry.holder.State().Revision}, nil
 }
-
-// PullConfig returns the whole configuration when the caller is behind.
-func (s *innerServer) PullConfig(_ context.Context, req *awproto.PullConfigRequest) (*awproto.PullConfigReply, error) {
-	state := s.entry.holder.State()
-	reply := &awproto.PullConfigReply{Revision: state.Revision}
-	if req.HaveRevision >= state.Revision {
-		return reply, nil
-	}
-	data, err := state.Encode()
-	if err != nil {
-		return nil, err
-	}
-	reply.Snapshot = data
-	return reply, nil
-}
--- a/io/awrpc/awrpc.go
+++ b/io/awrpc/awrpc.go
@@ -23,6 +23,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"arbutuswind/io/awproto"
+	"arbutuswind/io/awtelemetry"
 )
 
 // ProtocolVersion is raised with every incompatible change of inner.proto.
@@ -75,7 +76,7 @@
 type DialerConfig struct {
 	Identity *awproto.ProcessIdentity
 	Revision func() uint64                                            // configuration revision of this process
-	TLS      func() (*tls.Config, error)                              // nil for plain TCP
+	TLS      func() (*tls.Config, error)                              // of one connection; nil, or a nil result, for plain TCP
 	OnHello  func(t Target, reply *awproto.HelloReply)                // may be nil
 	Dial     func(ctx context.Context, addr string) (net.Conn, error) // nil for TCP
 }
@@ -111,7 +112,7 @@
 func (d *Dialer) connect(ctx context.Context, t Target) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := d.dial(ctx, t.Address)
+	raw, err := d.dial(ctx, t)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial %s", t.Address)
 	}
@@ -123,17 +124,18 @@
 	return conn, nil
 }
 
-func (d *Dialer) dial(ctx context.Context, addr string) (net.Conn, error) {
+func (d *Dialer) dial(ctx context.Context, t Target) (net.Conn, error) {
 	dial := d.cfg.Dial
 	if dial == nil {
 		nd := &net.Dialer{KeepAlive: keepAliveIdl}
 		dial = func(ctx context.Context, addr string) (net.Conn, error) { return nd.DialContext(ctx, "tcp", addr) }
 	}
-	raw, err := dial(ctx, addr)
+	raw, err := dial(ctx, t.Address)
 	if err != nil {
 		return nil, err
 	}
 	boundSocket(raw)
+	raw = traffic.Count(raw)
 	if d.cfg.TLS == nil {
 		return raw, nil
 	}
@@ -142,6 +144,10 @@
 		_ = raw.Close()
 		return nil, err
 	}
+	if cfg == nil {
+		return raw, nil
+	}
+	cfg.ServerName = serverName(t)
 	conn := tls.Client(raw, cfg)
 	if err := conn.HandshakeContext(ctx); err != nil {
 		_ = raw.Close()
@@ -215,15 +221,19 @@
 	return lis, nil
 }
 
+// traffic counts the bytes of every internal connection, TLS included.
+var traffic = awtelemetry.NewTraffic("Rpc")
+
 type boundedListener struct{ net.Listener }
 
 // Accept bounds the socket buffers of each connection.
 func (l boundedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	if err == nil {
-		boundSocket(conn)
+	if err != nil {
+		return nil, err
 	}
-	return conn, err
+	boundSocket(conn)
+	return traffic.Count(conn), nil
 }
 
 func boundSocket(conn net.Conn) {
