--- a/core/awadmit/queue.go
+++ b/core/awadmit/queue.go
@@ -1,6 +1,7 @@
 package awadmit
 
 import (
+	"cmp"
 	"slices"
 
 	"arbutuswind/core/awoutcome"
@@ -57,29 +58,23 @@
 	return 0, false
 }
 
-// compare orders by priority, then started answers first, because their
-// callers already wait for the rest, then by the teams' virtual time.
+// compare orders by priority, then by the teams' virtual time. Within a team,
+// started answers come first; across teams they do not, since many slow
+// readers that resume would hold up everyone else.
 func (g *Gate) compare(a, b *Ticket) int {
-	switch {
-	case a.req.Priority != b.req.Priority:
-		return int(b.req.Priority) - int(a.req.Priority)
-	case a.req.Resume != b.req.Resume:
-		if a.req.Resume {
-			return -1
-		}
+	return cmp.Or(
+		cmp.Compare(b.req.Priority, a.req.Priority),
+		cmp.Compare(g.fair.start(a.req.Team), g.fair.start(b.req.Team)),
+		cmp.Compare(b2i(b.req.Resume), b2i(a.req.Resume)),
+		cmp.Compare(a.arrived, b.arrived),
+	)
+}
+
+func b2i(b bool) int {
+	if b {
 		return 1
-	case a.req.Team != b.req.Team:
-		if va, vb := g.fair.start(a.req.Team), g.fair.start(b.req.Team); va != vb {
-			if va < vb {
-				return -1
-			}
-			return 1
-		}
-	}
-	if a.arrived < b.arrived {
-		return -1
 	}
-	return 1
+	return 0
 }
 
 // makeRoom finds a place in the queue. A full queue gives up its least
--- a/io/awagent/admission.go
+++ b/io/awagent/admission.go
@@ -95,7 +95,10 @@
 	began := a.cfg.Clock.Now()
 	a.mu.Lock()
 	a.learnRevision(r.start.Revision)
-	err := a.rules(r.start)
+	err := a.seen(r.start)
+	if err == nil {
+		err = a.rules(r.start)
+	}
 	var woken chan struct{}
 	if err == nil {
 		woken, err = a.offer(r, false)
@@ -121,6 +124,19 @@
 	return nil
 }
 
+// seen refuses a copy of an attempt that was settled here, before it takes a
+// place in the queue. The caller holds mu.
+func (a *Agent) seen(start *awproto.ServeStart) *awoutcome.Error {
+	switch a.attempts.State(attemptID(start.Attempt)) {
+	case awledger.NeverSeen:
+		return nil
+	case awledger.NotRun:
+		return awoutcome.Refuse(awoutcome.AttemptRefused, "attempt was refused before")
+	default:
+		return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.DuplicateID, Detail: "attempt was seen before"}
+	}
+}
+
 // offer hands the request to the gate. The caller holds mu.
 func (a *Agent) offer(r *run, resume bool) (chan struct{}, *awoutcome.Error) {
 	s := r.start
--- /dev/null
+++ b/io/awagent/serve_test.go
@@ -0,0 +1,330 @@
+package awagent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"arbutuswind/core/awclock"
+	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awstream"
+	"arbutuswind/internal/awstandin"
+	"arbutuswind/io/awengine"
+	"arbutuswind/io/awproto"
+	"arbutuswind/io/awsettings"
+)
+
+const testDigest = "version-1"
+
+// fakeStream is the entry's side of Serve.
+type fakeStream struct {
+	awproto.DRPCAgent_ServeStream
+	ctx  context.Context
+	up   chan *awproto.ServeUp
+	down chan *awproto.ServeDown
+}
+
+func (s *fakeStream) Context() context.Context { return s.ctx }
+
+func (s *fakeStream) Recv() (*awproto.ServeUp, error) {
+	select {
+	case up := <-s.up:
+		return up, nil
+	case <-s.ctx.Done():
+		return nil, io.EOF
+	}
+}
+
+func (s *fakeStream) Send(d *awproto.ServeDown) error {
+	s.down <- d
+	return nil
+}
+
+// testAgent is an agent beside an engine stand-in that is loaded and warm.
+type testAgent struct {
+	*Agent
+	t     *testing.T
+	clock *awclock.Fake
+	url   string
+	seq   uint64
+}
+
+func newTestAgent(t *testing.T, limit int, pause time.Duration) *testAgent {
+	t.Helper()
+	weights := httptest.NewServer(awstandin.NewService().Handler()) // any body serves as weights
+	t.Cleanup(weights.Close)
+	eng := awstandin.NewEngine(awstandin.EngineConfig{MaxRunning: 64, MemoryBytes: 1 << 30, BytesPerToken: 1, Fencing: true})
+	srv := httptest.NewServer(eng.Handler())
+	t.Cleanup(srv.CloseClientConnections)
+	client := awengine.New(srv.URL)
+	ctx := t.Context()
+	require.NoError(t, client.Load(ctx, awengine.LoadCommand{Model: "rota", Version: "v1", URL: weights.URL + "/w", Fence: 1}))
+	st, err := client.Status(ctx)
+	require.NoError(t, err)
+
+	s := awsettings.DefaultAgent()
+	s.Process.Instance, s.Backend.URL = "agent-1", srv.URL
+	s.Limits.MaxInFlight, s.Limits.ColdInFlight, s.Limits.PauseAfter = limit, limit, awsettings.Duration(pause)
+	clock := awclock.NewFake(time.Unix(1_700_000_000, 0))
+	a := New(Config{
+		Settings: s, Clock: clock, Logger: log.NewNopLogger(), Tracer: noop.NewTracerProvider().Tracer(""), Incarnation: 7,
+	})
+	ta := &testAgent{Agent: a, t: t, clock: clock, url: srv.URL}
+	ta.serve(st)
+	return ta
+}
+
+// serve makes the agent ready with what the engine reports.
+func (a *testAgent) serve(st awengine.Status) {
+	a.setEngine(&awproto.ReadyModel{Model: "rota", VersionDigest: testDigest}, awproto.AgentState_READY, st)
+}
+
+func (a *testAgent) start() *awproto.ServeStart {
+	a.seq++
+	return &awproto.ServeStart{
+		Attempt: &awproto.AttemptId{EntryInstance: "entry-1", EntryIncarnation: 1, Sequence: a.seq},
+		Model:   "rota", Team: "kitchen", Priority: 4, DeadlineMs: 600_000, PromptTokens: 1, MaxTokens: 5,
+		CreditBytes: 32 << 10, Body: []byte("prompt"), VersionDigest: testDigest,
+	}
+}
+
+// open begins a request in the background.
+func (a *testAgent) open(start *awproto.ServeStart) (*fakeStream, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(a.t.Context())
+	s := &fakeStream{ctx: ctx, up: make(chan *awproto.ServeUp, 1<<12), down: make(chan *awproto.ServeDown, 1<<12)}
+	s.up <- &awproto.ServeUp{Body: &awproto.ServeUp_Start{Start: start}}
+	go func() {
+		_ = (&innerServer{agent: a.Agent}).Serve(s)
+		close(s.down)
+	}()
+	return s, cancel
+}
+
+// drainStream reads to the last message and returns the text and that message.
+func (s *fakeStream) drainStream() (string, *awproto.ServeDown) {
+	text := ""
+	var last *awproto.ServeDown
+	for d := range s.down {
+		last = d
+		text += string(d.GetFrame().GetData())
+		if d.GetFrame() != nil {
+			s.credit(awstream.FrameCost(len(d.GetFrame().Data)))
+		}
+	}
+	return text, last
+}
+
+func (s *fakeStream) credit(n int) {
+	s.up <- &awproto.ServeUp{Body: &awproto.ServeUp_Credit{Credit: &awproto.Credit{Bytes: uint32(n)}}}
+}
+
+// eventually waits for a state that the agent reaches on its own.
+func (a *testAgent) eventually(what string, ok func() bool) {
+	a.t.Helper()
+	require.Eventually(a.t, func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return ok()
+	}, time.Minute, time.Millisecond, what)
+}
+
+func (a *testAgent) fault(body string) {
+	a.t.Helper()
+	resp, err := http.Post(a.url+"/fault", "application/json", strings.NewReader(body))
+	require.NoError(a.t, err)
+	require.NoError(a.t, resp.Body.Close())
+}
+
+// Guards the backend server against messages that no entry should send, and
+// each rule of admission.
+func TestRefusals(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(a *testAgent, s *awproto.ServeStart)
+		reason awproto.Reason
+	}{
+		"no attempt":          {func(_ *testAgent, s *awproto.ServeStart) { s.Attempt = nil }, awproto.Reason_BAD_REQUEST},
+		"no time left":        {func(_ *testAgent, s *awproto.ServeStart) { s.DeadlineMs = 0 }, awproto.Reason_BAD_REQUEST},
+		"priority":            {func(_ *testAgent, s *awproto.ServeStart) { s.Priority = 10 }, awproto.Reason_BAD_REQUEST},
+		"window":              {func(_ *testAgent, s *awproto.ServeStart) { s.CreditBytes = 1 << 20 }, awproto.Reason_BAD_REQUEST},
+		"resume at the end":   {func(_ *testAgent, s *awproto.ServeStart) { s.ResumeFrom = 5 }, awproto.Reason_BAD_REQUEST},
+		"resume, any version": {func(_ *testAgent, s *awproto.ServeStart) { s.ResumeFrom, s.VersionDigest = 1, "" }, awproto.Reason_BAD_REQUEST},
+		"oversize": {func(_ *testAgent, s *awproto.ServeStart) {
+			s.PromptTokens, s.MaxTokens = 1<<32-1, 1<<32-1
+		}, awproto.Reason_BAD_REQUEST},
+		"service resumed": {func(_ *testAgent, s *awproto.ServeStart) {
+			s.Service, s.Model, s.ResumeFrom = &awproto.ServiceCall{Service: "x", Method: "POST"}, "service/x", 1
+		}, awproto.Reason_BAD_REQUEST},
+		"other model":   {func(_ *testAgent, s *awproto.ServeStart) { s.Model = "x" }, awproto.Reason_NOT_READY},
+		"other version": {func(_ *testAgent, s *awproto.ServeStart) { s.VersionDigest = "x" }, awproto.Reason_WRONG_VERSION},
+		"out": {func(a *testAgent, _ *awproto.ServeStart) {
+			a.acceptView(awconfig.AgentView{Revision: 1, Out: true})
+		}, awproto.Reason_DOMAIN_OUT},
+		"isolated": {func(a *testAgent, _ *awproto.ServeStart) {
+			for range 40 { // in steps, so that it does not count as a pause
+				a.clock.Advance(time.Second)
+				a.contact(false)
+			}
+		}, awproto.Reason_ISOLATED},
+		"woken from a pause": {func(a *testAgent, _ *awproto.ServeStart) { a.clock.Advance(5 * time.Second) }, awproto.Reason_NOT_READY},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newTestAgent(t, 4, time.Hour)
+			start := a.start()
+			c.change(a, start)
+			s, _ := a.open(start)
+			_, last := s.drainStream()
+			require.NotNil(t, last.GetRefusal(), "%v", last)
+			require.Equal(t, c.reason, last.GetRefusal().Reason)
+			require.Equal(t, awproto.Outcome_NOT_RUN, last.GetRefusal().Outcome)
+		})
+	}
+}
+
+// Guards against a paused process that takes work on a heartbeat that was
+// sent before it was paused.
+func TestContactAfterPause(t *testing.T) {
+	a := newTestAgent(t, 4, time.Hour)
+	a.clock.Advance(5 * time.Second)
+	a.contact(true) // buffered while the process was paused
+	report, _ := a.report()
+	require.Equal(t, awproto.AgentState_STARTING, report.State)
+	a.clock.Advance(wakeDelay)
+	a.contact(true)
+	st, err := awengine.New(a.url).Status(t.Context())
+	require.NoError(t, err)
+	a.serve(st)
+	report, _ = a.report()
+	require.Equal(t, awproto.AgentState_READY, report.State)
+}
+
+// Guards NotRunIsTrue of requests that leave the queue: by cancellation, by a
+// view that takes the domain out and by the drain. A delayed copy of the
+// attempt must not run either.
+func TestQueuedRequestsLeave(t *testing.T) {
+	for name, c := range map[string]struct {
+		leave  func(a *testAgent, cancel context.CancelFunc, s *fakeStream)
+		reason awproto.Reason
+	}{
+		"cancelled": {func(_ *testAgent, _ context.CancelFunc, s *fakeStream) {
+			s.up <- &awproto.ServeUp{Body: &awproto.ServeUp_Cancel{Cancel: &awproto.Cancel{}}}
+		}, awproto.Reason_CANCELLED},
+		"out": {func(a *testAgent, _ context.CancelFunc, _ *fakeStream) {
+			a.acceptView(awconfig.AgentView{Revision: 1, Out: true})
+		}, awproto.Reason_DOMAIN_OUT},
+		"draining": {func(a *testAgent, _ context.CancelFunc, _ *fakeStream) { go a.drain() }, awproto.Reason_LEAVING},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newTestAgent(t, 1, time.Hour)
+			long := a.start()
+			long.MaxTokens, long.CreditBytes = 1000, 1 // holds the only place
+			running, stop := a.open(long)
+			defer stop()
+			a.eventually("the first request runs", func() bool { return a.gate.InFlight() == 1 })
+			queued := a.start()
+			s, cancel := a.open(queued)
+			a.eventually("the second request waits", func() bool { return a.gate.Queued() == 1 })
+			c.leave(a, cancel, s)
+			_, last := s.drainStream()
+			require.Equal(t, c.reason, last.GetRefusal().GetReason(), "%v", last)
+			require.Equal(t, awproto.Outcome_NOT_RUN, last.GetRefusal().Outcome)
+
+			copied, _ := a.open(queued)
+			_, last = copied.drainStream()
+			require.NotNil(t, last.GetRefusal(), "a delayed copy ran")
+			running.credit(1 << 20) // the running request ends whole all the same
+			_, last = running.drainStream()
+			require.NotNil(t, last.GetEnd(), "%v", last)
+		})
+	}
+}
+
+// Guards WholeAnswer for a reader that stops and goes on, and the engine
+// against holding memory for it; and against an answer that goes on with
+// other weights.
+func TestPausedStream(t *testing.T) {
+	for name, otherWeights := range map[string]bool{"same weights": false, "other weights": true} {
+		t.Run(name, func(t *testing.T) {
+			a := newTestAgent(t, 1, time.Millisecond)
+			start := a.start()
+			start.MaxTokens, start.CreditBytes = 50, 1000
+			s, _ := a.open(start)
+			a.eventually("the stream is paused", func() bool { return a.paused == 1 })
+			a.mu.Lock()
+			require.Zero(t, a.gate.InFlight())
+			require.Equal(t, a.cfg.Settings.Limits.MemoryBytes, a.gate.FreeMemory())
+			digest := a.servedDigest
+			a.mu.Unlock()
+			if otherWeights {
+				a.serve(awengine.Status{BootID: "b", Digest: "other"})
+			}
+			text, last := s.drainStream()
+			if otherWeights {
+				require.Equal(t, awproto.Reason_WRONG_VERSION, last.GetFailure().GetReason(), "%v", last)
+				require.Equal(t, awproto.Outcome_UNKNOWN, last.GetFailure().Outcome)
+			} else {
+				require.NotNil(t, last.GetEnd(), "%v", last)
+				want := ""
+				for i := range start.MaxTokens {
+					want += awstandin.TokenText(digest, "prompt", i)
+				}
+				require.Equal(t, want, text)
+			}
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			require.Zero(t, a.paused)
+			require.Zero(t, a.gate.InFlight())
+		})
+	}
+}
+
+// Guards against an answer that passes as whole when the engine restarts or
+// changes its weights in its middle, or stops before it is asked.
+func TestEngineFails(t *testing.T) {
+	for name, c := range map[string]struct {
+		fail    func(a *testAgent)
+		outcome awproto.Outcome
+		reason  awproto.Reason
+	}{
+		"cut":           {func(a *testAgent) { a.fault(`{"CutAfter":3}`) }, awproto.Outcome_UNKNOWN, awproto.Reason_ENGINE_FAILED},
+		"error status":  {func(a *testAgent) { a.fault(`{"FailStarts":1}`) }, awproto.Outcome_UNKNOWN, awproto.Reason_ENGINE_FAILED},
+		"other weights": {func(a *testAgent) { a.servedDigest = "other" }, awproto.Outcome_UNKNOWN, awproto.Reason_IDENTITY_CHANGED},
+		"not there":     {func(a *testAgent) { a.engine = awengine.New("http://127.0.0.1:1") }, awproto.Outcome_NOT_RUN, awproto.Reason_NOT_READY},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newTestAgent(t, 4, time.Hour)
+			c.fail(a)
+			start := a.start()
+			s, _ := a.open(start)
+			_, last := s.drainStream()
+			require.Equal(t, c.reason, last.GetFailure().GetReason(), "%v", last)
+			require.Equal(t, c.outcome, last.GetFailure().Outcome)
+			require.Zero(t, a.gate.InFlight())
+		})
+	}
+}
+
+// Guards GracefulStop: requests cut by the second signal are counted, and
+// their entries are told that the outcome is unknown.
+func TestSecondSignalCuts(t *testing.T) {
+	a := newTestAgent(t, 4, time.Hour)
+	forced := make(chan struct{})
+	a.cfg.Forced = forced
+	start := a.start()
+	start.CreditBytes = 1
+	s, _ := a.open(start)
+	a.eventually("the request runs", func() bool { return a.gate.InFlight() == 1 })
+	close(forced)
+	a.drain()
+	_, last := s.drainStream()
+	require.Equal(t, awproto.Reason_LEAVING, last.GetFailure().GetReason(), "%v", last)
+	require.Equal(t, awproto.Outcome_UNKNOWN, last.GetFailure().Outcome)
+	require.EqualValues(t, 1, a.metrics.cut.Get())
+}
