--- /dev/null
+++ b/internal/awbench/domain.go
@@ -0,0 +1,260 @@
+package awbench
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutuswind/core/awconfig"
+	"arbutuswind/io/awcontrol"
+)
+
+// DomainResult holds what callers saw while a failure domain left and
+// returned, and while one was killed without notice.
+type DomainResult struct {
+	Experiment    string
+	Requests      int
+	Failed        int   // planned phase: answers that were not whole
+	Cut           int   // planned phase: of these, broken off after the first token
+	Wrong         int   // both phases: clean ends with another text
+	LastNewWorkMs int64 // last start in the domain after the change was accepted
+	TtftP99Ms     float64
+	TtftP99OutMs  float64 // while the domain leaves, is out and returns
+	TtftP99Ratio  float64
+	ColdOverloads int
+
+	KillRequests  int
+	KillFailed    int // calls that were not answered whole, repeats of callers included
+	KillCut       int
+	KillEntryLost int // calls whose entry died; the caller repeated them
+	KillTtftP99Ms float64
+	Details       []string // of the first failures
+}
+
+const (
+	domainEngines  = 3 // per failure domain
+	domainInterval = 16 * time.Millisecond
+	domainTokens   = 60 // with the token interval, streams run for about 0.6 s
+	domainSteady   = 8 * time.Second
+	domainOut      = 20 * time.Second
+	domainReturn   = 8 * time.Second
+	domainKill     = 10 * time.Second
+	domainWarmUp   = 6 * time.Second
+	maxDetails     = 5
+)
+
+// Domain takes a failure domain out under steady load, brings it back with
+// cold engines, and then kills another one.
+func Domain(ctx context.Context, binDir string) (any, error) {
+	c, err := NewCluster(binDir)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	digest, err := domainFleet(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	load := &Load{
+		Cluster: c, Digest: digest, Interval: domainInterval,
+		Call: Call{Model: "rota", Prompt: "roster for kitchen", MaxTokens: domainTokens, Team: "kitchen"},
+	}
+	loadCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	done := make(chan struct{})
+	go func() {
+		load.Run(loadCtx)
+		close(done)
+	}()
+	res := &DomainResult{Experiment: "domain"}
+	time.Sleep(domainWarmUp)
+	steady := time.Now()
+	time.Sleep(domainSteady)
+	out := time.Now()
+	if err := domainLeave(ctx, c, res); err != nil {
+		return res, err
+	}
+	time.Sleep(domainReturn)
+	kill := time.Now()
+	killSite(c, Sites[1])
+	time.Sleep(domainKill)
+	stop()
+	<-done
+	res.ColdOverloads, err = overloads(c)
+	if err != nil {
+		return res, err
+	}
+	domainFigures(res, load, steady, out, kill)
+	if res.Failed+res.Cut+res.Wrong+res.ColdOverloads+res.KillFailed+res.KillCut > 0 {
+		return res, eris.New("callers saw the change of the domain")
+	}
+	return res, nil
+}
+
+func domainFleet(ctx context.Context, c *Cluster) (string, error) {
+	if err := c.StartPlatform(ctx); err != nil {
+		return "", err
+	}
+	for i, site := range Sites {
+		if _, err := c.StartEntry(fmt.Sprintf("entry-%d", i), site, nil); err != nil {
+			return "", err
+		}
+		for k := range domainEngines {
+			if _, err := c.StartEngine(fmt.Sprintf("engine-%d-%d", i, k), site, nil, "--token-interval", "10ms"); err != nil {
+				return "", err
+			}
+		}
+	}
+	for _, e := range c.Entries {
+		if err := WaitHTTP(ctx, e.Operators+"/readyz"); err != nil {
+			return "", err
+		}
+	}
+	m, err := c.Publish("rota", "v1", RandomWeights(1, demoWeightBytes), demoChunkBytes)
+	if err != nil {
+		return "", err
+	}
+	n := domainEngines * len(Sites)
+	sheet := fmt.Sprintf("Model,Version,Replicas,Domains,TeamShares,Fencing\n"+
+		"rota,v1,%d,merrimack narragansett champlain,kitchen=2 parish=1,checked\n", n)
+	if _, err := c.Entries[0].Operator().Apply(ctx, []byte(sheet), "bench", 0); err != nil {
+		return "", err
+	}
+	for _, e := range c.Entries {
+		if err := c.WaitServing(ctx, e, "rota", "v1", n); err != nil {
+			return "", err
+		}
+	}
+	return m.FileDigest, nil
+}
+
+// domainLeave takes the last domain out for domainOut and brings it back with
+// cold engines.
+func domainLeave(ctx context.Context, c *Cluster, res *DomainResult) error {
+	site := Sites[2]
+	op := c.Entries[0].Operator()
+	if _, err := op.Change(ctx, awcontrol.ChangeRequest{Kind: awconfig.KindDomainOut, Target: site.Domain, Actor: "bench"}); err != nil {
+		return err
+	}
+	accepted := time.Now()
+	started, err := startedIn(c, site)
+	if err != nil {
+		return err
+	}
+	for time.Since(accepted) < domainOut {
+		n, err := startedIn(c, site)
+		if err != nil {
+			return err
+		}
+		if n > started {
+			started, res.LastNewWorkMs = n, time.Since(accepted).Milliseconds()
+		}
+		time.Sleep(pollPeriod)
+	}
+	for _, n := range c.Agents {
+		if n.Site == site {
+			if err := Fault(n.Backend, map[string]bool{"GoCold": true}); err != nil {
+				return err
+			}
+		}
+	}
+	_, err = op.Change(ctx, awcontrol.ChangeRequest{Kind: awconfig.KindDomainIn, Target: site.Domain, Actor: "bench"})
+	return err
+}
+
+// startedIn returns the number of completions that engines of a domain have
+// started.
+func startedIn(c *Cluster, site Site) (int, error) {
+	total := 0
+	for _, n := range c.Agents {
+		if n.Site != site {
+			continue
+		}
+		counts := map[string]int{}
+		if err := GetJSON(n.Backend+"/admin/counts", &counts); err != nil {
+			return 0, err
+		}
+		total += counts["Started"]
+	}
+	return total, nil
+}
+
+// killSite ends every process of a failure domain at once.
+func killSite(c *Cluster, site Site) {
+	for _, n := range append(append([]*Node{}, c.Entries...), c.Agents...) {
+		if n.Site != site {
+			continue
+		}
+		_ = n.Process.Signal(syscall.SIGKILL) // fails only when it has ended
+		if n.Server != nil {
+			_ = n.Server.Signal(syscall.SIGKILL)
+		}
+	}
+}
+
+// overloads returns how often engines broke under load.
+func overloads(c *Cluster) (int, error) {
+	total := 0
+	for _, n := range c.Agents {
+		if n.Site == Sites[1] {
+			continue // killed
+		}
+		counts := map[string]int{}
+		if err := GetJSON(n.Backend+"/admin/counts", &counts); err != nil {
+			return 0, err
+		}
+		total += counts["Overloads"]
+	}
+	return total, nil
+}
+
+func domainFigures(res *DomainResult, load *Load, steady, out, kill time.Time) {
+	before, during := load.Between(steady, out), load.Between(out, kill)
+	after := load.Between(kill, time.Now())
+	res.Requests, res.KillRequests = len(before)+len(during), len(after)
+	for _, s := range append(before, during...) {
+		if !s.Whole || s.EntryLost {
+			res.Failed++
+			res.detail(s)
+		}
+		if s.Cut {
+			res.Cut++
+		}
+		if s.Wrong {
+			res.Wrong++
+		}
+	}
+	for _, s := range after {
+		switch {
+		case s.Wrong:
+			res.Wrong++
+		case !s.Whole:
+			res.KillFailed++
+			res.detail(s)
+		}
+		if s.Cut {
+			res.KillCut++
+		}
+		if s.EntryLost {
+			res.KillEntryLost++
+		}
+	}
+	p99 := quantile(firstTokens(before), 0.99)
+	p99Out := quantile(firstTokens(during), 0.99)
+	res.TtftP99Ms, res.TtftP99OutMs = ms(p99), ms(p99Out)
+	res.KillTtftP99Ms = ms(quantile(firstTokens(after), 0.99))
+	if p99 > 0 {
+		res.TtftP99Ratio = float64(p99Out) / float64(p99)
+	}
+}
+
+func (r *DomainResult) detail(s Sample) {
+	if len(r.Details) < maxDetails {
+		r.Details = append(r.Details, s.Detail)
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/awstandin/engine.go
+++ b/internal/awstandin/engine.go
@@ -50,6 +50,7 @@
 	mu        sync.Mutex
 	st        awengine.Status
 	finished  int // since the last load or restart
+	started   int // completions admitted in all
 	overloads int // times a cold engine or its memory was overloaded
 	maxCold   int // most concurrent requests while cold
 	lagged    []awengine.Status
@@ -107,6 +108,7 @@
 	defer e.mu.Unlock()
 	writeJSON(w, map[string]int{
 		"Overloads": e.overloads, "MaxCold": e.maxCold, "Finished": e.finished, "Running": e.st.Running,
+		"Started": e.started,
 	})
 }
 
@@ -197,6 +199,7 @@
 func (e *Engine) begin(need uint64) (awengine.Status, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.started++
 	e.st.Running++
 	e.st.UsedBytes += need
 	cold := e.st.State == "cold"
--- a/io/awcommand/bench.go
+++ b/io/awcommand/bench.go
@@ -18,7 +18,9 @@
 type experiment func(ctx context.Context, binDir string) (any, error)
 
 var experiments = map[string]experiment{
-	"demo": awbench.Demo,
+	"demo":     awbench.Demo,
+	"domain":   awbench.Domain,
+	"overhead": awbench.Overhead,
 }
 
 type benchCommand struct {
