--- /dev/null
+++ b/core/awmember/awmember_test.go
@@ -0,0 +1,103 @@
+package awmember
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against an old incarnation that takes over from its successor, by
+// announcement, report or the lagging instance list.
+func TestOlderIncarnationIsDropped(t *testing.T) {
+	tab := NewTable(Config{MissingAfter: 15 * time.Second})
+	require.True(t, tab.Announce(Info{Instance: "a", Address: "new:1", Incarnation: 7}, start))
+	require.False(t, tab.Announce(Info{Instance: "a", Address: "old:1", Incarnation: 6}, start))
+	require.False(t, tab.Heard("a", 6, start))
+	tab.List([]Info{{Instance: "a", Address: "old:1", Domain: "d"}}, start)
+	info, _, ok := tab.Get("a")
+	require.True(t, ok)
+	require.Equal(t, Info{Instance: "a", Address: "new:1", Domain: "d", Incarnation: 7}, info)
+	require.True(t, tab.Heard("a", 8, start))
+}
+
+// Guards against forgetting an announced agent because the list lags, and
+// against keeping one that is gone.
+func TestAnnouncedAgentSurvivesTheLaggingList(t *testing.T) {
+	tab := NewTable(Config{MissingAfter: 15 * time.Second})
+	tab.Announce(Info{Instance: "a", Address: "x:1", Incarnation: 1}, start)
+	tab.List(nil, start.Add(10*time.Second))
+	_, _, ok := tab.Get("a")
+	require.True(t, ok)
+	tab.List(nil, start.Add(16*time.Second))
+	_, _, ok = tab.Get("a")
+	require.False(t, ok)
+}
+
+// Guards against new work for an instance that the list shows as leaving
+// while its agent still announces itself.
+func TestLeavingStays(t *testing.T) {
+	tab := NewTable(Config{MissingAfter: 15 * time.Second})
+	tab.Announce(Info{Instance: "a", Incarnation: 1}, start)
+	tab.List([]Info{{Instance: "a", Leaving: true}}, start)
+	tab.Announce(Info{Instance: "a", Incarnation: 1}, start)
+	info, _, _ := tab.Get("a")
+	require.True(t, info.Leaving)
+	tab.Announce(Info{Instance: "a", Incarnation: 2}, start)
+	info, _, _ = tab.Get("a")
+	require.False(t, info.Leaving)
+}
+
+// Guards against links that work in one direction: each case must be found
+// within three periods.
+func TestOneWayLinkIsFound(t *testing.T) {
+	const period = time.Second
+	for _, tc := range []struct {
+		name    string
+		receive func(l *Liveness, counter, echo uint64, now time.Time)
+	}{
+		{"nothing arrives here", func(*Liveness, uint64, uint64, time.Time) {}},
+		{"nothing arrives there", func(l *Liveness, c, _ uint64, now time.Time) { l.Received(c, 2, now) }},
+		{"old messages are repeated", func(l *Liveness, _, _ uint64, now time.Time) { l.Received(2, 2, now) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := start
+			l := NewLiveness(period, now)
+			for range 2 {
+				c, _ := l.Next()
+				l.Received(c, c, now)
+				now = now.Add(period)
+			}
+			require.True(t, l.Alive(now))
+			broken := now.Add(-period)
+			for now.Sub(broken) <= SilentPeriods*period {
+				c, echo := l.Next()
+				tc.receive(l, c, echo, now)
+				now = now.Add(period / 4)
+			}
+			require.False(t, l.Alive(now))
+			require.True(t, l.Lost(now))
+		})
+	}
+}
+
+// Guards against ejecting most of the fleet for a cause that all share.
+func TestEjectionIsBounded(t *testing.T) {
+	e := NewEjector(DefaultEject())
+	for i := range 10 {
+		for range 5 {
+			e.Failed(fmt.Sprint(i), 10, start)
+		}
+	}
+	require.Equal(t, 3, e.count(start))
+	later := start.Add(6 * time.Second)
+	require.Zero(t, e.count(later), "ejection ends by time")
+	require.True(t, e.Failed("0", 10, later), "a further failure ejects again")
+	require.True(t, e.Ejected("0", later.Add(9*time.Second)), "for twice as long")
+	e.Succeeded("0")
+	require.False(t, e.Ejected("0", later))
+	require.False(t, e.Failed("0", 10, later))
+}
