--- a/internal/awstandin/engine.go
+++ b/internal/awstandin/engine.go
@@ -50,9 +50,9 @@
 	mu        sync.Mutex
 	st        awengine.Status
 	finished  int // since the last load or restart
-	started   int // completions admitted in all
 	overloads int // times a cold engine or its memory was overloaded
 	maxCold   int // most concurrent requests while cold
+	started   int // completions since the process started
 	lagged    []awengine.Status
 	laggedAt  []time.Time
 }
@@ -107,8 +107,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	writeJSON(w, map[string]int{
-		"Overloads": e.overloads, "MaxCold": e.maxCold, "Finished": e.finished, "Running": e.st.Running,
-		"Started": e.started,
+		"Overloads": e.overloads, "MaxCold": e.maxCold, "Finished": e.finished, "Running": e.st.Running, "Started": e.started,
 	})
 }
 
--- a/io/awentry/inner.go
+++ b/io/awentry/inner.go
@@ -33,6 +33,9 @@
 	if id.GetInstance() == "" || id.GetAddress() == "" {
 		return nil, eris.New("announcement without instance or address")
 	}
+	if !s.entry.fleet.announce(req) {
+		return nil, eris.Errorf("announcement of %s is of an old incarnation", id.Instance)
+	}
 	return &awproto.AnnounceReply{Revision: s.entry.holder.State().Revision}, nil
 }
 
