--- /dev/null
+++ b/core/awlimit/bytes.go
@@ -0,0 +1,32 @@
+package awlimit
+
+// Bytes bounds the bytes that an entry holds for callers: bodies, windows of
+// streams and answers that are collected. It is not safe for concurrent use.
+type Bytes struct {
+	Limit int
+	held  int
+}
+
+// Reserve takes n bytes; it returns false when the limit would be exceeded.
+func (b *Bytes) Reserve(n int) bool {
+	if n > b.Limit-b.held {
+		return false
+	}
+	b.held += n
+	return true
+}
+
+// Release returns n bytes.
+func (b *Bytes) Release(n int) { b.held -= n }
+
+// Held returns the bytes reserved.
+func (b *Bytes) Held() int { return b.held }
+
+// Window returns the window of a new stream: wide while most of the limit is
+// free, and narrow after that, so that many slow callers fit.
+func (b *Bytes) Window(wide, narrow int) int {
+	if b.held <= b.Limit/2 {
+		return wide
+	}
+	return min(wide, narrow)
+}
--- /dev/null
+++ b/core/awlimit/room.go
@@ -0,0 +1,74 @@
+package awlimit
+
+// Room holds the requests that wait for a backend server during a short
+// overload. When it is full, the lowest priority leaves first. It is not safe
+// for concurrent use.
+type Room struct {
+	Places  int
+	waiting []*Ticket
+}
+
+// Ticket is one waiting request.
+type Ticket struct {
+	priority uint32
+	evict    func()
+}
+
+// Enter takes a place. When the room is full it evicts the last request of the
+// lowest priority, if that is below the given one; otherwise it returns nil.
+// The function evict must not call the room.
+func (r *Room) Enter(priority uint32, evict func()) *Ticket {
+	t := &Ticket{priority: priority, evict: evict}
+	if len(r.waiting) < r.Places {
+		r.waiting = append(r.waiting, t)
+		return t
+	}
+	lowest := -1
+	for i, w := range r.waiting {
+		if w.priority < priority && (lowest < 0 || w.priority <= r.waiting[lowest].priority) {
+			lowest = i
+		}
+	}
+	if lowest < 0 {
+		return nil
+	}
+	r.waiting[lowest].evict()
+	r.remove(lowest)
+	r.waiting = append(r.waiting, t)
+	return t
+}
+
+// Leave gives the place back. It may be called after an eviction.
+func (r *Room) Leave(t *Ticket) {
+	for i, w := range r.waiting {
+		if w == t {
+			r.remove(i)
+			return
+		}
+	}
+}
+
+// Waiting returns the number of places taken.
+func (r *Room) Waiting() int { return len(r.waiting) }
+
+func (r *Room) remove(i int) { r.waiting = append(r.waiting[:i], r.waiting[i+1:]...) }
+
+// Shed reports whether a new request of the priority is refused while the
+// room fills: the lower the priority, the earlier. Priorities are 0 to 9.
+func (r *Room) Shed(priority uint32) bool {
+	const priorities = 10
+	return len(r.waiting)*priorities >= r.Places*(priorities/2+int(priority+1)/2)
+}
+
+// CannotMeet reports whether every agent expects a longer wait than the
+// request has left. It returns the shortest wait in milliseconds.
+func CannotMeet(waitsMs []uint32, leftMs int64) (shortest uint32, refuse bool) {
+	if len(waitsMs) == 0 {
+		return 0, false
+	}
+	shortest = waitsMs[0]
+	for _, w := range waitsMs[1:] {
+		shortest = min(shortest, w)
+	}
+	return shortest, int64(shortest) >= leftMs
+}
--- /dev/null
+++ b/core/awstream/assembler_test.go
@@ -0,0 +1,95 @@
+package awstream
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func tokenFrame(number uint64, token uint32, digest string) Frame {
+	return Frame{Number: number, FirstToken: token, Tokens: 1, Data: []byte(fmt.Sprintf("%d ", token)), Digest: digest}
+}
+
+// Guards WholeAnswer: whatever the order, duplicates and breaks of the link,
+// the delivered text is a prefix of the answer, and a clean end means all.
+func TestAssemblerDeliversInOrder(t *testing.T) {
+	const tokens = 40
+	var want strings.Builder
+	for i := range tokens {
+		fmt.Fprintf(&want, "%d ", i)
+	}
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		a := NewAssembler(1 << 10)
+		var got strings.Builder
+		for done := false; !done; {
+			require.NoError(t, a.Begin("d"))
+			from := a.NextToken()
+			var frames []Frame
+			for i := from; i < tokens; i++ {
+				frames = append(frames, tokenFrame(uint64(i-from), i, "d"))
+			}
+			if cut := rng.IntN(len(frames) + 1); cut < len(frames) {
+				frames = frames[:cut]
+			} else {
+				done = true
+			}
+			sent := append([]Frame(nil), frames...)
+			for range len(frames) / 3 {
+				sent = append(sent, frames[rng.IntN(len(frames))]) // late copies
+			}
+			rng.Shuffle(len(sent), func(i, j int) { sent[i], sent[j] = sent[j], sent[i] })
+			for _, f := range sent {
+				require.NoError(t, a.Add(f, func(f Frame) error {
+					got.Write(f.Data)
+					return nil
+				}))
+			}
+			require.True(t, strings.HasPrefix(want.String(), got.String()))
+			if done {
+				require.NoError(t, a.End(uint64(len(frames)), tokens))
+			} else {
+				require.Error(t, a.End(uint64(tokens-from), tokens))
+			}
+		}
+		require.Equal(t, want.String(), got.String())
+	}
+}
+
+// Guards WholeAnswer and NoMixedWeights against each fault of a stream.
+func TestAssemblerFaults(t *testing.T) {
+	drop := func(Frame) error { return nil }
+	for _, tc := range []struct {
+		name string
+		run  func(a *Assembler) error
+		want Fault
+	}{
+		{"other weights in a frame", func(a *Assembler) error { return a.Add(tokenFrame(1, 1, "e"), drop) }, FaultIdentity},
+		{"other weights on resume", func(a *Assembler) error { return a.Begin("e") }, FaultIdentity},
+		{"token skipped", func(a *Assembler) error { return a.Add(tokenFrame(1, 2, "d"), drop) }, FaultGap},
+		{"frame missing at the end", func(a *Assembler) error { return a.End(2, 2) }, FaultGap},
+		{"token missing at the end", func(a *Assembler) error { return a.End(1, 2) }, FaultGap},
+		{"half delivered frame", func(a *Assembler) error {
+			return a.Add(Frame{Number: 1, FirstToken: 0, Tokens: 2, Digest: "d"}, drop)
+		}, FaultOverlap},
+		{"too much out of order", func(a *Assembler) error {
+			return a.Add(Frame{Number: 5, FirstToken: 5, Tokens: 1, Data: make([]byte, 101), Digest: "d"}, drop)
+		}, FaultWindow},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a := NewAssembler(100)
+			require.NoError(t, a.Begin("d"))
+			require.NoError(t, a.Add(tokenFrame(0, 0, "d"), drop))
+			var fault *Error
+			require.ErrorAs(t, tc.run(a), &fault)
+			require.Equal(t, tc.want, fault.Fault)
+		})
+	}
+	a := NewAssembler(100)
+	require.NoError(t, a.Begin("d"))
+	a.Restart()
+	require.NoError(t, a.Begin("e"), "nothing was delivered")
+}
--- a/io/awentry/fleet.go
+++ b/io/awentry/fleet.go
@@ -2,41 +2,63 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"arbutuswind/core/awmember"
 	"arbutuswind/core/awplace"
 	"arbutuswind/core/awroute"
 	"arbutuswind/io/awproto"
-	"arbutuswind/io/awrpc"
 	"arbutuswind/io/awstore"
 )
 
-// fleet is what this entry knows about agents.
+// fleet is what this entry knows about agents and other entries. It knows
+// every agent by list and announcement, and watches a subset.
 type fleet struct {
 	entry *Entry
-
-	mu     sync.Mutex
-	agents map[string]*agentLink
+	dirty chan struct{} // holds a token when the watched subset may be out of date
+
+	mu        sync.Mutex
+	table     *awmember.Table
+	ejector   *awmember.Ejector
+	agents    map[string]*agentLink // watched
+	announced map[string]*awproto.AgentReport
+	entries   []awstore.Instance // other entries by the instance list, not leaving
 }
 
-// agentLink is one agent and the Watch stream to it.
+// agentLink is one watched agent and the Watch stream to it.
 type agentLink struct {
 	info     awstore.Instance
 	cancel   context.CancelFunc
-	report   *awproto.AgentReport // nil while the agent is silent
+	report   *awproto.AgentReport // nil while the link is not proved in both directions
+	live     *awmember.Liveness   // of the open stream
+	lost     chan struct{}        // closed when the link turns suspect
 	lastSeen time.Time
-	sent     int // requests sent by this entry and not finished
+
+	own         int // requests of this entry that run there
+	ownAtReport int // of these, running when the report arrived
+	prefixes    awroute.PrefixTable
 }
 
-func newFleet(e *Entry) *fleet { return &fleet{entry: e, agents: map[string]*agentLink{}} }
+func newFleet(e *Entry) *fleet {
+	t := e.cfg.Settings.Timing
+	return &fleet{
+		entry:     e,
+		dirty:     make(chan struct{}, 1),
+		table:     awmember.NewTable(awmember.Config{MissingAfter: t.MissingAfter.Std()}),
+		ejector:   awmember.NewEjector(awmember.DefaultEject()),
+		agents:    map[string]*agentLink{},
+		announced: map[string]*awproto.AgentReport{},
+	}
+}
 
 // listLoop follows the instance list until ctx ends.
 func (f *fleet) listLoop(ctx context.Context) {
+	go f.subsetLoop(ctx)
 	for {
 		if list, err := f.entry.store.Instances(ctx); err == nil {
-			f.update(ctx, list)
+			f.update(list)
 		}
 		period := f.entry.cfg.Settings.Timing.ListPoll.Std()
 		select {
@@ -47,205 +69,93 @@
 	}
 }
 
-func (f *fleet) update(ctx context.Context, list []awstore.Instance) {
+// update takes over a whole instance list.
+func (f *fleet) update(list []awstore.Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	shown := map[string]bool{}
+	var infos []awmember.Info
+	f.entries = nil
 	for _, in := range list {
-		if in.Role != "agent" {
-			continue
-		}
-		shown[in.ID] = true
-		f.learn(ctx, in)
-	}
-	silent := f.entry.cfg.Settings.Timing.MissingAfter.Std()
-	for id, link := range f.agents {
-		if !shown[id] && f.entry.cfg.Clock.Now().Sub(link.lastSeen) > silent {
-			link.cancel()
-			delete(f.agents, id)
-		}
-	}
-}
-
-// learn starts to watch an agent. The caller holds mu.
-func (f *fleet) learn(ctx context.Context, in awstore.Instance) {
-	if link, ok := f.agents[in.ID]; ok && link.info.Address == in.Address {
-		link.info.Leaving = in.Leaving
-		return
-	} else if ok {
-		link.cancel()
-	}
-	watchCtx, cancel := context.WithCancel(ctx)
-	link := &agentLink{info: in, cancel: cancel, lastSeen: f.entry.cfg.Clock.Now()}
-	f.agents[in.ID] = link
-	go f.watchLoop(watchCtx, link)
-}
-
-// watchLoop keeps a Watch stream to one agent open until ctx ends.
-func (f *fleet) watchLoop(ctx context.Context, link *agentLink) {
-	for ctx.Err() == nil {
-		_ = f.watch(ctx, link) // the next try follows after a heartbeat period
-		f.mu.Lock()
-		link.report = nil
-		f.mu.Unlock()
-		select {
-		case <-ctx.Done():
-		case <-time.After(f.entry.cfg.Settings.Timing.Heartbeat.Std()):
+		switch in.Role {
+		case "agent":
+			infos = append(infos, awmember.Info{
+				Instance: in.ID, Address: in.Address, Domain: in.Domain, Region: in.Region,
+				Service: in.Service, Leaving: in.Leaving,
+			})
+		case "entry":
+			if in.ID != f.entry.identity.Instance && !in.Leaving {
+				f.entries = append(f.entries, in)
+			}
 		}
 	}
-}
-
-// silentPeriods is the number of heartbeat periods without an answer after
-// which an agent gets no new work.
-const silentPeriods = 3
-
-func (f *fleet) watch(ctx context.Context, link *agentLink) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	client := f.entry.dialer.Agent(ctx, awrpc.Target{Address: link.info.Address, Instance: link.info.ID})
-	stream, err := client.Watch(ctx)
-	if err != nil {
-		return err
-	}
-	period := f.entry.cfg.Settings.Timing.Heartbeat.Std()
-	silence := time.AfterFunc(silentPeriods*period, cancel)
-	defer silence.Stop()
-	errs := make(chan error, 1)
-	go func() { errs <- f.receive(stream, link, silence, silentPeriods*period) }()
-	var counter uint64
-	for {
-		up, changed := f.heartbeat(link)
-		counter++
-		up.Counter = counter
-		if err := stream.Send(up); err != nil {
-			return err
-		}
-		select {
-		case err := <-errs:
-			return err
-		case <-changed:
-		case <-time.After(period):
+	f.table.List(infos, f.entry.cfg.Clock.Now())
+	for id := range f.announced {
+		if _, _, ok := f.table.Get(id); !ok {
+			delete(f.announced, id)
+			f.ejector.Forget(id)
 		}
 	}
+	f.markDirty()
 }
 
-func (f *fleet) heartbeat(link *agentLink) (*awproto.WatchUp, <-chan struct{}) {
-	changed := f.entry.holder.Changed()
-	s := f.entry.holder.State()
-	up := &awproto.WatchUp{Revision: s.Revision, SourceFresh: true}
+// announce takes the announcement of an agent. It returns false when the
+// announcement is of an older incarnation than known.
+func (f *fleet) announce(req *awproto.AnnounceRequest) bool {
+	id := req.Sender
 	f.mu.Lock()
-	behind := link.report == nil || link.report.ViewRevision < s.Revision
-	f.mu.Unlock()
-	if behind {
-		if view, err := s.View(link.info.ID, link.info.Domain).Encode(); err == nil {
-			up.View = view
-		}
+	defer f.mu.Unlock()
+	in := awmember.Info{
+		Instance: id.Instance, Address: id.Address, Domain: id.Domain, Region: id.Region,
+		Incarnation: id.Incarnation, Leaving: req.Leaving,
 	}
-	return up, changed
-}
-
-func (f *fleet) receive(stream awproto.DRPCAgent_WatchClient, link *agentLink, silence *time.Timer, limit time.Duration) error {
-	for {
-		down, err := stream.Recv()
-		if err != nil {
-			return err
+	for _, m := range req.GetReport().GetModels() {
+		if name, ok := serviceName(m.Model); ok {
+			in.Service = name
 		}
-		silence.Reset(limit)
-		f.mu.Lock()
-		link.report = down.Report
-		link.lastSeen = f.entry.cfg.Clock.Now()
-		f.mu.Unlock()
 	}
-}
-
-// candidates returns the agents that may take a request for the model now.
-// An empty digest accepts every version.
-func (f *fleet) candidates(model, digest string) []awroute.Candidate {
-	s := f.entry.holder.State()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var cands []awroute.Candidate
-	for id, link := range f.agents {
-		r := link.report
-		if r == nil || link.info.Leaving || s.InstanceOut(id, link.info.Domain) {
-			continue
-		}
-		if r.State != awproto.AgentState_READY && r.State != awproto.AgentState_COLD {
-			continue
-		}
-		for _, m := range r.Models {
-			if m.Model == model && (digest == "" || m.VersionDigest == digest) {
-				cands = append(cands, f.candidate(id, link))
-			}
-		}
+	if !f.table.Announce(in, f.entry.cfg.Clock.Now()) {
+		return false
 	}
-	return cands
+	f.announced[id.Instance] = req.Report
+	f.markDirty()
+	return true
 }
 
-func (f *fleet) candidate(id string, link *agentLink) awroute.Candidate {
-	c := awroute.Candidate{
-		Instance: id, Domain: link.info.Domain, Distance: awroute.Far, Limit: int(link.report.Limit),
-		InFlight: max(int(link.report.InFlight), link.sent), WaitMs: link.report.WaitMs,
+// markDirty asks for a new subset.
+func (f *fleet) markDirty() {
+	select {
+	case f.dirty <- struct{}{}:
+	default:
 	}
-	switch {
-	case link.info.Domain == f.entry.identity.Domain:
-		c.Distance = awroute.SameDomain
-	case link.info.Region == f.entry.identity.Region:
-		c.Distance = awroute.SameRegion
-	}
-	return c
-}
-
-// target is an agent picked for one attempt.
-type target struct {
-	awrpc.Target
-	done func() // returns the slot that this entry counted
 }
 
-func (f *fleet) pick(model, digest string, exclude map[string]bool, rng *rand.Rand) (target, bool) {
-	cands := f.candidates(model, digest)
-	kept := cands[:0]
-	for _, c := range cands {
-		if !exclude[c.Instance] {
-			kept = append(kept, c)
-		}
-	}
-	c, ok := awroute.Pick(kept, rng)
-	if !ok {
-		return target{}, false
-	}
+// peers returns the other entries that the instance list shows.
+func (f *fleet) peers() []awstore.Instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	link := f.agents[c.Instance]
-	if link == nil || link.report == nil {
-		return target{}, false
-	}
-	link.sent++
-	done := func() {
-		f.mu.Lock()
-		link.sent--
-		f.mu.Unlock()
-	}
-	return target{
-		Target: awrpc.Target{Address: link.info.Address, Instance: c.Instance, Incarnation: link.report.Incarnation},
-		done:   done,
-	}, true
+	return slices.Clone(f.entries)
 }
 
 // observed returns the model engine instances as the reconciler needs them.
+// Agents that this entry does not watch are known by list and announcement.
 func (f *fleet) observed() []awplace.Instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var list []awplace.Instance
-	for id, link := range f.agents {
-		if link.info.Service != "" {
-			continue
+	f.table.All(func(info awmember.Info, lastSeen time.Time) {
+		if info.Service != "" {
+			return
 		}
-		in := awplace.Instance{ID: id, Domain: link.info.Domain, Leaving: link.info.Leaving, LastSeen: link.lastSeen}
-		if link.report != nil && len(link.report.Models) > 0 {
-			in.Digest = link.report.Models[0].VersionDigest
+		in := awplace.Instance{ID: info.Instance, Domain: info.Domain, Leaving: info.Leaving, LastSeen: lastSeen}
+		report := f.announced[info.Instance]
+		if link := f.agents[info.Instance]; link != nil {
+			// The list lags, so only the link tells whether a watched agent is there.
+			in.LastSeen, report = link.lastSeen, link.report
+		}
+		if len(report.GetModels()) > 0 {
+			in.Digest = report.Models[0].VersionDigest
 		}
 		list = append(list, in)
-	}
+	})
 	return list
 }
--- /dev/null
+++ b/io/awentry/fleet_route.go
@@ -0,0 +1,135 @@
+package awentry
+
+import (
+	"errors"
+	"math/rand/v2"
+
+	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awoutcome"
+	"arbutuswind/core/awroute"
+	"arbutuswind/io/awproto"
+	"arbutuswind/io/awrpc"
+)
+
+// want states which agents may take a request.
+type want struct {
+	model    string
+	digest   string // empty accepts every version
+	prefixes []uint64
+	exclude  map[string]bool
+}
+
+// candidates returns the agents that may take a request now.
+func (f *fleet) candidates(w want) []awroute.Candidate {
+	s := f.entry.holder.State()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var cands []awroute.Candidate
+	for id, link := range f.agents {
+		if !w.exclude[id] && f.admits(id, link, w, s) {
+			cands = append(cands, f.candidate(id, link, w))
+		}
+	}
+	return cands
+}
+
+// admits applies every rule by which an entry gives an agent no new work.
+func (f *fleet) admits(id string, link *agentLink, w want, s *awconfig.State) bool {
+	r := link.report
+	if r == nil || link.info.Leaving || s.InstanceOut(id, link.info.Domain) ||
+		f.ejector.Ejected(id, f.entry.cfg.Clock.Now()) {
+		return false
+	}
+	if r.State != awproto.AgentState_READY && r.State != awproto.AgentState_COLD {
+		return false
+	}
+	for _, m := range r.Models {
+		_, halted := s.Halted[m.VersionDigest]
+		if m.Model == w.model && (w.digest == m.VersionDigest || (w.digest == "" && !halted)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) candidate(id string, link *agentLink, w want) awroute.Candidate {
+	r := link.report
+	c := awroute.Candidate{
+		Instance: id, Domain: link.info.Domain, Distance: awroute.Far, Limit: int(r.Limit),
+		// What this entry sent and got back since the report corrects its lag.
+		InFlight: max(link.own, int(r.InFlight)+link.own-link.ownAtReport),
+		WaitMs:   r.WaitMs, Cold: r.State == awproto.AgentState_COLD,
+		PrefixHit: len(w.prefixes) > 0 && link.prefixes.Hit(w.prefixes),
+	}
+	switch {
+	case link.info.Domain == f.entry.identity.Domain:
+		c.Distance = awroute.SameDomain
+	case link.info.Region == f.entry.identity.Region:
+		c.Distance = awroute.SameRegion
+	}
+	return c
+}
+
+// target is an agent picked for one attempt.
+type target struct {
+	awrpc.Target
+	domain string
+	lost   <-chan struct{} // closed when the link to the agent turns suspect
+	done   func()          // returns the slot that this entry counted
+}
+
+// pick chooses an agent and counts a slot on it until done is called.
+func (f *fleet) pick(w want, rng *rand.Rand) (target, []awroute.Candidate, bool) {
+	cands := f.candidates(w)
+	c, ok := awroute.Pick(cands, awroute.DefaultPick(), rng)
+	if !ok {
+		return target{}, cands, false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	link := f.agents[c.Instance]
+	if link == nil || link.report == nil {
+		return target{}, cands, false
+	}
+	link.own++
+	link.prefixes.Add(w.prefixes...)
+	done := func() {
+		f.mu.Lock()
+		link.own--
+		f.mu.Unlock()
+	}
+	return target{
+		Target: awrpc.Target{Address: link.info.Address, Instance: c.Instance, Incarnation: link.report.Incarnation},
+		domain: c.Domain, lost: link.lost, done: done,
+	}, cands, true
+}
+
+// alive reports whether the link to an agent is proved now.
+func (f *fleet) alive(t target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	link := f.agents[t.Instance]
+	return link != nil && link.report != nil && link.report.Incarnation == t.Incarnation
+}
+
+// judgeAttempt feeds the end of an attempt to outlier ejection. Refusals and
+// callers that left say nothing about the backend server.
+func (f *fleet) judgeAttempt(t target, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil {
+		f.ejector.Succeeded(t.Instance)
+		return
+	}
+	var oe *awoutcome.Error
+	if !errors.As(err, &oe) {
+		return
+	}
+	switch oe.Reason {
+	case awoutcome.EngineFailed, awoutcome.IdentityChanged, awoutcome.Truncated, awoutcome.LinkLost:
+		if f.ejector.Failed(t.Instance, len(f.agents), f.entry.cfg.Clock.Now()) {
+			ejections.Inc()
+			_ = f.entry.cfg.Logger.Log("Message", "agent ejected", "Agent", t.Instance, "Error", err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/io/awentry/fleet_watch.go
@@ -0,0 +1,167 @@
+package awentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutuswind/core/awmember"
+	"arbutuswind/io/awproto"
+	"arbutuswind/io/awrpc"
+)
+
+// watchLoop keeps a Watch stream to one agent open until ctx ends.
+func (f *fleet) watchLoop(ctx context.Context, link *agentLink) {
+	for ctx.Err() == nil {
+		_ = f.watch(ctx, link) // the next try follows after a heartbeat period
+		if ctx.Err() == nil {
+			f.suspect(link)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(f.entry.cfg.Settings.Timing.Heartbeat.Std()):
+		}
+	}
+}
+
+// errSilent ends a Watch stream that has shown no life in both directions.
+var errSilent = eris.New("no heartbeat with an echo")
+
+// livenessChecks is the number of checks per heartbeat period, so that a
+// silent link is found soon after its last period.
+const livenessChecks = 4
+
+func (f *fleet) watch(ctx context.Context, link *agentLink) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	period := f.entry.cfg.Settings.Timing.Heartbeat.Std()
+	f.mu.Lock()
+	link.live = awmember.NewLiveness(period, f.entry.cfg.Clock.Now())
+	target := awrpc.Target{Address: link.info.Address, Instance: link.info.ID}
+	f.mu.Unlock()
+	// Without it a stalled connection would hold the dial and the first send.
+	stalled := time.AfterFunc((awmember.SilentPeriods+1)*period, cancel)
+	defer stalled.Stop()
+	stream, err := f.entry.dialer.Agent(ctx, target).Watch(ctx)
+	if err != nil {
+		return err
+	}
+	errs := make(chan error, 2)
+	go func() { errs <- f.receive(stream, link) }()
+	go func() { errs <- f.sendHeartbeats(ctx, stream, link, period) }()
+	check := time.NewTicker(period / livenessChecks)
+	defer check.Stop()
+	for {
+		select {
+		case err := <-errs:
+			return err
+		case <-check.C:
+			stalled.Stop()
+			if f.judge(link) {
+				return errSilent
+			}
+		}
+	}
+}
+
+// sendHeartbeats has its own goroutine, because a stalled link blocks a send.
+func (f *fleet) sendHeartbeats(
+	ctx context.Context, stream awproto.DRPCAgent_WatchClient, link *agentLink, period time.Duration,
+) error {
+	for {
+		up, changed := f.heartbeat(link)
+		if err := stream.Send(up); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-time.After(period):
+		}
+	}
+}
+
+// judge takes an agent out of routing when its link is not alive. It reports
+// whether the stream is lost.
+func (f *fleet) judge(link *agentLink) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.entry.cfg.Clock.Now()
+	if link.report != nil && !link.live.Alive(now) {
+		f.suspectLocked(link)
+	}
+	return link.live.Lost(now)
+}
+
+// suspect takes an agent out of routing. Requests that run there and may be
+// repeated move.
+func (f *fleet) suspect(link *agentLink) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspectLocked(link)
+}
+
+func (f *fleet) suspectLocked(link *agentLink) {
+	if link.report == nil {
+		return
+	}
+	link.report = nil
+	close(link.lost)
+	link.lost = make(chan struct{})
+}
+
+func (f *fleet) heartbeat(link *agentLink) (*awproto.WatchUp, <-chan struct{}) {
+	changed := f.entry.holder.Changed()
+	s := f.entry.holder.State()
+	up := &awproto.WatchUp{
+		Revision: s.Revision, SourceFresh: true,
+		PeriodMs: uint32(f.entry.cfg.Settings.Timing.Heartbeat.Std().Milliseconds()),
+	}
+	f.mu.Lock()
+	up.Counter, up.Echo = link.live.Next()
+	behind := link.report == nil || link.report.ViewRevision < s.Revision
+	f.mu.Unlock()
+	if behind {
+		if view, err := s.View(link.info.ID, link.info.Domain).Encode(); err == nil {
+			up.View = view
+		}
+	}
+	return up, changed
+}
+
+func (f *fleet) receive(stream awproto.DRPCAgent_WatchClient, link *agentLink) error {
+	for {
+		down, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := f.heard(link, down); err != nil {
+			return err
+		}
+	}
+}
+
+// heard takes a message of an agent. A report counts only once the link is
+// proved in both directions.
+func (f *fleet) heard(link *agentLink, down *awproto.WatchDown) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.entry.cfg.Clock.Now()
+	r := down.GetReport()
+	if !f.table.Heard(link.info.ID, r.GetIncarnation(), now) {
+		return eris.Errorf("report of %s is of an old incarnation", link.info.ID)
+	}
+	link.live.Received(down.Counter, down.Echo, now)
+	link.lastSeen = now
+	if !link.live.Alive(now) {
+		return nil
+	}
+	if link.report != nil && link.report.Incarnation != r.Incarnation {
+		link.prefixes.Reset()
+	}
+	link.report, link.ownAtReport = r, link.own
+	link.prefixes.Add(r.PrefixHashes...)
+	return nil
+}
--- /dev/null
+++ b/io/awentry/telemetry.go
@@ -0,0 +1,26 @@
+package awentry
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"arbutuswind/core/awoutcome"
+)
+
+// Metrics of the request path.
+var (
+	ejections    = metrics.NewCounter("awentry_ejections_total")
+	resumes      = metrics.NewCounter("awentry_resumes_total")
+	retries      = metrics.NewCounter("awentry_retries_total")
+	refusedTries = metrics.NewCounter("awentry_attempts_refused_total")
+	cutRequests  = metrics.NewCounter("awentry_cut_requests_total")
+	wholeAnswers = metrics.NewCounter("awentry_answers_whole_total")
+	firstFrames  = metrics.NewSummary("awentry_first_frame_seconds")
+)
+
+// countProblem counts a refusal or failure by outcome and reason.
+func countProblem(e *awoutcome.Error) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(
+		`awentry_problems_total{outcome=%q,reason=%q}`, e.Outcome.String(), string(e.Reason))).Inc()
+}
