--- a/io/awcommand/bench.go
+++ b/io/awcommand/bench.go
@@ -18,6 +18,7 @@
 type experiment func(ctx context.Context, binDir string) (any, error)
 
 var experiments = map[string]experiment{
+	"capacity": awbench.Capacity,
 	"demo":     awbench.Demo,
 	"domain":   awbench.Domain,
 	"overhead": awbench.Overhead,
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -22,6 +22,9 @@
 
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awledger"
+	"arbutuswind/core/awlimit"
+	"arbutuswind/core/awretry"
 	"arbutuswind/io/awcontrol"
 	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awproto"
@@ -50,12 +53,20 @@
 	fleet    *fleet
 	claims   *claims
 
-	sequence atomic.Uint64
+	attempts attemptIDs
 	draining atomic.Bool
 	synced   atomic.Bool // the configuration was read at least once
-
-	mu  sync.Mutex
-	rng *rand.Rand
+	running  atomic.Int64
+	stopped  context.Context // ends when running requests are cut
+	cut      context.CancelCauseFunc
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	retry *awretry.Budget
+	bytes awlimit.Bytes
+	room  awlimit.Room
+	rates *awlimit.Rates
+	own   map[string]awlimit.Demand // of the last window
 }
 
 // New returns an entry that does nothing until [Entry.Run].
@@ -77,9 +88,14 @@
 	e.dialer = awrpc.NewDialer(awrpc.DialerConfig{
 		Identity: e.identity, Revision: func() uint64 { return e.holder.State().Revision },
 	})
+	e.retry = awretry.NewBudget(awretry.Default())
+	e.bytes.Limit, e.room.Places = s.Limits.HeldBytes, roomPlaces
+	e.rates = awlimit.NewRates()
+	e.stopped, e.cut = context.WithCancelCause(context.Background())
 	e.log = awcontrol.NewLog(e.store, e.holder)
 	e.fleet = newFleet(e)
-	e.claims = &claims{store: e.store}
+	e.attempts.watermark = awledger.NewWatermark()
+	e.claims = newClaims(e.store, s.Claims)
 	return e
 }
 
@@ -116,6 +132,9 @@
 	group.Go(func() error { e.configLoop(serveCtx); return nil })
 	group.Go(func() error { e.fleet.listLoop(serveCtx); return nil })
 	group.Go(func() error { e.reconcileLoop(serveCtx); return nil })
+	group.Go(func() error { e.rateLoop(serveCtx); return nil })
+	group.Go(func() error { e.claims.writeLoop(serveCtx); return nil })
+	group.Go(func() error { e.sweepLoop(serveCtx); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -135,19 +154,6 @@
 	return err
 }
 
-// drainNotice is how long readiness is false before the listener closes, so
-// that the balancer has stopped sending callers here.
-const drainNotice = 500 * time.Millisecond
-
-func (e *Entry) drain(callers *http.Server) {
-	e.draining.Store(true)
-	time.Sleep(drainNotice)
-	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.Settings.Timing.Drain.Std())
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	_ = e.cfg.Logger.Log("Message", "entry stopped", "Whole", err == nil)
-}
-
 func serveHTTP(srv *http.Server, lis net.Listener) error {
 	if err := srv.Serve(lis); err != http.ErrServerClosed {
 		return eris.Wrapf(err, "listener %s", lis.Addr())
@@ -179,10 +185,20 @@
 	return time.Duration(e.rng.Int64N(int64(d)))
 }
 
+// ready tells the balancer whether new callers should come here.
 func (e *Entry) ready() error {
 	if e.draining.Load() {
 		return eris.New("entry is leaving")
 	}
+	if e.holder.State().InstanceOut(e.identity.Instance, e.identity.Domain) {
+		return eris.New("the failure domain or the instance is taken out")
+	}
+	return e.accepting()
+}
+
+// accepting tells whether requests that arrive are served. It stays true
+// while the balancer is told to send callers elsewhere.
+func (e *Entry) accepting() error {
 	if !e.synced.Load() {
 		return eris.New("no configuration: neither the table service nor a peer answered")
 	}
--- a/io/awentry/fleet_route.go
+++ b/io/awentry/fleet_route.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"time"
 
 	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awmember"
 	"arbutuswind/core/awoutcome"
 	"arbutuswind/core/awroute"
 	"arbutuswind/io/awproto"
@@ -104,6 +106,19 @@
 	}, cands, true
 }
 
+// carried reports whether any known agent serves or will serve a model,
+// watched or not.
+func (f *fleet) carried(model string) bool {
+	s := f.entry.holder.State()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	found := false
+	f.table.All(func(info awmember.Info, _ time.Time) {
+		found = found || groupKey(info, s) == model
+	})
+	return found
+}
+
 // alive reports whether the link to an agent is proved now.
 func (f *fleet) alive(t target) bool {
 	f.mu.Lock()
--- a/io/awentry/telemetry.go
+++ b/io/awentry/telemetry.go
@@ -1,6 +1,7 @@
 package awentry
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,3 +25,12 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(
 		`awentry_problems_total{outcome=%q,reason=%q}`, e.Outcome.String(), string(e.Reason))).Inc()
 }
+
+// noteProblem counts what a caller is told.
+func (e *Entry) noteProblem(err error) {
+	var oe *awoutcome.Error
+	if !errors.As(err, &oe) {
+		oe = &awoutcome.Error{Reason: awoutcome.EngineFailed}
+	}
+	countProblem(oe)
+}
--- a/io/awhttp/awhttp.go
+++ b/io/awhttp/awhttp.go
@@ -85,12 +85,18 @@
 	switch reason {
 	case awoutcome.BadRequest:
 		return http.StatusBadRequest
+	case awoutcome.BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case awoutcome.BodyTimeout:
+		return http.StatusRequestTimeout
 	case awoutcome.RateLimited, awoutcome.QueueFull, awoutcome.ColdLimit, awoutcome.MemoryFull, awoutcome.Overloaded:
 		return http.StatusTooManyRequests
 	case awoutcome.Deadline:
 		return http.StatusGatewayTimeout
 	case awoutcome.InProgress:
 		return http.StatusConflict
+	case awoutcome.ResultNotKept:
+		return http.StatusGone
 	case awoutcome.KeyReused:
 		return http.StatusUnprocessableEntity
 	case awoutcome.EngineFailed, awoutcome.IdentityChanged, awoutcome.Truncated, awoutcome.LinkLost:
