--- a/internal/awbench/domain.go
+++ b/internal/awbench/domain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -31,17 +32,22 @@
 	KillCut       int
 	KillEntryLost int // calls whose entry died; the caller repeated them
 	KillTtftP99Ms float64
-	Details       []string // of the first failures
+
+	BackendRequests  int // while the backend servers and agents of a domain die and its entry lives
+	BackendFailed    int
+	BackendCut       int
+	BackendTtftP99Ms float64
+	Details          []string // of the first failures
 }
 
 const (
 	domainEngines  = 3 // per failure domain
-	domainInterval = 16 * time.Millisecond
+	domainInterval = 10 * time.Millisecond
 	domainTokens   = 60 // with the token interval, streams run for about 0.6 s
 	domainSteady   = 8 * time.Second
 	domainOut      = 20 * time.Second
 	domainReturn   = 8 * time.Second
-	domainKill     = 10 * time.Second
+	domainKill     = 8 * time.Second
 	domainWarmUp   = 6 * time.Second
 	maxDetails     = 5
 )
@@ -78,17 +84,24 @@
 		return res, err
 	}
 	time.Sleep(domainReturn)
+	if res.ColdOverloads, err = overloads(c, Sites); err != nil {
+		return res, err
+	}
+	backends := time.Now()
+	killSite(c, Sites[2], false)
+	time.Sleep(domainKill)
 	kill := time.Now()
-	killSite(c, Sites[1])
+	killSite(c, Sites[1], true)
 	time.Sleep(domainKill)
 	stop()
 	<-done
-	res.ColdOverloads, err = overloads(c)
+	survivors, err := overloads(c, Sites[:1])
 	if err != nil {
 		return res, err
 	}
-	domainFigures(res, load, steady, out, kill)
-	if res.Failed+res.Cut+res.Wrong+res.ColdOverloads+res.KillFailed+res.KillCut > 0 {
+	res.ColdOverloads = max(res.ColdOverloads, survivors)
+	domainFigures(res, load, steady, out, backends, kill)
+	if res.Failed+res.Cut+res.Wrong+res.ColdOverloads+res.KillFailed+res.KillCut+res.BackendFailed > 0 {
 		return res, eris.New("callers saw the change of the domain")
 	}
 	return res, nil
@@ -182,9 +195,14 @@
 	return total, nil
 }
 
-// killSite ends every process of a failure domain at once.
-func killSite(c *Cluster, site Site) {
-	for _, n := range append(append([]*Node{}, c.Entries...), c.Agents...) {
+// killSite ends the agents and backend servers of a failure domain at once,
+// and its entries if asked to.
+func killSite(c *Cluster, site Site, entries bool) {
+	nodes := append([]*Node{}, c.Agents...)
+	if entries {
+		nodes = append(nodes, c.Entries...)
+	}
+	for _, n := range nodes {
 		if n.Site != site {
 			continue
 		}
@@ -195,12 +213,12 @@
 	}
 }
 
-// overloads returns how often engines broke under load.
-func overloads(c *Cluster) (int, error) {
+// overloads returns how often engines in the sites broke under load.
+func overloads(c *Cluster, sites []Site) (int, error) {
 	total := 0
 	for _, n := range c.Agents {
-		if n.Site == Sites[1] {
-			continue // killed
+		if !slices.Contains(sites, n.Site) {
+			continue
 		}
 		counts := map[string]int{}
 		if err := GetJSON(n.Backend+"/admin/counts", &counts); err != nil {
@@ -211,33 +229,29 @@
 	return total, nil
 }
 
-func domainFigures(res *DomainResult, load *Load, steady, out, kill time.Time) {
-	before, during := load.Between(steady, out), load.Between(out, kill)
-	after := load.Between(kill, time.Now())
-	res.Requests, res.KillRequests = len(before)+len(during), len(after)
-	for _, s := range append(before, during...) {
-		if !s.Whole || s.EntryLost {
-			res.Failed++
-			res.detail(s)
-		}
-		if s.Cut {
-			res.Cut++
+func domainFigures(res *DomainResult, load *Load, steady, out, backends, kill time.Time) {
+	before, during := load.Between(steady, out), load.Between(out, backends)
+	noEntries, after := load.Between(backends, kill), load.Between(kill, time.Now())
+	for _, s := range append(append([]Sample{}, before...), during...) {
+		if s.EntryLost {
+			res.Failed++ // no entry dies in this phase
 		}
-		if s.Wrong {
-			res.Wrong++
+	}
+	for _, phase := range []struct {
+		samples               []Sample
+		requests, failed, cut *int
+	}{
+		{before, &res.Requests, &res.Failed, &res.Cut},
+		{during, &res.Requests, &res.Failed, &res.Cut},
+		{noEntries, &res.BackendRequests, &res.BackendFailed, &res.BackendCut},
+		{after, &res.KillRequests, &res.KillFailed, &res.KillCut},
+	} {
+		*phase.requests += len(phase.samples)
+		for _, s := range phase.samples {
+			res.count(s, phase.failed, phase.cut)
 		}
 	}
 	for _, s := range after {
-		switch {
-		case s.Wrong:
-			res.Wrong++
-		case !s.Whole:
-			res.KillFailed++
-			res.detail(s)
-		}
-		if s.Cut {
-			res.KillCut++
-		}
 		if s.EntryLost {
 			res.KillEntryLost++
 		}
@@ -246,11 +260,25 @@
 	p99Out := quantile(firstTokens(during), 0.99)
 	res.TtftP99Ms, res.TtftP99OutMs = ms(p99), ms(p99Out)
 	res.KillTtftP99Ms = ms(quantile(firstTokens(after), 0.99))
+	res.BackendTtftP99Ms = ms(quantile(firstTokens(noEntries), 0.99))
 	if p99 > 0 {
 		res.TtftP99Ratio = float64(p99Out) / float64(p99)
 	}
 }
 
+func (r *DomainResult) count(s Sample, failed, cut *int) {
+	if s.Wrong {
+		r.Wrong++
+	}
+	if s.Cut {
+		*cut++
+	}
+	if !s.Whole {
+		*failed++
+		r.detail(s)
+	}
+}
+
 func (r *DomainResult) detail(s Sample) {
 	if len(r.Details) < maxDetails {
 		r.Details = append(r.Details, s.Detail)
