--- a/io/awagent/engine.go
+++ b/io/awagent/engine.go
@@ -2,17 +2,46 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awoutcome"
 	"arbutuswind/io/awengine"
 	"arbutuswind/io/awproto"
 )
 
-// watchEngine keeps the engine at the placed version until ctx ends.
+const (
+	// maxLoadFailures is the number of failed load commands after which the
+	// version is reported as failed, so that the reconciler can halt it.
+	maxLoadFailures = 3
+	// maxLoadBackoff bounds the time between two tries of a failed load.
+	maxLoadBackoff = 30 * time.Second
+	// idlePoll is the time between two looks at the running requests.
+	idlePoll = 10 * time.Millisecond
+)
+
+// loader is the state of the load commands. The engine loop is its only
+// writer, so two commands never run at once.
+type loader struct {
+	digest    string // version of the last failures
+	failures  int
+	notBefore time.Time
+}
+
+// watchEngine keeps weights and engine at the placed version until ctx ends.
 func (a *Agent) watchEngine(ctx context.Context) {
+	group := errgroup.Group{}
+	group.Go(func() error { a.weightLoop(ctx); return nil })
+	group.Go(func() error { a.engineLoop(ctx); return nil })
+	_ = group.Wait() // no member returns an error
+}
+
+func (a *Agent) engineLoop(ctx context.Context) {
 	for {
 		a.mu.Lock()
 		changed := a.changed
@@ -34,79 +63,146 @@
 func (a *Agent) reconcileEngine(ctx context.Context) error {
 	st, err := a.engine.Status(ctx)
 	if err != nil {
-		a.setEngine(nil, awproto.AgentState_FAILED, "")
+		a.setEngine(nil, awproto.AgentState_FAILED, awengine.Status{})
 		return err
 	}
 	a.mu.Lock()
 	view, boot := a.view, a.bootID
 	a.mu.Unlock()
 	if boot != "" && boot != st.BootID {
-		a.setEngine(nil, awproto.AgentState_STARTING, st.BootID)
+		a.setEngine(nil, awproto.AgentState_STARTING, st)
 	}
 	p := view.Placement
 	if p.Model == "" {
-		a.setEngine(nil, awproto.AgentState_STARTING, st.BootID)
+		a.setEngine(nil, awproto.AgentState_STARTING, st)
 		return nil
 	}
-	if a.confirm(st, p) {
+	if a.confirm(st, p) || !a.weights.complete(p.Digest) {
 		return nil
 	}
 	if err := a.loadVersion(ctx, view, st); err != nil {
 		return err
 	}
-	st, err = a.engine.Status(ctx)
-	if err != nil {
-		return err
-	}
-	if !a.confirm(st, p) {
-		return eris.Errorf("engine reports %s %s with digest %s after the load command", st.Model, st.Version, st.Digest)
-	}
 	return nil
 }
 
 // confirm reports whether the engine serves the placement, and if so tells
-// the entries.
+// the entries. The engine's own word for digest and model decides.
 func (a *Agent) confirm(st awengine.Status, p awconfig.Placement) bool {
-	_, complete := a.weights.whole(p.Digest)
-	if !complete || st.State == "empty" || st.Model != p.Model || st.Digest != a.weights.fileDigest() {
+	m, _, known := a.weights.manifest(p.Digest)
+	if !known || st.State == "empty" || st.Model != p.Model || st.Digest != m.FileDigest {
 		return false
 	}
 	state := awproto.AgentState_READY
 	if st.State == "cold" {
 		state = awproto.AgentState_COLD
 	}
-	a.setEngine(&awproto.ReadyModel{Model: p.Model, Version: p.Version, VersionDigest: p.Digest}, state, st.BootID)
+	a.setEngine(&awproto.ReadyModel{Model: p.Model, Version: p.Version, VersionDigest: p.Digest}, state, st)
 	return true
 }
 
+// loadVersion gives the load command and reads back what it did.
 func (a *Agent) loadVersion(ctx context.Context, view awconfig.AgentView, st awengine.Status) error {
 	p := view.Placement
-	if err := a.weights.ensure(ctx, p.Digest); err != nil {
+	if a.loader.digest == p.Digest && a.cfg.Clock.Now().Before(a.loader.notBefore) {
+		return nil
+	}
+	if err := a.stopServing(ctx, st); err != nil {
 		return err
 	}
-	a.setEngine(nil, awproto.AgentState_LOADING, st.BootID)
 	a.mu.Lock()
-	current := a.view.Placement
+	a.checkPause(a.cfg.Clock.Now())
+	current, awaiting := a.view.Placement, a.awaiting
 	a.mu.Unlock()
-	if current.Fence != p.Fence {
-		return nil // the placement changed during the transfer
+	if current != p || awaiting {
+		return nil // the placement changed, or may have changed unseen, during the transfer
+	}
+	if view.Fencing == awconfig.FencingChecked && st.Fence > p.Fence {
+		return eris.Errorf("engine holds fencing token %d, newer than %d of the placement", st.Fence, p.Fence)
 	}
 	err := a.engine.Load(ctx, awengine.LoadCommand{
 		Model: p.Model, Version: p.Version, Fence: p.Fence,
 		URL: "http://" + a.cfg.Settings.Listen.Local + "/weights/" + p.Digest,
 	})
-	return eris.Wrap(err, "load command")
+	return a.afterLoad(ctx, p, err)
+}
+
+// afterLoad asks the engine what the command did. A lost reply is no failure
+// when the engine serves the version.
+func (a *Agent) afterLoad(ctx context.Context, p awconfig.Placement, loadErr error) error {
+	st, err := a.engine.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if a.confirm(st, p) {
+		a.loader = loader{}
+		a.weights.fail(p.Digest, "")
+		return nil
+	}
+	if loadErr == nil {
+		loadErr = eris.Errorf("engine reports %s %s with digest %s after the load command", st.Model, st.Version, st.Digest)
+	}
+	var refused *awengine.StatusError
+	if errors.As(loadErr, &refused) && refused.Status == statusPreconditionFailed {
+		return loadErr // a newer command was given; the version itself is not at fault
+	}
+	if a.loader.digest != p.Digest {
+		a.loader = loader{digest: p.Digest}
+	}
+	a.loader.failures++
+	backoff := a.cfg.Settings.Timing.EnginePoll.Std() << min(a.loader.failures, 6)
+	a.loader.notBefore = a.cfg.Clock.Now().Add(min(backoff, maxLoadBackoff))
+	if a.loader.failures >= maxLoadFailures {
+		a.weights.fail(p.Digest, fmt.Sprintf("load failed %d times: %v", a.loader.failures, loadErr))
+		a.wake()
+	}
+	return eris.Wrap(loadErr, "load command")
+}
+
+// statusPreconditionFailed is the answer to an old fencing token.
+const statusPreconditionFailed = 412
+
+// stopServing refuses new work and waits for the requests that run on the
+// weights loaded now, at most for the drain time.
+func (a *Agent) stopServing(ctx context.Context, st awengine.Status) error {
+	a.setEngine(nil, awproto.AgentState_LOADING, st)
+	deadline := time.After(a.cfg.Settings.Timing.Drain.Std())
+	for {
+		a.mu.Lock()
+		n := a.gate.InFlight()
+		a.mu.Unlock()
+		if n == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-deadline:
+			_ = a.cfg.Logger.Log("Message", "requests cut by a version change", "CutRequests", n)
+			return nil
+		case <-time.After(idlePoll):
+		}
+	}
 }
 
-func (a *Agent) setEngine(ready *awproto.ReadyModel, state awproto.AgentState, boot string) {
+// setEngine records what the engine serves. A zero status stands for an
+// engine that did not answer.
+func (a *Agent) setEngine(ready *awproto.ReadyModel, state awproto.AgentState, st awengine.Status) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.draining {
 		state = awproto.AgentState_DRAINING
 	}
-	a.gate.SetCold(state != awproto.AgentState_READY)
-	same := a.state == state && (a.ready == nil) == (ready == nil) && a.bootID == boot
-	a.ready, a.state, a.bootID = ready, state, boot
+	boot := st.BootID
+	if boot == "" {
+		boot = a.bootID // an engine that comes back with another id has restarted
+	}
+	a.lowered(a.gate.ObserveEngine(boot, ready == nil || st.State == "cold"))
+	if ready == nil {
+		a.gate.FlushQueue(awoutcome.NotReady, "backend server is not ready")
+	}
+	same := a.state == state && a.ready.GetVersionDigest() == ready.GetVersionDigest() && a.bootID == boot
+	a.ready, a.state, a.bootID, a.servedDigest = ready, state, boot, st.Digest
 	if !same {
 		a.notify()
 	}
--- a/io/awcommand/bench.go
+++ b/io/awcommand/bench.go
@@ -19,6 +19,8 @@
 
 var experiments = map[string]experiment{
 	"capacity": awbench.Capacity,
+	"claims":   awbench.Claims,
+	"config":   awbench.Config,
 	"demo":     awbench.Demo,
 	"domain":   awbench.Domain,
 	"overhead": awbench.Overhead,
@@ -29,6 +31,22 @@
 	run experiment
 }
 
+func (c *benchCommand) experiment() experiment { return c.run }
+
+// runnable is a command that runs an experiment.
+type runnable interface{ experiment() experiment }
+
+type rolloutCommand struct {
+	command
+	awbench.RolloutOptions
+}
+
+func (c *rolloutCommand) experiment() experiment {
+	return func(ctx context.Context, binDir string) (any, error) {
+		return awbench.Rollout(ctx, binDir, c.RolloutOptions)
+	}
+}
+
 // benchTimeout bounds one experiment.
 const benchTimeout = 5 * time.Minute
 
@@ -37,7 +55,7 @@
 	p := flags.NewNamedParser("awbench", flags.HelpFlag|flags.PassDoubleDash)
 	var chosen experiment
 	p.CommandHandler = func(cmd flags.Commander, _ []string) error {
-		chosen = cmd.(*benchCommand).run
+		chosen = cmd.(runnable).experiment()
 		return nil
 	}
 	for name, run := range experiments {
@@ -46,6 +64,10 @@
 			return ExitUsage
 		}
 	}
+	if _, err := p.AddCommand("rollout", "Experiment rollout", "", &rolloutCommand{}); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
 	if code, ok := parse(p, nil, args, stdout, stderr); !ok {
 		return code
 	}
@@ -57,12 +79,21 @@
 	ctx, cancel := context.WithTimeout(context.Background(), benchTimeout)
 	defer cancel()
 	result, err := chosen(ctx, filepath.Dir(self))
-	if result != nil {
-		_ = json.NewEncoder(stdout).Encode(result)
-	}
+	printResults(stdout, result)
 	if err != nil {
 		fmt.Fprintln(stderr, "awbench:", err)
 		return ExitFailed
 	}
 	return ExitOK
 }
+
+// printResults writes one JSON line per result.
+func printResults(w io.Writer, result any) {
+	list, ok := result.([]any)
+	if !ok && result != nil {
+		list = []any{result}
+	}
+	for _, r := range list {
+		_ = json.NewEncoder(w).Encode(r) // the reader may be gone
+	}
+}
--- a/io/awentry/attempt.go
+++ b/io/awentry/attempt.go
@@ -62,7 +62,7 @@
 	start.DeadlineMs = uint32(max(1, left.Milliseconds()))
 	start.Revision = e.holder.State().Revision
 	start.TraceParent = awtelemetry.Inject(ctx)
-	r := &receiver{req: req, stream: stream, asm: asm, out: out}
+	r := &receiver{entry: e, req: req, stream: stream, asm: asm, out: out}
 	if start.Service != nil {
 		// Plain services have no weights, and their agents send no Accepted.
 		if err := asm.Begin(""); err != nil {
@@ -109,6 +109,7 @@
 
 // receiver takes the answer of one attempt.
 type receiver struct {
+	entry    *Entry
 	req      *request
 	stream   awproto.DRPCAgent_ServeClient
 	asm      *awstream.Assembler
@@ -125,6 +126,7 @@
 		r.answered = true
 		switch b := down.Body.(type) {
 		case *awproto.ServeDown_Refusal:
+			r.entry.sync.meet(b.Refusal.Revision, nil)
 			return refusalError(b.Refusal)
 		case *awproto.ServeDown_Accepted:
 			if err := r.asm.Begin(b.Accepted.VersionDigest); err != nil {
@@ -155,7 +157,7 @@
 	}
 	// Credit is returned only after the caller took the bytes, so a slow
 	// caller stops the backend server and not this process.
-	credit := &awproto.Credit{Bytes: uint32(len(f.Data))}
+	credit := &awproto.Credit{Bytes: uint32(awstream.FrameCost(len(f.Data)))}
 	err = r.stream.Send(&awproto.ServeUp{Body: &awproto.ServeUp_Credit{Credit: credit}})
 	if err != nil && !errors.Is(err, io.EOF) {
 		return linkLost(err)
--- a/io/awentry/fleet.go
+++ b/io/awentry/fleet.go
@@ -25,6 +25,8 @@
 	agents    map[string]*agentLink // watched
 	announced map[string]*awproto.AgentReport
 	entries   []awstore.Instance // other entries by the instance list, not leaving
+
+	peers peerCache
 }
 
 // agentLink is one watched agent and the Watch stream to it.
@@ -58,6 +60,7 @@
 	go f.subsetLoop(ctx)
 	for {
 		if list, err := f.entry.store.Instances(ctx); err == nil {
+			f.entry.sync.learn(list)
 			f.update(list)
 		}
 		period := f.entry.cfg.Settings.Timing.ListPoll.Std()
@@ -129,8 +132,8 @@
 	}
 }
 
-// peers returns the other entries that the instance list shows.
-func (f *fleet) peers() []awstore.Instance {
+// others returns the other entries that the instance list shows.
+func (f *fleet) others() []awstore.Instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Clone(f.entries)
@@ -155,6 +158,7 @@
 		if len(report.GetModels()) > 0 {
 			in.Digest = report.Models[0].VersionDigest
 		}
+		addTransfer(&in, report)
 		list = append(list, in)
 	})
 	return list
--- a/io/awentry/fleet_watch.go
+++ b/io/awentry/fleet_watch.go
@@ -116,7 +116,7 @@
 	changed := f.entry.holder.Changed()
 	s := f.entry.holder.State()
 	up := &awproto.WatchUp{
-		Revision: s.Revision, SourceFresh: true,
+		Revision: s.Revision, SourceFresh: f.entry.sync.fresh(),
 		PeriodMs: uint32(f.entry.cfg.Settings.Timing.Heartbeat.Std().Milliseconds()),
 	}
 	f.mu.Lock()
@@ -124,7 +124,7 @@
 	behind := link.report == nil || link.report.ViewRevision < s.Revision
 	f.mu.Unlock()
 	if behind {
-		if view, err := s.View(link.info.ID, link.info.Domain).Encode(); err == nil {
+		if view, err := f.view(s, link).Encode(); err == nil {
 			up.View = view
 		}
 	}
@@ -137,6 +137,7 @@
 		if err != nil {
 			return err
 		}
+		f.entry.sync.meet(down.GetReport().GetViewRevision(), nil)
 		if err := f.heard(link, down); err != nil {
 			return err
 		}
--- a/io/awentry/rates.go
+++ b/io/awentry/rates.go
@@ -57,7 +57,7 @@
 				limits[name] = t.RequestsPerSecond
 			}
 		}
-		peers := e.fleet.peers()
+		peers := e.fleet.others()
 		now := e.cfg.Clock.Now()
 		e.mu.Lock()
 		e.rates.SetLimits(limits)
--- a/io/awentry/request.go
+++ b/io/awentry/request.go
@@ -117,15 +117,15 @@
 	r.held = 0
 }
 
-// narrowWindow is the window of streams while much is held. Credit counts the
-// text of tokens; the frames around it are several times larger.
-const narrowWindow = 2 << 10
+// narrowWindow is the window of streams while much is held. It takes about
+// fifty tokens with their frames.
+const narrowWindow = 8 << 10
 
 // window returns the credit of a new stream.
 func (e *Entry) window() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.bytes.Window(e.cfg.Settings.Limits.StreamBytes/4, narrowWindow)
+	return e.bytes.Window(e.cfg.Settings.Limits.StreamBytes/2, narrowWindow)
 }
 
 // parse checks headers and reads the body within its bounds.
--- a/io/awentry/stop.go
+++ b/io/awentry/stop.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 )
 
@@ -23,21 +20,19 @@
 // second signal cuts those that still run.
 func (e *Entry) drain(callers *http.Server) {
 	began := time.Now()
-	second := make(chan os.Signal, 1)
-	signal.Notify(second, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(second)
 	ctx, cancel := context.WithTimeout(context.Background(), drainNotice+e.cfg.Settings.Timing.Drain.Std())
 	defer cancel()
 	go func() {
 		select {
-		case <-second:
+		case <-e.cfg.Forced:
 			cancel()
 		case <-ctx.Done():
 		}
 	}()
 	e.draining.Store(true)
+	e.releaseLease()
 	_ = e.cfg.Logger.Log("Message", "entry is leaving", "Running", e.running.Load())
-	go e.shareRates(ctx, e.fleet.peers(), true)
+	go e.shareRates(ctx, e.fleet.others(), true)
 	select {
 	case <-time.After(drainNotice):
 	case <-ctx.Done():
