--- a/io/awentry/inner.go
+++ b/io/awentry/inner.go
@@ -33,5 +33,8 @@
 		return nil, eris.New("announcement without instance or address")
 	}
 	s.entry.sync.meet(req.GetReport().GetViewRevision(), id)
+	if !s.entry.fleet.announce(req) {
+		return nil, eris.Errorf("announcement of %s is of an old incarnation", id.Instance)
+	}
 	return &awproto.AnnounceReply{Revision: s.entry.holder.State().Revision}, nil
 }
--- /dev/null
+++ b/io/awentry/wait.go
@@ -0,0 +1,147 @@
+package awentry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"arbutuswind/core/awlimit"
+	"arbutuswind/core/awoutcome"
+	"arbutuswind/core/awroute"
+)
+
+const (
+	// roomPlaces bounds the requests that wait for a backend server.
+	roomPlaces = 1024
+	// absentWait bounds the wait while no agent at all may take the request.
+	// It covers the time in which a lost link or a restarted agent is found.
+	absentWait = 5 * time.Second
+	// retryAfterMs is the hint to callers where nothing better is known.
+	retryAfterMs = 1000
+)
+
+func overloaded(detail string, afterMs uint32) *awoutcome.Error {
+	return &awoutcome.Error{Outcome: awoutcome.NotRun, Reason: awoutcome.Overloaded, Detail: detail, RetryAfterMs: afterMs}
+}
+
+// choose picks an agent. While none has room it waits, within the deadline and
+// as long as requests of higher priority leave it a place.
+func (x *exchange) choose(ctx context.Context) (target, error) {
+	if t, cands, ok := x.pick(); ok {
+		return t, nil
+	} else if err := x.refuseEarly(cands); err != nil {
+		return target{}, err
+	}
+	var evicted atomic.Bool
+	waitCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ticket := x.entry.enterRoom(x.req.priority, func() {
+		evicted.Store(true)
+		cancel()
+	})
+	if ticket == nil {
+		return target{}, overloaded("too many requests of this priority wait", retryAfterMs)
+	}
+	defer x.entry.leaveRoom(ticket)
+	return x.wait(waitCtx, &evicted)
+}
+
+// wait picks again after each backoff. Agents that refused are asked again,
+// because what they refused for may have passed.
+func (x *exchange) wait(ctx context.Context, evicted *atomic.Bool) (target, error) {
+	absentSince := time.Time{}
+	for {
+		clear(x.exclude)
+		if !x.sleep(ctx, x.waits) {
+			if evicted.Load() {
+				return target{}, overloaded("requests of higher priority took the place", retryAfterMs)
+			}
+			return target{}, x.noRoom()
+		}
+		x.waits++
+		t, cands, ok := x.pick()
+		if ok {
+			return t, nil
+		}
+		if len(cands) > 0 {
+			absentSince = time.Time{}
+			if err := x.refuseEarly(cands); err != nil {
+				return target{}, err
+			}
+			continue
+		}
+		now := time.Now()
+		if absentSince.IsZero() {
+			absentSince = now
+		}
+		if now.Sub(absentSince) < absentWait && x.known() {
+			continue
+		}
+		if !x.restart() {
+			return target{}, x.noRoom()
+		}
+		absentSince = time.Time{}
+	}
+}
+
+func (x *exchange) pick() (target, []awroute.Candidate, bool) {
+	w := want{model: x.start.Model, digest: x.start.VersionDigest, prefixes: x.prefixes, exclude: x.exclude}
+	return x.entry.choose(w)
+}
+
+// known reports whether agents of the model exist, whatever their state.
+func (x *exchange) known() bool { return x.entry.fleet.carried(x.start.Model) }
+
+// restart drops an answer of weights that no agent serves any more, so that
+// other weights can answer from the start. It returns false when the caller
+// has got a part of it.
+func (x *exchange) restart() bool {
+	if x.asm.NextToken() == 0 || !x.out.restart() {
+		return false
+	}
+	x.asm.Restart()
+	x.start.ResumeFrom, x.start.VersionDigest = 0, ""
+	return true
+}
+
+// noRoom returns the last refusal, or that no agent serves the model.
+func (x *exchange) noRoom() error {
+	if x.waited != nil {
+		return x.waited
+	}
+	if x.known() {
+		return overloaded("no backend server has room", retryAfterMs)
+	}
+	return awoutcome.Refuse(awoutcome.NoBackend, "no backend server serves "+x.start.Model)
+}
+
+// refuseEarly refuses a request whose deadline every agent's expected wait
+// exceeds.
+func (x *exchange) refuseEarly(cands []awroute.Candidate) error {
+	if x.asm.NextToken() > 0 {
+		return nil
+	}
+	waits := make([]uint32, 0, len(cands))
+	for _, c := range cands {
+		waits = append(waits, c.WaitMs)
+	}
+	if shortest, refuse := awlimit.CannotMeet(waits, time.Until(x.req.deadline).Milliseconds()); refuse {
+		return overloaded("the expected wait exceeds the deadline", max(shortest, retryAfterMs))
+	}
+	return nil
+}
+
+func (e *Entry) enterRoom(priority uint32, evict func()) *awlimit.Ticket {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.room.Shed(priority) {
+		return nil
+	}
+	return e.room.Enter(priority, evict)
+}
+
+func (e *Entry) leaveRoom(t *awlimit.Ticket) {
+	e.mu.Lock()
+	e.room.Leave(t)
+	e.mu.Unlock()
+}
--- a/io/awhttp/awhttp.go
+++ b/io/awhttp/awhttp.go
@@ -85,6 +85,10 @@
 	switch reason {
 	case awoutcome.BadRequest:
 		return http.StatusBadRequest
+	case awoutcome.BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case awoutcome.BodyTimeout:
+		return http.StatusRequestTimeout
 	case awoutcome.RateLimited, awoutcome.QueueFull, awoutcome.ColdLimit, awoutcome.MemoryFull, awoutcome.Overloaded:
 		return http.StatusTooManyRequests
 	case awoutcome.Deadline:
