--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -190,7 +190,7 @@
 		Incarnation: a.cfg.Incarnation, State: a.stateAt(a.cfg.Clock.Now()), ViewRevision: a.view.Revision,
 		InFlight: uint32(a.gate.InFlight()), Limit: uint32(a.gate.Limit()), FreeMemoryBytes: a.gate.FreeMemory(),
 		Queued: uint32(a.gate.Queued()), WaitMs: uint32(min(a.gate.ExpectedWait(), maxReportedWait).Milliseconds()),
-		Transfer: a.weights.report(), Fencing: a.cfg.Settings.Backend.Fencing,
+		Transfer: a.weights.report(), Fencing: a.unfenced(),
 	}
 	if a.ready != nil {
 		r.Models = append(r.Models, a.ready)
--- a/io/awcommand/ctlcommands.go
+++ b/io/awcommand/ctlcommands.go
@@ -153,6 +153,9 @@
 	if s.StoreReset != "" {
 		lines = append(lines, s.StoreReset)
 	}
+	for _, id := range s.FencingConflicts {
+		lines = append(lines, fmt.Sprintf("%s: the sheet says that fencing tokens are checked, its settings say ignored", id))
+	}
 	for _, ag := range s.Agents {
 		lines = append(lines, fmt.Sprintf("%-12s %-14s %-9s %s %s view %d", ag.Instance, ag.Domain, ag.State, ag.Model, ag.Version, ag.ViewRevision))
 	}
@@ -211,7 +214,7 @@
 	command
 	waitOptions
 	ctl    *ctl
-	Reason string `long:"reason" required:"true" description:"recorded with the decision"`
+	Reason string `long:"reason" description:"recorded with the decision"`
 }
 
 func (a *acceptResetCommand) limit() time.Duration { return a.waitOptions.limit() }
--- a/io/awcontrol/api.go
+++ b/io/awcontrol/api.go
@@ -26,6 +26,7 @@
 	Fleet           func() []AgentStatus
 	MaxRemovedShare float64                                                // of the wanted replicas, 0 to 1
 	SourceAge       func() (ms int64, fresh bool)                          // of the configuration
+	Gather          func(ctx context.Context)                              // takes over the newest configuration of the peers; may be nil
 	Progress        func(ctx context.Context, revision uint64) Progress    // of all processes
 	Logged          func(message string, change awconfig.Change, by error) // audit log; may be nil
 }
@@ -60,6 +61,7 @@
 	if reset := s.Log.Reset(); reset != nil {
 		answer.StoreReset = reset.Error()
 	}
+	answer.FencingConflicts = answer.fencingConflicts()
 	reply(w, http.StatusOK, answer)
 }
 
@@ -111,6 +113,10 @@
 		reply(w, http.StatusBadRequest, Refusal{Error: "body is not a change: " + err.Error()})
 		return
 	}
+	if s.Gather != nil {
+		// What any entry has seen was accepted, so the newest of all stands.
+		s.Gather(r.Context())
+	}
 	c, err := s.Log.AcceptReset(r.Context(), req.Actor, req.Reason)
 	s.audit(c, err)
 	if err != nil {
--- a/io/awcontrol/types.go
+++ b/io/awcontrol/types.go
@@ -13,7 +13,7 @@
 	ViewRevision  uint64
 	InFlight      uint32
 	Limit         uint32
-	Fencing       string // of the agent's settings; empty when it does not tell
+	Fencing       string // "ignored" where the agent's settings say so
 	ChunksHeld    uint32
 	Chunks        uint32
 	OriginBytes   uint64
@@ -26,8 +26,11 @@
 	StoreReset  string `json:",omitempty"` // why changes are refused
 	SourceFresh bool   // a configuration source answered within MaxIsolation
 	SourceAgeMs int64  // since the newest news of the store; -1 never
-	State       *awconfig.State
-	Agents      []AgentStatus
+	// FencingConflicts lists the instances placed for a model that the sheet
+	// calls checked although their settings say that the engine ignores tokens.
+	FencingConflicts []string `json:",omitempty"`
+	State            *awconfig.State
+	Agents           []AgentStatus
 }
 
 // Progress tells how far a revision is in force. An entry and each Watch
@@ -91,6 +94,17 @@
 	ChunksPct int    // share of the chunks held by placed instances, percent
 }
 
+func (s Status) fencingConflicts() []string {
+	var list []string
+	for _, a := range s.Agents {
+		m := s.State.Models[s.State.Placements[a.Instance].Model]
+		if m.Fencing == awconfig.FencingChecked && a.Fencing == string(awconfig.FencingIgnored) {
+			list = append(list, a.Instance)
+		}
+	}
+	return list
+}
+
 // Rollouts returns the status of each model, sorted by name.
 func (s Status) Rollouts() []RolloutStatus {
 	list := []RolloutStatus{}
--- a/io/awentry/config.go
+++ b/io/awentry/config.go
@@ -43,7 +43,7 @@
 // freshness that entries pass on does not renew itself.
 type configSync struct {
 	entry *Entry
-	wake  chan *awproto.ProcessIdentity // who holds a newer revision; nil when that is not an entry
+	wake  chan meeting
 
 	mu        sync.Mutex
 	peers     map[string]*peer
@@ -61,6 +61,13 @@
 	progressOf uint64 // revision that the progress of peers belongs to
 }
 
+// meeting is a contact with a process that holds a newer revision. The zero
+// value asks for a look at every source.
+type meeting struct {
+	revision uint64
+	from     *awproto.ProcessIdentity // nil when that is not an entry
+}
+
 // peer is another entry.
 type peer struct {
 	info     awstore.Instance
@@ -72,7 +79,7 @@
 func newConfigSync(e *Entry) *configSync {
 	now := e.cfg.Clock.Now()
 	return &configSync{
-		entry: e, wake: make(chan *awproto.ProcessIdentity, 1), peers: map[string]*peer{},
+		entry: e, wake: make(chan meeting, 1), peers: map[string]*peer{},
 		startedAt: now, lastBeat: now,
 	}
 }
@@ -116,7 +123,7 @@
 		sender = nil // only entries hold the whole configuration
 	}
 	select {
-	case c.wake <- sender:
+	case c.wake <- meeting{revision: revision, from: sender}:
 	default: // a pull is due already
 	}
 }
@@ -217,16 +224,23 @@
 // pullLoop pulls from whoever was met with a newer revision.
 func (c *configSync) pullLoop(ctx context.Context, poll chan<- struct{}) {
 	for {
-		var from *awproto.ProcessIdentity
+		var met meeting
 		select {
 		case <-ctx.Done():
 			return
-		case from = <-c.wake:
+		case met = <-c.wake:
 		}
-		if from != nil && c.pull(ctx, awrpc.Target{Address: from.Address, Instance: from.Instance}, 0) == nil {
+		if met.revision > 0 && c.entry.holder.State().Revision >= met.revision {
 			continue
 		}
-		c.ask(ctx, 1)
+		if met.from != nil {
+			_ = c.pull(ctx, awrpc.Target{Address: met.from.Address, Instance: met.from.Instance}, 0)
+		} else {
+			c.ask(ctx, 1)
+		}
+		if met.revision > 0 && c.entry.holder.State().Revision >= met.revision {
+			continue // a read of the store is saved
+		}
 		select {
 		case poll <- struct{}{}:
 		default:
@@ -359,7 +373,7 @@
 		c.pausedAt = now
 		_ = c.entry.cfg.Logger.Log("Message", "process was paused", "Seconds", now.Sub(c.lastBeat).Seconds())
 		select {
-		case c.wake <- nil:
+		case c.wake <- meeting{}:
 		default: // a look is due already
 		}
 	}
--- a/io/awentry/offer.go
+++ b/io/awentry/offer.go
@@ -142,18 +142,26 @@
 // progressAtOnce bounds the peers asked at the same time.
 const progressAtOnce = 16
 
-// progress asks the peers that are not known to be done.
-func (c *configSync) progress(ctx context.Context, revision uint64) awcontrol.Progress {
+// pullAll pulls from many entries, some at a time. A silent one is skipped.
+func (c *configSync) pullAll(ctx context.Context, targets []awrpc.Target, progressOf uint64) {
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, progressAtOnce)
-	for _, t := range c.unfinished(revision) {
+	for _, t := range targets {
 		wg.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			_ = c.pull(ctx, t, revision) // a silent peer counts as behind
+			_ = c.pull(ctx, t, progressOf)
 		})
 	}
 	wg.Wait()
+}
+
+// gather takes over the newest configuration that any entry holds.
+func (c *configSync) gather(ctx context.Context) { c.pullAll(ctx, c.unfinished(0), 0) }
+
+// progress asks the peers that are not known to be done.
+func (c *configSync) progress(ctx context.Context, revision uint64) awcontrol.Progress {
+	c.pullAll(ctx, c.unfinished(revision), revision)
 	p := awcontrol.Progress{Revision: revision, Entries: 1}
 	watches, inForce, behind := c.entry.fleet.progress(revision)
 	p.Watches, p.WatchesInForce, p.Behind = int(watches), int(inForce), behind
