--- a/io/awagent/settle.go
+++ b/io/awagent/settle.go
@@ -66,15 +66,10 @@
 		IdempotencyKey: call.IdempotencyKey, Body: r.start.Body,
 	})
 	if err != nil {
-		failure := r.startFailure(ctx, err)
-		if failure.Outcome == awoutcome.NotRun {
-			a.mu.Lock()
-			a.attempts.Withdraw(id)
-			a.mu.Unlock()
-		}
-		return r.fail(ctx, failure)
+		return r.fail(ctx, r.startFailure(runCtx, err))
 	}
 	defer resp.Body.Close()
+	r.serviceAnswered(resp.StatusCode)
 	contentType := resp.Header.Get("Content-Type")
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxKeptBytes+1))
 	if err != nil {
--- a/io/awcommand/ctl.go
+++ b/io/awcommand/ctl.go
@@ -134,7 +134,7 @@
 	}
 	for _, g := range []group{
 		{"rollout", "Follow rollouts", []subcommand{
-			{"status", "Show how far each model is at its version", "Exit code 1 when a version is halted.\n\nExample: awctl rollout status", &rolloutCommand{ctl: c}},
+			{"status", "Show how far each model is at its version", "Exit code 1 when a version is halted.\n\nExample: awctl rollout status", &rolloutStatusCommand{ctl: c}},
 		}},
 		{"domain", "Take a failure domain out or in", []subcommand{
 			{"out", "Take a domain out of service", "Example: awctl domain out serra --reason 'power work' --wait", change(awconfig.KindDomainOut)},
--- a/io/awcommand/ctlcommands.go
+++ b/io/awcommand/ctlcommands.go
@@ -162,36 +162,6 @@
 	return a.ctl.print(s, strings.Join(lines, "\n"))
 }
 
-type rolloutCommand struct {
-	command
-	ctl *ctl
-}
-
-func (a *rolloutCommand) run(ctx context.Context) error {
-	s, err := a.ctl.client().Status(ctx)
-	if err != nil {
-		return err
-	}
-	list := s.Rollouts()
-	lines := []string{fmt.Sprintf("%-16s %-12s %8s %8s %8s %6s %7s", "MODEL", "VERSION", "REPLICAS", "PLACED", "SERVING", "OLDER", "CHUNKS")}
-	halted := false
-	for _, r := range list {
-		line := fmt.Sprintf("%-16s %-12s %8d %8d %8d %6d %6d%%", r.Model, r.Version, r.Replicas, r.Placed, r.Serving, r.Older, r.ChunksPct)
-		if r.Halted != "" {
-			line += " halted: " + r.Halted
-			halted = true
-		}
-		lines = append(lines, line)
-	}
-	if err := a.ctl.print(list, strings.Join(lines, "\n")); err != nil {
-		return err
-	}
-	if halted {
-		return errNoted
-	}
-	return nil
-}
-
 type historyCommand struct {
 	command
 	ctl *ctl
--- a/io/awcontrol/log_test.go
+++ b/io/awcontrol/log_test.go
@@ -223,8 +223,11 @@
 // Guards against two histories of the same revisions being mixed when the
 // store was set back and written to before anyone noticed.
 func TestStoreResetAndWrittenTo(t *testing.T) {
-	for _, writes := range []int{1, 2, 5} {
-		t.Run(fmt.Sprint(writes), func(t *testing.T) {
+	for _, c := range []struct {
+		writes  int
+		noticed bool // before the writes; two writes then give the head row the version it had
+	}{{1, false}, {2, false}, {5, false}, {1, true}, {2, true}, {5, true}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
 			pl := newPlatform(t)
 			a := pl.process()
 			a.commit(t, awconfig.KindDomainOut, "serra")
@@ -234,7 +237,10 @@
 			pl.post("/admin/restore", nil)
 			b := pl.process()
 			require.NoError(t, b.log.Poll(t.Context()))
-			for i := range writes {
+			if c.noticed {
+				require.Error(t, a.log.Poll(t.Context()))
+			}
+			for i := range c.writes {
 				b.commit(t, awconfig.KindDomainOut, fmt.Sprintf("other-%d", i))
 			}
 			before := a.holder.State().Digest()
--- a/io/awcontrol/types.go
+++ b/io/awcontrol/types.go
@@ -17,6 +17,16 @@
 	ChunksHeld    uint32
 	Chunks        uint32
 	OriginBytes   uint64
+
+	// The transfer of weights that runs or ran last.
+	TransferDigest string
+	RegionBytes    uint64 // from other regions
+	PeerBytes      uint64 // from the own region
+	Peers          uint32 // that chunks may come from now
+	BadChunks      uint32
+	EtaMs          uint32
+	NoRoom         bool   `json:",omitempty"` // the version does not fit beside the one served
+	TransferError  string `json:",omitempty"`
 }
 
 // Status is the answer of GET /status.
@@ -81,19 +91,6 @@
 	Differences  []awconfig.Difference
 }
 
-// RolloutStatus tells how far one model is at its wanted version.
-type RolloutStatus struct {
-	Model     string
-	Version   string
-	Digest    string
-	Halted    string `json:",omitempty"` // reason
-	Replicas  int    // wanted
-	Placed    int    // instances placed for the wanted version
-	Serving   int    // instances that report the wanted version ready
-	Older     int    // instances that serve the version before
-	ChunksPct int    // share of the chunks held by placed instances, percent
-}
-
 func (s Status) fencingConflicts() []string {
 	var list []string
 	for _, a := range s.Agents {
@@ -105,34 +102,16 @@
 	return list
 }
 
-// Rollouts returns the status of each model, sorted by name.
+// Rollouts returns the rollout of each model, sorted by name.
 func (s Status) Rollouts() []RolloutStatus {
 	list := []RolloutStatus{}
 	if s.State == nil {
 		return list
 	}
 	for _, name := range sortedKeys(s.State.Models) {
-		m := s.State.Models[name]
-		r := RolloutStatus{
-			Model: name, Version: m.Version, Digest: m.Digest, Halted: s.State.Halted[m.Digest],
-			Replicas: m.Replicas, Placed: len(s.State.PlacedOn(m.Digest)),
-		}
-		var held, chunks uint32
-		for _, a := range s.Agents {
-			switch {
-			case a.Model == name && a.VersionDigest == m.Digest:
-				r.Serving++
-			case a.Model == name:
-				r.Older++
-			}
-			if s.State.Placements[a.Instance].Digest == m.Digest {
-				held, chunks = held+a.ChunksHeld, chunks+a.Chunks
-			}
-		}
-		if chunks > 0 {
-			r.ChunksPct = int(100 * uint64(held) / uint64(chunks))
+		if r, ok := SummarizeRollout(s.State, s.Agents, name); ok {
+			list = append(list, r)
 		}
-		list = append(list, r)
 	}
 	return list
 }
--- a/io/awentry/operators.go
+++ b/io/awentry/operators.go
@@ -47,6 +47,7 @@
 			s.Fencing = r.Fencing
 			s.ChunksHeld, s.Chunks = r.GetTransfer().GetChunksHeld(), r.GetTransfer().GetChunks()
 			s.OriginBytes = r.GetTransfer().GetOriginBytes()
+			addTransferStatus(&s, r.GetTransfer())
 			for _, m := range r.Models {
 				s.Model, s.Version, s.VersionDigest = m.Model, m.Version, m.VersionDigest
 			}
