Measure control traffic and the cost of weights

Cause: docs/CAPACITY.md needs bytes a second and memory by weight size. Change: awbench capacity reads the byte counters of RPC and store connections and fetches versions of 8, 32 and 64 MB.

--- a/internal/awbench/capacity.go
+++ b/internal/awbench/capacity.go
@@ -23,15 +23,22 @@
 	ApplyDigestUs       Slope // applying a change and its digest, by placement
 	ViewBytes           int   // of one agent's view without peers
 	Agents              []int
-	EntryRSSByAgent     Slope // bytes, by agent watched
-	EntryCPUByAgent     Slope // microseconds a second, by agent watched
+	EntryRSSByAgent     Slope   // bytes, by agent watched
+	EntryCPUByAgent     Slope   // microseconds a second, by agent watched
+	EntryRPCByAgent     Slope   // bytes a second sent and received, by agent watched
+	EntryStoreBytes     float64 // bytes a second between the largest entry and the platform
 	AgentRSSBytes       float64
 	AgentCPUUsPerSecond float64 // idle, watched by one entry
+	AgentRPCBytes       float64 // bytes a second, idle, watched by one entry
+	AgentStoreBytes     float64 // bytes a second between an idle agent and the platform
 	Streams             []int
 	EntryRSSByStream    Slope // bytes, by open stream
 	AgentRSSByStream    Slope
 	EntryCPUUsPerToken  float64 // median over the sizes
 	AgentCPUUsPerToken  float64
+	WeightMB            []int
+	AgentRSSByWeightMB  Slope // bytes of an agent, by MB of weights held
+	AgentCPUByWeightMB  Slope // microseconds to fetch, check and load, by MB
 }
 
 const (
@@ -45,6 +52,7 @@
 func Capacity(ctx context.Context, binDir string) (any, error) {
 	res := &CapacityResult{
 		Experiment: "capacity", Placements: []int{1000, 3000, 7300}, Agents: []int{8, 32, 96}, Streams: []int{50, 200, 400},
+		WeightMB: []int{8, 32, 64},
 	}
 	if err := res.state(); err != nil {
 		return nil, err
@@ -52,7 +60,10 @@
 	if err := res.agents(ctx, binDir); err != nil {
 		return nil, err
 	}
-	return res, res.streams(ctx, binDir)
+	if err := res.streams(ctx, binDir); err != nil {
+		return nil, err
+	}
+	return res, res.weights(ctx, binDir)
 }
 
 func (r *CapacityResult) state() error {
@@ -97,24 +108,32 @@
 // agents measures an entry that watches agents of plain services, which cost
 // nothing themselves.
 func (r *CapacityResult) agents(ctx context.Context, binDir string) error {
-	var rss, cpu []Point
+	var rss, cpu, rpc []Point
 	for _, n := range r.Agents {
 		entry, agent, err := idleFleet(ctx, binDir, n)
 		if err != nil {
 			return err
 		}
-		rss = append(rss, Point{float64(n), float64(entry.RSSBytes)})
-		cpu = append(cpu, Point{float64(n), float64(entry.CPU.Microseconds()) / capacityWindow.Seconds()})
-		r.AgentRSSBytes = float64(agent.RSSBytes)
-		r.AgentCPUUsPerSecond = float64(agent.CPU.Microseconds()) / capacityWindow.Seconds()
+		x := float64(n)
+		rss = append(rss, Point{x, entry.RSSMB * bytesPerMB})
+		cpu = append(cpu, Point{x, entry.CorePercent * usPerPercent})
+		rpc = append(rpc, Point{x, entry.RPCBytesPerSec})
+		r.EntryStoreBytes = entry.StoreBytesPerSec
+		r.AgentRSSBytes, r.AgentCPUUsPerSecond = agent.RSSMB*bytesPerMB, agent.CorePercent*usPerPercent
+		r.AgentRPCBytes, r.AgentStoreBytes = agent.RPCBytesPerSec, agent.StoreBytesPerSec
 	}
-	r.EntryRSSByAgent, r.EntryCPUByAgent = FitSlope(rss), FitSlope(cpu)
+	r.EntryRSSByAgent, r.EntryCPUByAgent, r.EntryRPCByAgent = FitSlope(rss), FitSlope(cpu), FitSlope(rpc)
 	return nil
 }
 
+const (
+	bytesPerMB   = 1 << 20
+	usPerPercent = 10_000 // microseconds a second in one percent of a core
+)
+
 // idleFleet returns what an entry and one agent use over the window while
 // nothing is asked of them.
-func idleFleet(ctx context.Context, binDir string, n int) (entry, agent Usage, err error) {
+func idleFleet(ctx context.Context, binDir string, n int) (entry, agent Cost, err error) {
 	c, err := NewCluster(binDir)
 	if err != nil {
 		return entry, agent, err
@@ -132,7 +151,8 @@
 		return entry, agent, err
 	}
 	for i := 1; i < n; i++ {
-		node := &Node{ID: fmt.Sprintf("service-%d", i), Site: Sites[i%len(Sites)], Backend: backend.Backend, Service: "roster"}
+		// A service of its own each: an entry watches only some agents of one.
+		node := &Node{ID: fmt.Sprintf("service-%d", i), Site: Sites[i%len(Sites)], Backend: backend.Backend, Service: fmt.Sprintf("roster-%d", i)}
 		if err := c.StartAgent(node, nil); err != nil {
 			return entry, agent, err
 		}
@@ -141,7 +161,56 @@
 		return entry, agent, err
 	}
 	time.Sleep(capacitySettle)
-	return usageOver(e.Process, backend.Process, capacityWindow)
+	return costOver(e, backend)
+}
+
+// costOver returns what an entry and an agent use over the window.
+func costOver(e, a *Node) (entry, agent Cost, err error) {
+	read := func() (both [2]Reading, err error) {
+		if both[0], err = ReadUsage(e.Process, e.Operators+"/metrics"); err != nil {
+			return both, err
+		}
+		both[1], err = ReadUsage(a.Process, a.Local+"/metrics")
+		return both, err
+	}
+	before, err := read()
+	if err != nil {
+		return entry, agent, err
+	}
+	time.Sleep(capacityWindow)
+	after, err := read()
+	if err != nil {
+		return entry, agent, err
+	}
+	return MeanCost(before[:1], after[:1]), MeanCost(before[1:], after[1:]), nil
+}
+
+// weights measures an agent that fetches a version from the origin.
+func (r *CapacityResult) weights(ctx context.Context, binDir string) error {
+	var rss, cpu []Point
+	for _, mb := range r.WeightMB {
+		u, err := weightCost(ctx, binDir, mb)
+		if err != nil {
+			return err
+		}
+		rss = append(rss, Point{float64(mb), float64(u.RSSBytes)})
+		cpu = append(cpu, Point{float64(mb), float64(u.CPU.Microseconds())})
+	}
+	r.AgentRSSByWeightMB, r.AgentCPUByWeightMB = FitSlope(rss), FitSlope(cpu)
+	return nil
+}
+
+func weightCost(ctx context.Context, binDir string, mb int) (Usage, error) {
+	c, err := NewCluster(binDir)
+	if err != nil {
+		return Usage{}, err
+	}
+	defer c.Close()
+	_, a, err := oneEngine(ctx, c, 1, mb<<20)
+	if err != nil {
+		return Usage{}, err
+	}
+	return a.Process.Usage()
 }
 
 func waitAgents(ctx context.Context, e *Node, n int) error {
@@ -206,7 +275,7 @@
 		return entry, agent, err
 	}
 	defer c.Close()
-	e, a, err := oneEngine(ctx, c, n)
+	e, a, err := oneEngine(ctx, c, n, 1<<20)
 	if err != nil {
 		return entry, agent, err
 	}
@@ -234,8 +303,9 @@
 	return usageOver(e.Process, a.Process, capacityWindow)
 }
 
-// oneEngine starts an entry and a warm engine that takes n streams at once.
-func oneEngine(ctx context.Context, c *Cluster, n int) (*Node, *Node, error) {
+// oneEngine starts an entry and a warm engine that takes n streams at once
+// and has weights of the given size.
+func oneEngine(ctx context.Context, c *Cluster, n, weightBytes int) (*Node, *Node, error) {
 	if err := c.StartPlatform(ctx); err != nil {
 		return nil, nil, err
 	}
@@ -251,7 +321,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if _, err := c.Publish("rota", "v1", RandomWeights(1, 1<<20), 128<<10); err != nil {
+	if _, err := c.Publish("rota", "v1", RandomWeights(1, weightBytes), min(1<<20, weightBytes/8)); err != nil {
 		return nil, nil, err
 	}
 	if err := WaitHTTP(ctx, e.Operators+"/readyz"); err != nil {
