Mend the membership test after its move into the package

Cause: the test named the package that it is in, so it did not compile. Change: unqualified names. Measured: go test ./core/awmember passes. Conclusion: none beyond that.

--- a/core/awmember/awmember_test.go
+++ b/core/awmember/awmember_test.go
@@ -106,12 +106,12 @@
 // of life.
 func TestChangesCountsPlacesOnly(t *testing.T) {
 	now := time.Unix(0, 0)
-	table := awmember.NewTable(awmember.Config{MissingAfter: time.Minute})
-	in := awmember.Info{Instance: "a", Address: "127.0.0.1:1", Domain: "serra", Incarnation: 1}
+	table := NewTable(Config{MissingAfter: time.Minute})
+	in := Info{Instance: "a", Address: "127.0.0.1:1", Domain: "serra", Incarnation: 1}
 	require.True(t, table.Announce(in, now))
 	before := table.Changes()
 	require.True(t, table.Announce(in, now))
-	table.List([]awmember.Info{in}, now)
+	table.List([]Info{in}, now)
 	require.True(t, table.Heard("a", 1, now))
 	require.Equal(t, before, table.Changes())
 
