--- a/io/awentry/config.go
+++ b/io/awentry/config.go
@@ -22,6 +22,9 @@
 	headReadsPerSecond = 400
 	// offerTo is the number of entries that a new revision is offered to.
 	offerTo = 3
+	// offerTime is enough for offers to reach most entries at the design size:
+	// six rounds of three over links of 3 ms.
+	offerTime = 100 * time.Millisecond
 	// askAtOnce is the number of peers asked in one round without the store.
 	askAtOnce = 3
 	// askTimeout bounds one call of a peer.
@@ -233,6 +236,19 @@
 		if met.revision > 0 && c.entry.holder.State().Revision >= met.revision {
 			continue
 		}
+		if met.revision > 0 && met.from == nil {
+			// An agent that another entry was faster to tell is seen by many
+			// entries at once. Most of them get the offer of a peer in this
+			// time, and the others do not all read the store together.
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(c.entry.jitter(offerTime)):
+			}
+			if c.entry.holder.State().Revision >= met.revision {
+				continue
+			}
+		}
 		if met.from != nil {
 			_ = c.pull(ctx, awrpc.Target{Address: met.from.Address, Instance: met.from.Instance}, 0)
 		} else {
--- a/io/awentry/config_test.go
+++ b/io/awentry/config_test.go
@@ -27,8 +27,9 @@
 const settled = 10 * time.Second // limit for reaching a state; passing runs need far less
 
 type testbed struct {
-	t   *testing.T
-	url string
+	t         *testing.T
+	url       string
+	authority *awstandin.Authority // nil for plain TCP
 }
 
 func newTestbed(t *testing.T) testbed {
@@ -66,6 +67,11 @@
 	}
 	cfg.Timing.ConfigPoll, cfg.Timing.ListPoll = awsettings.Duration(50*time.Millisecond), awsettings.Duration(50*time.Millisecond)
 	cfg.TLS.Plain = true
+	if b.authority != nil {
+		var err error
+		cfg.TLS, err = b.authority.Issue(b.t.TempDir(), id, time.Now().Add(time.Hour))
+		require.NoError(b.t, err)
+	}
 	b.send(http.MethodPut, "/instances", awstore.Instance{ID: id, Role: "entry", Address: cfg.Listen.Inner, Domain: region, Region: region})
 	return New(Config{
 		Settings: cfg, Clock: clock, Logger: log.NewNopLogger(), Tracer: noop.NewTracerProvider().Tracer("test"), Incarnation: 1,
@@ -122,6 +128,29 @@
 	}, settled, 5*time.Millisecond)
 }
 
+// Guards against daemons that are wired without their certificates, and
+// against one of another authority that is let in.
+func TestEntriesOverTLS(t *testing.T) {
+	b := newTestbed(t)
+	newAuthority := func() *awstandin.Authority {
+		a, err := awstandin.NewAuthority()
+		require.NoError(t, err)
+		return a
+	}
+	b.authority = newAuthority()
+	a := b.run(b.entry("entry-a", "north", b.url, awclock.System{}))
+	follower := b.run(b.entry("follower", "south", nowhere, awclock.System{}))
+	b.reach(a, 0)
+	b.reach(follower, b.commit(a, "serra"))
+
+	b.authority = newAuthority()
+	stranger := b.run(b.entry("stranger", "south", nowhere, awclock.System{}))
+	target := awrpc.Target{Address: a.identity.Address, Instance: "entry-a"}
+	require.Error(t, stranger.sync.pull(t.Context(), target, 0))
+	require.Error(t, stranger.ready())
+	require.NoError(t, follower.sync.pull(t.Context(), target, 0))
+}
+
 // Guards against a peer's answer that is taken over with another content
 // than the peer has, or that takes a process back.
 func TestTakeOverChecksDigest(t *testing.T) {
--- a/io/awrpc/tls_test.go
+++ b/io/awrpc/tls_test.go
@@ -2,16 +2,8 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -19,54 +11,21 @@
 	"storj.io/drpc/drpcmux"
 
 	"arbutuswind/core/awclock"
+	"arbutuswind/internal/awstandin"
 	"arbutuswind/io/awproto"
 	"arbutuswind/io/awrpc"
 	"arbutuswind/io/awsettings"
 )
 
-// authority issues certificates.
-type authority struct {
-	t    *testing.T
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pem  []byte
-	n    int64
-}
-
-func newAuthority(t *testing.T) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+func newAuthority(t *testing.T) *awstandin.Authority {
+	a, err := awstandin.NewAuthority()
 	require.NoError(t, err)
-	cert, err := x509.ParseCertificate(der)
-	require.NoError(t, err)
-	return &authority{t: t, cert: cert, key: key, n: 1, pem: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
+	return a
 }
 
-// issue writes a certificate for the instance and returns the settings.
-func (a *authority) issue(dir, instance string, notAfter time.Time) awsettings.TLS {
-	a.n++
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(a.t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(a.n), Subject: pkix.Name{CommonName: instance}, DNSNames: []string{instance},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: notAfter, KeyUsage: x509.KeyUsageDigitalSignature,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
-	require.NoError(a.t, err)
-	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
-	require.NoError(a.t, err)
-	files := awsettings.TLS{
-		Certificate: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem"),
-	}
-	require.NoError(a.t, os.WriteFile(files.Certificate, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
-	require.NoError(a.t, os.WriteFile(files.Key, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}), 0o600))
-	require.NoError(a.t, os.WriteFile(files.CA, a.pem, 0o600))
+func issue(t *testing.T, a *awstandin.Authority, dir, instance string, notAfter time.Time) awsettings.TLS {
+	files, err := a.Issue(dir, instance, notAfter)
+	require.NoError(t, err)
 	return files
 }
 
@@ -107,9 +66,9 @@
 func TestMutualTLS(t *testing.T) {
 	ours, theirs, clock := newAuthority(t), newAuthority(t), awclock.System{}
 	later, past := time.Now().Add(time.Hour), time.Now().Add(-time.Minute)
-	lis := serve(t, "entry-0", ours.issue(t.TempDir(), "entry-0", later), clock)
+	lis := serve(t, "entry-0", issue(t, ours, t.TempDir(), "entry-0", later), clock)
 	plain := serve(t, "entry-1", awsettings.TLS{Plain: true}, clock)
-	good := ours.issue(t.TempDir(), "entry-9", later)
+	good := issue(t, ours, t.TempDir(), "entry-9", later)
 
 	require.NoError(t, pull(t, lis, "entry-0", awrpc.NewTLS(good, clock)))
 	require.NoError(t, pull(t, plain, "entry-1", awrpc.NewTLS(awsettings.TLS{Plain: true}, clock)))
@@ -119,8 +78,8 @@
 		client   awsettings.TLS
 	}{
 		"no certificate":        {lis, "entry-0", awsettings.TLS{Plain: true}},
-		"other authority":       {lis, "entry-0", theirs.issue(t.TempDir(), "entry-9", later)},
-		"expired":               {lis, "entry-0", ours.issue(t.TempDir(), "entry-9", past)},
+		"other authority":       {lis, "entry-0", issue(t, theirs, t.TempDir(), "entry-9", later)},
+		"expired":               {lis, "entry-0", issue(t, ours, t.TempDir(), "entry-9", past)},
 		"server has other name": {lis, "entry-5", good},
 		"server without TLS":    {plain, "entry-1", good},
 	} {
@@ -136,19 +95,19 @@
 	old, renewed := newAuthority(t), newAuthority(t)
 	clock, later := awclock.NewFake(time.Now()), time.Now().Add(time.Hour)
 	serverDir, clientDir := t.TempDir(), t.TempDir()
-	files := old.issue(serverDir, "entry-0", later)
+	files := issue(t, old, serverDir, "entry-0", later)
 	lis := serve(t, "entry-0", files, clock)
-	client := awrpc.NewTLS(old.issue(clientDir, "entry-9", later), clock)
+	client := awrpc.NewTLS(issue(t, old, clientDir, "entry-9", later), clock)
 	require.NoError(t, pull(t, lis, "entry-0", client))
 
 	require.NoError(t, os.WriteFile(files.Certificate, []byte("-----BEGIN"), 0o600))
 	clock.Advance(time.Minute)
 	require.NoError(t, pull(t, lis, "entry-0", client), "the old certificate stays in use")
 
-	renewed.issue(serverDir, "entry-0", later)
-	renewed.issue(clientDir, "entry-9", later)
+	issue(t, renewed, serverDir, "entry-0", later)
+	issue(t, renewed, clientDir, "entry-9", later)
 	require.NoError(t, pull(t, lis, "entry-0", client), "both sides still use what they read")
 	clock.Advance(time.Minute)
 	require.NoError(t, pull(t, lis, "entry-0", client))
-	require.Error(t, pull(t, lis, "entry-0", awrpc.NewTLS(old.issue(t.TempDir(), "entry-9", later), clock)))
+	require.Error(t, pull(t, lis, "entry-0", awrpc.NewTLS(issue(t, old, t.TempDir(), "entry-9", later), clock)))
 }
