--- a/io/awentry/config.go
+++ b/io/awentry/config.go
@@ -226,35 +226,17 @@
 
 // pullLoop pulls from whoever was met with a newer revision.
 func (c *configSync) pullLoop(ctx context.Context, poll chan<- struct{}) {
-	for {
-		var met meeting
-		select {
-		case <-ctx.Done():
-			return
-		case met = <-c.wake:
-		}
-		if met.revision > 0 && c.entry.holder.State().Revision >= met.revision {
+	for ctx.Err() == nil {
+		met, ok := c.next(ctx)
+		if !ok || c.reached(met) {
 			continue
 		}
-		if met.revision > 0 && met.from == nil {
-			// An agent that another entry was faster to tell is seen by many
-			// entries at once. Most of them get the offer of a peer in this
-			// time, and the others do not all read the store together.
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(c.entry.jitter(offerTime)):
-			}
-			if c.entry.holder.State().Revision >= met.revision {
-				continue
-			}
-		}
 		if met.from != nil {
 			_ = c.pull(ctx, awrpc.Target{Address: met.from.Address, Instance: met.from.Instance}, 0)
 		} else {
 			c.ask(ctx, 1)
 		}
-		if met.revision > 0 && c.entry.holder.State().Revision >= met.revision {
+		if c.reached(met) {
 			continue // a read of the store is saved
 		}
 		select {
@@ -264,6 +246,43 @@
 	}
 }
 
+// reached reports whether the revision of a meeting is held by now.
+func (c *configSync) reached(met meeting) bool {
+	return met.revision > 0 && c.entry.holder.State().Revision >= met.revision
+}
+
+// next returns the next meeting to act on. An agent that one entry has told
+// of a revision is seen by many entries at once; they wait for the offer of
+// a peer, so that they do not all read the store together.
+func (c *configSync) next(ctx context.Context) (meeting, bool) {
+	var met meeting
+	select {
+	case <-ctx.Done():
+		return met, false
+	case met = <-c.wake:
+	}
+	if met.from != nil || met.revision == 0 {
+		return met, true
+	}
+	limit := time.NewTimer(c.entry.jitter(offerTime))
+	defer limit.Stop()
+	for !c.reached(met) {
+		select {
+		case <-ctx.Done():
+			return met, false
+		case <-limit.C:
+			return met, true
+		case offer := <-c.wake:
+			met.revision = max(met.revision, offer.revision)
+			if offer.from != nil {
+				met.from = offer.from
+				return met, true
+			}
+		}
+	}
+	return met, false
+}
+
 // ask pulls from n random peers at once. Peers in other regions come first
 // while there is no fresh source, since they tell whether this region is cut
 // off or the store is down for all.
