--- a/core/awoutcome/awoutcome.go
+++ b/core/awoutcome/awoutcome.go
@@ -58,6 +58,8 @@
 	InProgress      Reason = "in-progress"
 	Truncated       Reason = "truncated"
 	LinkLost        Reason = "link-lost"
+	BodyTooLarge    Reason = "body-too-large"
+	BodyTimeout     Reason = "body-timeout"
 	ResultNotKept   Reason = "result-not-kept"
 )
 
--- a/internal/awbench/config.go
+++ b/internal/awbench/config.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"arbutuswind/core/awconfig"
+	"arbutuswind/internal/awport"
 	"arbutuswind/internal/awstandin"
 	"arbutuswind/io/awcontrol"
 	"arbutuswind/io/awsettings"
@@ -154,7 +155,7 @@
 			return link, err
 		}
 	}
-	addr, err := FreeAddress()
+	addr, err := awport.FreeAddress()
 	if err != nil {
 		return link, err
 	}
--- a/io/awcommand/bench.go
+++ b/io/awcommand/bench.go
@@ -23,6 +23,8 @@
 	"claims":      awbench.Claims,
 	"config":      awbench.Config,
 	"demo":        awbench.Demo,
+	"domain":      awbench.Domain,
+	"overhead":    awbench.Overhead,
 	"slowreaders": awbench.SlowReaders,
 }
 
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -28,6 +28,8 @@
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awconfig"
 	"arbutuswind/core/awledger"
+	"arbutuswind/core/awlimit"
+	"arbutuswind/core/awretry"
 	"arbutuswind/io/awcontrol"
 	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awproto"
@@ -42,7 +44,8 @@
 	Clock       awclock.Clock
 	Logger      log.Logger
 	Tracer      trace.Tracer
-	Incarnation uint64 // larger for every later start
+	Incarnation uint64          // larger for every later start
+	Forced      <-chan struct{} // closed to cut running requests at a stop; nil for never
 }
 
 // Entry is the daemon. Create it with [New].
@@ -61,9 +64,17 @@
 
 	attempts attemptIDs
 	draining atomic.Bool
+	running  atomic.Int64
+	stopped  context.Context // ends when running requests are cut
+	cut      context.CancelCauseFunc
 
-	mu  sync.Mutex
-	rng *rand.Rand
+	mu    sync.Mutex
+	rng   *rand.Rand
+	retry *awretry.Budget
+	bytes awlimit.Bytes
+	room  awlimit.Room
+	rates *awlimit.Rates
+	own   map[string]awlimit.Demand // of the last window
 }
 
 // New returns an entry that does nothing until [Entry.Run].
@@ -87,6 +98,10 @@
 		Identity: e.identity, Revision: func() uint64 { return e.holder.State().Revision }, TLS: e.tls.Client,
 		OnHello: func(_ awrpc.Target, r *awproto.HelloReply) { e.sync.meet(r.Revision, r.Sender) },
 	})
+	e.retry = awretry.NewBudget(awretry.Default())
+	e.bytes.Limit, e.room.Places = s.Limits.HeldBytes, roomPlaces
+	e.rates = awlimit.NewRates()
+	e.stopped, e.cut = context.WithCancelCause(context.Background())
 	e.log = awcontrol.NewLog(e.store, e.store, e.holder)
 	e.sync = newConfigSync(e)
 	e.lease = newLease(e.store, cfg.Clock, leaseRow{Instance: s.Process.Instance, Incarnation: cfg.Incarnation})
@@ -129,6 +144,7 @@
 	group.Go(func() error { e.configLoop(serveCtx); return nil })
 	group.Go(func() error { e.fleet.listLoop(serveCtx); return nil })
 	group.Go(func() error { e.reconcileLoop(serveCtx); return nil })
+	group.Go(func() error { e.rateLoop(serveCtx); return nil })
 	group.Go(func() error { e.claims.writeLoop(serveCtx); return nil })
 	group.Go(func() error { e.sweepLoop(serveCtx); return nil })
 	group.Go(func() error {
@@ -150,20 +166,6 @@
 	return err
 }
 
-// drainNotice is how long readiness is false before the listener closes, so
-// that the balancer has stopped sending callers here.
-const drainNotice = 500 * time.Millisecond
-
-func (e *Entry) drain(callers *http.Server) {
-	e.draining.Store(true)
-	e.releaseLease()
-	time.Sleep(drainNotice)
-	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.Settings.Timing.Drain.Std())
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	_ = e.cfg.Logger.Log("Message", "entry stopped", "Whole", err == nil)
-}
-
 func serveHTTP(srv *http.Server, lis net.Listener) error {
 	if err := srv.Serve(lis); err != http.ErrServerClosed {
 		return eris.Wrapf(err, "listener %s", lis.Addr())
@@ -178,9 +180,17 @@
 	return time.Duration(e.rng.Int64N(int64(d)))
 }
 
+// ready tells the balancer whether new callers should come here.
 func (e *Entry) ready() error {
 	if e.draining.Load() {
 		return eris.New("entry is leaving")
 	}
-	return e.sync.admit()
+	if e.holder.State().InstanceOut(e.identity.Instance, e.identity.Domain) {
+		return eris.New("the failure domain or the instance is taken out")
+	}
+	return e.accepting()
 }
+
+// accepting tells whether requests that arrive are served. It stays true
+// while the balancer is told to send callers elsewhere.
+func (e *Entry) accepting() error { return e.sync.admit() }
--- a/io/awentry/reconcile.go
+++ b/io/awentry/reconcile.go
@@ -42,7 +42,7 @@
 }
 
 func (e *Entry) reconcile(ctx context.Context, started time.Time) error {
-	if e.ready() != nil {
+	if e.draining.Load() || e.accepting() != nil {
 		return nil
 	}
 	s := e.holder.State()
--- /dev/null
+++ b/io/awentry/request.go
@@ -0,0 +1,192 @@
+package awentry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"arbutuswind/core/awoutcome"
+	"arbutuswind/io/awhttp"
+)
+
+// request is a caller's request after its headers were checked.
+type request struct {
+	entry    *Entry
+	w        http.ResponseWriter
+	id       string
+	team     string
+	priority uint32
+	arrived  time.Time
+	deadline time.Time // of the first token of a stream, else of the whole answer
+	body     []byte
+	key      string // Idempotency-Key
+	streamed bool
+
+	begun bool // the caller has got a part of a stream
+	timer *time.Timer
+	held  int // bytes counted against Limits.HeldBytes
+}
+
+var (
+	errDeadline = errors.New("deadline passed")
+	errStopped  = errors.New("entry stopped")
+)
+
+const (
+	// maxPriority is the highest priority of a request.
+	maxPriority = 9
+	// bodyTimeout bounds the time in which a caller sends its body.
+	bodyTimeout = 10 * time.Second
+	// writeGrace is the time after the last deadline in which a caller that
+	// does not read may still hold its connection.
+	writeGrace = 5 * time.Second
+	maxName    = 128 // bytes of a team's name
+	maxKey     = 255 // bytes of an Idempotency-Key
+)
+
+func (e *Entry) newRequest(w http.ResponseWriter) *request {
+	req := &request{entry: e, w: w, id: uuid.NewString(), arrived: time.Now(), priority: maxPriority / 2}
+	w.Header().Set(awhttp.HeaderRequest, req.id)
+	return req
+}
+
+// bound ends the request at its deadline or when the entry stops. A stream
+// that has begun may go on until latest, so that a slow caller still gets the
+// complete answer.
+func (r *request) bound(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	r.timer = time.AfterFunc(time.Until(r.deadline), func() { cancel(errDeadline) })
+	stop := context.AfterFunc(r.entry.stopped, func() { cancel(errStopped) })
+	// Fails on writers without deadlines, as in tests.
+	_ = http.NewResponseController(r.w).SetWriteDeadline(r.latest().Add(writeGrace))
+	return ctx, func() {
+		r.timer.Stop()
+		stop()
+		cancel(nil)
+	}
+}
+
+func (r *request) latest() time.Time {
+	return r.arrived.Add(r.entry.cfg.Settings.Limits.MaxDeadline.Std())
+}
+
+// delivered notes that the caller gets a part of the answer.
+func (r *request) delivered() {
+	if r.begun {
+		return
+	}
+	firstFrames.UpdateDuration(r.arrived)
+	if r.streamed {
+		r.begun = true
+		r.timer.Reset(time.Until(r.latest()))
+	}
+}
+
+// until returns the end of the request's time.
+func (r *request) until() time.Time {
+	if r.begun {
+		return r.latest()
+	}
+	return r.deadline
+}
+
+// hold counts bytes that the entry keeps for the request until it ends.
+func (r *request) hold(n int) bool {
+	e := r.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.bytes.Reserve(n) {
+		return false
+	}
+	r.held += n
+	return true
+}
+
+func (r *request) release() {
+	e := r.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.bytes.Release(r.held)
+	r.held = 0
+}
+
+// narrowWindow is the window of streams while much is held. It takes about
+// fifty tokens with their frames.
+const narrowWindow = 8 << 10
+
+// window returns the credit of a new stream.
+func (e *Entry) window() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.bytes.Window(e.cfg.Settings.Limits.StreamBytes/2, narrowWindow)
+}
+
+// parse checks headers and reads the body within its bounds.
+func (e *Entry) parse(w http.ResponseWriter, r *http.Request, req *request) error {
+	if err := req.headers(r.Header, e.cfg.Settings.Limits.DefaultDeadline.Std(), e.cfg.Settings.Limits.MaxDeadline.Std()); err != nil {
+		return err
+	}
+	limit := e.cfg.Settings.Limits.MaxBodyBytes
+	if r.ContentLength > int64(limit) {
+		return awoutcome.Refuse(awoutcome.BodyTooLarge, "body is larger than "+strconv.Itoa(limit)+" bytes")
+	}
+	size := limit // a body of unknown length may become as long
+	if r.ContentLength >= 0 {
+		size = int(r.ContentLength)
+	}
+	if !req.hold(size) {
+		return overloaded("the entry holds as many bytes as it may", retryAfterMs)
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout)) // fails on readers without deadlines, as in tests
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	if err != nil {
+		return bodyError(err, limit)
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	req.body = body
+	return nil
+}
+
+func bodyError(err error, limit int) error {
+	var tooLarge *http.MaxBytesError
+	var netErr net.Error
+	switch {
+	case errors.As(err, &tooLarge):
+		return awoutcome.Refuse(awoutcome.BodyTooLarge, "body is larger than "+strconv.Itoa(limit)+" bytes")
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &netErr) && netErr.Timeout():
+		return awoutcome.Refuse(awoutcome.BodyTimeout, "body did not arrive within "+bodyTimeout.String())
+	}
+	return awoutcome.Refuse(awoutcome.BadRequest, "body: "+err.Error())
+}
+
+func (r *request) headers(h http.Header, usual, most time.Duration) error {
+	r.team, r.key = h.Get(awhttp.HeaderTeam), h.Get(awhttp.HeaderKey)
+	if len(r.team) > maxName || len(r.key) > maxKey {
+		return awoutcome.Refuse(awoutcome.BadRequest, awhttp.HeaderTeam+" or "+awhttp.HeaderKey+" is too long")
+	}
+	if v := h.Get(awhttp.HeaderPriority); v != "" {
+		n, err := strconv.ParseUint(v, 10, 32)
+		if err != nil || n > maxPriority {
+			return awoutcome.Refuse(awoutcome.BadRequest, awhttp.HeaderPriority+" must be 0 to 9")
+		}
+		r.priority = uint32(n)
+	}
+	r.deadline = r.arrived.Add(usual)
+	if v := h.Get(awhttp.HeaderDeadline); v != "" {
+		n, err := strconv.ParseUint(v, 10, 32)
+		if err != nil || n == 0 || time.Duration(n)*time.Millisecond > most {
+			return awoutcome.Refuse(awoutcome.BadRequest,
+				awhttp.HeaderDeadline+" must be 1 to "+strconv.FormatInt(most.Milliseconds(), 10))
+		}
+		r.deadline = r.arrived.Add(time.Duration(n) * time.Millisecond)
+	}
+	return nil
+}
