Fetch again what only a dead or stalled agent held

With a tenth of 96 agents killed midway the last chunks came after 35 s: peers that no longer answered still counted as holders, and a stalled fetch kept its chunk until the call timed out. Silent peers now hold nothing, and a stalled fetch leaves its chunk to others.

--- a/core/awweights/exchange.go
+++ b/core/awweights/exchange.go
@@ -61,6 +61,9 @@
 	// taken to hold nothing. A link that corrupts one chunk in a hundred gets
 	// there once in a million chunks.
 	distrustAfter = 3
+	// silentAfter is the number of unanswered questions in a row after which a
+	// peer is taken for dead; one answer can be late on a busy machine.
+	silentAfter = 2
 	// maxDoublings bounds the growth of pauses.
 	maxDoublings = 5
 	// scanLimit bounds the chunks compared for one choice, so that the cost
@@ -125,6 +128,8 @@
 	count      int
 	progressed time.Time // last growth of its map
 	heard      bool      // asked once, with or without an answer
+	misses     int       // questions in a row without an answer
+	silent     bool      // taken for dead; holds nothing until it answers
 	avoidUntil time.Time
 	strikes    int // bad chunks and stalls in a row
 	badRun     int // bad chunks in a row
@@ -155,7 +160,7 @@
 	panel  []string
 
 	active  map[uint64]*running
-	byChunk map[int]int // active fetches of a chunk
+	byChunk map[int]int // active fetches of a chunk that do not stall
 	nextID  uint64
 	link    *Bucket
 	region  *Bucket
@@ -237,7 +242,15 @@
 		return
 	}
 	p.heard = true
-	if held == nil || p.distrusted {
+	if held == nil {
+		if p.misses++; p.misses >= silentAfter && !p.silent {
+			p.silent = true
+			x.forgetAll(p) // what it alone held is fetched from outside again
+		}
+		return
+	}
+	p.misses, p.silent = 0, false
+	if p.distrusted {
 		return
 	}
 	near := p.Region == x.cfg.Self.Region
@@ -283,7 +296,8 @@
 	if x.Complete() || x.link.Wait(now) > 0 {
 		return Fetch{}, false
 	}
-	for _, pick := range []func(time.Time) (Fetch, bool){x.pickDuty, x.pickPeer, x.pickHedge, x.pickLast} {
+	x.markStalled(now)
+	for _, pick := range []func(time.Time) (Fetch, bool){x.pickDuty, x.pickPeer, x.pickLast} {
 		if f, ok := pick(now); ok {
 			x.start(&f, now)
 			return f, true
@@ -307,11 +321,12 @@
 	}
 }
 
-// count returns the active fetches inside the region, or outside of it.
+// count returns the active fetches inside the region, or outside of it. Those
+// that stall take no place of others; the caller bounds them by its workers.
 func (x *Exchange) count(inside bool) int {
 	n := 0
 	for _, r := range x.active {
-		if (r.Kind == FromPeer) == inside {
+		if (r.Kind == FromPeer) == inside && !r.stalled {
 			n++
 		}
 	}
@@ -327,8 +342,8 @@
 	}
 	now := x.clock.Now()
 	delete(x.active, id)
-	if x.byChunk[r.Index]--; x.byChunk[r.Index] == 0 {
-		delete(x.byChunk, r.Index)
+	if !r.stalled {
+		x.leave(r.Index)
 	}
 	p := x.peers[r.Peer]
 	if r.Kind == FromOrigin {
@@ -363,6 +378,13 @@
 	return cancel
 }
 
+// leave ends the claim of one fetch on a chunk.
+func (x *Exchange) leave(i int) {
+	if x.byChunk[i]--; x.byChunk[i] == 0 {
+		delete(x.byChunk, i)
+	}
+}
+
 func (x *Exchange) countBytes(k Kind, n uint64) {
 	switch k {
 	case FromOrigin:
@@ -392,7 +414,8 @@
 		}
 		x.strike(p, now)
 		if p.badRun++; p.badRun >= distrustAfter {
-			x.distrust(p)
+			p.distrusted = true
+			x.forgetAll(p)
 		}
 	case Busy:
 		p.avoidUntil = later(p.avoidUntil, now.Add(busyFor/2+time.Duration(x.rng.Int64N(int64(busyFor)))))
@@ -424,10 +447,9 @@
 	}
 }
 
-// distrust takes a peer to hold nothing, so that its chunks are fetched from
+// forgetAll takes a peer to hold nothing, so that its chunks are fetched from
 // outside the region again.
-func (x *Exchange) distrust(p *peer) {
-	p.distrusted = true
+func (x *Exchange) forgetAll(p *peer) {
 	for i := range x.stats.Chunks {
 		x.forget(p, i)
 	}
--- a/core/awweights/exchange_test.go
+++ b/core/awweights/exchange_test.go
@@ -229,6 +229,28 @@
 	}
 }
 
+// Guards against chunks that only a dead or stalled agent held counting as present in
+// the region: nobody fetched them again until the last resort.
+func TestHolderDiesMidway(t *testing.T) {
+	s := newSwarm(t, 2, 8)
+	for step := 0; step < 45; step++ {
+		for _, id := range s.ids {
+			s.step(s.nodes[id], step)
+		}
+		s.clock.Advance(simStep)
+	}
+	for _, region := range []string{"r0", "r1"} {
+		dead := s.panel(region)[1]
+		require.NotZero(t, s.nodes[dead].x.Stats().Held)
+		s.nodes[dead].dead = region == "r0"
+		s.stalled[dead] = region == "r1"
+	}
+	began := s.clock.Now()
+	s.run()
+	require.Less(t, s.clock.Now().Sub(began), 6*time.Second)
+	require.LessOrEqual(t, s.origin, simChunks+simChunks/5)
+}
+
 // Guards against a peer that keeps sending bad chunks being asked again and
 // again.
 func TestBadPeerIsAvoided(t *testing.T) {
--- a/core/awweights/pick.go
+++ b/core/awweights/pick.go
@@ -25,7 +25,7 @@
 		}
 		if home {
 			found = Fetch{Index: i, Kind: FromOrigin}
-		} else if p := x.outside(i, "", now); p != nil {
+		} else if p := x.outside(i, now); p != nil {
 			found = Fetch{Index: i, Kind: FromRegion, Peer: p.ID}
 		}
 		return found.Index < 0
@@ -44,6 +44,10 @@
 	}
 }
 
+// silentFactor divides the takeover time of a fetcher that does not answer: it
+// is more likely dead than slow.
+const silentFactor = 4
+
 // mine reports whether this agent may fetch chunk i from outside the region
 // now: it is the designated fetcher, or every one before it has made no
 // progress for a time that grows with the rank.
@@ -52,9 +56,13 @@
 	if !ok {
 		return false
 	}
-	wait := x.cfg.TakeoverAfter * time.Duration(len(before))
 	for _, id := range before {
-		if p := x.peers[id]; !p.distrusted && now.Sub(p.progressed) < wait {
+		p := x.peers[id]
+		wait := x.cfg.TakeoverAfter * time.Duration(len(before))
+		if p.silent {
+			wait /= silentFactor
+		}
+		if !p.distrusted && now.Sub(p.progressed) < wait {
 			return false
 		}
 	}
@@ -80,7 +88,7 @@
 	n := 0
 	for _, id := range x.panel {
 		p := x.peers[id]
-		if id == x.cfg.Self.ID || (p != nil && now.Sub(p.progressed) < 2*x.cfg.TakeoverAfter) {
+		if id == x.cfg.Self.ID || (p != nil && !p.silent && now.Sub(p.progressed) < 2*x.cfg.TakeoverAfter) {
 			n++
 		}
 	}
@@ -89,16 +97,16 @@
 
 // usable reports whether a fetch from the peer may start now.
 func (x *Exchange) usable(p *peer, now time.Time) bool {
-	return p.running < x.cfg.PerPeer && !p.avoidUntil.After(now)
+	return p.running < x.cfg.PerPeer && !p.silent && !p.avoidUntil.After(now)
 }
 
 // outside returns an agent of another region that holds chunk i, one of the
 // home region where possible: its chunks come straight from the origin.
-func (x *Exchange) outside(i int, not string, now time.Time) *peer {
+func (x *Exchange) outside(i int, now time.Time) *peer {
 	var best *peer
 	for _, id := range x.order {
 		p := x.peers[id]
-		if p.Region == x.cfg.Self.Region || id == not || !p.held.Has(i) || !x.usable(p, now) {
+		if p.Region == x.cfg.Self.Region || !p.held.Has(i) || !x.usable(p, now) {
 			continue
 		}
 		switch {
@@ -113,12 +121,12 @@
 
 // inside returns an agent of the own region that holds chunk i, the one with
 // the fewest fetches of ours.
-func (x *Exchange) inside(i int, not string, now time.Time) *peer {
+func (x *Exchange) inside(i int, now time.Time) *peer {
 	var best *peer
 	ties := 0
 	for _, id := range x.order {
 		p := x.peers[id]
-		if p.Region != x.cfg.Self.Region || id == not || !p.held.Has(i) || !x.usable(p, now) {
+		if p.Region != x.cfg.Self.Region || !p.held.Has(i) || !x.usable(p, now) {
 			continue
 		}
 		switch {
@@ -146,7 +154,7 @@
 		if n == 0 || x.byChunk[i] > 0 || (found.Index >= 0 && n >= rarest) {
 			return true
 		}
-		if p := x.inside(i, "", now); p != nil {
+		if p := x.inside(i, now); p != nil {
 			found, rarest = Fetch{Index: i, Kind: FromPeer, Peer: p.ID}, n
 		}
 		return true
@@ -154,32 +162,32 @@
 	return found, found.Index >= 0
 }
 
-// pickHedge returns a second source for a chunk whose first source stalls,
-// and avoids the first.
-func (x *Exchange) pickHedge(now time.Time) (Fetch, bool) {
-	found := Fetch{Index: -1}
+// originPatience is how much longer a read of the origin may take than one of
+// a peer before it counts as stalled; the origin serves several at once.
+const originPatience = 4
+
+// markStalled frees the chunks whose source stalls, so that they are fetched
+// from a second source at the same time, and avoids the first.
+func (x *Exchange) markStalled(now time.Time) {
 	for _, r := range x.active {
-		if r.Kind == FromOrigin || now.Sub(r.began) < x.cfg.StallAfter {
-			continue
+		p := x.peers[r.Peer]
+		limit := x.cfg.StallAfter
+		if r.Kind == FromOrigin {
+			limit *= originPatience
 		}
-		if p := x.peers[r.Peer]; p != nil && !r.stalled {
-			x.strike(p, now)
-		}
-		r.stalled = true
-		if x.byChunk[r.Index] > 1 || (found.Index >= 0 && found.Index < r.Index) {
+		dead := p != nil && p.silent
+		if r.stalled || (!dead && now.Sub(r.began) < limit) {
 			continue
 		}
-		if p := x.inside(r.Index, r.Peer, now); p != nil {
-			found = Fetch{Index: r.Index, Kind: FromPeer, Peer: p.ID}
-		} else if p := x.outside(r.Index, r.Peer, now); p != nil && r.Kind == FromRegion {
-			found = Fetch{Index: r.Index, Kind: FromRegion, Peer: p.ID}
+		r.stalled = true
+		x.leave(r.Index)
+		if p != nil {
+			x.strike(p, now)
 		}
 	}
-	return found, found.Index >= 0
 }
 
-// pickLast fetches from outside the region without a duty, one chunk at a
-// time, once this agent has made no progress for so long that the whole panel
+// pickLast fetches from outside the region without a duty, once this agent has made no progress for so long that the whole panel
 // must be gone. Chunks that a peer of the region claims to hold are included
 // while there is no progress.
 func (x *Exchange) pickLast(now time.Time) (Fetch, bool) {
@@ -191,7 +199,7 @@
 		}
 		x.rescue = now
 	}
-	if x.count(false) > 0 {
+	if x.count(false) >= x.cfg.DutyParallel {
 		return Fetch{}, false
 	}
 	// Another region's copy is preferred; its chunk maps come in first.
@@ -202,7 +210,7 @@
 		if x.byChunk[i] > 0 || (x.holder[i] > 0 && idle < x.cfg.TakeoverAfter) {
 			return true
 		}
-		if p := x.outside(i, "", now); p != nil {
+		if p := x.outside(i, now); p != nil {
 			found = Fetch{Index: i, Kind: FromRegion, Peer: p.ID}
 		} else if originToo {
 			found = Fetch{Index: i, Kind: FromOrigin}
--- a/internal/awbench/rollout.go
+++ b/internal/awbench/rollout.go
@@ -233,7 +233,11 @@
 		timer := time.AfterFunc(time.Duration(res.BoundSeconds/2*float64(time.Second)), midway)
 		defer timer.Stop()
 	}
-	err = r.waitServing(ctx, model, version, began, &res)
+	raw, err := m.Encode()
+	if err != nil {
+		return err
+	}
+	err = r.waitServing(ctx, model, version, awweights.Digest(raw), began, &res)
 	res.SecondsToN = time.Since(began).Seconds()
 	res.Ratio = res.SecondsToN / res.BoundSeconds
 	after, countErr := r.counts()
@@ -266,7 +270,7 @@
 }
 
 // waitServing waits until every agent that is left serves the version.
-func (r *rollout) waitServing(ctx context.Context, model, version string, began time.Time, res *RolloutResult) error {
+func (r *rollout) waitServing(ctx context.Context, model, version, digest string, began time.Time, res *RolloutResult) error {
 	res.MinServing = r.opts.Replicas
 	entry := r.cluster.Entries[0]
 	return WaitFor(ctx, "replicas of "+model+" "+version, func() (bool, error) {
@@ -282,7 +286,7 @@
 			}
 			live++
 			res.BadChunks += a.BadChunks
-			if a.Chunks > 0 && a.ChunksHeld == a.Chunks {
+			if a.TransferDigest == digest && a.Chunks > 0 && a.ChunksHeld == a.Chunks {
 				fetched++
 			}
 			if a.Model == model {
--- a/io/awagent/transfer.go
+++ b/io/awagent/transfer.go
@@ -24,7 +24,7 @@
 	// mapTimeout bounds one question for a chunk map.
 	mapTimeout = time.Second
 	// fetchTimeout bounds one fetch; a stall is hedged long before.
-	fetchTimeout = 20 * time.Second
+	fetchTimeout = 10 * time.Second
 	fetchWorkers = 16
 	mapWorkers   = 8
 )
