Let another region read the origin when the home region is lost

At 6 replicas with both agents of the store's region lost, the others waited for the last resort: 24.7 s.

--- a/core/awweights/exchange.go
+++ b/core/awweights/exchange.go
@@ -202,7 +202,6 @@
 	now := x.clock.Now()
 	old := x.peers
 	x.peers, x.order = map[string]*peer{}, nil
-	regions := []string{x.cfg.Self.Region}
 	x.panel = nil
 	if x.cfg.Self.Duty {
 		x.panel = append(x.panel, x.cfg.Self.ID)
@@ -215,7 +214,6 @@
 		p.Source = s
 		x.peers[s.ID] = p
 		x.order = append(x.order, s.ID)
-		regions = append(regions, s.Region)
 		if s.Duty && s.Region == x.cfg.Self.Region {
 			x.panel = append(x.panel, s.ID)
 		}
@@ -223,7 +221,7 @@
 	slices.Sort(x.order)
 	slices.Sort(x.panel)
 	x.duties = AssignDuties(x.cfg.Digest, x.stats.Chunks, x.panel)
-	x.home = HomeRegion(x.cfg.StoreRegion, regions)
+	x.settleHome()
 	for i := range x.holder {
 		x.holder[i] = 0
 		for _, p := range x.peers {
@@ -234,6 +232,18 @@
 	}
 }
 
+// settleHome chooses the region that reads from the origin among those with
+// an agent that answers. When the home region is lost, another takes its part.
+func (x *Exchange) settleHome() {
+	regions := []string{x.cfg.Self.Region}
+	for _, p := range x.peers {
+		if !p.silent {
+			regions = append(regions, p.Region)
+		}
+	}
+	x.home = HomeRegion(x.cfg.StoreRegion, regions)
+}
+
 // Heard takes over the chunk map of a peer; a nil map means that it did not
 // answer.
 func (x *Exchange) Heard(id string, held Bitmap) {
@@ -246,10 +256,15 @@
 		if p.misses++; p.misses >= silentAfter && !p.silent {
 			p.silent = true
 			x.forgetAll(p) // what it alone held is fetched from outside again
+			x.settleHome()
 		}
 		return
 	}
-	p.misses, p.silent = 0, false
+	p.misses = 0
+	if p.silent {
+		p.silent = false
+		x.settleHome()
+	}
 	if p.distrusted {
 		return
 	}
--- a/core/awweights/exchange_test.go
+++ b/core/awweights/exchange_test.go
@@ -216,6 +216,11 @@
 				s.nodes[id].dead = true
 			}
 		}, 3 * simChunks},
+		{"home region lost", func(s *swarm) {
+			for _, id := range s.ids[:8] {
+				s.nodes[id].dead = true
+			}
+		}, simChunks + simChunks/5},
 		{"peer sends bad chunks", func(s *swarm) { s.corrupt[s.panel("r0")[1]] = true }, 2 * simChunks},
 		{"peer always busy", func(s *swarm) { s.busy[s.panel("r0")[1]] = true }, 2 * simChunks},
 		{"origin sends bad chunks", func(s *swarm) { s.badRead = 7 }, simChunks + 7},
