--- a/core/awweights/exchange.go
+++ b/core/awweights/exchange.go
@@ -40,6 +40,7 @@
 	TakeoverAfter time.Duration // without progress of a designated fetcher
 	StallAfter    time.Duration // before a chunk is fetched from a second source
 	AvoidFor      time.Duration // after a bad chunk or a stall; doubled for each in a row
+	AskEvery      time.Duration // age of a chunk map that is asked for again
 	StartGrace    time.Duration // for the first chunk maps before duties begin
 }
 
@@ -50,6 +51,7 @@
 	defaultTakeoverAfter = 2 * time.Second
 	defaultStallAfter    = 1500 * time.Millisecond
 	defaultAvoidFor      = 2 * time.Second
+	defaultAskEvery      = 150 * time.Millisecond
 	defaultStartGrace    = 300 * time.Millisecond
 
 	// busyFor keeps an agent away from a peer whose slots are taken; about
@@ -61,6 +63,8 @@
 	// taken to hold nothing. A link that corrupts one chunk in a hundred gets
 	// there once in a million chunks.
 	distrustAfter = 3
+	// askOthers is the number of peers outside the panel asked at a time.
+	askOthers = 5
 	// silentAfter is the number of unanswered questions in a row after which a
 	// peer is taken for dead; one answer can be late on a busy machine.
 	silentAfter = 2
@@ -88,6 +92,7 @@
 	setDur(&c.TakeoverAfter, defaultTakeoverAfter)
 	setDur(&c.StallAfter, defaultStallAfter)
 	setDur(&c.AvoidFor, defaultAvoidFor)
+	setDur(&c.AskEvery, defaultAskEvery)
 	setDur(&c.StartGrace, defaultStartGrace)
 	return c
 }
@@ -128,6 +133,7 @@
 	count      int
 	progressed time.Time // last growth of its map
 	heard      bool      // asked once, with or without an answer
+	heardAt    time.Time // last chunk map
 	misses     int       // questions in a row without an answer
 	silent     bool      // taken for dead; holds nothing until it answers
 	avoidUntil time.Time
@@ -260,7 +266,7 @@
 		}
 		return
 	}
-	p.misses = 0
+	p.misses, p.heardAt = 0, x.clock.Now()
 	if p.silent {
 		p.silent = false
 		x.settleHome()
@@ -291,18 +297,27 @@
 // Complete reports whether every chunk is held.
 func (x *Exchange) Complete() bool { return len(x.left) == 0 }
 
-// Asks returns the peers whose chunk map is worth asking for: those of the
-// own region, and on the panel those of other regions, that lack a chunk.
+// Asks returns the peers to ask for their chunk map now: those never heard,
+// the panels that matter here, and a few others of the own region. Peers whose
+// map came along with a chunk lately are left out. With every peer asked each
+// time, the questions cost more processor time than the chunks.
 func (x *Exchange) Asks() []string {
-	var ids []string
+	now := x.clock.Now()
+	var ids, others []string
 	for _, id := range x.order {
 		p := x.peers[id]
 		near := p.Region == x.cfg.Self.Region
-		if p.count < x.stats.Chunks && !p.distrusted && (near || x.cfg.Self.Duty || !x.rescue.IsZero()) {
+		switch {
+		case p.count == x.stats.Chunks || p.distrusted || now.Sub(p.heardAt) < x.cfg.AskEvery:
+		case !near && !x.cfg.Self.Duty && x.rescue.IsZero():
+		case !p.heard || p.Duty || p.misses > 0:
 			ids = append(ids, id)
+		default:
+			others = append(others, id)
 		}
 	}
-	return ids
+	x.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return append(ids, others[:min(askOthers, len(others))]...)
 }
 
 // Next starts the next fetch, or returns false when none can start now.
