--- /dev/null
+++ b/internal/awbench/cost.go
@@ -0,0 +1,74 @@
+package awbench
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Reading is what a process has used and sent so far.
+type Reading struct {
+	Usage
+	At                   time.Time
+	RPCBytes, StoreBytes float64 // sent and received
+}
+
+// ReadUsage reads /proc of the process and the metrics at the URL.
+func ReadUsage(p *Process, metricsURL string) (Reading, error) {
+	u, err := p.Usage()
+	if err != nil {
+		return Reading{}, err
+	}
+	r := Reading{Usage: u, At: time.Now()}
+	return r, r.readMetrics(metricsURL)
+}
+
+func (r *Reading) readMetrics(url string) error {
+	resp, err := http.Get(url)
+	if err != nil {
+		return eris.Wrap(err, "read metrics")
+	}
+	defer resp.Body.Close()
+	scan := bufio.NewScanner(resp.Body)
+	for scan.Scan() {
+		name, value, _ := strings.Cut(scan.Text(), " ")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			continue // a comment
+		}
+		switch name {
+		case "RpcSentBytes", "RpcReceivedBytes":
+			r.RPCBytes += v
+		case "StoreSentBytes", "StoreReceivedBytes":
+			r.StoreBytes += v
+		}
+	}
+	return eris.Wrap(scan.Err(), "read metrics")
+}
+
+// Cost is the mean use of one process.
+type Cost struct {
+	CorePercent      float64 // of one core
+	RSSMB            float64
+	RPCBytesPerSec   float64
+	StoreBytesPerSec float64
+}
+
+// MeanCost returns the mean of the processes between two readings.
+func MeanCost(before, after []Reading) Cost {
+	var c Cost
+	for i := range before {
+		s := after[i].At.Sub(before[i].At).Seconds()
+		c.CorePercent += 100 * (after[i].CPU - before[i].CPU).Seconds() / s
+		c.RSSMB += float64(after[i].RSSBytes) / (1 << 20)
+		c.RPCBytesPerSec += (after[i].RPCBytes - before[i].RPCBytes) / s
+		c.StoreBytesPerSec += (after[i].StoreBytes - before[i].StoreBytes) / s
+	}
+	n := float64(max(1, len(before)))
+	c.CorePercent, c.RSSMB, c.RPCBytesPerSec, c.StoreBytesPerSec = c.CorePercent/n, c.RSSMB/n, c.RPCBytesPerSec/n, c.StoreBytesPerSec/n
+	return c
+}
--- /dev/null
+++ b/io/awentry/attempt.go
@@ -0,0 +1,197 @@
+package awentry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"arbutuswind/core/awoutcome"
+	"arbutuswind/core/awstream"
+	"arbutuswind/io/awproto"
+	"arbutuswind/io/awtelemetry"
+)
+
+// attempt sends a request to one agent and passes its answer on. It is for
+// calls that are dispatched once.
+func (e *Entry) attempt(
+	ctx context.Context, req *request, start *awproto.ServeStart, t target, id *awproto.AttemptId, out sink,
+) error {
+	window := e.window()
+	if !req.hold(window) {
+		return overloaded("the entry holds as many bytes as it may", retryAfterMs)
+	}
+	start.CreditBytes = uint32(window)
+	return e.serveAttempt(ctx, req, start, t, id, awstream.NewAssembler(window), out)
+}
+
+// serveAttempt makes one attempt. An error holds what is proved about it.
+func (e *Entry) serveAttempt(
+	ctx context.Context, req *request, start *awproto.ServeStart, t target, id *awproto.AttemptId,
+	asm *awstream.Assembler, out sink,
+) error {
+	left := time.Until(req.until())
+	if left <= 0 {
+		return awoutcome.Refuse(awoutcome.Deadline, "deadline passed before dispatch")
+	}
+	ctx, span := e.cfg.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("agent", t.Instance), attribute.String("domain", t.domain)))
+	defer span.End()
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if start.Repeatable {
+		// A stalled link would hold the request until its deadline.
+		go func() {
+			select {
+			case <-t.lost:
+				cancel()
+			case <-runCtx.Done():
+			}
+		}()
+	}
+	stream, err := e.dialer.Agent(runCtx, t.Target).Serve(runCtx)
+	if err != nil {
+		return awoutcome.Refuse(awoutcome.LinkLost, err.Error())
+	}
+	defer stream.Close()
+	start.RequestId, start.Attempt, start.Team, start.Priority = req.id, id, req.team, req.priority
+	start.LowWatermark = e.attempts.low()
+	start.DeadlineMs = uint32(max(1, left.Milliseconds()))
+	start.Revision = e.holder.State().Revision
+	start.TraceParent = awtelemetry.Inject(ctx)
+	r := &receiver{entry: e, req: req, stream: stream, asm: asm, out: out}
+	if start.Service != nil {
+		// Plain services have no weights, and their agents send no Accepted.
+		if err := asm.Begin(""); err != nil {
+			return streamError(err)
+		}
+	}
+	err = stream.Send(&awproto.ServeUp{Body: &awproto.ServeUp_Start{Start: start}})
+	if err != nil {
+		err = linkLost(err)
+	} else {
+		err = r.receive()
+	}
+	if err != nil {
+		span.RecordError(err)
+		if !r.answered && !start.Repeatable {
+			return e.settle(ctx, t, id, err)
+		}
+	}
+	return err
+}
+
+func linkLost(err error) error {
+	return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.LinkLost, Detail: err.Error()}
+}
+
+// settleTimeout bounds the question what became of an attempt.
+const settleTimeout = time.Second
+
+// settle asks the agent to refuse an attempt for good that it was sent and has
+// not answered. Only that refusal, by the same incarnation, proves that the
+// request did not run and never will.
+func (e *Entry) settle(ctx context.Context, t target, id *awproto.AttemptId, cause error) error {
+	if !e.fleet.alive(t) {
+		return cause
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	reply, err := e.dialer.Agent(ctx, t.Target).SettleAttempt(ctx, &awproto.SettleRequest{Attempt: id, Refuse: true})
+	if err != nil || reply.Incarnation != t.Incarnation || reply.State != awproto.AttemptState_ATTEMPT_REFUSED_FOR_GOOD {
+		return cause
+	}
+	return awoutcome.Refuse(awoutcome.LinkLost, "the agent has refused the attempt for good: "+cause.Error())
+}
+
+// receiver takes the answer of one attempt.
+type receiver struct {
+	entry    *Entry
+	req      *request
+	stream   awproto.DRPCAgent_ServeClient
+	asm      *awstream.Assembler
+	out      sink
+	answered bool // the agent has sent something
+}
+
+func (r *receiver) receive() error {
+	for {
+		down, err := r.stream.Recv()
+		if err != nil {
+			return linkLost(err)
+		}
+		r.answered = true
+		switch b := down.Body.(type) {
+		case *awproto.ServeDown_Refusal:
+			r.entry.sync.meet(b.Refusal.Revision, nil)
+			return refusalError(b.Refusal)
+		case *awproto.ServeDown_Accepted:
+			if err := r.asm.Begin(b.Accepted.VersionDigest); err != nil {
+				return streamError(err)
+			}
+			r.out.accept(b.Accepted.VersionDigest)
+		case *awproto.ServeDown_Frame:
+			if err := r.frame(b.Frame); err != nil {
+				return err
+			}
+		case *awproto.ServeDown_End:
+			if err := r.asm.End(b.End.Frames, b.End.Tokens); err != nil {
+				return streamError(err)
+			}
+			return callerError(r.out.end(b.End))
+		case *awproto.ServeDown_Failure:
+			return failureError(b.Failure)
+		}
+	}
+}
+
+func (r *receiver) frame(f *awproto.Frame) error {
+	err := r.asm.Add(awstream.Frame{
+		Number: f.Number, FirstToken: f.FirstToken, Tokens: f.Tokens, Data: f.Data, Digest: f.VersionDigest,
+	}, r.deliver)
+	if err != nil {
+		return streamError(err)
+	}
+	// Credit is returned only after the caller took the bytes, so a slow
+	// caller stops the backend server and not this process.
+	credit := &awproto.Credit{Bytes: uint32(awstream.FrameCost(len(f.Data)))}
+	err = r.stream.Send(&awproto.ServeUp{Body: &awproto.ServeUp_Credit{Credit: credit}})
+	if err != nil && !errors.Is(err, io.EOF) {
+		return linkLost(err)
+	}
+	return nil
+}
+
+// deliver passes a frame on to the caller. Answers that are collected count
+// against the bytes that the entry holds.
+func (r *receiver) deliver(f awstream.Frame) error {
+	if r.out.collects() && !r.req.hold(len(f.Data)) {
+		return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.Overloaded, Detail: "the answer is larger than what the entry may hold"}
+	}
+	r.req.delivered()
+	return callerError(r.out.frame(f))
+}
+
+// callerError marks a failure to write to the caller, who is gone.
+func callerError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.Cancelled, Detail: err.Error()}
+}
+
+// streamError turns a fault of the stream into a failure of the attempt.
+func streamError(err error) error {
+	var fault *awstream.Error
+	if !errors.As(err, &fault) {
+		return err
+	}
+	reason := awoutcome.Truncated
+	if fault.Fault == awstream.FaultIdentity {
+		reason = awoutcome.IdentityChanged
+	}
+	return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: reason, Detail: fault.Error()}
+}
--- a/io/awentry/dispatch.go
+++ b/io/awentry/dispatch.go
@@ -3,161 +3,198 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"time"
 
 	"arbutuswind/core/awoutcome"
+	"arbutuswind/core/awretry"
+	"arbutuswind/core/awroute"
 	"arbutuswind/core/awstream"
 	"arbutuswind/io/awproto"
-	"arbutuswind/io/awtelemetry"
 )
 
-// maxAttempts bounds the agents tried for one request.
+// maxAttempts bounds the agents tried for one keyed call.
 const maxAttempts = 4
 
-// dispatch sends a request to agents until one has answered whole. It tries
-// again only what is proved not to have run.
+// exchange is one request on its way through the agents that are tried.
+type exchange struct {
+	entry *Entry
+	req   *request
+	start *awproto.ServeStart
+	out   sink
+	asm   *awstream.Assembler
+
+	prefixes []uint64
+	exclude  map[string]bool // agents that refused or failed since the last wait
+	runs     int             // attempts that may have run
+	waits    int             // since the last attempt
+	waited   *awoutcome.Error
+}
+
+// dispatch sends a request to agents until one has answered whole. A stream
+// that breaks off continues on another agent with the same weights.
 func (e *Entry) dispatch(ctx context.Context, req *request, start *awproto.ServeStart, out sink) error {
-	tried := map[string]bool{}
-	var last error = awoutcome.Refuse(awoutcome.NoBackend, "no backend server serves "+start.Model)
-	for range maxAttempts {
-		t, ok := e.pick(start.Model, start.VersionDigest, tried)
-		if !ok {
-			break
+	window := e.window()
+	if !req.hold(window) {
+		return overloaded("the entry holds as many bytes as it may", retryAfterMs)
+	}
+	start.CreditBytes = uint32(window)
+	x := &exchange{
+		entry: e, req: req, start: start, out: out, asm: awstream.NewAssembler(window),
+		exclude: map[string]bool{},
+	}
+	if start.Service == nil {
+		x.prefixes = awroute.PrefixHashes(start.Model, start.Body)
+	}
+	e.earn()
+	err := x.run(ctx)
+	if err == nil {
+		wholeAnswers.Inc()
+		return nil
+	}
+	err = x.outcome(ctx, err)
+	if out.fail(err) {
+		e.noteProblem(err)
+		return errAnswered
+	}
+	return err
+}
+
+func (x *exchange) run(ctx context.Context) error {
+	for {
+		t, err := x.choose(ctx)
+		if err != nil {
+			return err
 		}
-		tried[t.Instance] = true
-		id := e.nextAttempt()
-		err := e.attempt(ctx, req, start, t, id, out)
-		e.attempts.settle(id.Sequence)
-		t.done()
+		err = x.try(ctx, t)
 		if err == nil {
 			return nil
 		}
-		last = err
-		var oe *awoutcome.Error
-		if !errors.As(err, &oe) || oe.Outcome != awoutcome.NotRun {
-			break
+		if err := x.next(ctx, t, err); err != nil {
+			return err
 		}
 	}
-	if out.fail(last) {
-		return errAnswered
-	}
-	return last
 }
 
-func (e *Entry) pick(model, digest string, tried map[string]bool) (target, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.fleet.pick(model, digest, tried, e.rng)
+// try makes one attempt and feeds its end to routing.
+func (x *exchange) try(ctx context.Context, t target) error {
+	e := x.entry
+	id := e.nextAttempt()
+	x.start.ResumeFrom = x.asm.NextToken()
+	if x.start.ResumeFrom > 0 {
+		x.start.VersionDigest = x.asm.Digest()
+		resumes.Inc()
+	}
+	err := e.serveAttempt(ctx, x.req, x.start, t, id, x.asm, x.out)
+	e.attempts.settle(id.Sequence)
+	t.done()
+	if ctx.Err() == nil {
+		e.fleet.judgeAttempt(t, err)
+	}
+	return err
 }
 
-func (e *Entry) nextAttempt() *awproto.AttemptId {
-	return &awproto.AttemptId{
-		EntryInstance: e.identity.Instance, EntryIncarnation: e.cfg.Incarnation, Sequence: e.attempts.next(),
+// next returns an error when no other agent may be tried.
+func (x *exchange) next(ctx context.Context, t target, err error) error {
+	var oe *awoutcome.Error
+	if !errors.As(err, &oe) || ctx.Err() != nil {
+		return err
+	}
+	if oe.Outcome != awoutcome.NotRun {
+		x.runs++
+	}
+	action, cost := awretry.Decide(awretry.Failure{
+		Err: oe, Repeatable: x.start.Repeatable, Runs: x.runs, Delivered: x.asm.NextToken(),
+		PromptTokens: x.start.PromptTokens, MaxTokens: x.start.MaxTokens,
+	})
+	if action == awretry.Stop {
+		return err
+	}
+	x.exclude[t.Instance] = true
+	x.waited, x.waits = oe, 0
+	if oe.Outcome == awoutcome.NotRun {
+		refusedTries.Inc()
+		return nil
 	}
+	retries.Inc()
+	return x.afford(ctx, cost, err)
 }
 
-// attempt sends a request to one agent and passes its answer on.
-func (e *Entry) attempt(
-	ctx context.Context, req *request, start *awproto.ServeStart, t target, id *awproto.AttemptId, out sink,
-) error {
-	left := time.Until(req.deadline)
-	if left <= 0 {
-		return awoutcome.Refuse(awoutcome.Deadline, "deadline passed before dispatch")
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stream, err := e.dialer.Agent(ctx, t.Target).Serve(ctx)
-	if err != nil {
-		return awoutcome.Refuse(awoutcome.LinkLost, err.Error())
-	}
-	defer stream.Close()
-	start.RequestId, start.Attempt, start.Team, start.Priority = req.id, id, req.team, req.priority
-	start.LowWatermark = e.attempts.low()
-	start.DeadlineMs = uint32(left.Milliseconds())
-	start.Revision = e.holder.State().Revision
-	start.TraceParent = awtelemetry.Inject(ctx)
-	start.CreditBytes = uint32(e.cfg.Settings.Limits.StreamBytes) / 2
-	if err := stream.Send(&awproto.ServeUp{Body: &awproto.ServeUp_Start{Start: start}}); err != nil {
-		return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.LinkLost, Detail: err.Error()}
-	}
-	return receiveAnswer(stream, out)
+// afford waits until the retry budget pays for a repetition; without budget
+// repetitions follow at the rate at which new requests earn it.
+func (x *exchange) afford(ctx context.Context, cost float64, err error) error {
+	for n := 0; !x.entry.takeRetry(cost); n++ {
+		if !x.sleep(ctx, n) {
+			return err
+		}
+	}
+	return nil
 }
 
-func receiveAnswer(stream awproto.DRPCAgent_ServeClient, out sink) error {
-	var frames uint64
-	var digest string
-	for {
-		down, err := stream.Recv()
-		if err != nil {
-			return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.LinkLost, Detail: err.Error()}
-		}
-		switch b := down.Body.(type) {
-		case *awproto.ServeDown_Refusal:
-			return refusalError(b.Refusal)
-		case *awproto.ServeDown_Accepted:
-			digest = b.Accepted.VersionDigest
-			out.accept(digest)
-		case *awproto.ServeDown_Frame:
-			if b.Frame.Number != frames || b.Frame.VersionDigest != digest {
-				return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.IdentityChanged, Detail: "frame out of order or of other weights"}
-			}
-			frames++
-			if err := out.frame(b.Frame); err != nil {
-				return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.Cancelled, Detail: err.Error()}
-			}
-			// Credit is returned only after the caller took the bytes, so a
-			// slow caller stops the backend server and not this process.
-			credit := &awproto.Credit{Bytes: uint32(awstream.FrameCost(len(b.Frame.Data)))}
-			if err := stream.Send(&awproto.ServeUp{Body: &awproto.ServeUp_Credit{Credit: credit}}); err != nil && !errors.Is(err, io.EOF) {
-				return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.LinkLost, Detail: err.Error()}
-			}
-		case *awproto.ServeDown_End:
-			if b.End.Frames != frames {
-				return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.Truncated, Detail: "frames are missing"}
-			}
-			return out.end(b.End)
-		case *awproto.ServeDown_Failure:
-			return failureError(b.Failure)
-		}
+// sleep waits the n-th backoff; it returns false when the request has ended.
+func (x *exchange) sleep(ctx context.Context, n int) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(x.entry.backoff(n)):
+		return true
 	}
 }
 
-func refusalError(r *awproto.Refusal) error {
-	return &awoutcome.Error{
-		Outcome: outcome(r.Outcome), Reason: reason(r.Reason), Detail: r.Detail, RetryAfterMs: r.RetryAfterMs,
+// outcome returns what all attempts together prove.
+func (x *exchange) outcome(ctx context.Context, err error) error {
+	var oe *awoutcome.Error
+	if !errors.As(err, &oe) {
+		oe = &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.EngineFailed, Detail: err.Error()}
+	}
+	c := *oe
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errDeadline):
+		c.Reason, c.Detail = awoutcome.Deadline, "the deadline passed: "+oe.Error()
+	case errors.Is(cause, errStopped):
+		c.Reason, c.Detail = awoutcome.Leaving, "the entry stopped before the answer was complete"
+	case cause != nil:
+		c.Reason = awoutcome.Cancelled
 	}
+	if c.Outcome == awoutcome.NotRun && (x.runs > 0 || x.asm.NextToken() > 0) {
+		c.Outcome = awoutcome.Unknown
+	}
+	if c.RetryAfterMs == 0 && c.Outcome == awoutcome.NotRun {
+		c.RetryAfterMs = retryAfterMs
+	}
+	return &c
 }
 
-func failureError(f *awproto.Failure) error {
-	return &awoutcome.Error{Outcome: outcome(f.Outcome), Reason: reason(f.Reason), Detail: f.Detail}
+func (e *Entry) pick(model, digest string, tried map[string]bool) (target, bool) {
+	t, _, ok := e.choose(want{model: model, digest: digest, exclude: tried})
+	return t, ok
 }
 
-func outcome(o awproto.Outcome) awoutcome.Outcome {
-	switch o {
-	case awproto.Outcome_NOT_RUN:
-		return awoutcome.NotRun
-	case awproto.Outcome_RAN:
-		return awoutcome.Ran
-	default:
-		return awoutcome.Unknown
-	}
+func (e *Entry) choose(w want) (target, []awroute.Candidate, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fleet.pick(w, e.rng)
 }
 
-var reasons = map[awproto.Reason]awoutcome.Reason{
-	awproto.Reason_QUEUE_FULL: awoutcome.QueueFull, awproto.Reason_COLD_LIMIT: awoutcome.ColdLimit,
-	awproto.Reason_MEMORY_FULL: awoutcome.MemoryFull, awproto.Reason_DEADLINE: awoutcome.Deadline,
-	awproto.Reason_LEAVING: awoutcome.Leaving, awproto.Reason_DOMAIN_OUT: awoutcome.DomainOut,
-	awproto.Reason_WRONG_VERSION: awoutcome.WrongVersion, awproto.Reason_NOT_READY: awoutcome.NotReady,
-	awproto.Reason_DUPLICATE_ATTEMPT: awoutcome.DuplicateID, awproto.Reason_BAD_REQUEST: awoutcome.BadRequest,
-	awproto.Reason_CANCELLED: awoutcome.Cancelled, awproto.Reason_IDENTITY_CHANGED: awoutcome.IdentityChanged,
-	awproto.Reason_ISOLATED: awoutcome.Isolated, awproto.Reason_STALE_CONFIG: awoutcome.StaleConfig,
-	awproto.Reason_ATTEMPT_REFUSED: awoutcome.AttemptRefused,
+func (e *Entry) earn() {
+	e.mu.Lock()
+	e.retry.Earn()
+	e.mu.Unlock()
+}
+
+func (e *Entry) takeRetry(cost float64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.retry.Take(cost)
+}
+
+func (e *Entry) backoff(n int) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return awretry.Default().Backoff(n, e.rng)
 }
 
-func reason(r awproto.Reason) awoutcome.Reason {
-	if known, ok := reasons[r]; ok {
-		return known
+func (e *Entry) nextAttempt() *awproto.AttemptId {
+	return &awproto.AttemptId{
+		EntryInstance: e.identity.Instance, EntryIncarnation: e.cfg.Incarnation, Sequence: e.attempts.next(),
 	}
-	return awoutcome.EngineFailed
 }
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -3,6 +3,11 @@
 // An entry keeps nothing that must last: configuration and claims live in
 // the platform's table service, the state of agents is rebuilt from their
 // heartbeats, and running streams are lost visibly with the entry.
+//
+// Claims that wait for the table service share a transaction, because its
+// budget counts transactions. Grouping of requests by a proxy process in
+// front of a global transaction manager is described in "Postgres-XC
+// Architecture, Implementation and Evaluation Version 0.900", section 5.2.
 package awentry
 
 import (
@@ -23,6 +28,8 @@
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awconfig"
 	"arbutuswind/core/awledger"
+	"arbutuswind/core/awlimit"
+	"arbutuswind/core/awretry"
 	"arbutuswind/io/awcontrol"
 	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awproto"
@@ -37,7 +44,8 @@
 	Clock       awclock.Clock
 	Logger      log.Logger
 	Tracer      trace.Tracer
-	Incarnation uint64 // larger for every later start
+	Incarnation uint64          // larger for every later start
+	Forced      <-chan struct{} // closed to cut running requests at a stop; nil for never
 }
 
 // Entry is the daemon. Create it with [New].
@@ -48,15 +56,25 @@
 	dialer   *awrpc.Dialer
 	holder   *awconfig.Holder
 	log      *awcontrol.Log
+	sync     *configSync
+	lease    *lease
+	tls      *awrpc.TLS
 	fleet    *fleet
 	claims   *claims
 
 	attempts attemptIDs
 	draining atomic.Bool
-	synced   atomic.Bool // the configuration was read at least once
-
-	mu  sync.Mutex
-	rng *rand.Rand
+	running  atomic.Int64
+	stopped  context.Context // ends when running requests are cut
+	cut      context.CancelCauseFunc
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	retry *awretry.Budget
+	bytes awlimit.Bytes
+	room  awlimit.Room
+	rates *awlimit.Rates
+	own   map[string]awlimit.Demand // of the last window
 }
 
 // New returns an entry that does nothing until [Entry.Run].
@@ -73,12 +91,20 @@
 			InstanceListURL: s.Platform.InstanceListURL, Timeout: s.Platform.Timeout.Std(),
 		}),
 		holder: awconfig.NewHolder(),
+		tls:    awrpc.NewTLS(s.TLS, cfg.Clock),
 		rng:    rand.New(rand.NewPCG(cfg.Incarnation, uint64(len(s.Process.Instance)))),
 	}
 	e.dialer = awrpc.NewDialer(awrpc.DialerConfig{
-		Identity: e.identity, Revision: func() uint64 { return e.holder.State().Revision },
+		Identity: e.identity, Revision: func() uint64 { return e.holder.State().Revision }, TLS: e.tls.Client,
+		OnHello: func(_ awrpc.Target, r *awproto.HelloReply) { e.sync.meet(r.Revision, r.Sender) },
 	})
-	e.log = awcontrol.NewLog(e.store, e.holder)
+	e.retry = awretry.NewBudget(awretry.Default())
+	e.bytes.Limit, e.room.Places = s.Limits.HeldBytes, roomPlaces
+	e.rates = awlimit.NewRates()
+	e.stopped, e.cut = context.WithCancelCause(context.Background())
+	e.log = awcontrol.NewLog(e.store, e.store, e.holder)
+	e.sync = newConfigSync(e)
+	e.lease = newLease(e.store, cfg.Clock, leaseRow{Instance: s.Process.Instance, Incarnation: cfg.Incarnation})
 	e.fleet = newFleet(e)
 	e.attempts.watermark = awledger.NewWatermark()
 	e.claims = newClaims(e.store, s.Claims)
@@ -88,7 +114,7 @@
 // Run serves until ctx ends, then stops gracefully.
 func (e *Entry) Run(ctx context.Context) error {
 	s := e.cfg.Settings
-	inner, err := awrpc.Listen(s.Listen.Inner, nil)
+	inner, err := e.tls.Listen(s.Listen.Inner)
 	if err != nil {
 		return err
 	}
@@ -118,6 +144,7 @@
 	group.Go(func() error { e.configLoop(serveCtx); return nil })
 	group.Go(func() error { e.fleet.listLoop(serveCtx); return nil })
 	group.Go(func() error { e.reconcileLoop(serveCtx); return nil })
+	group.Go(func() error { e.rateLoop(serveCtx); return nil })
 	group.Go(func() error { e.claims.writeLoop(serveCtx); return nil })
 	group.Go(func() error { e.sweepLoop(serveCtx); return nil })
 	group.Go(func() error {
@@ -139,19 +166,6 @@
 	return err
 }
 
-// drainNotice is how long readiness is false before the listener closes, so
-// that the balancer has stopped sending callers here.
-const drainNotice = 500 * time.Millisecond
-
-func (e *Entry) drain(callers *http.Server) {
-	e.draining.Store(true)
-	time.Sleep(drainNotice)
-	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.Settings.Timing.Drain.Std())
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	_ = e.cfg.Logger.Log("Message", "entry stopped", "Whole", err == nil)
-}
-
 func serveHTTP(srv *http.Server, lis net.Listener) error {
 	if err := srv.Serve(lis); err != http.ErrServerClosed {
 		return eris.Wrapf(err, "listener %s", lis.Addr())
@@ -159,23 +173,6 @@
 	return nil
 }
 
-// configLoop keeps the configuration up to date until ctx ends.
-func (e *Entry) configLoop(ctx context.Context) {
-	for {
-		if err := e.log.Poll(ctx); err == nil {
-			e.synced.Store(true)
-		} else if ctx.Err() == nil {
-			_ = e.cfg.Logger.Log("Message", "configuration not read", "Error", err.Error())
-		}
-		period := e.cfg.Settings.Timing.ConfigPoll.Std()
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(period/2 + e.jitter(period)):
-		}
-	}
-}
-
 // jitter returns a random time below d.
 func (e *Entry) jitter(d time.Duration) time.Duration {
 	e.mu.Lock()
@@ -183,12 +180,17 @@
 	return time.Duration(e.rng.Int64N(int64(d)))
 }
 
+// ready tells the balancer whether new callers should come here.
 func (e *Entry) ready() error {
 	if e.draining.Load() {
 		return eris.New("entry is leaving")
 	}
-	if !e.synced.Load() {
-		return eris.New("no configuration: neither the table service nor a peer answered")
+	if e.holder.State().InstanceOut(e.identity.Instance, e.identity.Domain) {
+		return eris.New("the failure domain or the instance is taken out")
 	}
-	return nil
+	return e.accepting()
 }
+
+// accepting tells whether requests that arrive are served. It stays true
+// while the balancer is told to send callers elsewhere.
+func (e *Entry) accepting() error { return e.sync.admit() }
--- a/io/awentry/reconcile.go
+++ b/io/awentry/reconcile.go
@@ -18,7 +18,8 @@
 const changeDelay = 100 * time.Millisecond
 
 // reconcileLoop makes the fleet match the configuration until ctx ends. Every
-// entry runs it; of two that act at once the log accepts one.
+// entry runs it, and the one with the lease acts; should two act at once, the
+// log accepts one.
 func (e *Entry) reconcileLoop(ctx context.Context) {
 	started := e.cfg.Clock.Now()
 	for {
@@ -31,6 +32,9 @@
 			time.Sleep(e.jitter(changeDelay))
 		case <-time.After(reconcilePeriod/2 + e.jitter(reconcilePeriod)):
 		}
+		if active, _ := e.lease.acquire(ctx, e.sync.entries()); !active || !e.sync.canChange() {
+			continue // without the store there is nothing to commit to
+		}
 		if err := e.reconcile(ctx, started); err != nil && ctx.Err() == nil {
 			_ = e.cfg.Logger.Log("Message", "placement not changed", "Error", err.Error())
 		}
@@ -38,7 +42,7 @@
 }
 
 func (e *Entry) reconcile(ctx context.Context, started time.Time) error {
-	if e.ready() != nil {
+	if e.draining.Load() || e.accepting() != nil {
 		return nil
 	}
 	s := e.holder.State()
@@ -65,3 +69,12 @@
 	}
 	return err
 }
+
+// releaseTimeout bounds the write that gives the lease up.
+const releaseTimeout = time.Second
+
+func (e *Entry) releaseLease() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	e.lease.release(ctx)
+}
