--- a/internal/awbench/rollout.go
+++ b/internal/awbench/rollout.go
@@ -32,7 +32,7 @@
 	LinkMbit   float64 `long:"link-mbit" default:"16" description:"rate of each instance's link, each way"`
 	LinksMbit  float64 `long:"region-mbit" default:"20" description:"rate of each region link, each way"`
 	RegionMbit float64 `long:"share-mbit" default:"10" description:"share of a region link for weights"`
-	Only       string  `long:"only" choice:"exchange" choice:"upgrade" choice:"faults" choice:"baseline" description:"run one variant only"`
+	Only       string  `long:"only" value-name:"VARIANT" description:"run one variant: exchange, upgrade, baseline or faults"`
 }
 
 // RolloutResult is one variant of the experiment.
