--- a/io/awagent/engine.go
+++ b/io/awagent/engine.go
@@ -28,7 +28,7 @@
 // loader is the state of the load commands. The engine loop is its only
 // writer, so two commands never run at once.
 type loader struct {
-	digest    string // version of the last failures
+	placement awconfig.Placement // of the last failures
 	failures  int
 	notBefore time.Time
 }
@@ -97,6 +97,7 @@
 	if st.State == "cold" {
 		state = awproto.AgentState_COLD
 	}
+	a.weights.setLoaded(p.Digest)
 	a.setEngine(&awproto.ReadyModel{Model: p.Model, Version: p.Version, VersionDigest: p.Digest}, state, st)
 	return true
 }
@@ -104,7 +105,7 @@
 // loadVersion gives the load command and reads back what it did.
 func (a *Agent) loadVersion(ctx context.Context, view awconfig.AgentView, st awengine.Status) error {
 	p := view.Placement
-	if a.loader.digest == p.Digest && a.cfg.Clock.Now().Before(a.loader.notBefore) {
+	if a.loader.placement == p && a.cfg.Clock.Now().Before(a.loader.notBefore) {
 		return nil
 	}
 	if err := a.stopServing(ctx, st); err != nil {
@@ -146,8 +147,8 @@
 	if errors.As(loadErr, &refused) && refused.Status == statusPreconditionFailed {
 		return loadErr // a newer command was given; the version itself is not at fault
 	}
-	if a.loader.digest != p.Digest {
-		a.loader = loader{digest: p.Digest}
+	if a.loader.placement != p {
+		a.loader = loader{placement: p}
 	}
 	a.loader.failures++
 	backoff := a.cfg.Settings.Timing.EnginePoll.Std() << min(a.loader.failures, 6)
--- a/io/awagent/fetch.go
+++ b/io/awagent/fetch.go
@@ -130,7 +130,7 @@
 		if err := a.stopServing(ctx, awengine.Status{}); err != nil {
 			return err
 		}
-		a.weights.retain(digest)
+		a.weights.retainOnly(digest)
 	case awweights.Beside:
 	}
 	a.newTransfer(digest, m).run(ctx)
--- a/io/awagent/load_test.go
+++ b/io/awagent/load_test.go
@@ -182,6 +182,10 @@
 	rec := httptest.NewRecorder()
 	require.NoError(t, w.writeTo(rec, whole))
 	require.Equal(t, "weights of v1", rec.Body.String())
+	w.setLoaded(whole)
+	w.retain(part)
+	require.True(t, w.complete(whole), "the version loaded last is kept to go back to")
+	w.setLoaded(part)
 	w.retain(part)
 	require.False(t, w.complete(whole), "a version that is not wanted is dropped")
 }
--- a/io/awagent/weights.go
+++ b/io/awagent/weights.go
@@ -23,6 +23,7 @@
 
 	mu       sync.Mutex
 	versions map[string]*heldVersion
+	loaded   string // version last confirmed at the engine
 	transfer awproto.TransferReport
 	slots    *awweights.Slots
 	uplink   *awweights.Bucket
@@ -136,17 +137,44 @@
 	return nil
 }
 
-// retain drops the chunks of every version that is not named.
+// retain drops every version that is not named, other than the one loaded
+// last: the fleet goes back to that one when the new one does not load.
 func (w *weightStore) retain(digests ...string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.drop(append(digests, w.loaded))
+	if len(digests) == 0 || slices.Contains(digests, w.transfer.VersionDigest) {
+		return
+	}
+	// The report of a version that is no longer wanted gives way.
+	w.transfer = awproto.TransferReport{VersionDigest: digests[0]}
+	if v := w.versions[digests[0]]; v != nil {
+		w.transfer.Chunks, w.transfer.ChunksHeld = uint32(len(v.chunks)), uint32(v.count)
+	}
+}
+
+// retainOnly drops every other version.
+func (w *weightStore) retainOnly(digest string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.drop([]string{digest})
+}
+
+func (w *weightStore) drop(keep []string) {
 	for digest := range w.versions {
-		if !slices.Contains(digests, digest) {
+		if !slices.Contains(keep, digest) {
 			delete(w.versions, digest)
 		}
 	}
 }
 
+// setLoaded notes the version that the engine was confirmed to serve.
+func (w *weightStore) setLoaded(digest string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loaded = digest
+}
+
 // otherBytes returns the memory held by versions other than digest.
 func (w *weightStore) otherBytes(digest string) uint64 {
 	w.mu.Lock()
