--- a/core/awweights/exchange.go
+++ b/core/awweights/exchange.go
@@ -40,6 +40,7 @@
 	TakeoverAfter time.Duration // without progress of a designated fetcher
 	StallAfter    time.Duration // before a chunk is fetched from a second source
 	AvoidFor      time.Duration // after a bad chunk or a stall; doubled for each in a row
+	AskEvery      time.Duration // age of a chunk map that is asked for again
 	StartGrace    time.Duration // for the first chunk maps before duties begin
 }
 
@@ -50,6 +51,7 @@
 	defaultTakeoverAfter = 2 * time.Second
 	defaultStallAfter    = 1500 * time.Millisecond
 	defaultAvoidFor      = 2 * time.Second
+	defaultAskEvery      = 150 * time.Millisecond
 	defaultStartGrace    = 300 * time.Millisecond
 
 	// busyFor keeps an agent away from a peer whose slots are taken; about
@@ -61,6 +63,11 @@
 	// taken to hold nothing. A link that corrupts one chunk in a hundred gets
 	// there once in a million chunks.
 	distrustAfter = 3
+	// askOthers is the number of peers outside the panel asked at a time.
+	askOthers = 5
+	// silentAfter is the number of unanswered questions in a row after which a
+	// peer is taken for dead; one answer can be late on a busy machine.
+	silentAfter = 2
 	// maxDoublings bounds the growth of pauses.
 	maxDoublings = 5
 	// scanLimit bounds the chunks compared for one choice, so that the cost
@@ -85,6 +92,7 @@
 	setDur(&c.TakeoverAfter, defaultTakeoverAfter)
 	setDur(&c.StallAfter, defaultStallAfter)
 	setDur(&c.AvoidFor, defaultAvoidFor)
+	setDur(&c.AskEvery, defaultAskEvery)
 	setDur(&c.StartGrace, defaultStartGrace)
 	return c
 }
@@ -125,6 +133,9 @@
 	count      int
 	progressed time.Time // last growth of its map
 	heard      bool      // asked once, with or without an answer
+	heardAt    time.Time // last chunk map
+	misses     int       // questions in a row without an answer
+	silent     bool      // taken for dead; holds nothing until it answers
 	avoidUntil time.Time
 	strikes    int // bad chunks and stalls in a row
 	badRun     int // bad chunks in a row
@@ -155,7 +166,7 @@
 	panel  []string
 
 	active  map[uint64]*running
-	byChunk map[int]int // active fetches of a chunk
+	byChunk map[int]int // active fetches of a chunk that do not stall
 	nextID  uint64
 	link    *Bucket
 	region  *Bucket
@@ -197,7 +208,6 @@
 	now := x.clock.Now()
 	old := x.peers
 	x.peers, x.order = map[string]*peer{}, nil
-	regions := []string{x.cfg.Self.Region}
 	x.panel = nil
 	if x.cfg.Self.Duty {
 		x.panel = append(x.panel, x.cfg.Self.ID)
@@ -210,7 +220,6 @@
 		p.Source = s
 		x.peers[s.ID] = p
 		x.order = append(x.order, s.ID)
-		regions = append(regions, s.Region)
 		if s.Duty && s.Region == x.cfg.Self.Region {
 			x.panel = append(x.panel, s.ID)
 		}
@@ -218,7 +227,7 @@
 	slices.Sort(x.order)
 	slices.Sort(x.panel)
 	x.duties = AssignDuties(x.cfg.Digest, x.stats.Chunks, x.panel)
-	x.home = HomeRegion(x.cfg.StoreRegion, regions)
+	x.settleHome()
 	for i := range x.holder {
 		x.holder[i] = 0
 		for _, p := range x.peers {
@@ -229,6 +238,18 @@
 	}
 }
 
+// settleHome chooses the region that reads from the origin among those with
+// an agent that answers. When the home region is lost, another takes its part.
+func (x *Exchange) settleHome() {
+	regions := []string{x.cfg.Self.Region}
+	for _, p := range x.peers {
+		if !p.silent {
+			regions = append(regions, p.Region)
+		}
+	}
+	x.home = HomeRegion(x.cfg.StoreRegion, regions)
+}
+
 // Heard takes over the chunk map of a peer; a nil map means that it did not
 // answer.
 func (x *Exchange) Heard(id string, held Bitmap) {
@@ -237,7 +258,20 @@
 		return
 	}
 	p.heard = true
-	if held == nil || p.distrusted {
+	if held == nil {
+		if p.misses++; p.misses >= silentAfter && !p.silent {
+			p.silent = true
+			x.forgetAll(p) // what it alone held is fetched from outside again
+			x.settleHome()
+		}
+		return
+	}
+	p.misses, p.heardAt = 0, x.clock.Now()
+	if p.silent {
+		p.silent = false
+		x.settleHome()
+	}
+	if p.distrusted {
 		return
 	}
 	near := p.Region == x.cfg.Self.Region
@@ -263,18 +297,27 @@
 // Complete reports whether every chunk is held.
 func (x *Exchange) Complete() bool { return len(x.left) == 0 }
 
-// Asks returns the peers whose chunk map is worth asking for: those of the
-// own region, and on the panel those of other regions, that lack a chunk.
+// Asks returns the peers to ask for their chunk map now: those never heard,
+// the panels that matter here, and a few others of the own region. Peers whose
+// map came along with a chunk lately are left out. With every peer asked each
+// time, the questions cost more processor time than the chunks.
 func (x *Exchange) Asks() []string {
-	var ids []string
+	now := x.clock.Now()
+	var ids, others []string
 	for _, id := range x.order {
 		p := x.peers[id]
 		near := p.Region == x.cfg.Self.Region
-		if p.count < x.stats.Chunks && !p.distrusted && (near || x.cfg.Self.Duty || !x.rescue.IsZero()) {
+		switch {
+		case p.count == x.stats.Chunks || p.distrusted || now.Sub(p.heardAt) < x.cfg.AskEvery:
+		case !near && !x.cfg.Self.Duty && x.rescue.IsZero():
+		case !p.heard || p.Duty || p.misses > 0:
 			ids = append(ids, id)
+		default:
+			others = append(others, id)
 		}
 	}
-	return ids
+	x.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return append(ids, others[:min(askOthers, len(others))]...)
 }
 
 // Next starts the next fetch, or returns false when none can start now.
@@ -283,7 +326,8 @@
 	if x.Complete() || x.link.Wait(now) > 0 {
 		return Fetch{}, false
 	}
-	for _, pick := range []func(time.Time) (Fetch, bool){x.pickDuty, x.pickPeer, x.pickHedge, x.pickLast} {
+	x.markStalled(now)
+	for _, pick := range []func(time.Time) (Fetch, bool){x.pickDuty, x.pickPeer, x.pickLast} {
 		if f, ok := pick(now); ok {
 			x.start(&f, now)
 			return f, true
@@ -307,11 +351,12 @@
 	}
 }
 
-// count returns the active fetches inside the region, or outside of it.
+// count returns the active fetches inside the region, or outside of it. Those
+// that stall take no place of others; the caller bounds them by its workers.
 func (x *Exchange) count(inside bool) int {
 	n := 0
 	for _, r := range x.active {
-		if (r.Kind == FromPeer) == inside {
+		if (r.Kind == FromPeer) == inside && !r.stalled {
 			n++
 		}
 	}
@@ -327,8 +372,8 @@
 	}
 	now := x.clock.Now()
 	delete(x.active, id)
-	if x.byChunk[r.Index]--; x.byChunk[r.Index] == 0 {
-		delete(x.byChunk, r.Index)
+	if !r.stalled {
+		x.leave(r.Index)
 	}
 	p := x.peers[r.Peer]
 	if r.Kind == FromOrigin {
@@ -363,6 +408,13 @@
 	return cancel
 }
 
+// leave ends the claim of one fetch on a chunk.
+func (x *Exchange) leave(i int) {
+	if x.byChunk[i]--; x.byChunk[i] == 0 {
+		delete(x.byChunk, i)
+	}
+}
+
 func (x *Exchange) countBytes(k Kind, n uint64) {
 	switch k {
 	case FromOrigin:
@@ -392,7 +444,8 @@
 		}
 		x.strike(p, now)
 		if p.badRun++; p.badRun >= distrustAfter {
-			x.distrust(p)
+			p.distrusted = true
+			x.forgetAll(p)
 		}
 	case Busy:
 		p.avoidUntil = later(p.avoidUntil, now.Add(busyFor/2+time.Duration(x.rng.Int64N(int64(busyFor)))))
@@ -424,10 +477,9 @@
 	}
 }
 
-// distrust takes a peer to hold nothing, so that its chunks are fetched from
+// forgetAll takes a peer to hold nothing, so that its chunks are fetched from
 // outside the region again.
-func (x *Exchange) distrust(p *peer) {
-	p.distrusted = true
+func (x *Exchange) forgetAll(p *peer) {
 	for i := range x.stats.Chunks {
 		x.forget(p, i)
 	}
