--- a/core/awlimit/room.go
+++ b/core/awlimit/room.go
@@ -10,15 +10,17 @@
 
 // Ticket is one waiting request.
 type Ticket struct {
+	model    string
 	priority uint32
 	evict    func()
+	wake     func()
 }
 
 // Enter takes a place. When the room is full it evicts the last request of the
 // lowest priority, if that is below the given one; otherwise it returns nil.
-// The function evict must not call the room.
-func (r *Room) Enter(priority uint32, evict func()) *Ticket {
-	t := &Ticket{priority: priority, evict: evict}
+// The functions must not call the room.
+func (r *Room) Enter(model string, priority uint32, evict, wake func()) *Ticket {
+	t := &Ticket{model: model, priority: priority, evict: evict, wake: wake}
 	if len(r.waiting) < r.Places {
 		r.waiting = append(r.waiting, t)
 		return t
@@ -48,6 +50,37 @@
 	}
 }
 
+// Wake wakes up to n requests of a model that has got room: the highest
+// priority first, and of these the one that has waited longest.
+func (r *Room) Wake(model string, n int) {
+	woken := map[*Ticket]bool{}
+	for ; n > 0; n-- {
+		var first *Ticket
+		for _, w := range r.waiting {
+			if w.model == model && !woken[w] && (first == nil || w.priority > first.priority) {
+				first = w
+			}
+		}
+		if first == nil {
+			return
+		}
+		woken[first] = true
+		first.wake()
+	}
+}
+
+// Ahead reports whether a request of the model waits that goes before a new
+// one of the priority. Without it new requests would take the room that those
+// waiting are about to find.
+func (r *Room) Ahead(model string, priority uint32) bool {
+	for _, w := range r.waiting {
+		if w.model == model && w.priority >= priority {
+			return true
+		}
+	}
+	return false
+}
+
 // Waiting returns the number of places taken.
 func (r *Room) Waiting() int { return len(r.waiting) }
 
--- a/internal/awbench/domain.go
+++ b/internal/awbench/domain.go
@@ -48,7 +48,7 @@
 	domainOut      = 20 * time.Second
 	domainReturn   = 8 * time.Second
 	domainKill     = 8 * time.Second
-	domainWarmUp   = 6 * time.Second
+	domainWarmUp   = 10 * time.Second // the fleet starts cold under the whole load
 	maxDetails     = 5
 )
 
@@ -230,8 +230,8 @@
 }
 
 func domainFigures(res *DomainResult, load *Load, steady, out, backends, kill time.Time) {
-	before, during := load.Between(steady, out), load.Between(out, backends)
-	noEntries, after := load.Between(backends, kill), load.Between(kill, time.Now())
+	before, during := load.Between(steady, steady, out), load.Between(steady, out, backends)
+	noEntries, after := load.Between(steady, backends, kill), load.Between(steady, kill, time.Now())
 	for _, s := range append(append([]Sample{}, before...), during...) {
 		if s.EntryLost {
 			res.Failed++ // no entry dies in this phase
--- a/io/awentry/fleet_route.go
+++ b/io/awentry/fleet_route.go
@@ -99,6 +99,7 @@
 		f.mu.Lock()
 		link.own--
 		f.mu.Unlock()
+		f.entry.hasRoom(w.model, 1)
 	}
 	return target{
 		Target: awrpc.Target{Address: link.info.Address, Instance: c.Instance, Incarnation: link.report.Incarnation},
--- a/io/awentry/fleet_watch.go
+++ b/io/awentry/fleet_watch.go
@@ -141,6 +141,10 @@
 		if err := f.heard(link, down); err != nil {
 			return err
 		}
+		r := down.GetReport()
+		for _, m := range r.GetModels() {
+			f.entry.hasRoom(m.Model, int(r.Limit)-int(r.InFlight))
+		}
 	}
 }
 
--- a/io/awentry/wait.go
+++ b/io/awentry/wait.go
@@ -27,32 +27,54 @@
 // choose picks an agent. While none has room it waits, within the deadline and
 // as long as requests of higher priority leave it a place.
 func (x *exchange) choose(ctx context.Context) (target, error) {
-	if t, cands, ok := x.pick(); ok {
-		return t, nil
-	} else if err := x.refuseEarly(cands); err != nil {
-		return target{}, err
+	if x.asm.NextToken() > 0 || !x.entry.ahead(x.start.Model, x.req.priority) {
+		if t, cands, ok := x.pick(); ok {
+			return t, nil
+		} else if err := x.refuseEarly(cands); err != nil {
+			return target{}, err
+		}
 	}
 	var evicted atomic.Bool
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ticket := x.entry.enterRoom(x.req.priority, func() {
+	woken := make(chan struct{}, 1)
+	ticket := x.entry.enterRoom(x.start.Model, x.req.priority, func() {
 		evicted.Store(true)
 		cancel()
+	}, func() {
+		select {
+		case woken <- struct{}{}:
+		default:
+		}
 	})
 	if ticket == nil {
 		return target{}, overloaded("too many requests of this priority wait", retryAfterMs)
 	}
 	defer x.entry.leaveRoom(ticket)
-	return x.wait(waitCtx, &evicted)
+	return x.wait(waitCtx, woken, &evicted)
+}
+
+// rest waits until the request is woken or the backoff has passed; it returns
+// false when the request has ended.
+func (x *exchange) rest(ctx context.Context, woken <-chan struct{}) bool {
+	timer := time.NewTimer(x.entry.backoff(x.waits))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-woken:
+	case <-timer.C:
+	}
+	return true
 }
 
 // wait picks again after each backoff. Agents that refused are asked again,
 // because what they refused for may have passed.
-func (x *exchange) wait(ctx context.Context, evicted *atomic.Bool) (target, error) {
+func (x *exchange) wait(ctx context.Context, woken <-chan struct{}, evicted *atomic.Bool) (target, error) {
 	absentSince := time.Time{}
 	for {
 		clear(x.exclude)
-		if !x.sleep(ctx, x.waits) {
+		if !x.rest(ctx, woken) {
 			if evicted.Load() {
 				return target{}, overloaded("requests of higher priority took the place", retryAfterMs)
 			}
@@ -131,13 +153,13 @@
 	return nil
 }
 
-func (e *Entry) enterRoom(priority uint32, evict func()) *awlimit.Ticket {
+func (e *Entry) enterRoom(model string, priority uint32, evict, wake func()) *awlimit.Ticket {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.room.Shed(priority) {
 		return nil
 	}
-	return e.room.Enter(priority, evict)
+	return e.room.Enter(model, priority, evict, wake)
 }
 
 func (e *Entry) leaveRoom(t *awlimit.Ticket) {
@@ -145,3 +167,16 @@
 	e.room.Leave(t)
 	e.mu.Unlock()
 }
+
+func (e *Entry) ahead(model string, priority uint32) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.room.Ahead(model, priority)
+}
+
+// hasRoom wakes requests that wait for a model of which n more may run.
+func (e *Entry) hasRoom(model string, n int) {
+	e.mu.Lock()
+	e.room.Wake(model, n)
+	e.mu.Unlock()
+}
