--- /dev/null
+++ b/io/awentry/dispatch_test.go
@@ -0,0 +1,238 @@
+package awentry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"storj.io/drpc/drpcmux"
+
+	"arbutuswind/core/awclock"
+	"arbutuswind/core/awoutcome"
+	"arbutuswind/io/awhttp"
+	"arbutuswind/io/awproto"
+	"arbutuswind/io/awrpc"
+	"arbutuswind/io/awstore"
+)
+
+// scriptedAgent answers each attempt as its script says.
+type scriptedAgent struct {
+	awproto.DRPCAgentUnimplementedServer
+	id     *awproto.ProcessIdentity
+	digest string
+	serve  func(s *scriptedAgent, stream awproto.DRPCAgent_ServeStream, start *awproto.ServeStart) error
+	settle awproto.AttemptState
+	starts []*awproto.ServeStart
+	die    func() // takes the agent out of routing, as its broken Watch stream does
+}
+
+func (s *scriptedAgent) Hello(context.Context, *awproto.HelloRequest) (*awproto.HelloReply, error) {
+	return &awproto.HelloReply{ProtocolVersion: awrpc.ProtocolVersion, Sender: s.id}, nil
+}
+
+func (s *scriptedAgent) SettleAttempt(context.Context, *awproto.SettleRequest) (*awproto.SettleReply, error) {
+	return &awproto.SettleReply{State: s.settle, Incarnation: s.id.Incarnation}, nil
+}
+
+func (s *scriptedAgent) Serve(stream awproto.DRPCAgent_ServeStream) error {
+	up, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	s.starts = append(s.starts, up.GetStart())
+	return s.serve(s, stream, up.GetStart())
+}
+
+var errBroken = errors.New("link broke")
+
+func breakLink(*scriptedAgent, awproto.DRPCAgent_ServeStream, *awproto.ServeStart) error {
+	return errBroken
+}
+
+// tokens sends the tokens from the resume point up to the bound, and the end
+// when that is the whole answer of three.
+func tokens(until uint32) func(*scriptedAgent, awproto.DRPCAgent_ServeStream, *awproto.ServeStart) error {
+	return func(s *scriptedAgent, stream awproto.DRPCAgent_ServeStream, start *awproto.ServeStart) error {
+		send := func(d *awproto.ServeDown) { _ = stream.Send(d) }
+		send(&awproto.ServeDown{Body: &awproto.ServeDown_Accepted{Accepted: &awproto.Accepted{VersionDigest: s.digest}}})
+		frames := uint64(0)
+		for i := start.ResumeFrom; i < until; i++ {
+			send(&awproto.ServeDown{Body: &awproto.ServeDown_Frame{Frame: &awproto.Frame{
+				Number: frames, FirstToken: i, Tokens: 1, Data: []byte{byte('a' + i)}, VersionDigest: s.digest,
+			}}})
+			frames++
+		}
+		if until < 3 {
+			for range frames { // the credit shows that the caller has the frame
+				if _, err := stream.Recv(); err != nil {
+					return err
+				}
+			}
+			s.die()
+			return errBroken
+		}
+		send(&awproto.ServeDown{Body: &awproto.ServeDown_End{End: &awproto.End{Frames: frames, Tokens: until}}})
+		return nil
+	}
+}
+
+// withAgents returns an entry that routes to the agents in order: the first
+// has the most room.
+func withAgents(t *testing.T, agents ...*scriptedAgent) *Entry {
+	b := newTestbed(t)
+	e := b.entry("entry", "north", b.url, awclock.System{})
+	for i, s := range agents {
+		lis, err := awrpc.Listen("127.0.0.1:0", nil)
+		require.NoError(t, err)
+		mux := drpcmux.New()
+		s.id = &awproto.ProcessIdentity{Process: "awagent", Instance: string(rune('A' + i)), Incarnation: 7}
+		require.NoError(t, awproto.DRPCRegisterAgent(mux, s))
+		ctx, stop := context.WithCancel(context.Background())
+		t.Cleanup(stop)
+		go func() { _ = awrpc.NewServer(mux, func(error) {}).Serve(ctx, lis) }()
+		domain := "north"
+		if i > 0 {
+			domain = "south"
+		}
+		link := &agentLink{
+			info: awstore.Instance{ID: s.id.Instance, Address: lis.Addr().String(), Domain: domain},
+			lost: make(chan struct{}),
+			report: &awproto.AgentReport{
+				Incarnation: 7, State: awproto.AgentState_READY, Limit: 8,
+				Models: []*awproto.ReadyModel{{Model: "m", VersionDigest: s.digest}, {Model: "service/s"}},
+			},
+		}
+		e.fleet.agents[s.id.Instance] = link
+		s.die = func() { e.fleet.suspect(link) }
+	}
+	return e
+}
+
+// dispatch sends one request and returns what the caller got.
+func dispatch(e *Entry, start *awproto.ServeStart, out sink) error {
+	req := e.newRequest(httptest.NewRecorder())
+	req.deadline = time.Now().Add(settled)
+	ctx, end := req.bound(context.Background())
+	defer end()
+	defer req.release()
+	return e.dispatch(ctx, req, start, out)
+}
+
+// Guards NotRunIsTrue and AtMostOnce: after a link that broke before an
+// answer, only the agent's refusal for good proves that the call did not run,
+// and a call that may have run is not sent again.
+func TestBrokenLinkIsSettled(t *testing.T) {
+	for state, want := range map[awproto.AttemptState]awoutcome.Outcome{
+		awproto.AttemptState_ATTEMPT_REFUSED_FOR_GOOD: awoutcome.NotRun,
+		awproto.AttemptState_ATTEMPT_RUNNING:          awoutcome.Unknown,
+		awproto.AttemptState_ATTEMPT_FINISHED:         awoutcome.Unknown,
+		awproto.AttemptState_ATTEMPT_NEVER_SEEN:       awoutcome.Unknown,
+		awproto.AttemptState_ATTEMPT_FORGOTTEN:        awoutcome.Unknown,
+	} {
+		t.Run(state.String(), func(t *testing.T) {
+			first := &scriptedAgent{serve: breakLink, settle: state}
+			second := &scriptedAgent{serve: func(_ *scriptedAgent, s awproto.DRPCAgent_ServeStream, _ *awproto.ServeStart) error {
+				return s.Send(&awproto.ServeDown{Body: &awproto.ServeDown_End{End: &awproto.End{Status: 200}}})
+			}}
+			e := withAgents(t, first, second)
+			err := dispatch(e, &awproto.ServeStart{Model: "service/s", Service: &awproto.ServiceCall{}}, &bufferSink{})
+			if want == awoutcome.NotRun {
+				require.NoError(t, err, "the second agent may get it")
+				require.Len(t, second.starts, 1)
+				return
+			}
+			var oe *awoutcome.Error
+			require.ErrorAs(t, err, &oe)
+			require.Equal(t, want, oe.Outcome)
+			require.Empty(t, second.starts)
+		})
+	}
+}
+
+// Guards WholeAnswer and NoMixedWeights: a stream continues on an agent with
+// the same weights after the last delivered token, and never on another.
+func TestStreamResumes(t *testing.T) {
+	start := func() *awproto.ServeStart {
+		return &awproto.ServeStart{Model: "m", MaxTokens: 3, Repeatable: true}
+	}
+	first := &scriptedAgent{digest: "d", serve: tokens(2)}
+	same := &scriptedAgent{digest: "d", serve: tokens(3)}
+	w := httptest.NewRecorder()
+	require.NoError(t, dispatch(withAgents(t, first, same), start(), &sseSink{w: w}))
+	require.Len(t, same.starts, 1)
+	require.EqualValues(t, 2, same.starts[0].ResumeFrom)
+	require.Equal(t, "d", same.starts[0].VersionDigest)
+	for _, text := range []string{"a", "b", "c"} {
+		require.Equal(t, 1, strings.Count(w.Body.String(), `"text":"`+text+`"`))
+	}
+	require.Contains(t, w.Body.String(), "[DONE]")
+
+	first = &scriptedAgent{digest: "d", serve: tokens(2)}
+	other := &scriptedAgent{digest: "e", serve: tokens(3)}
+	w = httptest.NewRecorder()
+	require.ErrorIs(t, dispatch(withAgents(t, first, other), start(), &sseSink{w: w}), errAnswered)
+	require.Empty(t, other.starts)
+	require.Contains(t, w.Body.String(), "event: error")
+	require.NotContains(t, w.Body.String(), "[DONE]")
+
+	// Nothing has reached the caller of a collected answer, so other weights
+	// may give it from the start.
+	first = &scriptedAgent{digest: "d", serve: tokens(2)}
+	other = &scriptedAgent{digest: "e", serve: tokens(3)}
+	out := &jsonSink{}
+	require.NoError(t, dispatch(withAgents(t, first, other), start(), out))
+	require.Equal(t, "abc", out.text.String())
+	require.Equal(t, "e", out.version)
+}
+
+// Guards against requests that are refused without a bound, a status or an
+// outcome.
+func TestRequestBounds(t *testing.T) {
+	b := newTestbed(t)
+	e := b.entry("entry", "north", b.url, awclock.System{})
+	for name, tc := range map[string]struct {
+		header map[string]string
+		body   int
+		held   int
+		want   awoutcome.Reason
+		status int
+	}{
+		"fine":             {nil, 10, 0, "", 0},
+		"priority":         {map[string]string{awhttp.HeaderPriority: "10"}, 1, 0, awoutcome.BadRequest, 400},
+		"deadline":         {map[string]string{awhttp.HeaderDeadline: "soon"}, 1, 0, awoutcome.BadRequest, 400},
+		"deadline too far": {map[string]string{awhttp.HeaderDeadline: "99999999"}, 1, 0, awoutcome.BadRequest, 400},
+		"long key":         {map[string]string{awhttp.HeaderKey: strings.Repeat("k", 256)}, 1, 0, awoutcome.BadRequest, 400},
+		"large body":       {nil, 1<<20 + 1, 0, awoutcome.BodyTooLarge, 413},
+		"too much held":    {nil, 10, 64<<20 - 5, awoutcome.Overloaded, 429},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(strings.Repeat("x", tc.body)))
+			for k, v := range tc.header {
+				r.Header.Set(k, v)
+			}
+			w := httptest.NewRecorder()
+			req := e.newRequest(w)
+			require.True(t, req.hold(tc.held))
+			err := e.parse(w, r, req)
+			req.release()
+			require.Zero(t, e.bytes.Held())
+			if tc.want == "" {
+				require.NoError(t, err)
+				return
+			}
+			e.refuse(w, err)
+			require.Equal(t, tc.status, w.Code)
+			require.Equal(t, "not-run", w.Header().Get(awhttp.HeaderOutcome))
+			require.Contains(t, w.Body.String(), string(tc.want))
+		})
+	}
+	var oe *awoutcome.Error
+	require.ErrorAs(t, bodyError(os.ErrDeadlineExceeded, 1), &oe)
+	require.Equal(t, http.StatusRequestTimeout, awhttp.Status(oe.Reason))
+}
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -132,6 +132,7 @@
 	}
 	_ = e.cfg.Logger.Log("Message", "entry started", "Callers", s.Listen.Callers, "Incarnation", e.cfg.Incarnation)
 
+	e.gauges()
 	base, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, serveCtx := errgroup.WithContext(base)
--- a/io/awentry/telemetry.go
+++ b/io/awentry/telemetry.go
@@ -20,6 +20,20 @@
 	firstFrames  = metrics.NewSummary("awentry_first_frame_seconds")
 )
 
+// gauges shows what the entry holds now.
+func (e *Entry) gauges() {
+	locked := func(f func() int) func() float64 {
+		return func() float64 {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return float64(f())
+		}
+	}
+	metrics.GetOrCreateGauge("awentry_held_bytes", locked(func() int { return e.bytes.Held() }))
+	metrics.GetOrCreateGauge("awentry_waiting_requests", locked(func() int { return e.room.Waiting() }))
+	metrics.GetOrCreateGauge("awentry_running_requests", func() float64 { return float64(e.running.Load()) })
+}
+
 // countProblem counts a refusal or failure by outcome and reason.
 func countProblem(e *awoutcome.Error) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(
--- a/io/awentry/wait.go
+++ b/io/awentry/wait.go
@@ -107,7 +107,11 @@
 }
 
 func (x *exchange) pick() (target, []awroute.Candidate, bool) {
-	w := want{model: x.start.Model, digest: x.start.VersionDigest, prefixes: x.prefixes, exclude: x.exclude}
+	digest := x.start.VersionDigest
+	if x.asm.NextToken() > 0 {
+		digest = x.asm.Digest()
+	}
+	w := want{model: x.start.Model, digest: digest, prefixes: x.prefixes, exclude: x.exclude}
 	return x.entry.choose(w)
 }
 
