--- a/io/awagent/serve.go
+++ b/io/awagent/serve.go
@@ -137,14 +137,20 @@
 		return r.fail(ctx, r.startFailure(ctx, err))
 	}
 	defer resp.Body.Close()
+	r.serviceAnswered(resp.StatusCode)
 	return r.forwardBody(ctx, resp.Body, resp.StatusCode, resp.Header.Get("Content-Type"))
 }
 
-// forwardBody sends the answer of a plain service in frames.
-func (r *run) forwardBody(ctx context.Context, body io.Reader, status int, contentType string) error {
+// serviceAnswered counts every answer but a failure of the service itself as
+// evidence that it can take more.
+func (r *run) serviceAnswered(status int) {
 	if status < http.StatusInternalServerError {
 		r.finishedWhole()
 	}
+}
+
+// forwardBody sends the answer of a plain service in frames.
+func (r *run) forwardBody(ctx context.Context, body io.Reader, status int, contentType string) error {
 	buf := make([]byte, serviceFrameBytes)
 	for {
 		n, err := body.Read(buf)
@@ -177,7 +183,11 @@
 	e := &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.EngineFailed, Detail: err.Error()}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" && r.frames == 0 {
-		e.Outcome = awoutcome.NotRun
+		a := r.agent
+		a.mu.Lock()
+		a.attempts.Withdraw(attemptID(r.start.Attempt))
+		a.mu.Unlock()
+		e.Outcome, e.Reason = awoutcome.NotRun, awoutcome.NotReady
 	}
 	return e
 }
--- a/io/awcommand/bench.go
+++ b/io/awcommand/bench.go
@@ -18,12 +18,14 @@
 type experiment func(ctx context.Context, binDir string) (any, error)
 
 var experiments = map[string]experiment{
-	"capacity": awbench.Capacity,
-	"claims":   awbench.Claims,
-	"config":   awbench.Config,
-	"demo":     awbench.Demo,
-	"domain":   awbench.Domain,
-	"overhead": awbench.Overhead,
+	"burst":       awbench.Burst,
+	"capacity":    awbench.Capacity,
+	"claims":      awbench.Claims,
+	"config":      awbench.Config,
+	"demo":        awbench.Demo,
+	"domain":      awbench.Domain,
+	"overhead":    awbench.Overhead,
+	"slowreaders": awbench.SlowReaders,
 }
 
 type benchCommand struct {
