Read the instance list less in watched agents

Cause: every agent read the list with each announcement.

Change: one cached list for announcements and peers' addresses; a watched agent puts up with one that is a minute old.

The traffic at that size is worked out, not measured.

Conclusion: at most one read a minute for each watched agent; entries still read the whole list, which docs/CAPACITY.md lists as a miss.

--- a/io/awagent/announce.go
+++ b/io/awagent/announce.go
@@ -67,13 +67,13 @@
 }
 
 func (a *Agent) announce(ctx context.Context) {
-	list, err := a.store.Instances(ctx)
-	if err != nil {
-		return
+	maxAge := a.cfg.Settings.Timing.ListPoll.Std()
+	if a.watchers.Load() > 0 {
+		maxAge = watchedListAge
 	}
 	report, _ := a.report()
 	sent := 0
-	for _, in := range rankEntries(a.identity.Instance, list) {
+	for _, in := range rankEntries(a.identity.Instance, a.instances(ctx, maxAge)) {
 		client := a.dialer.Entry(ctx, awrpc.Target{Address: in.Address, Instance: in.ID})
 		if _, err := client.Announce(ctx, &awproto.AnnounceRequest{Sender: a.identity, Report: report}); err == nil {
 			sent++
--- a/io/awagent/fetch.go
+++ b/io/awagent/fetch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,46 +13,6 @@
 	"arbutuswind/io/awrpc"
 )
 
-// addressBook holds the addresses of agents as this instance's own instance
-// list shows them. Where regions reach each other through gateways, the list
-// of a region shows other addresses than the entry that built the view knows.
-type addressBook struct {
-	mu   sync.Mutex
-	byID map[string]string
-	read time.Time
-}
-
-func (b *addressBook) of(p awconfig.Peer) string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if addr := b.byID[p.Instance]; addr != "" {
-		return addr
-	}
-	return p.Address
-}
-
-// refreshAddresses reads the instance list when it was not read for a while.
-func (a *Agent) refreshAddresses(ctx context.Context) {
-	b := &a.addresses
-	now := a.cfg.Clock.Now()
-	b.mu.Lock()
-	fresh := b.byID != nil && now.Sub(b.read) < a.cfg.Settings.Timing.ListPoll.Std()
-	b.mu.Unlock()
-	if fresh {
-		return
-	}
-	list, err := a.store.Instances(ctx)
-	if err != nil {
-		return // the addresses of the view are used
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.byID, b.read = make(map[string]string, len(list)), now
-	for _, in := range list {
-		b.byID[in.ID] = in.Address
-	}
-}
-
 // wants returns the view and whether the version is still to be held here.
 func (a *Agent) wants(digest string) (awconfig.AgentView, bool) {
 	a.mu.Lock()
@@ -104,7 +63,7 @@
 
 // fetchVersion brings one version in, within the memory of the instance.
 func (a *Agent) fetchVersion(ctx context.Context, digest string, view awconfig.AgentView) error {
-	a.refreshAddresses(ctx)
+	a.instances(ctx, a.cfg.Settings.Timing.ListPoll.Std())
 	a.weights.begin(digest)
 	m, err := a.fetchManifest(ctx, digest, view)
 	if err != nil {
