--- a/internal/awbench/burst.go
+++ b/internal/awbench/burst.go
@@ -66,11 +66,11 @@
 		return nil, err
 	}
 	warm(ctx, c, burstSlots*len(c.Agents), warmTime)
-	res := &BurstResult{Experiment: "burst", Runs: burstRuns}
+	res := &BurstResult{Experiment: "burst", Runs: repeats(ctx, burstRuns)}
 	res.CapacityPerSecond = directCapacity(ctx, c)
 	res.OfferedPerSecond = burstFactor * res.CapacityPerSecond
 	var goodput, small, large, p99 []float64
-	for run := range burstRuns {
+	for run := range res.Runs {
 		b := &burst{c: c, run: run, digest: digest, caller: NewCaller()}
 		b.offer(ctx, res.OfferedPerSecond)
 		if err := b.audit(res); err != nil {
--- a/internal/awbench/capacity.go
+++ b/internal/awbench/capacity.go
@@ -161,11 +161,11 @@
 		return entry, agent, err
 	}
 	time.Sleep(capacitySettle)
-	return costOver(e, backend)
+	return costOver(ctx, e, backend)
 }
 
 // costOver returns what an entry and an agent use over the window.
-func costOver(e, a *Node) (entry, agent Cost, err error) {
+func costOver(ctx context.Context, e, a *Node) (entry, agent Cost, err error) {
 	read := func() (both [2]Reading, err error) {
 		if both[0], err = ReadUsage(e.Process, e.Operators+"/metrics"); err != nil {
 			return both, err
@@ -177,7 +177,7 @@
 	if err != nil {
 		return entry, agent, err
 	}
-	time.Sleep(capacityWindow)
+	time.Sleep(phase(ctx, capacityWindow))
 	after, err := read()
 	if err != nil {
 		return entry, agent, err
@@ -258,7 +258,7 @@
 		if err != nil {
 			return err
 		}
-		tokens := float64(n) * capacityWindow.Seconds() * 100 // one token per capacityInterval
+		tokens := float64(n) * phase(ctx, capacityWindow).Seconds() * 100 // one token per capacityInterval
 		entryRSS = append(entryRSS, Point{float64(n), float64(entry.RSSBytes)})
 		agentRSS = append(agentRSS, Point{float64(n), float64(agent.RSSBytes)})
 		entryCPU = append(entryCPU, float64(entry.CPU.Microseconds())/tokens)
@@ -300,7 +300,7 @@
 	if err != nil {
 		return entry, agent, err
 	}
-	return usageOver(e.Process, a.Process, capacityWindow)
+	return usageOver(e.Process, a.Process, phase(ctx, capacityWindow))
 }
 
 // oneEngine starts an entry and a warm engine that takes n streams at once
--- a/internal/awbench/claims.go
+++ b/internal/awbench/claims.go
@@ -55,10 +55,10 @@
 // Claims measures keyed calls within the write budget of the table service.
 func Claims(ctx context.Context, binDir string) (any, error) {
 	res := &ClaimsResult{
-		Experiment: "claims", WritesPerSecond: claimsWrites, Callers: claimsCallers, Seconds: claimsTime.Seconds(), Runs: claimsRuns,
+		Experiment: "claims", WritesPerSecond: claimsWrites, Callers: claimsCallers, Seconds: claimsTime.Seconds(), Runs: repeats(ctx, claimsRuns),
 	}
 	var ungrouped, grouped []ClaimsRun
-	for range claimsRuns { // interleaved, so that both meet the same load of the machine
+	for range res.Runs { // interleaved, so that both meet the same load of the machine
 		for group, runs := range map[int]*[]ClaimsRun{1: &ungrouped, 32: &grouped} {
 			run, err := claimsRun(ctx, binDir, group)
 			if err != nil {
--- a/internal/awbench/domain.go
+++ b/internal/awbench/domain.go
@@ -78,21 +78,21 @@
 	res := &DomainResult{Experiment: "domain"}
 	time.Sleep(domainWarmUp)
 	steady := time.Now()
-	time.Sleep(domainSteady)
+	time.Sleep(phase(ctx, domainSteady))
 	out := time.Now()
 	if err := domainLeave(ctx, c, res); err != nil {
 		return res, err
 	}
-	time.Sleep(domainReturn)
+	time.Sleep(phase(ctx, domainReturn))
 	if res.ColdOverloads, err = overloads(c, Sites); err != nil {
 		return res, err
 	}
 	backends := time.Now()
 	killSite(c, Sites[2], false)
-	time.Sleep(domainKill)
+	time.Sleep(phase(ctx, domainKill))
 	kill := time.Now()
 	killSite(c, Sites[1], true)
-	time.Sleep(domainKill)
+	time.Sleep(phase(ctx, domainKill))
 	stop()
 	<-done
 	survivors, err := overloads(c, Sites[:1])
--- a/internal/awbench/overhead.go
+++ b/internal/awbench/overhead.go
@@ -52,7 +52,7 @@
 	call := Call{Model: "rota", Prompt: "roster for the kitchen", MaxTokens: overheadTokens, Team: "kitchen"}
 	caller, direct := NewCaller(), awengine.New(agent.Backend)
 	var runs [][5]time.Duration
-	for range overheadRuns {
+	for range repeats(ctx, overheadRuns) {
 		run, err := overheadPairsRun(ctx, c, caller, direct, call)
 		if err != nil {
 			return nil, err
--- a/io/awcommand/bench.go
+++ b/io/awcommand/bench.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -49,44 +51,138 @@
 	}
 }
 
+// allCommand runs every experiment one after the other.
+type allCommand struct{ command }
+
+// allReplicas are the sizes of the rollouts of the command all.
+var (
+	allReplicas      = []int{6, 24, 96}
+	allQuickReplicas = []int{6, 24}
+)
+
+func (*allCommand) jobs(quick bool) ([]job, error) {
+	var list []job
+	for _, name := range slices.Sorted(maps.Keys(experiments)) {
+		list = append(list, job{name, experiments[name]})
+	}
+	replicas, only := allReplicas, ""
+	if quick {
+		replicas, only = allQuickReplicas, "exchange"
+	}
+	for _, n := range replicas {
+		c := &rolloutCommand{}
+		// The defaults stand in the tags of the options.
+		if _, err := flags.NewParser(&c.RolloutOptions, flags.None).ParseArgs(nil); err != nil {
+			return nil, err
+		}
+		c.Replicas, c.Only = n, only
+		list = append(list, job{fmt.Sprintf("rollout of %d replicas", n), c.experiment()})
+	}
+	return list, nil
+}
+
+// job is an experiment with its name.
+type job struct {
+	name string
+	run  experiment
+}
+
+// benchOptions are the options of every experiment.
+type benchOptions struct {
+	Report string `long:"report" value-name:"FILE" description:"write the results as an HTML page with plots"`
+	Quick  bool   `long:"quick" description:"shorter phases and single runs; the figures serve as a check only"`
+}
+
 // benchTimeout bounds one experiment.
 const benchTimeout = 5 * time.Minute
 
 // Bench runs awbench and returns its exit code.
 func Bench(args []string, stdout, stderr io.Writer) int {
+	var opts benchOptions
 	p := flags.NewNamedParser("awbench", flags.HelpFlag|flags.PassDoubleDash)
-	var chosen experiment
+	var jobs func() ([]job, error)
 	p.CommandHandler = func(cmd flags.Commander, _ []string) error {
-		chosen = cmd.(runnable).experiment()
-		return nil
-	}
-	for name, run := range experiments {
-		if _, err := p.AddCommand(name, "Experiment "+name, "", &benchCommand{run: run}); err != nil {
-			fmt.Fprintln(stderr, err)
-			return ExitUsage
+		if all, ok := cmd.(*allCommand); ok {
+			jobs = func() ([]job, error) { return all.jobs(opts.Quick) }
+			return nil
 		}
+		jobs = func() ([]job, error) { return []job{{p.Active.Name, cmd.(runnable).experiment()}}, nil }
+		return nil
 	}
-	if _, err := p.AddCommand("rollout", "Experiment rollout", "", &rolloutCommand{}); err != nil {
+	if err := addExperiments(p); err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitUsage
 	}
-	if code, ok := parse(p, nil, args, stdout, stderr); !ok {
+	if code, ok := parse(p, &opts, args, stdout, stderr); !ok {
 		return code
 	}
-	self, err := os.Executable()
+	list, err := jobs()
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), benchTimeout)
-	defer cancel()
-	result, err := chosen(ctx, filepath.Dir(self))
-	printResults(stdout, result)
+	self, err := os.Executable()
 	if err != nil {
-		fmt.Fprintln(stderr, "awbench:", err)
+		fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
-	return ExitOK
+	sections, code := runJobs(list, opts.Quick, filepath.Dir(self), stdout, stderr)
+	if opts.Report == "" {
+		return code
+	}
+	if err := writeReport(opts.Report, sections); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	return code
+}
+
+func addExperiments(p *flags.Parser) error {
+	for name, run := range experiments {
+		if _, err := p.AddCommand(name, "Experiment "+name, "", &benchCommand{run: run}); err != nil {
+			return err
+		}
+	}
+	if _, err := p.AddCommand("rollout", "Experiment rollout", "", &rolloutCommand{}); err != nil {
+		return err
+	}
+	_, err := p.AddCommand("all", "Every experiment", "", &allCommand{})
+	return err
+}
+
+// runJobs runs the experiments, prints their results as they come, and fails
+// when one of them missed its targets.
+func runJobs(jobs []job, quick bool, binDir string, stdout, stderr io.Writer) ([]awbench.Section, int) {
+	code := ExitOK
+	var sections []awbench.Section
+	for _, j := range jobs {
+		ctx, cancel := context.WithTimeout(context.Background(), benchTimeout)
+		if quick {
+			ctx = awbench.WithQuick(ctx)
+		}
+		result, err := j.run(ctx, binDir)
+		cancel()
+		printResults(stdout, result)
+		s := awbench.Section{Name: j.name, Result: result}
+		if err != nil {
+			fmt.Fprintf(stderr, "awbench: %s: %v\n", j.name, err)
+			s.Err, code = err.Error(), ExitFailed
+		}
+		sections = append(sections, s)
+	}
+	return sections, code
+}
+
+func writeReport(file string, sections []awbench.Section) error {
+	out, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	if err := awbench.WriteReport(out, sections); err != nil {
+		_ = out.Close()
+		return err
+	}
+	return out.Close()
 }
 
 // printResults writes one JSON line per result.
