--- a/io/awcommand/bench.go
+++ b/io/awcommand/bench.go
@@ -100,13 +100,14 @@
 func Bench(args []string, stdout, stderr io.Writer) int {
 	var opts benchOptions
 	p := flags.NewNamedParser("awbench", flags.HelpFlag|flags.PassDoubleDash)
-	var jobs func() ([]job, error)
+	var list []job
 	p.CommandHandler = func(cmd flags.Commander, _ []string) error {
 		if all, ok := cmd.(*allCommand); ok {
-			jobs = func() ([]job, error) { return all.jobs(opts.Quick) }
-			return nil
+			var err error
+			list, err = all.jobs(opts.Quick)
+			return err
 		}
-		jobs = func() ([]job, error) { return []job{{p.Active.Name, cmd.(runnable).experiment()}}, nil }
+		list = []job{{p.Active.Name, cmd.(runnable).experiment()}}
 		return nil
 	}
 	if err := addExperiments(p); err != nil {
@@ -116,11 +117,6 @@
 	if code, ok := parse(p, &opts, args, stdout, stderr); !ok {
 		return code
 	}
-	list, err := jobs()
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return ExitFailed
-	}
 	self, err := os.Executable()
 	if err != nil {
 		fmt.Fprintln(stderr, err)
