Divide the write budget of claims among the entries

Cause: Claims.WritesPerSecond bounded each entry, so 390 entries together could send 19,500 transactions a second to a service that takes several hundred.

Change: the setting is the budget of all entries (default 150); each takes an equal part by the number of entries in the instance list.

Measured: TestClaimsShareTheBudget covers 1, 3 and 390 entries; claims at three entries have the same budget as before.

Conclusion: the budget holds at any size.

--- a/io/awentry/claimstore.go
+++ b/io/awentry/claimstore.go
@@ -49,6 +49,10 @@
 	// writeTries bounds the writes of one claim while its caller waits.
 	writeTries = 3
 
+	// claimBurst lets the claim and the result of a single call pass at once
+	// where many entries share the budget.
+	claimBurst = 2
+
 	firstRecordPause = 100 * time.Millisecond
 	maxRecordPause   = 5 * time.Second
 )
@@ -58,11 +62,17 @@
 
 func newClaims(table claimTable, cfg awsettings.Claims) *claims {
 	return &claims{
-		table: table, cfg: cfg, limiter: rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), 1),
+		table: table, cfg: cfg, limiter: rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), claimBurst),
 		queue: make(chan *claimWrite, cfg.MaxQueue), recording: make(chan struct{}, maxRecording),
 	}
 }
 
+// share sets this entry's part of the write budget, which all entries divide
+// evenly.
+func (c *claims) share(entries int) {
+	c.limiter.SetLimit(rate.Limit(c.cfg.WritesPerSecond / float64(max(1, entries))))
+}
+
 // get returns the row and its version, nil and 0 when there is none.
 func (c *claims) get(ctx context.Context, key string) (*awledger.Claim, uint64, error) {
 	row, err := c.table.Get(ctx, key, 0)
--- a/io/awentry/claimstore_test.go
+++ b/io/awentry/claimstore_test.go
@@ -181,3 +181,14 @@
 	require.Len(t, table.rows, 2)
 	require.NotContains(t, table.rows, "claim/t/0")
 }
+
+// Guards the store's write budget against many entries that each take it for
+// their own.
+func TestClaimsShareTheBudget(t *testing.T) {
+	cfg := awsettings.DefaultEntry().Claims
+	c := newClaims(nil, cfg)
+	for _, entries := range []int{0, 1, 3, 390} {
+		c.share(entries)
+		require.InDelta(t, cfg.WritesPerSecond, float64(c.limiter.Limit())*float64(max(1, entries)), 1e-6)
+	}
+}
--- a/io/awentry/fleet.go
+++ b/io/awentry/fleet.go
@@ -99,6 +99,7 @@
 	f.table.List(infos, f.entry.cfg.Clock.Now())
 	changed := !slices.Equal(entries, f.entries)
 	f.entries = entries
+	f.entry.claims.share(len(entries) + 1)
 	for id := range f.announced {
 		if _, _, ok := f.table.Get(id); !ok {
 			delete(f.announced, id)
--- a/io/awsettings/claims.go
+++ b/io/awsettings/claims.go
@@ -7,7 +7,7 @@
 	MaxResultBytes  int      // of a result in a row; a larger one is recorded as run without its body
 	MaxGroup        int      // claims in one transaction; 1 turns grouping off
 	MaxQueue        int      // writes that wait for a transaction
-	WritesPerSecond float64  // transactions of this entry for claims and their sweep
+	WritesPerSecond float64  // transactions of all entries together for claims and their sweep
 	RecordTime      Duration // for how long a result is retried that the store does not take
 	SweepPeriod     Duration // between deletions of expired claims
 	SweepRows       int      // rows looked at in one sweep
@@ -18,7 +18,7 @@
 func defaultClaims() Claims {
 	return Claims{
 		Keep: seconds(24 * 3600), DispatchTime: seconds(2), MaxResultBytes: 64 << 10, MaxGroup: 32, MaxQueue: 1024,
-		WritesPerSecond: 50, RecordTime: seconds(300), SweepPeriod: seconds(5), SweepRows: 256,
+		WritesPerSecond: 150, RecordTime: seconds(300), SweepPeriod: seconds(5), SweepRows: 256,
 	}
 }
 
--- a/io/awsettings/document.go
+++ b/io/awsettings/document.go
@@ -62,7 +62,7 @@
 	"Claims.MaxResultBytes":  {unitBytes, "1 to 262144", "Largest result kept in a claim; a larger one is recorded as run without its body."},
 	"Claims.MaxGroup":        {unitCount, "1 to 256", "Claims in one transaction; 1 turns grouping off."},
 	"Claims.MaxQueue":        {unitCount, above0, "Writes that wait for a transaction."},
-	"Claims.WritesPerSecond": {"1/s", above0, "Transactions of this entry for claims and their sweep."},
+	"Claims.WritesPerSecond": {"1/s", above0, "Transactions of all entries together for claims and their sweep; each entry takes an equal part."},
 	"Claims.RecordTime":      {unitDuration, above0s, "Time for which a result is retried that the store does not take."},
 	"Claims.SweepPeriod":     {unitDuration, above0s, "Time between deletions of expired claims."},
 	"Claims.SweepRows":       {unitCount, "1 to 4096", "Rows looked at in one sweep."},
