--- a/core/awplace/awplace.go
+++ b/core/awplace/awplace.go
@@ -87,6 +87,18 @@
 	return p.changes
 }
 
+// Settled reports whether every observed instance is placed for the version
+// that its model is to serve.
+func Settled(s *awconfig.State, observed []Instance) bool {
+	for _, in := range observed {
+		pl, ok := s.Placements[in.ID]
+		if ok && pl.Digest != s.Target(s.Models[pl.Model]).Digest {
+			return false
+		}
+	}
+	return true
+}
+
 type planner struct {
 	state   *awconfig.State
 	cfg     Config
--- a/internal/awbench/rollout.go
+++ b/internal/awbench/rollout.go
@@ -55,6 +55,15 @@
 	LoadAverage       string  // of the machine at the end
 	SecondsUnscaled   float64 `json:",omitempty"`
 	SecondsAllFetched float64 `json:",omitempty"`
+
+	// Callers of the model during an upgrade, and before it.
+	QuietP99Ms   float64 `json:",omitempty"`
+	CallersP99Ms float64 `json:",omitempty"` // until all hold the version
+	SwitchP99Ms  float64 `json:",omitempty"` // from then on
+	P99Ratio     float64 `json:",omitempty"`
+	Calls        int     `json:",omitempty"`
+	Failed       int     `json:",omitempty"`
+	FailedWhy    string  `json:",omitempty"`
 }
 
 const (
@@ -72,6 +81,8 @@
 	engines map[string]string // URL by instance
 	stopped map[string]bool   // agents killed or stalled
 	results []any
+
+	onFetched func() // called when every agent holds the version; may be nil
 }
 
 // Rollout measures the time from an accepted version to N serving replicas.
@@ -208,11 +219,19 @@
 	return r.measure(ctx, variant, model, "v1", nil)
 }
 
+func (r *rollout) weights(model, version string) []byte {
+	return RandomWeights(awweights.Score(model, version), r.opts.SizeMiB<<20)
+}
+
+func (r *rollout) fileDigest(model, version string) string {
+	return awweights.Digest(r.weights(model, version))
+}
+
 // measure publishes and applies a version and waits until it serves
 // everywhere. midway runs once after half of the bound.
 func (r *rollout) measure(ctx context.Context, variant, model, version string, midway func()) error {
 	size := r.opts.SizeMiB << 20
-	m, err := r.cluster.Publish(model, version, RandomWeights(awweights.Score(model, version), size), rolloutChunkBytes)
+	m, err := r.cluster.Publish(model, version, r.weights(model, version), rolloutChunkBytes)
 	if err != nil {
 		return err
 	}
@@ -225,8 +244,10 @@
 	}
 	sheet := fmt.Sprintf("Model,Version,Replicas,Domains,TeamShares,Fencing\n%s,%s,%d,%s,,ignored\n",
 		model, version, r.opts.Replicas, strings.Join(siteDomains(), " "))
+	// Each variant replaces the model of the one before.
+	options := awcontrol.ApplyOptions{Actor: "bench", AllowRemoval: true}
 	began := time.Now()
-	if _, err := r.cluster.Entries[0].Operator().Apply(ctx, []byte(sheet), "bench", 0); err != nil {
+	if _, err := r.cluster.Entries[0].Operator().ApplyWith(ctx, []byte(sheet), options); err != nil {
 		return err
 	}
 	if midway != nil {
@@ -303,6 +324,9 @@
 		}
 		if fetched == live && res.SecondsAllFetched == 0 {
 			res.SecondsAllFetched = time.Since(began).Seconds()
+			if r.onFetched != nil {
+				r.onFetched()
+			}
 		}
 		return ready >= r.opts.Replicas-len(r.stopped), eris.Errorf("%d replicas are ready, %d hold the version", ready, fetched)
 	})
@@ -324,11 +348,6 @@
 	return bad
 }
 
-// upgrade replaces the served version by the next one.
-func (r *rollout) upgrade(ctx context.Context) error {
-	return r.measure(ctx, "upgrade", "alpha", "v2", nil)
-}
-
 // faults kills a tenth of the agents midway and stalls one, with one chunk in
 // a hundred corrupt at the origin and on the region links.
 func (r *rollout) faults(ctx context.Context) error {
--- a/io/awentry/reconcile.go
+++ b/io/awentry/reconcile.go
@@ -13,6 +13,10 @@
 // reconcilePeriod is the time between two looks at the fleet.
 const reconcilePeriod = time.Second
 
+// busyPeriod is the time between two looks while replicas change version, so
+// that the next ones follow soon after the last have loaded.
+const busyPeriod = 300 * time.Millisecond
+
 // changeDelay bounds the time after which a change of configuration is acted
 // upon; entries spread over it.
 const changeDelay = 100 * time.Millisecond
@@ -24,13 +28,17 @@
 	started := e.cfg.Clock.Now()
 	for {
 		changed := e.holder.Changed()
+		period := reconcilePeriod
+		if !awplace.Settled(e.holder.State(), e.fleet.observed()) {
+			period = busyPeriod
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
 			// A new sheet is placed soon, and not by every entry at once.
 			time.Sleep(e.jitter(changeDelay))
-		case <-time.After(reconcilePeriod/2 + e.jitter(reconcilePeriod)):
+		case <-time.After(period/2 + e.jitter(period)):
 		}
 		if active, _ := e.lease.acquire(ctx, e.sync.entries()); !active || !e.sync.canChange() {
 			continue // without the store there is nothing to commit to
