Ask only the panel and a few peers before duties begin

Asking every peer first cost each of 96 agents some 26 new connections at the moment the transfer starts.

--- a/core/awweights/exchange.go
+++ b/core/awweights/exchange.go
@@ -297,8 +297,8 @@
 // Complete reports whether every chunk is held.
 func (x *Exchange) Complete() bool { return len(x.left) == 0 }
 
-// Asks returns the peers to ask for their chunk map now: those never heard,
-// the panels that matter here, and a few others of the own region. Peers whose
+// Asks returns the peers to ask for their chunk map now: the panels that
+// matter here and a few others of the own region. Peers whose
 // map came along with a chunk lately are left out. With every peer asked each
 // time, the questions cost more processor time than the chunks.
 func (x *Exchange) Asks() []string {
@@ -310,7 +310,7 @@
 		switch {
 		case p.count == x.stats.Chunks || p.distrusted || now.Sub(p.heardAt) < x.cfg.AskEvery:
 		case !near && !x.cfg.Self.Duty && x.rescue.IsZero():
-		case !p.heard || p.Duty || p.misses > 0:
+		case p.Duty || p.misses > 0:
 			ids = append(ids, id)
 		default:
 			others = append(others, id)
--- a/core/awweights/pick.go
+++ b/core/awweights/pick.go
@@ -69,18 +69,27 @@
 	return true
 }
 
-// mapsKnown reports whether every peer of the region was asked once. Without
-// its answer a restarted agent would fetch from outside what is there.
+// mapsKnown reports whether the panel and a few others of the region were
+// asked once. Without their answers a restarted agent would fetch from outside
+// what is there.
 func (x *Exchange) mapsKnown(now time.Time) bool {
 	if now.Sub(x.began) >= x.cfg.StartGrace {
 		return true
 	}
+	heard, others := 0, 0
 	for _, p := range x.peers {
-		if p.Region == x.cfg.Self.Region && !p.heard {
+		switch {
+		case p.Region != x.cfg.Self.Region:
+		case p.Duty && !p.heard:
 			return false
+		case !p.Duty:
+			others++
+			if p.heard {
+				heard++
+			}
 		}
 	}
-	return true
+	return heard >= min(askOthers, others)
 }
 
 // livePanel returns how many members of the panel share the region link.
