--- a/io/awentry/attempt.go
+++ b/io/awentry/attempt.go
@@ -44,13 +44,7 @@
 	defer cancel()
 	if start.Repeatable {
 		// A stalled link would hold the request until its deadline.
-		go func() {
-			select {
-			case <-t.lost:
-				cancel()
-			case <-runCtx.Done():
-			}
-		}()
+		defer context.AfterFunc(t.lost, cancel)()
 	}
 	stream, err := e.dialer.Agent(runCtx, t.Target).Serve(runCtx)
 	if err != nil {
@@ -62,7 +56,7 @@
 	start.DeadlineMs = uint32(max(1, left.Milliseconds()))
 	start.Revision = e.holder.State().Revision
 	start.TraceParent = awtelemetry.Inject(ctx)
-	r := &receiver{entry: e, req: req, stream: stream, asm: asm, out: out}
+	r := &receiver{entry: e, req: req, stream: stream, asm: asm, out: out, window: int(start.CreditBytes)}
 	if start.Service != nil {
 		// Plain services have no weights, and their agents send no Accepted.
 		if err := asm.Begin(""); err != nil {
@@ -107,6 +101,9 @@
 	return awoutcome.Refuse(awoutcome.LinkLost, "the agent has refused the attempt for good: "+cause.Error())
 }
 
+// creditParts is the number of messages that return one window of credit.
+const creditParts = 8
+
 // receiver takes the answer of one attempt.
 type receiver struct {
 	entry    *Entry
@@ -115,6 +112,8 @@
 	asm      *awstream.Assembler
 	out      sink
 	answered bool // the agent has sent something
+	window   int  // credit granted at the start
+	owed     int  // credit of frames that the caller took, not returned yet
 }
 
 func (r *receiver) receive() error {
@@ -156,8 +155,15 @@
 		return streamError(err)
 	}
 	// Credit is returned only after the caller took the bytes, so a slow
-	// caller stops the backend server and not this process.
-	credit := &awproto.Credit{Bytes: uint32(awstream.FrameCost(len(f.Data)))}
+	// caller stops the backend server and not this process. It is returned in
+	// parts of the window, because a message per token costs more than the
+	// token.
+	r.owed += awstream.FrameCost(len(f.Data))
+	if r.owed < r.window/creditParts {
+		return nil
+	}
+	credit := &awproto.Credit{Bytes: uint32(r.owed)}
+	r.owed = 0
 	err = r.stream.Send(&awproto.ServeUp{Body: &awproto.ServeUp_Credit{Credit: credit}})
 	if err != nil && !errors.Is(err, io.EOF) {
 		return linkLost(err)
--- a/io/awentry/dispatch_test.go
+++ b/io/awentry/dispatch_test.go
@@ -15,6 +15,7 @@
 
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awoutcome"
+	"arbutuswind/core/awstream"
 	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awproto"
 	"arbutuswind/io/awrpc"
@@ -29,7 +30,8 @@
 	serve  func(s *scriptedAgent, stream awproto.DRPCAgent_ServeStream, start *awproto.ServeStart) error
 	settle awproto.AttemptState
 	starts []*awproto.ServeStart
-	die    func() // takes the agent out of routing, as its broken Watch stream does
+	seen   chan struct{} // one for each frame that the caller took
+	die    func()        // takes the agent out of routing, as its broken Watch stream does
 }
 
 func (s *scriptedAgent) Hello(context.Context, *awproto.HelloRequest) (*awproto.HelloReply, error) {
@@ -69,10 +71,8 @@
 			frames++
 		}
 		if until < 3 {
-			for range frames { // the credit shows that the caller has the frame
-				if _, err := stream.Recv(); err != nil {
-					return err
-				}
+			for range frames {
+				<-s.seen
 			}
 			s.die()
 			return errBroken
@@ -102,18 +102,30 @@
 		}
 		link := &agentLink{
 			info: awstore.Instance{ID: s.id.Instance, Address: lis.Addr().String(), Domain: domain},
-			lost: make(chan struct{}),
 			report: &awproto.AgentReport{
 				Incarnation: 7, State: awproto.AgentState_READY, Limit: 8,
 				Models: []*awproto.ReadyModel{{Model: "m", VersionDigest: s.digest}, {Model: "service/s"}},
 			},
 		}
+		link.renew()
 		e.fleet.agents[s.id.Instance] = link
 		s.die = func() { e.fleet.suspect(link) }
 	}
 	return e
 }
 
+// notingSink tells the first agent which frames the caller took.
+type notingSink struct {
+	sink
+	seen chan struct{}
+}
+
+func (n notingSink) frame(f awstream.Frame) error {
+	err := n.sink.frame(f)
+	n.seen <- struct{}{}
+	return err
+}
+
 // dispatch sends one request and returns what the caller got.
 func dispatch(e *Entry, start *awproto.ServeStart, out sink) error {
 	req := e.newRequest(httptest.NewRecorder())
@@ -161,10 +173,11 @@
 	start := func() *awproto.ServeStart {
 		return &awproto.ServeStart{Model: "m", MaxTokens: 3, Repeatable: true}
 	}
-	first := &scriptedAgent{digest: "d", serve: tokens(2)}
+	seen := make(chan struct{}, 10)
+	first := &scriptedAgent{digest: "d", serve: tokens(2), seen: seen}
 	same := &scriptedAgent{digest: "d", serve: tokens(3)}
 	w := httptest.NewRecorder()
-	require.NoError(t, dispatch(withAgents(t, first, same), start(), &sseSink{w: w}))
+	require.NoError(t, dispatch(withAgents(t, first, same), start(), notingSink{&sseSink{w: w}, seen}))
 	require.Len(t, same.starts, 1)
 	require.EqualValues(t, 2, same.starts[0].ResumeFrom)
 	require.Equal(t, "d", same.starts[0].VersionDigest)
@@ -173,20 +186,22 @@
 	}
 	require.Contains(t, w.Body.String(), "[DONE]")
 
-	first = &scriptedAgent{digest: "d", serve: tokens(2)}
+	seen = make(chan struct{}, 10)
+	first = &scriptedAgent{digest: "d", serve: tokens(2), seen: seen}
 	other := &scriptedAgent{digest: "e", serve: tokens(3)}
 	w = httptest.NewRecorder()
-	require.ErrorIs(t, dispatch(withAgents(t, first, other), start(), &sseSink{w: w}), errAnswered)
+	require.ErrorIs(t, dispatch(withAgents(t, first, other), start(), notingSink{&sseSink{w: w}, seen}), errAnswered)
 	require.Empty(t, other.starts)
 	require.Contains(t, w.Body.String(), "event: error")
 	require.NotContains(t, w.Body.String(), "[DONE]")
 
 	// Nothing has reached the caller of a collected answer, so other weights
 	// may give it from the start.
-	first = &scriptedAgent{digest: "d", serve: tokens(2)}
+	seen = make(chan struct{}, 10)
+	first = &scriptedAgent{digest: "d", serve: tokens(2), seen: seen}
 	other = &scriptedAgent{digest: "e", serve: tokens(3)}
 	out := &jsonSink{}
-	require.NoError(t, dispatch(withAgents(t, first, other), start(), out))
+	require.NoError(t, dispatch(withAgents(t, first, other), start(), notingSink{out, seen}))
 	require.Equal(t, "abc", out.text.String())
 	require.Equal(t, "e", out.version)
 }
--- a/io/awentry/fleet.go
+++ b/io/awentry/fleet.go
@@ -35,7 +35,8 @@
 	cancel   context.CancelFunc
 	report   *awproto.AgentReport // nil while the link is not proved in both directions
 	live     *awmember.Liveness   // of the open stream
-	lost     chan struct{}        // closed when the link turns suspect
+	lost     context.Context      // ends when the link turns suspect
+	lose     context.CancelFunc   // ends lost
 	lastSeen time.Time
 
 	own         int // requests of this entry that run there
@@ -55,6 +56,9 @@
 	}
 }
 
+// renew gives the link a fresh context for the requests sent over it.
+func (l *agentLink) renew() { l.lost, l.lose = context.WithCancel(context.Background()) }
+
 // listLoop follows the instance list until ctx ends.
 func (f *fleet) listLoop(ctx context.Context) {
 	go f.subsetLoop(ctx)
--- a/io/awentry/fleet_route.go
+++ b/io/awentry/fleet_route.go
@@ -1,6 +1,7 @@
 package awentry
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"time"
@@ -76,7 +77,7 @@
 type target struct {
 	awrpc.Target
 	domain string
-	lost   <-chan struct{} // closed when the link to the agent turns suspect
+	lost   context.Context // ends when the link to the agent turns suspect
 	done   func()          // returns the slot that this entry counted
 }
 
--- a/io/awentry/fleet_subset.go
+++ b/io/awentry/fleet_subset.go
@@ -98,9 +98,8 @@
 		link.cancel()
 	}
 	watchCtx, cancel := context.WithCancel(ctx)
-	link = &agentLink{
-		info: in, cancel: cancel, lastSeen: f.entry.cfg.Clock.Now(), lost: make(chan struct{}),
-	}
+	link = &agentLink{info: in, cancel: cancel, lastSeen: f.entry.cfg.Clock.Now()}
+	link.renew()
 	f.agents[in.ID] = link
 	go f.watchLoop(watchCtx, link)
 }
--- a/io/awentry/fleet_watch.go
+++ b/io/awentry/fleet_watch.go
@@ -108,8 +108,8 @@
 		return
 	}
 	link.report = nil
-	close(link.lost)
-	link.lost = make(chan struct{})
+	link.lose()
+	link.renew()
 }
 
 func (f *fleet) heartbeat(link *agentLink) (*awproto.WatchUp, <-chan struct{}) {
--- a/io/awentry/sinks.go
+++ b/io/awentry/sinks.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"arbutuswind/core/awstream"
@@ -60,6 +59,13 @@
 func (s *sseSink) event(name string, v any) error {
 	s.start()
 	s.buf.Reset()
+	if err := s.encode(name, v); err != nil {
+		return err
+	}
+	return s.flush()
+}
+
+func (s *sseSink) encode(name string, v any) error {
 	if name != "" {
 		s.buf.WriteString("event: " + name + "\n")
 	}
@@ -68,7 +74,7 @@
 		return err
 	}
 	s.buf.WriteByte('\n')
-	return s.flush()
+	return nil
 }
 
 func (s *sseSink) flush() error {
@@ -83,10 +89,13 @@
 }
 
 func (s *sseSink) end(e *awproto.End) error {
-	if err := s.event("", sseEvent{Choices: []sseChoice{{FinishReason: e.FinishReason}}}); err != nil {
+	s.start()
+	s.buf.Reset()
+	if err := s.encode("", sseEvent{Choices: []sseChoice{{FinishReason: e.FinishReason}}}); err != nil {
 		return err
 	}
-	_, err := io.WriteString(s.w, "data: [DONE]\n\n")
+	s.buf.WriteString("data: [DONE]\n\n")
+	_, err := s.w.Write(s.buf.Bytes()) // flushed with the end of the response
 	return err
 }
 
