--- a/io/awentry/fleet.go
+++ b/io/awentry/fleet.go
@@ -26,7 +26,8 @@
 	announced map[string]*awproto.AgentReport
 	entries   []awstore.Instance // other entries by the instance list, not leaving
 
-	peers peerCache
+	peers   peerCache
+	subsets subsetCache
 }
 
 // agentLink is one watched agent and the Watch stream to it.
@@ -53,6 +54,7 @@
 		ejector:   awmember.NewEjector(awmember.DefaultEject()),
 		agents:    map[string]*agentLink{},
 		announced: map[string]*awproto.AgentReport{},
+		subsets:   subsetCache{},
 	}
 }
 
--- a/io/awentry/fleet_subset.go
+++ b/io/awentry/fleet_subset.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"arbutuswind/core/awconfig"
 	"arbutuswind/core/awmember"
 	"arbutuswind/core/awroute"
@@ -49,13 +52,13 @@
 	}
 	f.mu.Unlock()
 
-	// The computation grows with entries times agents, so it runs unlocked.
 	want := map[string]bool{}
-	for _, members := range groups {
-		for _, id := range awroute.Subset(f.entry.identity.Instance, entries, members) {
+	for key, members := range groups {
+		for _, id := range f.subsets.of(key, f.entry.identity.Instance, entries, members) {
 			want[id] = true
 		}
 	}
+	f.subsets.trim(groups)
 
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -72,6 +75,44 @@
 	}
 }
 
+// subsetCache keeps the subset of each group until entries or agents change:
+// the computation grows with entries times agents, and the instance list is
+// read every few seconds. Only subsetLoop uses it.
+type subsetCache map[string]cachedSubset
+
+type cachedSubset struct {
+	print uint64 // hash of what the subset was computed from
+	ids   []string
+}
+
+func (c subsetCache) of(key, self string, entries []string, members []awroute.Member) []string {
+	slices.Sort(entries)
+	slices.SortFunc(members, func(a, b awroute.Member) int { return strings.Compare(a.Instance, b.Instance) })
+	d := xxhash.New() // writing to it never fails
+	for _, id := range entries {
+		_, _ = d.WriteString(id + "\n")
+	}
+	for _, m := range members {
+		_, _ = d.WriteString(m.Instance + " " + m.Domain + "\n")
+	}
+	print := d.Sum64()
+	if cached, ok := c[key]; ok && cached.print == print {
+		return cached.ids
+	}
+	ids := awroute.Subset(self, entries, members)
+	c[key] = cachedSubset{print: print, ids: ids}
+	return ids
+}
+
+// trim forgets groups that are gone.
+func (c subsetCache) trim(groups map[string][]awroute.Member) {
+	for key := range c {
+		if _, ok := groups[key]; !ok {
+			delete(c, key)
+		}
+	}
+}
+
 // groupKey returns the routing name of what an agent serves or will serve.
 func groupKey(info awmember.Info, s *awconfig.State) string {
 	if info.Service != "" {
