Check the invariants of the design by stateful fuzzing against an oracle

The decision packages were tested one by one; nothing checked that together they keep the invariants of section 1.2 under duplicate, late and lost messages, crashes, pauses, racing operators, outages and a store that is set back.

A machine wires configuration log and holder, claims, attempts, admission, routing, streams, placement and the manifest check in memory. An oracle checks every invariant by name; a mutation of the wiring for each of the nine is detected.

New claims are now refused while the store is known to be set back.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,16 @@
 		if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
 	go vet ./...
 	go run $(GOLANGCI_LINT) run ./...
+
+# Runs the state machine of awproof longer, with a new seed that is printed,
+# and each fuzz target of the decoders.
+FUZZ_SEED ?= $(shell date +%s)
+FUZZ_CHECKS ?= 20000
+FUZZ_TIME ?= 20s
+FUZZ_TARGETS := FuzzSheet FuzzSettings FuzzChange FuzzView FuzzManifest
+fuzz:
+	@echo "seed $(FUZZ_SEED)"
+	go test ./internal/awproof -count=1 -timeout 30m -run '^TestInvariants$$' \
+		-args -rapid.seed=$(FUZZ_SEED) -rapid.checks=$(FUZZ_CHECKS) -rapid.steps=120
+	@for target in $(FUZZ_TARGETS); do \
+		go test ./internal/awproof -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZ_TIME) -parallel 2 || exit 1; done
--- a/io/awentry/claims.go
+++ b/io/awentry/claims.go
@@ -147,6 +147,9 @@
 		return c.withoutAgent(ctx)
 	}
 	defer t.done()
+	if e.log.Reset() != nil {
+		return nil, awoutcome.Refuse(awoutcome.StoreDown, "the store was set back and may have lost the claim of the call")
+	}
 	id := e.nextAttempt()
 	now := e.cfg.Clock.Now()
 	var before awledger.Claim
