--- a/internal/awbench/cluster.go
+++ b/internal/awbench/cluster.go
@@ -10,21 +10,19 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/rotisserie/eris"
 
+	"arbutuswind/internal/awport"
 	"arbutuswind/io/awcontrol"
 	"arbutuswind/io/awsettings"
 	"arbutuswind/io/awstore"
@@ -139,36 +137,6 @@
 	}
 }
 
-// Ports are taken below the range that the system gives to outgoing
-// connections: a port from that range may be taken again between this check
-// and the start of the process that binds it.
-const (
-	firstPort = 10000
-	lastPort  = 32000
-)
-
-// nextPort starts at random so that benches that run at once rarely meet.
-var nextPort = func() *atomic.Int64 {
-	n := &atomic.Int64{}
-	n.Store(rand.Int64N(lastPort - firstPort))
-	return n
-}()
-
-// FreeAddress returns a loopback address that is free now and is not given
-// out again soon.
-func FreeAddress() (string, error) {
-	var last error
-	for range lastPort - firstPort {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%(lastPort-firstPort))
-		lis, err := net.Listen("tcp", addr)
-		if err == nil {
-			return addr, lis.Close()
-		}
-		last = err
-	}
-	return "", eris.Wrap(last, "free address")
-}
-
 func (c *Cluster) settings(name string, v any) (string, error) {
 	data, err := toml.Marshal(v)
 	if err != nil {
@@ -180,7 +148,7 @@
 
 // StartPlatform starts the stand-in of the platform.
 func (c *Cluster) StartPlatform(ctx context.Context, args ...string) error {
-	addr, err := FreeAddress()
+	addr, err := awport.FreeAddress()
 	if err != nil {
 		return err
 	}
@@ -284,7 +252,7 @@
 }
 
 func (c *Cluster) startBackend(n *Node, tune func(*awsettings.Agent), args []string) (*Node, error) {
-	addr, err := FreeAddress()
+	addr, err := awport.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
@@ -306,7 +274,7 @@
 func freeAddresses(n int) ([]string, error) {
 	var addrs []string
 	for range n {
-		addr, err := FreeAddress()
+		addr, err := awport.FreeAddress()
 		if err != nil {
 			return nil, err
 		}
--- a/io/awentry/config.go
+++ b/io/awentry/config.go
@@ -22,6 +22,9 @@
 	headReadsPerSecond = 400
 	// offerTo is the number of entries that a new revision is offered to.
 	offerTo = 3
+	// offerTime is enough for offers to reach most entries at the design size:
+	// six rounds of three over links of 3 ms.
+	offerTime = 100 * time.Millisecond
 	// askAtOnce is the number of peers asked in one round without the store.
 	askAtOnce = 3
 	// askTimeout bounds one call of a peer.
@@ -43,7 +46,7 @@
 // freshness that entries pass on does not renew itself.
 type configSync struct {
 	entry *Entry
-	wake  chan *awproto.ProcessIdentity // who holds a newer revision; nil when that is not an entry
+	wake  chan meeting
 
 	mu        sync.Mutex
 	peers     map[string]*peer
@@ -61,6 +64,13 @@
 	progressOf uint64 // revision that the progress of peers belongs to
 }
 
+// meeting is a contact with a process that holds a newer revision. The zero
+// value asks for a look at every source.
+type meeting struct {
+	revision uint64
+	from     *awproto.ProcessIdentity // nil when that is not an entry
+}
+
 // peer is another entry.
 type peer struct {
 	info     awstore.Instance
@@ -72,7 +82,7 @@
 func newConfigSync(e *Entry) *configSync {
 	now := e.cfg.Clock.Now()
 	return &configSync{
-		entry: e, wake: make(chan *awproto.ProcessIdentity, 1), peers: map[string]*peer{},
+		entry: e, wake: make(chan meeting, 1), peers: map[string]*peer{},
 		startedAt: now, lastBeat: now,
 	}
 }
@@ -116,7 +126,7 @@
 		sender = nil // only entries hold the whole configuration
 	}
 	select {
-	case c.wake <- sender:
+	case c.wake <- meeting{revision: revision, from: sender}:
 	default: // a pull is due already
 	}
 }
@@ -216,17 +226,19 @@
 
 // pullLoop pulls from whoever was met with a newer revision.
 func (c *configSync) pullLoop(ctx context.Context, poll chan<- struct{}) {
-	for {
-		var from *awproto.ProcessIdentity
-		select {
-		case <-ctx.Done():
-			return
-		case from = <-c.wake:
-		}
-		if from != nil && c.pull(ctx, awrpc.Target{Address: from.Address, Instance: from.Instance}, 0) == nil {
+	for ctx.Err() == nil {
+		met, ok := c.next(ctx)
+		if !ok || c.reached(met) {
 			continue
 		}
-		c.ask(ctx, 1)
+		if met.from != nil {
+			_ = c.pull(ctx, awrpc.Target{Address: met.from.Address, Instance: met.from.Instance}, 0)
+		} else {
+			c.ask(ctx, 1)
+		}
+		if c.reached(met) {
+			continue // a read of the store is saved
+		}
 		select {
 		case poll <- struct{}{}:
 		default:
@@ -234,6 +246,43 @@
 	}
 }
 
+// reached reports whether the revision of a meeting is held by now.
+func (c *configSync) reached(met meeting) bool {
+	return met.revision > 0 && c.entry.holder.State().Revision >= met.revision
+}
+
+// next returns the next meeting to act on. An agent that one entry has told
+// of a revision is seen by many entries at once; they wait for the offer of
+// a peer, so that they do not all read the store together.
+func (c *configSync) next(ctx context.Context) (meeting, bool) {
+	var met meeting
+	select {
+	case <-ctx.Done():
+		return met, false
+	case met = <-c.wake:
+	}
+	if met.from != nil || met.revision == 0 {
+		return met, true
+	}
+	limit := time.NewTimer(c.entry.jitter(offerTime))
+	defer limit.Stop()
+	for !c.reached(met) {
+		select {
+		case <-ctx.Done():
+			return met, false
+		case <-limit.C:
+			return met, true
+		case offer := <-c.wake:
+			met.revision = max(met.revision, offer.revision)
+			if offer.from != nil {
+				met.from = offer.from
+				return met, true
+			}
+		}
+	}
+	return met, false
+}
+
 // ask pulls from n random peers at once. Peers in other regions come first
 // while there is no fresh source, since they tell whether this region is cut
 // off or the store is down for all.
@@ -359,7 +408,7 @@
 		c.pausedAt = now
 		_ = c.entry.cfg.Logger.Log("Message", "process was paused", "Seconds", now.Sub(c.lastBeat).Seconds())
 		select {
-		case c.wake <- nil:
+		case c.wake <- meeting{}:
 		default: // a look is due already
 		}
 	}
--- /dev/null
+++ b/io/awentry/fleet_subset.go
@@ -0,0 +1,146 @@
+package awentry
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awmember"
+	"arbutuswind/core/awroute"
+	"arbutuswind/io/awstore"
+)
+
+// subsetPause bounds how often the subset is computed while many agents come
+// and go at once.
+const subsetPause = 100 * time.Millisecond
+
+// subsetLoop keeps the Watch streams at the subset of this entry until ctx
+// ends.
+func (f *fleet) subsetLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := f.entry.holder.Changed()
+		f.watchSubset(ctx, f.entry.holder.State())
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(subsetPause):
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.dirty:
+		case <-changed:
+		}
+	}
+}
+
+// watchSubset starts and ends Watch streams so that this entry watches its
+// share of the agents of each model and service, and of those not placed yet.
+func (f *fleet) watchSubset(ctx context.Context, s *awconfig.State) {
+	f.mu.Lock()
+	groups := map[string][]awroute.Member{}
+	f.table.All(func(info awmember.Info, _ time.Time) {
+		key := groupKey(info, s)
+		groups[key] = append(groups[key], awroute.Member{Instance: info.Instance, Domain: info.Domain})
+	})
+	entries := make([]string, 0, len(f.entries)+1)
+	for _, in := range f.entries {
+		entries = append(entries, in.ID)
+	}
+	f.mu.Unlock()
+
+	want := map[string]bool{}
+	for key, members := range groups {
+		for _, id := range f.subsets.of(key, f.entry.identity.Instance, entries, members) {
+			want[id] = true
+		}
+	}
+	f.subsets.trim(groups)
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, link := range f.agents {
+		if !want[id] {
+			link.cancel()
+			delete(f.agents, id)
+		}
+	}
+	for id := range want {
+		if info, _, ok := f.table.Get(id); ok {
+			f.learn(ctx, info)
+		}
+	}
+}
+
+// subsetCache keeps the subset of each group until entries or agents change:
+// the computation grows with entries times agents, and the instance list is
+// read every few seconds. Only subsetLoop uses it.
+type subsetCache map[string]cachedSubset
+
+type cachedSubset struct {
+	print uint64 // hash of what the subset was computed from
+	ids   []string
+}
+
+func (c subsetCache) of(key, self string, entries []string, members []awroute.Member) []string {
+	slices.Sort(entries)
+	slices.SortFunc(members, func(a, b awroute.Member) int { return strings.Compare(a.Instance, b.Instance) })
+	d := xxhash.New() // writing to it never fails
+	for _, id := range entries {
+		_, _ = d.WriteString(id + "\n")
+	}
+	for _, m := range members {
+		_, _ = d.WriteString(m.Instance + " " + m.Domain + "\n")
+	}
+	print := d.Sum64()
+	if cached, ok := c[key]; ok && cached.print == print {
+		return cached.ids
+	}
+	ids := awroute.Subset(self, entries, members)
+	c[key] = cachedSubset{print: print, ids: ids}
+	return ids
+}
+
+// trim forgets groups that are gone.
+func (c subsetCache) trim(groups map[string][]awroute.Member) {
+	for key := range c {
+		if _, ok := groups[key]; !ok {
+			delete(c, key)
+		}
+	}
+}
+
+// groupKey returns the routing name of what an agent serves or will serve.
+func groupKey(info awmember.Info, s *awconfig.State) string {
+	if info.Service != "" {
+		return servicePrefix + info.Service
+	}
+	return s.Placements[info.Instance].Model
+}
+
+func serviceName(model string) (string, bool) { return strings.CutPrefix(model, servicePrefix) }
+
+// learn starts to watch an agent, or takes over what changed about one. The
+// caller holds mu.
+func (f *fleet) learn(ctx context.Context, info awmember.Info) {
+	in := awstore.Instance{
+		ID: info.Instance, Role: "agent", Address: info.Address, Domain: info.Domain,
+		Region: info.Region, Leaving: info.Leaving, Service: info.Service,
+	}
+	link, ok := f.agents[in.ID]
+	if ok && link.info.Address == in.Address {
+		link.info = in
+		return
+	}
+	if ok {
+		link.cancel()
+	}
+	watchCtx, cancel := context.WithCancel(ctx)
+	link = &agentLink{info: in, cancel: cancel, lastSeen: f.entry.cfg.Clock.Now()}
+	link.renew()
+	f.agents[in.ID] = link
+	go f.watchLoop(watchCtx, link)
+}
