--- a/core/awplace/awplace.go
+++ b/core/awplace/awplace.go
@@ -30,7 +30,7 @@
 	LastSeen time.Time // last heartbeat or appearance in the instance list
 	Digest   string    // weights that it serves now; empty when not ready
 	Held     string    // weights that it holds whole
-	NoRoom   bool      // the version it is to fetch does not fit beside the old one
+	NoRoom   string    // weights that do not fit beside those it serves
 	Failed   string    // weights that it could not load
 	Failure  string    // why
 }
@@ -205,7 +205,7 @@
 // once, or cannot fetch it before it gives up the old one.
 func (p *planner) movable(id, digest string) bool {
 	in := p.byID[id]
-	return in.Held == digest || in.NoRoom
+	return in.Held == digest || in.NoRoom == digest
 }
 
 // surge places the version on free instances beyond the wanted number.
--- a/core/awplace/awplace_test.go
+++ b/core/awplace/awplace_test.go
@@ -174,7 +174,7 @@
 	w.settle(t)
 	w.sheet("v2", 8)
 	for _, in := range w.instances {
-		in.NoRoom = true
+		in.NoRoom = "v2"
 	}
 	require.True(t, w.step())
 	require.Equal(t, 6, w.serving("v1"))
--- a/io/awentry/peers.go
+++ b/io/awentry/peers.go
@@ -55,7 +55,9 @@
 	if t.Chunks > 0 && t.ChunksHeld == t.Chunks {
 		in.Held = t.VersionDigest
 	}
-	in.NoRoom = t.NoRoom
+	if t.NoRoom {
+		in.NoRoom = t.VersionDigest
+	}
 	if t.Error != "" {
 		in.Failed, in.Failure = t.VersionDigest, t.Error
 	}
