--- a/core/awweights/exchange.go
+++ b/core/awweights/exchange.go
@@ -127,23 +127,6 @@
 	ETA                                time.Duration // 0 when unknown or complete
 }
 
-type peer struct {
-	Source
-	held       Bitmap
-	count      int
-	progressed time.Time // last growth of its map
-	heard      bool      // asked once, with or without an answer
-	heardAt    time.Time // last chunk map
-	misses     int       // questions in a row without an answer
-	silent     bool      // taken for dead; holds nothing until it answers
-	avoidUntil time.Time
-	strikes    int // bad chunks and stalls in a row
-	badRun     int // bad chunks in a row
-	distrusted bool
-	failures   int // failed calls in a row
-	running    int
-}
-
 type running struct {
 	Fetch
 	began   time.Time
@@ -426,72 +409,6 @@
 	}
 }
 
-// judge keeps away from sources that send bad chunks, stall or fail.
-func (x *Exchange) judge(p *peer, r *running, res Result, now time.Time) {
-	if res == Corrupt {
-		x.stats.Bad++
-	}
-	if p == nil {
-		return
-	}
-	switch res {
-	case Whole:
-		p.failures, p.strikes, p.badRun = 0, 0, 0
-	case Corrupt:
-		if r.Kind == FromOrigin {
-			// There is no second origin; the chunk is simply read again.
-			return
-		}
-		x.strike(p, now)
-		if p.badRun++; p.badRun >= distrustAfter {
-			p.distrusted = true
-			x.forgetAll(p)
-		}
-	case Busy:
-		p.avoidUntil = later(p.avoidUntil, now.Add(busyFor/2+time.Duration(x.rng.Int64N(int64(busyFor)))))
-	case Missing:
-		x.forget(p, r.Index)
-	case Failed:
-		if r.stalled {
-			return // already counted as a stall
-		}
-		p.avoidUntil = later(p.avoidUntil, now.Add(failedFor<<min(p.failures, maxDoublings)))
-		p.failures++
-	}
-}
-
-func (x *Exchange) strike(p *peer, now time.Time) {
-	p.avoidUntil = later(p.avoidUntil, now.Add(x.cfg.AvoidFor<<min(p.strikes, maxDoublings)))
-	p.strikes++
-}
-
-// forget notes that a peer does not hold chunk i.
-func (x *Exchange) forget(p *peer, i int) {
-	if !p.held.Has(i) {
-		return
-	}
-	p.held.Clear(i)
-	p.count--
-	if p.Region == x.cfg.Self.Region {
-		x.holder[i]--
-	}
-}
-
-// forgetAll takes a peer to hold nothing, so that its chunks are fetched from
-// outside the region again.
-func (x *Exchange) forgetAll(p *peer) {
-	for i := range x.stats.Chunks {
-		x.forget(p, i)
-	}
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Held returns the chunks held; the caller must not change it.
 func (x *Exchange) Held() Bitmap { return x.held }
 
--- a/internal/awbench/rollout.go
+++ b/internal/awbench/rollout.go
@@ -64,6 +64,8 @@
 	Calls        int     `json:",omitempty"`
 	Failed       int     `json:",omitempty"`
 	FailedWhy    string  `json:",omitempty"`
+
+	Missed []string `json:",omitempty"` // targets
 }
 
 const (
@@ -73,6 +75,33 @@
 	baselineShare = 16
 )
 
+// The targets of section 8 of the design page.
+const (
+	targetRatio       = 1.25 // at 96 replicas
+	targetFaultsRatio = 1.6
+	targetOrigin      = 1.1 // copies, without faults
+	targetP99Ratio    = 1.2
+)
+
+// check notes the targets that the variant missed.
+func (res *RolloutResult) check() {
+	miss := func(missed bool, name string) {
+		if missed {
+			res.Missed = append(res.Missed, name)
+		}
+	}
+	miss(res.BadServed > 0, "BadServed")
+	miss(res.Failed > 0, "Failed")
+	switch res.Variant {
+	case "exchange", "upgrade":
+		miss(res.Variant == "exchange" && res.Ratio > targetRatio, "SecondsToN")
+		miss(res.OriginCopies > targetOrigin, "OriginCopies")
+		miss(res.P99Ratio > targetP99Ratio, "P99Ratio")
+	case "faults":
+		miss(res.Ratio > targetFaultsRatio, "SecondsToN")
+	}
+}
+
 // rollout is a running experiment.
 type rollout struct {
 	opts    RolloutOptions
@@ -109,6 +138,7 @@
 		{"baseline", r.baseline},
 		{"faults", r.faults},
 	}
+	missed := false
 	for _, v := range variants {
 		if opts.Only != "" && opts.Only != v.name && (opts.Only != "upgrade" || v.name != "exchange") {
 			continue
@@ -116,6 +146,14 @@
 		if err := v.run(ctx); err != nil {
 			return r.results, eris.Wrap(err, v.name)
 		}
+		last := len(r.results) - 1
+		res := r.results[last].(RolloutResult)
+		res.check()
+		r.results[last] = res
+		missed = missed || len(res.Missed) > 0
+	}
+	if missed {
+		return r.results, eris.New("the rollout missed a target")
 	}
 	return r.results, nil
 }
