--- a/core/awweights/manifest.go
+++ b/core/awweights/manifest.go
@@ -3,6 +3,15 @@
 // A version is a manifest: the digests of its chunks. The digest of the
 // manifest is the identity of the version, so weights that change under the
 // same name are another version and never mix.
+//
+// Each agent runs an [Exchange] of its own; no process plans for others. In
+// each region a panel of agents brings the chunks in, each chunk by the member
+// that [AssignDuties] names and, when that makes no progress, by the next in
+// rank. The panel of the home region, that of the store where agents live
+// there, reads the origin; the panels of other regions read agents of other
+// regions, first those of the home region. All others fetch inside their
+// region, the rarest chunks first. Agents that disagree about panels or maps
+// fetch a chunk twice, which costs bytes and nothing else.
 package awweights
 
 import (
--- a/io/awagent/load_test.go
+++ b/io/awagent/load_test.go
@@ -188,4 +188,6 @@
 	w.setLoaded(part)
 	w.retain(part)
 	require.False(t, w.complete(whole), "a version that is not wanted is dropped")
+	w.retain()
+	require.Nil(t, w.held(part), "nothing is held where nothing is placed")
 }
--- a/io/awagent/weights.go
+++ b/io/awagent/weights.go
@@ -142,8 +142,12 @@
 func (w *weightStore) retain(digests ...string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.drop(append(digests, w.loaded))
-	if len(digests) == 0 || slices.Contains(digests, w.transfer.VersionDigest) {
+	if len(digests) == 0 {
+		w.drop(nil) // nothing is placed here
+		return
+	}
+	w.drop(append(slices.Clone(digests), w.loaded))
+	if slices.Contains(digests, w.transfer.VersionDigest) {
 		return
 	}
 	// The report of a version that is no longer wanted gives way.
