--- a/io/awentry/fleet.go
+++ b/io/awentry/fleet.go
@@ -28,7 +28,8 @@
 	announced map[string]*awproto.AgentReport
 	entries   []awstore.Instance // other entries by the instance list, not leaving
 
-	peers peerCache
+	peers   peerCache
+	subsets subsetCache
 }
 
 // agentLink is one watched agent and the Watch stream to it.
@@ -38,7 +39,8 @@
 	end      context.CancelCauseFunc // of the open stream; nil without one
 	report   *awproto.AgentReport    // nil while the link is not proved in both directions
 	live     *awmember.Liveness      // of the open stream
-	lost     chan struct{}           // closed when the link turns suspect
+	lost     context.Context         // ends when the link turns suspect
+	lose     context.CancelFunc      // ends lost
 	lastSeen time.Time
 
 	own         int // requests of this entry that run there
@@ -56,9 +58,13 @@
 		ejector:   awmember.NewEjector(awmember.DefaultEject()),
 		agents:    map[string]*agentLink{},
 		announced: map[string]*awproto.AgentReport{},
+		subsets:   subsetCache{},
 	}
 }
 
+// renew gives the link a fresh context for the requests sent over it.
+func (l *agentLink) renew() { l.lost, l.lose = context.WithCancel(context.Background()) }
+
 // listLoop follows the instance list until ctx ends.
 func (f *fleet) listLoop(ctx context.Context) {
 	go f.subsetLoop(ctx)
