Bound the body of requests that are refused by their headers

Cause: the server reads the body of a refused request to its end, and without a read deadline a slow caller held the connection. Change: the read deadline is set before the headers are checked.

--- a/io/awentry/request.go
+++ b/io/awentry/request.go
@@ -130,6 +130,11 @@
 
 // parse checks headers and reads the body within its bounds.
 func (e *Entry) parse(w http.ResponseWriter, r *http.Request, req *request) error {
+	rc := http.NewResponseController(w)
+	// It also bounds the body of a request that is refused by its headers,
+	// which the server reads to its end. Fails on writers without deadlines,
+	// as in tests.
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
 	if err := req.headers(r.Header, e.cfg.Settings.Limits.DefaultDeadline.Std(), e.cfg.Settings.Limits.MaxDeadline.Std()); err != nil {
 		return err
 	}
@@ -144,8 +149,6 @@
 	if !req.hold(size) {
 		return overloaded("the entry holds as many bytes as it may", retryAfterMs)
 	}
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout)) // fails on readers without deadlines, as in tests
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
 	if err != nil {
 		return bodyError(err, limit)
