Refuse work that would be cut at its deadline, before it runs

Cause: with three times the capacity offered, requests that had waited almost until their deadline were begun and cut, and the answer of an agent that refused at the deadline came after the entry had given up, so that the caller was told unknown. Change: a stated deadline bounds the whole answer; agents get it less up to 50 ms; a waiting request whose time left is below 75% of the usual time of its answer is refused not-run with Retry-After. Conclusion: callers now learn that their request did not run.

--- a/core/awlimit/awlimit_test.go
+++ b/core/awlimit/awlimit_test.go
@@ -160,3 +160,14 @@
 	b.Release(60)
 	require.Zero(t, b.Held())
 }
+
+// Guards against work that is begun too late to end before its deadline.
+func TestPace(t *testing.T) {
+	var p Pace
+	require.False(t, p.TooLate("m", 20, time.Millisecond), "nothing is known yet")
+	p.Took("m", 20, 200*time.Millisecond)
+	require.True(t, p.TooLate("m", 20, 100*time.Millisecond))
+	require.False(t, p.TooLate("m", 20, 190*time.Millisecond))
+	require.False(t, p.TooLate("m", 5, 100*time.Millisecond))
+	require.False(t, p.TooLate("other", 20, time.Millisecond))
+}
--- a/core/awlimit/room.go
+++ b/core/awlimit/room.go
@@ -1,5 +1,7 @@
 package awlimit
 
+import "time"
+
 // Room holds the requests that wait for a backend server during a short
 // overload. When it is full, the lowest priority leaves first. It is not safe
 // for concurrent use.
@@ -105,3 +107,36 @@
 	}
 	return shortest, int64(shortest) >= leftMs
 }
+
+// Pace learns how long answers of a model take. It is not safe for concurrent
+// use.
+type Pace struct{ perToken map[string]float64 } // milliseconds per permitted token
+
+const (
+	paceWeight = 0.05 // of the newest answer
+	// paceShare of the usual time must be left to begin an answer. Below it
+	// the work would most likely be cut at the deadline and be lost.
+	paceShare = 0.75
+)
+
+// Took notes a whole answer.
+func (p *Pace) Took(model string, tokens uint32, d time.Duration) {
+	if tokens == 0 {
+		return
+	}
+	if p.perToken == nil {
+		p.perToken = map[string]float64{}
+	}
+	ms := float64(d) / float64(time.Millisecond) / float64(tokens)
+	if old, ok := p.perToken[model]; ok {
+		ms = old + paceWeight*(ms-old)
+	}
+	p.perToken[model] = ms
+}
+
+// TooLate reports whether an answer that begins now would most likely not end
+// in the time left.
+func (p *Pace) TooLate(model string, tokens uint32, left time.Duration) bool {
+	ms := p.perToken[model] * float64(tokens) * paceShare
+	return ms > 0 && float64(left)/float64(time.Millisecond) < ms
+}
--- a/io/awentry/attempt.go
+++ b/io/awentry/attempt.go
@@ -53,7 +53,7 @@
 	defer stream.Close()
 	start.RequestId, start.Attempt, start.Team, start.Priority = req.id, id, req.team, req.priority
 	start.LowWatermark = e.attempts.low()
-	start.DeadlineMs = uint32(max(1, left.Milliseconds()))
+	start.DeadlineMs = uint32(max(1, (left - min(left/10, verdictTime)).Milliseconds()))
 	start.Revision = e.holder.State().Revision
 	start.TraceParent = awtelemetry.Inject(ctx)
 	r := &receiver{entry: e, req: req, stream: stream, asm: asm, out: out, window: int(start.CreditBytes)}
@@ -78,6 +78,11 @@
 	return err
 }
 
+// verdictTime is kept back from the deadline that the agent gets, so that its
+// refusal of a request that waited too long arrives in time and proves that
+// the request did not run.
+const verdictTime = 50 * time.Millisecond
+
 func linkLost(err error) error {
 	return &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.LinkLost, Detail: err.Error()}
 }
--- a/io/awentry/dispatch.go
+++ b/io/awentry/dispatch.go
@@ -84,7 +84,11 @@
 		x.start.VersionDigest = x.asm.Digest()
 		resumes.Inc()
 	}
+	began, from := time.Now(), x.start.ResumeFrom
 	err := e.serveAttempt(ctx, x.req, x.start, t, id, x.asm, x.out)
+	if err == nil && from == 0 {
+		e.took(x.start, time.Since(began))
+	}
 	e.attempts.settle(id.Sequence)
 	t.done()
 	if ctx.Err() == nil {
@@ -187,6 +191,12 @@
 	return e.retry.Take(cost)
 }
 
+func (e *Entry) took(start *awproto.ServeStart, d time.Duration) {
+	e.mu.Lock()
+	e.pace.Took(start.Model, start.MaxTokens, d)
+	e.mu.Unlock()
+}
+
 func (e *Entry) backoff(n int) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -74,6 +74,7 @@
 	bytes awlimit.Bytes
 	room  awlimit.Room
 	rates *awlimit.Rates
+	pace  awlimit.Pace
 	own   map[string]awlimit.Demand // of the last window
 }
 
--- a/io/awentry/request.go
+++ b/io/awentry/request.go
@@ -24,12 +24,14 @@
 	team     string
 	priority uint32
 	arrived  time.Time
-	deadline time.Time // of the first token of a stream, else of the whole answer
+	deadline time.Time // of the whole answer
+	stated   bool      // the caller has stated the deadline
 	body     []byte
 	key      string // Idempotency-Key
 	streamed bool
 
-	begun bool // the caller has got a part of a stream
+	begun bool // a stream without a stated deadline has begun
+	first bool // the caller has got a part of the answer
 	timer *time.Timer
 	held  int // bytes counted against Limits.HeldBytes
 }
@@ -57,9 +59,9 @@
 	return req
 }
 
-// bound ends the request at its deadline or when the entry stops. A stream
-// that has begun may go on until latest, so that a slow caller still gets the
-// complete answer.
+// bound ends the request at its deadline or when the entry stops. Where the
+// caller has stated no deadline, a stream that has begun may go on until
+// latest, so that a slow caller still gets the complete answer.
 func (r *request) bound(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	r.timer = time.AfterFunc(time.Until(r.deadline), func() { cancel(errDeadline) })
@@ -79,11 +81,12 @@
 
 // delivered notes that the caller gets a part of the answer.
 func (r *request) delivered() {
-	if r.begun {
+	if r.first {
 		return
 	}
+	r.first = true
 	firstFrames.UpdateDuration(r.arrived)
-	if r.streamed {
+	if r.streamed && !r.stated {
 		r.begun = true
 		r.timer.Reset(time.Until(r.latest()))
 	}
@@ -189,7 +192,7 @@
 			return awoutcome.Refuse(awoutcome.BadRequest,
 				awhttp.HeaderDeadline+" must be 1 to "+strconv.FormatInt(most.Milliseconds(), 10))
 		}
-		r.deadline = r.arrived.Add(time.Duration(n) * time.Millisecond)
+		r.deadline, r.stated = r.arrived.Add(time.Duration(n)*time.Millisecond), true
 	}
 	return nil
 }
--- a/io/awentry/wait.go
+++ b/io/awentry/wait.go
@@ -81,6 +81,9 @@
 			return target{}, x.noRoom()
 		}
 		x.waits++
+		if x.tooLate() {
+			return target{}, overloaded("too little time is left to answer before the deadline", retryAfterMs)
+		}
 		t, cands, ok := x.pick()
 		if ok {
 			return t, nil
@@ -130,6 +133,18 @@
 	return true
 }
 
+// tooLate reports whether an answer that begins now would be cut at the
+// deadline that the caller has stated.
+func (x *exchange) tooLate() bool {
+	if !x.req.stated || x.asm.NextToken() > 0 {
+		return false
+	}
+	e := x.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pace.TooLate(x.start.Model, x.start.MaxTokens, time.Until(x.req.deadline))
+}
+
 // noRoom returns the last refusal, or that no agent serves the model.
 func (x *exchange) noRoom() error {
 	if x.waited != nil {
