--- a/io/awentry/config_test.go
+++ b/io/awentry/config_test.go
@@ -300,15 +300,22 @@
 	e.sync.learn(list)
 	reached := map[string]bool{}
 	for revision := uint64(1); revision <= 100; revision++ {
-		targets := e.sync.offerTargets(revision)
-		require.Len(t, targets, offerTo)
-		for _, target := range targets {
+		once, again := e.sync.offerTargets(revision, 0), e.sync.offerTargets(revision, 1)
+		require.Len(t, once, offerTo)
+		require.Len(t, again, offerTo)
+		for _, target := range append(once, again...) {
 			reached[target.Instance] = true
 		}
 	}
 	require.Len(t, reached, 30)
 	for i := range 29 {
-		e.sync.meet(200, &awproto.ProcessIdentity{Process: "awentry", Instance: fmt.Sprintf("entry-%d", i)})
+		e.sync.meet(200, &awproto.ProcessIdentity{Process: "awentry", Instance: fmt.Sprintf("entry-%d", i), Address: "127.0.0.1:1"})
 	}
-	require.Equal(t, []awrpc.Target{{Instance: "entry-29"}}, e.sync.offerTargets(200), "who has it is not told")
+	require.Equal(t, []awrpc.Target{{Instance: "entry-29"}}, e.sync.offerTargets(200, 0), "who has it is not told")
+	early := &awproto.ProcessIdentity{Process: "awentry", Instance: "early", Address: "127.0.0.1:2"}
+	e.sync.meet(1, early)
+	e.sync.learn(list)
+	require.Len(t, e.sync.offerTargets(200, 0), 2, "one that the list does not show yet is a peer")
+	e.sync.meet(1, &awproto.ProcessIdentity{Process: "awagent", Instance: "agent", Address: "127.0.0.1:3"})
+	require.Len(t, e.sync.offerTargets(200, 0), 2, "agents are none")
 }
--- a/io/awentry/offer.go
+++ b/io/awentry/offer.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -25,29 +26,52 @@
 func (c *configSync) offerLoop(ctx context.Context) {
 	for {
 		changed := c.entry.holder.Changed()
-		if revision := c.entry.holder.State().Revision; revision > 0 {
-			c.offer(ctx, revision)
+		revision := c.entry.holder.State().Revision
+		for round := range offerRounds {
+			if revision > 0 {
+				c.offer(ctx, revision, round)
+			}
+			if !c.pauseOffers(ctx, changed, round) {
+				break
+			}
 		}
-		select {
-		case <-ctx.Done():
+		if ctx.Err() != nil {
 			return
-		case <-changed:
 		}
 	}
 }
 
+// pauseOffers waits before the next round, or for the next revision after
+// the last one. It reports whether another round of the same revision is due.
+func (c *configSync) pauseOffers(ctx context.Context, changed <-chan struct{}, round int) bool {
+	var next <-chan time.Time
+	if round < offerRounds-1 {
+		timer := time.NewTimer(offerTime)
+		defer timer.Stop()
+		next = timer.C
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+		return false
+	case <-next:
+		return true
+	}
+}
+
 // offer tells some entries that are not known to have the revision. The
-// choice differs for each sender and revision, so that a few rounds reach
-// entries that cannot read the store.
-func (c *configSync) offer(ctx context.Context, revision uint64) {
+// choice differs for each sender, revision and round, so that two rounds
+// reach nearly every entry: one round of three leaves out one in twenty.
+func (c *configSync) offer(ctx context.Context, revision uint64, round int) {
 	var wg sync.WaitGroup
-	for _, t := range c.offerTargets(revision) {
+	for _, t := range c.offerTargets(revision, round) {
 		wg.Go(func() { _ = c.pull(ctx, t, 0) }) // the next revision tries again
 	}
 	wg.Wait()
 }
 
-func (c *configSync) offerTargets(revision uint64) []awrpc.Target {
+func (c *configSync) offerTargets(revision uint64, round int) []awrpc.Target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	type ranked struct {
@@ -59,7 +83,7 @@
 		if p.revision >= revision {
 			continue
 		}
-		key := binary.BigEndian.AppendUint64(nil, revision)
+		key := binary.BigEndian.AppendUint64(nil, revision<<1|uint64(round))
 		rank := xxhash.Sum64(append(key, c.entry.identity.Instance+"\x00"+id...))
 		list = append(list, ranked{awrpc.Target{Address: p.info.Address, Instance: id}, rank})
 	}
