Keep agents serving through a long outage of the store

An entry says on Watch whether it has a fresh source, and an agent stops taking work after MaxIsolation without one. In an outage of the store that is longer, no entry has a fresh source, so every agent stopped although all were cut off together. Entries now tell a shared outage from being cut off themselves, and agents take either a fresh source or a shared outage.

--- a/internal/awbench/config.go
+++ b/internal/awbench/config.go
@@ -1,6 +1,7 @@
 package awbench
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -29,7 +30,7 @@
 	InForceP99Ms int64
 	Reverted     int
 
-	OutageServedOn       bool    // every entry stayed ready while the store was down
+	OutageServedOn       bool    // every entry and agent was ready after an outage longer than MaxIsolation
 	OutageRefused        bool    // changes were refused while the store was down
 	OutageInForceMs      int64   // of the first change after the outage
 	CutEntryInForceMs    int64   // at the entry that was cut off from the platform; -1 never
@@ -65,9 +66,14 @@
 	configCost        = 5 * time.Second // in which processes are left alone but for configCostChanges
 	configCostChanges = 4
 	configLook        = 15 * time.Millisecond
-	configPaused      = 3 * time.Second  // longer than the gap after which an entry takes itself for paused
-	configStart       = 30 * time.Second // for all processes of one size to be ready
-	configLimit       = 8 * time.Second  // ConfigMonotonic's limit
+	configPaused      = 3 * time.Second // longer than the gap after which an entry takes itself for paused
+	// MaxIsolation of all processes, and an outage of the store longer than
+	// twice that: an agent counts from the last heartbeat of a fresh entry.
+	configIsolation = 2 * time.Second
+	configOutage    = 6 * time.Second
+
+	configStart = 30 * time.Second // for all processes of one size to be ready
+	configLimit = 8 * time.Second  // ConfigMonotonic's limit
 )
 
 // configSizes are the numbers of entries and agents.
@@ -145,6 +151,7 @@
 	}
 	for i := range entries {
 		tune := func(s *awsettings.Entry) {
+			s.Timing.MaxIsolation = awsettings.Duration(configIsolation)
 			if i == entries-1 {
 				base := "http://" + link.Address()
 				s.Platform.TableURL, s.Platform.ObjectURL, s.Platform.OriginURL = base, base, base
@@ -165,7 +172,8 @@
 	}
 	for i := range agents {
 		n := &Node{ID: fmt.Sprintf("agent-%02d", i), Site: Sites[i%len(Sites)], Service: "roster", Backend: "http://" + addr}
-		if err := c.StartAgent(n, nil); err != nil {
+		tune := func(s *awsettings.Agent) { s.Timing.MaxIsolation = awsettings.Duration(configIsolation) }
+		if err := c.StartAgent(n, tune); err != nil {
 			return link, err
 		}
 	}
@@ -331,9 +339,14 @@
 	req := awcontrol.ChangeRequest{Kind: awconfig.KindDomainOut, Target: Sites[1].Domain, Actor: "bench"}
 	_, err := c.Entries[0].Operator().Change(ctx, req)
 	res.OutageRefused = err != nil
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(configOutage):
+	}
 	res.OutageServedOn = true
-	for _, e := range c.Entries {
-		if CheckHTTP(e.Operators+"/readyz") != nil {
+	for _, n := range slices.Concat(c.Entries, c.Agents) {
+		if CheckHTTP(cmp.Or(n.Operators, n.Local)+"/readyz") != nil {
 			res.OutageServedOn = false
 		}
 	}
--- a/io/awagent/inner.go
+++ b/io/awagent/inner.go
@@ -67,7 +67,7 @@
 }
 
 func (s *innerServer) takeView(up *awproto.WatchUp) error {
-	s.agent.contact(up.SourceFresh)
+	s.agent.contact(up.SourceFresh || up.SharedOutage)
 	if len(up.View) == 0 {
 		return nil
 	}
--- a/io/awentry/config.go
+++ b/io/awentry/config.go
@@ -291,6 +291,19 @@
 	return fresh
 }
 
+// sharedOutage reports whether this entry has no fresh source and its peers
+// have none either. An agent that hears this goes on; one that hears only
+// entries that are cut off does not.
+func (c *configSync) sharedOutage() bool {
+	if c.fresh() {
+		return false
+	}
+	now, limit := c.entry.cfg.Clock.Now(), c.entry.cfg.Settings.Timing.MaxIsolation.Std()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.synced && !c.cutOff(now, limit)
+}
+
 // admit returns why this entry may take no new work.
 func (c *configSync) admit() error {
 	now, limit := c.entry.cfg.Clock.Now(), c.entry.cfg.Settings.Timing.MaxIsolation.Std()
--- a/io/awentry/fleet_watch.go
+++ b/io/awentry/fleet_watch.go
@@ -99,7 +99,7 @@
 	changed := f.entry.holder.Changed()
 	s := f.entry.holder.State()
 	up := &awproto.WatchUp{
-		Revision: s.Revision, SourceFresh: f.entry.sync.fresh(),
+		Revision: s.Revision, SourceFresh: f.entry.sync.fresh(), SharedOutage: f.entry.sync.sharedOutage(),
 		PeriodMs: uint32(f.entry.cfg.Settings.Timing.Heartbeat.Std().Milliseconds()),
 	}
 	f.mu.Lock()
