--- a/internal/awproof/machine_test.go
+++ b/internal/awproof/machine_test.go
@@ -331,7 +331,7 @@
 			cands = append(cands, awroute.Candidate{Instance: a.id, Domain: a.domain, InFlight: r.inFlight, Limit: r.limit})
 		}
 	}
-	c, ok := awroute.Pick(cands, m.rng)
+	c, ok := awroute.Pick(cands, awroute.DefaultPick(), m.rng)
 	if !ok {
 		return nil
 	}
--- a/io/awcommand/daemon.go
+++ b/io/awcommand/daemon.go
@@ -46,9 +46,12 @@
 	if err != nil || opts.Check {
 		return checked(err, stderr)
 	}
+	forced, stop := secondSignal()
+	defer stop()
 	return runDaemon(stderr, "awentry", cfg.Process.Instance, cfg.Trace, func(ctx context.Context, env environment) error {
 		return awentry.New(awentry.Config{
 			Settings: cfg, Clock: awclock.System{}, Logger: env.logger, Tracer: env.tracer, Incarnation: incarnation(),
+			Forced: forced,
 		}).Run(ctx)
 	})
 }
--- a/io/awcontrol/log_test.go
+++ b/io/awcontrol/log_test.go
@@ -22,14 +22,23 @@
 
 // platform is a stand-in of the platform with its faults.
 type platform struct {
-	t   *testing.T
-	url string
+	t     require.TestingT
+	url   string
+	store *awstore.Client
+	close func()
 }
 
 func newPlatform(t *testing.T) platform {
+	pl := openPlatform(t)
+	t.Cleanup(pl.close)
+	return pl
+}
+
+func openPlatform(t require.TestingT) platform {
 	srv := httptest.NewServer(awstandin.NewPlatform(awstandin.PlatformConfig{}).Handler())
-	t.Cleanup(srv.Close)
-	return platform{t: t, url: srv.URL}
+	return platform{t: t, url: srv.URL, close: srv.Close, store: awstore.New(awstore.Config{
+		TableURL: srv.URL, ObjectURL: srv.URL, OriginURL: srv.URL, InstanceListURL: srv.URL + "/instances",
+	})}
 }
 
 func (p platform) post(path string, v any) {
@@ -43,9 +52,7 @@
 
 func (p platform) fault(f awstandin.PlatformFault) { p.post("/fault", f) }
 
-func (p platform) client() *awstore.Client {
-	return awstore.New(awstore.Config{TableURL: p.url, ObjectURL: p.url, OriginURL: p.url, InstanceListURL: p.url + "/instances"})
-}
+func (p platform) client() *awstore.Client { return p.store }
 
 // process is the part of an entry that holds the configuration.
 type process struct {
@@ -216,8 +223,11 @@
 // Guards against two histories of the same revisions being mixed when the
 // store was set back and written to before anyone noticed.
 func TestStoreResetAndWrittenTo(t *testing.T) {
-	for _, writes := range []int{1, 2, 5} {
-		t.Run(fmt.Sprint(writes), func(t *testing.T) {
+	for _, c := range []struct {
+		writes  int
+		noticed bool // before the writes; two writes then give the head row the version it had
+	}{{1, false}, {2, false}, {5, false}, {1, true}, {2, true}, {5, true}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
 			pl := newPlatform(t)
 			a := pl.process()
 			a.commit(t, awconfig.KindDomainOut, "serra")
@@ -227,7 +237,10 @@
 			pl.post("/admin/restore", nil)
 			b := pl.process()
 			require.NoError(t, b.log.Poll(t.Context()))
-			for i := range writes {
+			if c.noticed {
+				require.Error(t, a.log.Poll(t.Context()))
+			}
+			for i := range c.writes {
 				b.commit(t, awconfig.KindDomainOut, fmt.Sprintf("other-%d", i))
 			}
 			before := a.holder.State().Digest()
--- /dev/null
+++ b/io/awentry/fleet_watch.go
@@ -0,0 +1,155 @@
+package awentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutuswind/core/awmember"
+	"arbutuswind/io/awproto"
+	"arbutuswind/io/awrpc"
+)
+
+// watchLoop keeps a Watch stream to one agent open until ctx ends.
+func (f *fleet) watchLoop(ctx context.Context, link *agentLink) {
+	for ctx.Err() == nil {
+		_ = f.watch(ctx, link) // the next try follows after a heartbeat period
+		if ctx.Err() == nil {
+			f.suspect(link)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(f.entry.cfg.Settings.Timing.Heartbeat.Std()):
+		}
+	}
+}
+
+// errSilent ends a Watch stream that has shown no life in both directions.
+var errSilent = eris.New("no heartbeat with an echo")
+
+func (f *fleet) watch(ctx context.Context, link *agentLink) error {
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	period := f.entry.cfg.Settings.Timing.Heartbeat.Std()
+	f.mu.Lock()
+	// A link that stalls before its stream is open is ended by judgeAll too.
+	link.live, link.end = awmember.NewLiveness(period, f.entry.cfg.Clock.Now()), end
+	target := awrpc.Target{Address: link.info.Address, Instance: link.info.ID}
+	f.mu.Unlock()
+	defer f.closed(link)
+	stream, err := f.entry.dialer.Agent(ctx, target).Watch(ctx)
+	if err != nil {
+		return err
+	}
+	errs := make(chan error, 2)
+	go func() { errs <- f.receive(stream, link) }()
+	go func() { errs <- f.sendHeartbeats(ctx, stream, link) }()
+	select {
+	case err := <-errs:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (f *fleet) closed(link *agentLink) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	link.end = nil
+}
+
+// sendHeartbeats has its own goroutine, because a stalled link blocks a send.
+func (f *fleet) sendHeartbeats(
+	ctx context.Context, stream awproto.DRPCAgent_WatchClient, link *agentLink,
+) error {
+	for {
+		beat := f.nextBeat()
+		up, changed := f.heartbeat(link)
+		if err := stream.Send(up); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-beat:
+		}
+	}
+}
+
+// suspect takes an agent out of routing. Requests that run there and may be
+// repeated move.
+func (f *fleet) suspect(link *agentLink) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspectLocked(link)
+}
+
+func (f *fleet) suspectLocked(link *agentLink) {
+	if link.report == nil {
+		return
+	}
+	link.report = nil
+	close(link.lost)
+	link.lost = make(chan struct{})
+}
+
+func (f *fleet) heartbeat(link *agentLink) (*awproto.WatchUp, <-chan struct{}) {
+	changed := f.entry.holder.Changed()
+	s := f.entry.holder.State()
+	up := &awproto.WatchUp{
+		Revision: s.Revision, SourceFresh: f.entry.sync.fresh(),
+		PeriodMs: uint32(f.entry.cfg.Settings.Timing.Heartbeat.Std().Milliseconds()),
+	}
+	f.mu.Lock()
+	up.Counter, up.Echo = link.live.Next()
+	behind := link.report == nil || link.report.ViewRevision < s.Revision
+	f.mu.Unlock()
+	if behind {
+		if view, err := f.view(s, link).Encode(); err == nil {
+			up.View = view
+		}
+	}
+	return up, changed
+}
+
+func (f *fleet) receive(stream awproto.DRPCAgent_WatchClient, link *agentLink) error {
+	for {
+		down, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		f.entry.sync.meet(down.GetReport().GetViewRevision(), nil)
+		if err := f.heard(link, down); err != nil {
+			return err
+		}
+		r := down.GetReport()
+		for _, m := range r.GetModels() {
+			f.entry.hasRoom(m.Model, int(r.Limit)-int(r.InFlight))
+		}
+	}
+}
+
+// heard takes a message of an agent. A report counts only once the link is
+// proved in both directions.
+func (f *fleet) heard(link *agentLink, down *awproto.WatchDown) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.entry.cfg.Clock.Now()
+	r := down.GetReport()
+	if !f.table.Heard(link.info.ID, r.GetIncarnation(), now) {
+		return eris.Errorf("report of %s is of an old incarnation", link.info.ID)
+	}
+	link.live.Received(down.Counter, down.Echo, now)
+	link.lastSeen = now
+	if !link.live.Alive(now) {
+		return nil
+	}
+	if link.report != nil && link.report.Incarnation != r.Incarnation {
+		link.prefixes.Reset()
+	}
+	link.report, link.ownAtReport = r, link.own
+	link.prefixes.Add(r.PrefixHashes...)
+	return nil
+}
--- /dev/null
+++ b/io/awentry/sinks.go
@@ -0,0 +1,191 @@
+package awentry
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"arbutuswind/core/awstream"
+	"arbutuswind/io/awhttp"
+	"arbutuswind/io/awproto"
+)
+
+// sink takes the answer of the backend server in order.
+type sink interface {
+	accept(version string)
+	frame(f awstream.Frame) error
+	end(e *awproto.End) error
+	// collects reports whether frames are kept until the end.
+	collects() bool
+	// restart drops what was taken; it returns false when the caller has got
+	// a part of it.
+	restart() bool
+	// fail tells the caller that a started answer broke off; it reports
+	// whether the caller has been told.
+	fail(err error) bool
+}
+
+// sseSink streams tokens to the caller as server-sent events.
+type sseSink struct {
+	w       http.ResponseWriter
+	version string
+	started bool
+	buf     bytes.Buffer
+}
+
+type sseEvent struct {
+	Choices []sseChoice `json:"choices"`
+}
+
+type sseChoice struct {
+	Text         string `json:"text"`
+	Index        int    `json:"index"`
+	FinishReason string `json:"finish_reason,omitempty"`
+}
+
+func (s *sseSink) accept(version string) { s.version = version }
+
+func (s *sseSink) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	s.w.Header().Set("Content-Type", "text/event-stream")
+	s.w.Header().Set("Cache-Control", "no-store")
+	s.w.Header().Set(awhttp.HeaderVersion, s.version)
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *sseSink) event(name string, v any) error {
+	s.start()
+	s.buf.Reset()
+	if name != "" {
+		s.buf.WriteString("event: " + name + "\n")
+	}
+	s.buf.WriteString("data: ")
+	if err := json.NewEncoder(&s.buf).Encode(v); err != nil {
+		return err
+	}
+	s.buf.WriteByte('\n')
+	return s.flush()
+}
+
+func (s *sseSink) flush() error {
+	if _, err := s.w.Write(s.buf.Bytes()); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+func (s *sseSink) frame(f awstream.Frame) error {
+	return s.event("", sseEvent{Choices: []sseChoice{{Text: string(f.Data)}}})
+}
+
+func (s *sseSink) end(e *awproto.End) error {
+	if err := s.event("", sseEvent{Choices: []sseChoice{{FinishReason: e.FinishReason}}}); err != nil {
+		return err
+	}
+	_, err := io.WriteString(s.w, "data: [DONE]\n\n")
+	return err
+}
+
+func (s *sseSink) collects() bool { return false }
+
+func (s *sseSink) restart() bool { return !s.started }
+
+func (s *sseSink) fail(err error) bool {
+	if !s.started {
+		return false
+	}
+	_ = s.event("error", awhttp.NewProblem(err)) // a caller that is gone needs no event
+	return true
+}
+
+// jsonSink collects a completion for one JSON answer.
+type jsonSink struct {
+	model   string
+	version string
+	text    bytes.Buffer
+	tokens  uint32
+	finish  string
+}
+
+type completionReply struct {
+	Object  string      `json:"object"`
+	Model   string      `json:"model"`
+	Choices []sseChoice `json:"choices"`
+	Usage   usage       `json:"usage"`
+}
+
+type usage struct {
+	CompletionTokens uint32 `json:"completion_tokens"`
+}
+
+func (s *jsonSink) accept(version string) { s.version = version }
+
+func (s *jsonSink) frame(f awstream.Frame) error {
+	s.text.Write(f.Data)
+	s.tokens += f.Tokens
+	return nil
+}
+
+func (s *jsonSink) end(e *awproto.End) error {
+	s.finish = e.FinishReason
+	return nil
+}
+
+func (s *jsonSink) collects() bool { return true }
+
+func (s *jsonSink) restart() bool {
+	s.text.Reset()
+	s.tokens = 0
+	return true
+}
+
+func (s *jsonSink) fail(error) bool { return false }
+
+func (s *jsonSink) write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(awhttp.HeaderVersion, s.version)
+	_ = json.NewEncoder(w).Encode(completionReply{ // the caller may be gone
+		Object: "text_completion", Model: s.model, Usage: usage{CompletionTokens: s.tokens},
+		Choices: []sseChoice{{Text: s.text.String(), FinishReason: s.finish}},
+	})
+}
+
+// bufferSink collects the answer of a plain service.
+type bufferSink struct {
+	body        bytes.Buffer
+	status      int
+	contentType string
+}
+
+func (s *bufferSink) accept(string) {}
+
+func (s *bufferSink) frame(f awstream.Frame) error {
+	s.body.Write(f.Data)
+	return nil
+}
+
+func (s *bufferSink) end(e *awproto.End) error {
+	s.status, s.contentType = int(e.Status), e.ContentType
+	return nil
+}
+
+func (s *bufferSink) collects() bool { return true }
+
+func (s *bufferSink) restart() bool {
+	s.body.Reset()
+	return true
+}
+
+func (s *bufferSink) fail(error) bool { return false }
+
+func (s *bufferSink) write(w http.ResponseWriter) {
+	if s.contentType != "" {
+		w.Header().Set("Content-Type", s.contentType)
+	}
+	w.WriteHeader(s.status)
+	_, _ = w.Write(s.body.Bytes()) // the caller may be gone
+}
