Take agents' revisions as evidence of a store that was set back

Cause: found by the state machine (KNOWN-RED: TestSetBackWithoutWitness). After the store was set back and every entry that held the newer state was gone, a new entry committed below the revision of the agents, which ignored the change: a domain stayed in service although operators took it out.

Change: the log is told of every revision that a process is seen to hold. A head row below it is a reset: changes are refused, and accepting the reset goes on above it.

--- a/internal/awproof/proof_test.go
+++ b/internal/awproof/proof_test.go
@@ -251,8 +251,8 @@
 
 // Guards against a domain that stays in service although operators took it
 // out: the store is set back while no entry is left that knows, so a new entry
-// commits below the revision that the agents hold, and they ignore it. It is
-// listed in KNOWN-RED.txt.
+// commits below the revision that the agents hold, and they ignore it. The
+// revisions that agents report are evidence of the set-back store.
 func TestSetBackWithoutWitness(t *testing.T) {
 	m := newMachine("", "config/")
 	e, a := m.entries[0], m.agents[0]
--- a/io/awcontrol/log.go
+++ b/io/awcontrol/log.go
@@ -15,6 +15,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
@@ -104,7 +105,7 @@
 		return fmt.Sprintf("the store is at revision %d with another history than this process at %d: the store was set back; "+
 			"changes are refused until an operator runs `awctl config accept-reset`", e.Store, e.Have)
 	}
-	return fmt.Sprintf("the store is at revision %d, this process at %d: the store was set back; "+
+	return fmt.Sprintf("the store is at revision %d, a process of the system at %d: the store was set back; "+
 		"changes are refused until an operator runs `awctl config accept-reset`", e.Store, e.Have)
 }
 
@@ -129,6 +130,8 @@
 	objects Objects
 	holder  *awconfig.Holder
 
+	witnessed atomic.Uint64 // highest revision that any process was seen to hold
+
 	mu              sync.Mutex
 	version         uint64 // of the head row as last read; 0 before the first change
 	head            Head
@@ -154,10 +157,21 @@
 	return l.poll(ctx)
 }
 
+// Witness notes that a process holds the revision. A store whose head stays
+// below it was set back, also when no entry is left that has the state.
+func (l *Log) Witness(revision uint64) {
+	for {
+		seen := l.witnessed.Load()
+		if revision <= seen || l.witnessed.CompareAndSwap(seen, revision) {
+			return
+		}
+	}
+}
+
 func (l *Log) poll(ctx context.Context) error {
-	// Peers feed the holder as well. Only what was held before the read can
-	// prove that the store is behind.
-	had := l.holder.State()
+	// Peers feed the holder as well. Only what was held or witnessed before
+	// the read can prove that the store is behind.
+	had := max(l.holder.State().Revision, l.witnessed.Load())
 	row, err := l.table.Get(ctx, headKey, l.version)
 	switch {
 	case errors.Is(err, awstore.ErrNotModified):
@@ -179,10 +193,10 @@
 	return l.compare(had)
 }
 
-// compare checks the head as last read against a state held before that.
-func (l *Log) compare(had *awconfig.State) error {
-	if l.head.Revision < had.Revision {
-		return l.noteReset(&ResetError{Have: had.Revision, Store: l.head.Revision})
+// compare checks the head as last read against a revision known before that.
+func (l *Log) compare(had uint64) error {
+	if l.head.Revision < had {
+		return l.noteReset(&ResetError{Have: had, Store: l.head.Revision})
 	}
 	l.reset = nil
 	return nil
@@ -327,7 +341,7 @@
 	}
 	l.version = row.Version
 	base := l.holder.State().Clone()
-	base.Revision = max(base.Revision, stored.Revision)
+	base.Revision = max(base.Revision, stored.Revision, l.witnessed.Load())
 	c := awconfig.Change{
 		Revision: base.Revision + 1, ChangeID: uuid.NewString(), Kind: awconfig.KindStoreResetAccepted,
 		Actor: actor, Reason: reason,
--- a/io/awcontrol/log_test.go
+++ b/io/awcontrol/log_test.go
@@ -220,6 +220,31 @@
 	require.Error(t, err, "there is nothing to accept")
 }
 
+// Guards against a new process that commits on top of a store that was set
+// back while no entry is left that has the state; agents still tell its
+// revision.
+func TestStoreResetWitnessedByAgents(t *testing.T) {
+	pl := newPlatform(t)
+	a := pl.process()
+	a.commit(t, awconfig.KindDomainOut, "serra")
+	pl.post("/admin/save", nil)
+	a.commit(t, awconfig.KindDomainOut, "litoral")
+	pl.post("/admin/restore", nil)
+
+	b := pl.process()
+	require.NoError(t, b.log.Poll(t.Context()))
+	b.log.Witness(2)
+	var reset *awcontrol.ResetError
+	_, err := b.log.Commit(t.Context(), 1, awconfig.Change{Kind: awconfig.KindDomainOut, Target: "planalto", Actor: "ana"})
+	require.ErrorAs(t, err, &reset)
+	require.Equal(t, uint64(2), reset.Have)
+
+	c, err := b.log.AcceptReset(t.Context(), "ana", "the store was restored")
+	require.NoError(t, err)
+	require.Equal(t, uint64(3), c.Revision, "above every revision that is in force anywhere")
+	b.commit(t, awconfig.KindDomainOut, "planalto")
+}
+
 // Guards against two histories of the same revisions being mixed when the
 // store was set back and written to before anyone noticed.
 func TestStoreResetAndWrittenTo(t *testing.T) {
