Stop asking agents that cannot meet the deadline

Cause: with the entry's new retry loop, a request that every agent refused because its deadline cannot be met was sent again at the shortest backoff until the deadline passed. Change: once every agent was asked and the last refusal names the deadline, the entry returns that refusal, which is not-run. awbench burst counts the failed requests by what the caller saw.

--- a/internal/awbench/burst.go
+++ b/internal/awbench/burst.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"arbutuswind/internal/awstandin"
+	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awsettings"
 )
 
@@ -30,9 +31,10 @@
 	WholeP99Ms        float64
 	Whole             int
 	NotRun            int
-	Failed            int // neither whole nor not-run
-	FalseNotRun       int // called not-run and started at an engine
-	Doubled           int // starts of a prompt beyond the first
+	Failed            int            // neither whole nor not-run
+	Faults            map[string]int // of the failed, by what the caller saw
+	FalseNotRun       int            // called not-run and started at an engine
+	Doubled           int            // starts of a prompt beyond the first
 	ColdOverloads     int
 }
 
@@ -211,13 +213,14 @@
 	notRun  []string // prompts
 	prompts []string
 	failed  int
+	faults  map[string]int
 	inTime  int // whole answers that ended while load was offered
 	began   time.Time
 }
 
 // offer sends requests at a fixed rate, whatever becomes of them.
 func (b *burst) offer(ctx context.Context, perSecond float64) {
-	b.offered, b.good = map[string]int{}, map[string]int{}
+	b.offered, b.good, b.faults = map[string]int{}, map[string]int{}, map[string]int{}
 	var wg sync.WaitGroup
 	b.began = time.Now()
 	for i := 0; ; i++ {
@@ -254,9 +257,23 @@
 		b.notRun = append(b.notRun, call.Prompt)
 	default:
 		b.failed++
+		b.faults[fault(a, err)]++
 	}
 }
 
+// fault names what a caller saw of a request that failed.
+func fault(a Answer, err error) string {
+	if err != nil {
+		return "broken connection"
+	}
+	if a.Whole {
+		return "whole after the deadline"
+	}
+	var p awhttp.Problem
+	_ = json.Unmarshal(a.Body, &p) // an empty reason is shown as such
+	return fmt.Sprintf("%d %s %s: %s", a.Status, a.Outcome, p.Reason, p.Detail)
+}
+
 func (b *burst) served(team string) float64 {
 	return float64(b.good[team]) / float64(max(1, b.offered[team]))
 }
@@ -284,6 +301,12 @@
 	res.Whole += len(b.whole)
 	res.NotRun += len(b.notRun)
 	res.Failed += b.failed
+	if res.Faults == nil {
+		res.Faults = map[string]int{}
+	}
+	for what, n := range b.faults {
+		res.Faults[what] += n
+	}
 	return nil
 }
 
--- a/io/awentry/wait.go
+++ b/io/awentry/wait.go
@@ -34,6 +34,11 @@
 			return target{}, err
 		}
 	}
+	if x.waited != nil && x.waited.Reason == awoutcome.Deadline && x.asm.NextToken() == 0 {
+		// Every agent was asked, and the time left only shrinks. Asking again
+		// until the deadline costs the agents more than the work itself.
+		return target{}, x.waited
+	}
 	var evicted atomic.Bool
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
