--- a/io/awentry/config_test.go
+++ b/io/awentry/config_test.go
@@ -205,14 +205,17 @@
 	step(time.Second)
 	require.False(t, e.sync.fresh())
 	require.ErrorContains(t, e.ready(), "isolated")
+	require.False(t, e.sync.sharedOutage(), "agents that hear only this entry are cut off too")
 
 	hear("near", true, 600_000)
 	require.Error(t, e.ready(), "the own region may be cut off as a whole")
 	hear("far", true, 600_000)
 	require.NoError(t, e.ready(), "the store is down for all")
 	require.False(t, e.sync.fresh())
+	require.True(t, e.sync.sharedOutage(), "agents go on")
 	hear("far", true, age)
 	require.True(t, e.sync.fresh())
+	require.False(t, e.sync.sharedOutage())
 	step(limit - age*time.Millisecond)
 	require.True(t, e.sync.fresh())
 	step(time.Second)
@@ -300,15 +303,22 @@
 	e.sync.learn(list)
 	reached := map[string]bool{}
 	for revision := uint64(1); revision <= 100; revision++ {
-		targets := e.sync.offerTargets(revision)
-		require.Len(t, targets, offerTo)
-		for _, target := range targets {
+		once, again := e.sync.offerTargets(revision, 0), e.sync.offerTargets(revision, 1)
+		require.Len(t, once, offerTo)
+		require.Len(t, again, offerTo)
+		for _, target := range append(once, again...) {
 			reached[target.Instance] = true
 		}
 	}
 	require.Len(t, reached, 30)
 	for i := range 29 {
-		e.sync.meet(200, &awproto.ProcessIdentity{Process: "awentry", Instance: fmt.Sprintf("entry-%d", i)})
+		e.sync.meet(200, &awproto.ProcessIdentity{Process: "awentry", Instance: fmt.Sprintf("entry-%d", i), Address: "127.0.0.1:1"})
 	}
-	require.Equal(t, []awrpc.Target{{Instance: "entry-29"}}, e.sync.offerTargets(200), "who has it is not told")
+	require.Equal(t, []awrpc.Target{{Instance: "entry-29"}}, e.sync.offerTargets(200, 0), "who has it is not told")
+	early := &awproto.ProcessIdentity{Process: "awentry", Instance: "early", Address: "127.0.0.1:2"}
+	e.sync.meet(1, early)
+	e.sync.learn(list)
+	require.Len(t, e.sync.offerTargets(200, 0), 2, "one that the list does not show yet is a peer")
+	e.sync.meet(1, &awproto.ProcessIdentity{Process: "awagent", Instance: "agent", Address: "127.0.0.1:3"})
+	require.Len(t, e.sync.offerTargets(200, 0), 2, "agents are none")
 }
