Warm up returned backend servers on a small part of the requests

Cause: idle backend servers in cold start won most choices against warm ones, so a returned domain answered about one request in a hundred several times slower, which is where the p99 lies. Change: against a warm backend server that is not busy a cold one wins with a chance of 0.4.

--- a/core/awroute/awroute.go
+++ b/core/awroute/awroute.go
@@ -49,12 +49,15 @@
 	SpillLoad   float64 // load from which farther candidates join
 	SpillWaitMs uint32  // reported wait from which farther candidates join
 	PrefixSlack float64 // load that a prefix hit may be above the alternative
+	ColdChance  float64 // with which a cold candidate wins against a warm one that is not busy
 }
 
 // DefaultPick returns the bounds used by entries. A farther domain costs a few
-// milliseconds; waiting behind a batch costs tens.
+// milliseconds; waiting behind a batch costs tens. Backend servers in cold
+// start answer several times slower, so they warm up on a small part of the
+// requests while others have room.
 func DefaultPick() PickConfig {
-	return PickConfig{SpillLoad: 0.75, SpillWaitMs: 20, PrefixSlack: 0.1}
+	return PickConfig{SpillLoad: 0.75, SpillWaitMs: 20, PrefixSlack: 0.1, ColdChance: 0.4}
 }
 
 // Pick chooses a candidate, or none. Candidates with room come first, the
@@ -101,6 +104,19 @@
 	}
 	first := indexOf(cands, a)
 	b := cands[draw(cands, first, rng)]
+	if a.Cold != b.Cold {
+		warm, cold := a, b
+		if a.Cold {
+			warm, cold = b, a
+		}
+		if warm.load() < cfg.SpillLoad && rng.Float64() >= cfg.ColdChance {
+			return warm
+		}
+		if cold.load() < warm.load() || warm.free() == 0 {
+			return cold
+		}
+		return warm
+	}
 	return better(a, b, cfg)
 }
 
@@ -136,12 +152,12 @@
 	return last
 }
 
-// better compares two candidates. A warm one with room wins over a cold one at
-// equal load; a prefix hit decides only among loads that are close, so that a
-// popular prefix cannot pile requests on one backend server.
+// better compares two candidates that are both warm or both cold. A prefix hit
+// decides only among loads that are close, so that a popular prefix cannot
+// pile requests on one backend server.
 func better(a, b Candidate, cfg PickConfig) Candidate {
 	la, lb := a.load(), b.load()
-	if a.PrefixHit != b.PrefixHit && a.Cold == b.Cold && la-lb <= cfg.PrefixSlack && lb-la <= cfg.PrefixSlack {
+	if a.PrefixHit != b.PrefixHit && la-lb <= cfg.PrefixSlack && lb-la <= cfg.PrefixSlack {
 		if a.PrefixHit {
 			return a
 		}
@@ -155,8 +171,6 @@
 		return a
 	case lb < la:
 		return b
-	case la == lb && a.Cold && !b.Cold:
-		return b
 	}
 	return a
 }
--- a/core/awroute/awroute_test.go
+++ b/core/awroute/awroute_test.go
@@ -168,6 +168,24 @@
 	require.Equal(t, "warm", c.Instance)
 }
 
+// Guards against a returned domain whose cold backend servers get most of the
+// requests because they are idle, and against one that never warms up.
+func TestColdAgentsGetAFewRequests(t *testing.T) {
+	rng := rand.New(rand.NewPCG(9, 9))
+	cands := append(agentsOf("back", SameDomain, 3, 2), agentsOf("far", Far, 6, 64)...)
+	for i := range cands {
+		cands[i].Cold, cands[i].InFlight = cands[i].Limit == 2, cands[i].Limit/8
+	}
+	cold := 0
+	for range 10000 {
+		if c, _ := Pick(cands, DefaultPick(), rng); c.Cold {
+			cold++
+		}
+	}
+	require.Less(t, cold, 200)
+	require.Greater(t, cold, 50)
+}
+
 // Guards against affinity that overrules load: a prefix hit wins among close
 // loads only.
 func TestPrefixAffinityIsBounded(t *testing.T) {
