Read what a stopped agent sent before its requests are moved

Cause: when an agent ended its graceful stop, the loss of its Watch stream cancelled requests whose last frames were still unread; the resume from behind the last token was then refused as a bad request. Change: requests over a lost link end 500 ms later, and an answer that has every permitted token ends without another attempt.

--- a/io/awentry/dispatch.go
+++ b/io/awentry/dispatch.go
@@ -59,6 +59,10 @@
 	return err
 }
 
+// errComplete marks an answer that has all the tokens it may have; only its
+// end event was lost.
+var errComplete = errors.New("answer has every permitted token")
+
 func (x *exchange) run(ctx context.Context) error {
 	for {
 		t, err := x.choose(ctx)
@@ -69,7 +73,11 @@
 		if err == nil {
 			return nil
 		}
-		if err := x.next(ctx, t, err); err != nil {
+		err = x.next(ctx, t, err)
+		if errors.Is(err, errComplete) {
+			return callerError(x.out.end(&awproto.End{Tokens: x.asm.NextToken(), FinishReason: "length"}))
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -113,6 +121,9 @@
 	if action == awretry.Stop {
 		return err
 	}
+	if action == awretry.Resume && x.asm.NextToken() >= x.start.MaxTokens {
+		return errComplete
+	}
 	x.exclude[t.Instance] = true
 	x.waited, x.waits = oe, 0
 	if oe.Outcome == awoutcome.NotRun {
--- a/io/awentry/dispatch_test.go
+++ b/io/awentry/dispatch_test.go
@@ -251,3 +251,22 @@
 	require.ErrorAs(t, bodyError(os.ErrDeadlineExceeded, 1), &oe)
 	require.Equal(t, http.StatusRequestTimeout, awhttp.Status(oe.Reason))
 }
+
+// Guards GracefulStop against an agent that ends between the last permitted
+// token and the end of the answer: there is nothing left to resume.
+func TestLostEndOfCompleteAnswer(t *testing.T) {
+	first := &scriptedAgent{digest: "d", serve: func(s *scriptedAgent, stream awproto.DRPCAgent_ServeStream, _ *awproto.ServeStart) error {
+		_ = stream.Send(&awproto.ServeDown{Body: &awproto.ServeDown_Accepted{Accepted: &awproto.Accepted{VersionDigest: s.digest}}})
+		_ = stream.Send(&awproto.ServeDown{Body: &awproto.ServeDown_Frame{Frame: &awproto.Frame{
+			Tokens: 3, Data: []byte("abc"), VersionDigest: s.digest,
+		}}})
+		<-s.seen
+		return errBroken
+	}, seen: make(chan struct{}, 1)}
+	second := &scriptedAgent{digest: "d", serve: breakLink}
+	e, w := withAgents(t, first, second), httptest.NewRecorder()
+	start := &awproto.ServeStart{Model: "m", MaxTokens: 3, Repeatable: true}
+	require.NoError(t, dispatch(e, start, notingSink{&sseSink{w: w}, first.seen}))
+	require.Empty(t, second.starts)
+	require.Contains(t, w.Body.String(), "[DONE]")
+}
--- a/io/awentry/fleet_watch.go
+++ b/io/awentry/fleet_watch.go
@@ -78,6 +78,10 @@
 	}
 }
 
+// lostGrace is the time between the loss of a link and the end of the requests
+// sent over it.
+const lostGrace = 500 * time.Millisecond
+
 // suspect takes an agent out of routing. Requests that run there and may be
 // repeated move.
 func (f *fleet) suspect(link *agentLink) {
@@ -91,7 +95,9 @@
 		return
 	}
 	link.report = nil
-	link.lose()
+	// A process that has ended breaks the connections of its requests itself,
+	// and what it sent before may still be unread.
+	time.AfterFunc(lostGrace, link.lose)
 	link.renew()
 }
 
