Cut wake-ups on the way to the first token

A message of its own (Accepted) went before the first token.

Change: setting Process.Processors, 1 by default in both daemons, which also keeps the agent from competing with its backend server. The first frame stands for Accepted.

--- a/internal/awbench/cluster.go
+++ b/internal/awbench/cluster.go
@@ -167,7 +167,7 @@
 	}
 	n := &Node{ID: id, Site: site, Inner: addrs[0], Callers: "http://" + addrs[1], Operators: "http://" + addrs[2]}
 	cfg := awsettings.DefaultEntry()
-	cfg.Process = awsettings.Process{Instance: id, Domain: site.Domain, Region: site.Region}
+	cfg.Process.Instance, cfg.Process.Domain, cfg.Process.Region = id, site.Domain, site.Region
 	cfg.Listen = awsettings.EntryListen{Inner: addrs[0], Callers: addrs[1], Operators: addrs[2]}
 	cfg.Platform = c.platformSettings()
 	cfg.TLS.Plain = true
@@ -197,7 +197,7 @@
 		n.Inner = addrs[0]
 	}
 	cfg := awsettings.DefaultAgent()
-	cfg.Process = awsettings.Process{Instance: n.ID, Domain: n.Site.Domain, Region: n.Site.Region}
+	cfg.Process.Instance, cfg.Process.Domain, cfg.Process.Region = n.ID, n.Site.Domain, n.Site.Region
 	cfg.Listen = awsettings.AgentListen{Inner: addrs[0], Advertised: n.Inner, Local: addrs[1]}
 	cfg.Platform = c.platformSettings()
 	cfg.TLS.Plain = true
--- a/io/awagent/complete.go
+++ b/io/awagent/complete.go
@@ -75,9 +75,6 @@
 		return "", r.startFailure(ctx, err)
 	}
 	defer events.Close()
-	if err := r.accept(); err != nil {
-		return "", err
-	}
 	r.stall = time.AfterFunc(pausedLimit, r.stalled)
 	defer r.stall.Stop()
 	return r.forward(ctx, events, silence)
@@ -93,7 +90,7 @@
 			if err := r.position.Finish(finish, r.start.MaxTokens); err != nil {
 				return "", err
 			}
-			return finish, nil
+			return finish, r.accept()
 		}
 		if err != nil {
 			return "", r.broken(ctx, err)
--- a/io/awagent/serve.go
+++ b/io/awagent/serve.go
@@ -93,7 +93,6 @@
 	timer    *countdown
 	version  string // digest of the version that serves the request
 	frames   uint64
-	accepted bool
 	position awstream.Position
 	stall    *time.Timer // runs while a token waits to be delivered
 
@@ -117,12 +116,12 @@
 	}
 }
 
-// accept tells the entry which version answers, once.
+// accept tells the entry which version answers when no frame has done so: a
+// message of its own before the first token would delay that.
 func (r *run) accept() error {
-	if r.accepted {
+	if r.frames > 0 {
 		return nil
 	}
-	r.accepted = true
 	accepted := &awproto.Accepted{VersionDigest: r.version, Revision: r.agent.revision()}
 	return r.stream.Send(&awproto.ServeDown{Body: &awproto.ServeDown_Accepted{Accepted: accepted}})
 }
--- a/io/awcommand/daemon.go
+++ b/io/awcommand/daemon.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -48,7 +49,7 @@
 	}
 	forced, stop := secondSignal()
 	defer stop()
-	return runDaemon(stderr, "awentry", cfg.Process.Instance, cfg.Trace, func(ctx context.Context, env environment) error {
+	return runDaemon(stderr, "awentry", cfg.Process, cfg.Trace, func(ctx context.Context, env environment) error {
 		return awentry.New(awentry.Config{
 			Settings: cfg, Clock: awclock.System{}, Logger: env.logger, Tracer: env.tracer, Incarnation: incarnation(),
 			Forced: forced,
@@ -68,7 +69,7 @@
 	}
 	forced, stop := secondSignal()
 	defer stop()
-	return runDaemon(stderr, "awagent", cfg.Process.Instance, cfg.Trace, func(ctx context.Context, env environment) error {
+	return runDaemon(stderr, "awagent", cfg.Process, cfg.Trace, func(ctx context.Context, env environment) error {
 		return awagent.New(awagent.Config{
 			Settings: cfg, Clock: awclock.System{}, Logger: env.logger, Tracer: env.tracer, Incarnation: incarnation(),
 			Forced: forced,
@@ -138,8 +139,13 @@
 
 const flushTimeout = 2 * time.Second
 
-func runDaemon(stderr io.Writer, name, instance string, tr awsettings.Trace, run func(context.Context, environment) error) int {
-	logger := awtelemetry.NewLogger(stderr, name, instance)
+func runDaemon(
+	stderr io.Writer, name string, p awsettings.Process, tr awsettings.Trace, run func(context.Context, environment) error,
+) int {
+	if p.Processors > 0 {
+		runtime.GOMAXPROCS(p.Processors)
+	}
+	logger := awtelemetry.NewLogger(stderr, name, p.Instance)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	tracer, flush, err := awtelemetry.NewTracer(ctx, awtelemetry.TraceConfig{Endpoint: tr.Endpoint, SampleRatio: tr.SampleRatio}, name)
--- a/io/awentry/attempt.go
+++ b/io/awentry/attempt.go
@@ -59,8 +59,8 @@
 	r := &receiver{entry: e, req: req, stream: stream, asm: asm, out: out, window: int(start.CreditBytes)}
 	if start.Service != nil {
 		// Plain services have no weights, and their agents send no Accepted.
-		if err := asm.Begin(""); err != nil {
-			return streamError(err)
+		if err := r.begin(""); err != nil {
+			return err
 		}
 	}
 	err = stream.Send(&awproto.ServeUp{Body: &awproto.ServeUp_Start{Start: start}})
@@ -117,6 +117,7 @@
 	asm      *awstream.Assembler
 	out      sink
 	answered bool // the agent has sent something
+	begun    bool // the weights that answer are known
 	window   int  // credit granted at the start
 	owed     int  // credit of frames that the caller took, not returned yet
 }
@@ -133,11 +134,14 @@
 			r.entry.sync.meet(b.Refusal.Revision, nil)
 			return refusalError(b.Refusal)
 		case *awproto.ServeDown_Accepted:
-			if err := r.asm.Begin(b.Accepted.VersionDigest); err != nil {
-				return streamError(err)
+			if err := r.begin(b.Accepted.VersionDigest); err != nil {
+				return err
 			}
-			r.out.accept(b.Accepted.VersionDigest)
 		case *awproto.ServeDown_Frame:
+			// The first frame stands for Accepted as well.
+			if err := r.begin(b.Frame.VersionDigest); err != nil {
+				return err
+			}
 			if err := r.frame(b.Frame); err != nil {
 				return err
 			}
@@ -152,6 +156,19 @@
 	}
 }
 
+// begin takes the weights that answer from the first message that names them.
+func (r *receiver) begin(digest string) error {
+	if r.begun {
+		return nil
+	}
+	r.begun = true
+	if err := r.asm.Begin(digest); err != nil {
+		return streamError(err)
+	}
+	r.out.accept(digest)
+	return nil
+}
+
 func (r *receiver) frame(f *awproto.Frame) error {
 	err := r.asm.Add(awstream.Frame{
 		Number: f.Number, FirstToken: f.FirstToken, Tokens: f.Tokens, Data: f.Data, Digest: f.VersionDigest,
--- a/io/awsettings/awsettings.go
+++ b/io/awsettings/awsettings.go
@@ -39,6 +39,10 @@
 	Instance string // unique name of the instance
 	Domain   string // failure domain
 	Region   string
+	// Processors bounds the processors that run Go code at once; 0 means all.
+	// On an idle machine each hand-over between two of them costs a wake-up
+	// of tens of microseconds.
+	Processors int
 }
 
 // Platform names the services of the platform.
--- a/io/awsettings/daemons.go
+++ b/io/awsettings/daemons.go
@@ -121,6 +121,7 @@
 // DefaultEntry returns the settings of awentry with every default.
 func DefaultEntry() Entry {
 	return Entry{
+		Process:  Process{Processors: 1},
 		Platform: Platform{Timeout: seconds(2)},
 		Trace:    Trace{SampleRatio: 0.01},
 		Limits: EntryLimits{
@@ -138,6 +139,7 @@
 // DefaultAgent returns the settings of awagent with every default.
 func DefaultAgent() Agent {
 	return Agent{
+		Process:  Process{Processors: 1},
 		Platform: Platform{Timeout: seconds(2)},
 		Trace:    Trace{SampleRatio: 0.01},
 		Backend:  Backend{Fencing: "checked"},
@@ -179,6 +181,7 @@
 	f.require(p.Instance != "", "Process.Instance", "missing; want the unique name of the instance")
 	f.require(p.Domain != "", "Process.Domain", "missing; want the failure domain of the instance")
 	f.require(p.Region != "", "Process.Region", "missing; want the region of the instance")
+	f.require(p.Processors >= 0, "Process.Processors", "%d is not allowed; want 0 or more", p.Processors)
 	f.require(t.Plain || (t.Certificate != "" && t.Key != "" && t.CA != ""), "TLS",
 		"want Certificate, Key and CA, or Plain = true for plain TCP")
 	f.require(tr.SampleRatio >= 0 && tr.SampleRatio <= 1, "Trace.SampleRatio", "%v is not allowed; want 0 to 1", tr.SampleRatio)
--- a/io/awsettings/document.go
+++ b/io/awsettings/document.go
@@ -34,6 +34,7 @@
 	"Process.Instance":         {unitText, required, "Unique name of the instance; also the name in its certificate."},
 	"Process.Domain":           {unitText, required, "Failure domain of the instance."},
 	"Process.Region":           {unitText, required, "Region of the instance."},
+	"Process.Processors":       {"count", "0 or more", "Processors that run Go code at once; 0 means all. One gives the least latency until it is busy."},
 	"Platform.TableURL":        {"URL", "required for awentry", "Table service."},
 	"Platform.ObjectURL":       {"URL", "URL", "Object store, for snapshots of the configuration."},
 	"Platform.OriginURL":       {"URL", "URL", "Origin of the weights."},
