--- a/core/awconfig/change.go
+++ b/core/awconfig/change.go
@@ -19,6 +19,7 @@
 	KindInstanceReturn     Kind = "InstanceReturn"
 	KindHaltVersion        Kind = "HaltVersion"
 	KindPlace              Kind = "Place"
+	KindTeamLimit          Kind = "TeamLimit"
 	KindStoreResetAccepted Kind = "StoreResetAccepted"
 )
 
@@ -33,6 +34,7 @@
 
 	Models     []Model              `json:",omitempty"` // ApplySheet
 	Teams      map[string]Team      `json:",omitempty"` // ApplySheet
+	Rate       float64              `json:",omitempty"` // TeamLimit: requests a second; 0 lifts the limit
 	Placements map[string]Placement `json:",omitempty"` // Place: set; an empty Model removes
 }
 
@@ -72,6 +74,10 @@
 		next.Instances[c.Target] = InstanceState{Drained: c.Kind == KindInstanceDrain, Since: c.Revision}
 	case KindHaltVersion:
 		next.Halted[c.Target] = c.Reason
+	case KindTeamLimit:
+		team := next.Teams[c.Target]
+		team.RequestsPerSecond = c.Rate
+		next.Teams[c.Target] = team
 	case KindPlace:
 		next.place(c)
 	case KindStoreResetAccepted:
@@ -104,6 +110,8 @@
 		return s.Domains[c.Target].Out == (c.Kind == KindDomainOut)
 	case KindInstanceDrain, KindInstanceReturn:
 		return s.Instances[c.Target].Drained == (c.Kind == KindInstanceDrain)
+	case KindTeamLimit:
+		return s.Teams[c.Target].RequestsPerSecond == c.Rate
 	case KindHaltVersion:
 		_, halted := s.Halted[c.Target]
 		return halted
@@ -130,6 +138,8 @@
 		return "instance " + c.Target
 	case KindHaltVersion:
 		return "version " + c.Target
+	case KindTeamLimit:
+		return "team " + c.Target
 	}
 	return string(c.Kind)
 }
--- a/core/awledger/key.go
+++ b/core/awledger/key.go
@@ -12,12 +12,15 @@
 // cannot be part of a row key. The separator "/" is excluded, so that two
 // pairs of team and key never share a row.
 func CheckNames(team, key string) error {
-	if err := checkName("team", team, MaxTeamBytes); err != nil {
+	if err := CheckTeam(team); err != nil {
 		return err
 	}
 	return checkName("Idempotency-Key", key, MaxKeyBytes)
 }
 
+// CheckTeam reports whether the name of a team may stand in a row key.
+func CheckTeam(team string) error { return checkName("team", team, MaxTeamBytes) }
+
 func checkName(what, s string, most int) error {
 	if s == "" || len(s) > most {
 		return fmt.Errorf("%s of %d bytes is not allowed; want 1 to %d", what, len(s), most)
--- a/internal/awbench/cost.go
+++ b/internal/awbench/cost.go
@@ -41,9 +41,9 @@
 			continue // a comment
 		}
 		switch name {
-		case "RpcSentBytes", "RpcReceivedBytes":
+		case "arbutuswind_rpc_sent_bytes_total", "arbutuswind_rpc_received_bytes_total":
 			r.RPCBytes += v
-		case "StoreSentBytes", "StoreReceivedBytes":
+		case "arbutuswind_store_sent_bytes_total", "arbutuswind_store_received_bytes_total":
 			r.StoreBytes += v
 		}
 	}
--- a/io/awcommand/ctl.go
+++ b/io/awcommand/ctl.go
@@ -144,6 +144,9 @@
 			{"drain", "Send an instance no new work", "Example: awctl instance drain engine-7", change(awconfig.KindInstanceDrain)},
 			{"return", "Return an instance to service", "Example: awctl instance return engine-7", change(awconfig.KindInstanceReturn)},
 		}},
+		{"team", "Limit teams", []subcommand{
+			{"limit", "Limit the requests a second of a team over all entries", "A rate of 0 lifts the limit.\n\nExample: awctl team limit kitchen 50", &teamLimitCommand{ctl: c}},
+		}},
 		{"config", "Look at the log of the configuration", []subcommand{
 			{"history", "Show the last changes", "Example: awctl config history -n 50", &historyCommand{ctl: c}},
 			{"accept-reset", "Go on after the store was set back", "Keeps the newest configuration that the entry holds and continues the log above it.\n\nExample: awctl config accept-reset --reason 'store restored from backup'", &acceptResetCommand{ctl: c}},
--- a/io/awcommand/ctlcommands.go
+++ b/io/awcommand/ctlcommands.go
@@ -136,6 +136,30 @@
 	return a.ctl.finish(ctx, acc, a.waitOptions)
 }
 
+type teamLimitCommand struct {
+	command
+	waitOptions
+	ctl    *ctl
+	Reason string `long:"reason" description:"recorded with the change"`
+	Base   uint64 `long:"base" value-name:"REVISION" description:"refuse when an operator's change was committed after this revision"`
+	Args   struct {
+		Team string  `positional-arg-name:"TEAM"`
+		Rate float64 `positional-arg-name:"REQUESTS-PER-SECOND"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func (a *teamLimitCommand) limit() time.Duration { return a.waitOptions.limit() }
+
+func (a *teamLimitCommand) run(ctx context.Context) error {
+	acc, err := a.ctl.client().Change(ctx, awcontrol.ChangeRequest{
+		Kind: awconfig.KindTeamLimit, Target: a.Args.Team, Rate: a.Args.Rate, Actor: a.ctl.opts.Actor, Reason: a.Reason, Base: a.Base,
+	})
+	if err != nil {
+		return err
+	}
+	return a.ctl.finish(ctx, acc, a.waitOptions)
+}
+
 type statusCommand struct {
 	command
 	ctl *ctl
--- a/io/awcontrol/api.go
+++ b/io/awcontrol/api.go
@@ -9,8 +9,10 @@
 	"strconv"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/rotisserie/eris"
 
 	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awledger"
 	"arbutuswind/core/awsheet"
 	"arbutuswind/io/awstore"
 )
@@ -96,15 +98,36 @@
 	}
 	switch req.Kind {
 	case awconfig.KindDomainOut, awconfig.KindDomainIn, awconfig.KindInstanceDrain, awconfig.KindInstanceReturn:
+		if err := s.known(r.Context(), req.Kind, req.Target); err != nil {
+			replyError(w, err)
+			return
+		}
+	case awconfig.KindTeamLimit:
+		if err := checkLimit(req); err != nil {
+			reply(w, http.StatusUnprocessableEntity, Refusal{Error: err.Error()})
+			return
+		}
 	default:
-		reply(w, http.StatusBadRequest, Refusal{Error: "Kind must be DomainOut, DomainIn, InstanceDrain or InstanceReturn"})
+		reply(w, http.StatusBadRequest, Refusal{Error: "Kind must be DomainOut, DomainIn, InstanceDrain, InstanceReturn or TeamLimit"})
 		return
 	}
-	if err := s.known(r.Context(), req.Kind, req.Target); err != nil {
-		replyError(w, err)
-		return
+	s.commit(w, r, req.Base, awconfig.Change{
+		Kind: req.Kind, Target: req.Target, Actor: req.Actor, Reason: req.Reason, Rate: req.Rate,
+	})
+}
+
+// maxTeamRate is far above what a whole fleet answers.
+const maxTeamRate = 1e6
+
+// checkLimit checks a TeamLimit. A team need not be known: callers name it.
+func checkLimit(req ChangeRequest) error {
+	if err := awledger.CheckTeam(req.Target); err != nil {
+		return err
+	}
+	if req.Rate < 0 || req.Rate > maxTeamRate {
+		return eris.Errorf("%v requests a second are not allowed; want 0 (no limit) to %v", req.Rate, maxTeamRate)
 	}
-	s.commit(w, r, req.Base, awconfig.Change{Kind: req.Kind, Target: req.Target, Actor: req.Actor, Reason: req.Reason})
+	return nil
 }
 
 func (s *Server) acceptReset(w http.ResponseWriter, r *http.Request) {
--- a/io/awcontrol/log.go
+++ b/io/awcontrol/log.go
@@ -147,7 +147,7 @@
 func changeKey(revision uint64) string { return fmt.Sprintf("%s%020d", changePrefix, revision) }
 
 // resets counts how often this process found the store set back.
-var resets = metrics.NewCounter("ConfigStoreReset")
+var resets = metrics.NewCounter("arbutuswind_config_store_resets_total")
 
 // Poll reads the head row if it changed and brings the holder up to it. It
 // returns a [ResetError] when the store was set back.
--- a/io/awcontrol/types.go
+++ b/io/awcontrol/types.go
@@ -77,8 +77,9 @@
 	Kind   awconfig.Kind
 	Target string
 	Actor  string
-	Reason string `json:",omitempty"`
-	Base   uint64 // revision the operator looked at; 0 means the newest
+	Reason string  `json:",omitempty"`
+	Rate   float64 `json:",omitempty"` // TeamLimit: requests a second; 0 lifts the limit
+	Base   uint64  // revision the operator looked at; 0 means the newest
 }
 
 // SheetReport is the answer to a sheet that is only checked.
--- a/io/awentry/pull.go
+++ b/io/awentry/pull.go
@@ -124,7 +124,7 @@
 	return nil
 }
 
-var pulledSnapshots = metrics.NewCounter("ConfigPeerSnapshots")
+var pulledSnapshots = metrics.NewCounter("arbutuswind_config_peer_snapshots_total")
 
 // takeOver applies the answer of a peer; its digest must match.
 func takeOver(holder *awconfig.Holder, have *awconfig.State, reply *awproto.PullConfigReply) error {
--- a/io/awentry/rates.go
+++ b/io/awentry/rates.go
@@ -25,7 +25,7 @@
 	shareTo = 8
 )
 
-var rateLimited = metrics.NewCounter("awentry_rate_limited_total")
+var rateLimited = metrics.NewCounter("arbutuswind_entry_rate_limited_total")
 
 // admitTeam counts a request against its team's share.
 func (e *Entry) admitTeam(team string) error {
--- a/io/awentry/telemetry.go
+++ b/io/awentry/telemetry.go
@@ -11,13 +11,13 @@
 
 // Metrics of the request path.
 var (
-	ejections    = metrics.NewCounter("awentry_ejections_total")
-	resumes      = metrics.NewCounter("awentry_resumes_total")
-	retries      = metrics.NewCounter("awentry_retries_total")
-	refusedTries = metrics.NewCounter("awentry_attempts_refused_total")
-	cutRequests  = metrics.NewCounter("awentry_cut_requests_total")
-	wholeAnswers = metrics.NewCounter("awentry_answers_whole_total")
-	firstFrames  = metrics.NewSummary("awentry_first_frame_seconds")
+	ejections    = metrics.NewCounter("arbutuswind_entry_ejections_total")
+	resumes      = metrics.NewCounter("arbutuswind_entry_resumes_total")
+	retries      = metrics.NewCounter("arbutuswind_entry_retries_total")
+	refusedTries = metrics.NewCounter("arbutuswind_entry_attempts_refused_total")
+	cutRequests  = metrics.NewCounter("arbutuswind_entry_cut_requests_total")
+	wholeAnswers = metrics.NewCounter("arbutuswind_entry_answers_whole_total")
+	firstFrames  = metrics.NewSummary("arbutuswind_entry_first_frame_seconds")
 )
 
 // gauges shows what the entry holds now.
@@ -29,15 +29,15 @@
 			return float64(f())
 		}
 	}
-	metrics.GetOrCreateGauge("awentry_held_bytes", locked(func() int { return e.bytes.Held() }))
-	metrics.GetOrCreateGauge("awentry_waiting_requests", locked(func() int { return e.room.Waiting() }))
-	metrics.GetOrCreateGauge("awentry_running_requests", func() float64 { return float64(e.running.Load()) })
+	metrics.GetOrCreateGauge("arbutuswind_entry_held_bytes", locked(func() int { return e.bytes.Held() }))
+	metrics.GetOrCreateGauge("arbutuswind_entry_waiting_requests", locked(func() int { return e.room.Waiting() }))
+	metrics.GetOrCreateGauge("arbutuswind_entry_running_requests", func() float64 { return float64(e.running.Load()) })
 }
 
 // countProblem counts a refusal or failure by outcome and reason.
 func countProblem(e *awoutcome.Error) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(
-		`awentry_problems_total{outcome=%q,reason=%q}`, e.Outcome.String(), string(e.Reason))).Inc()
+		`arbutuswind_entry_problems_total{outcome=%q,reason=%q}`, e.Outcome.String(), string(e.Reason))).Inc()
 }
 
 // noteProblem counts what a caller is told.
--- a/io/awrpc/awrpc.go
+++ b/io/awrpc/awrpc.go
@@ -222,7 +222,7 @@
 }
 
 // traffic counts the bytes of every internal connection, TLS included.
-var traffic = awtelemetry.NewTraffic("Rpc")
+var traffic = awtelemetry.NewTraffic("rpc")
 
 type boundedListener struct{ net.Listener }
 
--- a/io/awrpc/tls.go
+++ b/io/awrpc/tls.go
@@ -42,7 +42,7 @@
 // until the first use.
 func NewTLS(files awsettings.TLS, clock awclock.Clock) *TLS { return &TLS{files: files, clock: clock} }
 
-var reloadFailures = metrics.NewCounter("TlsReloadFailures")
+var reloadFailures = metrics.NewCounter("arbutuswind_tls_reload_failures_total")
 
 // current returns the newest certificates that could be read. Files that are
 // unreadable or half written leave the ones before in use.
--- a/io/awstore/awstore.go
+++ b/io/awstore/awstore.go
@@ -94,7 +94,7 @@
 	return &Client{cfg: cfg, http: &http.Client{Transport: tr}}
 }
 
-var traffic = awtelemetry.NewTraffic("Store")
+var traffic = awtelemetry.NewTraffic("store")
 
 func dialCounted(ctx context.Context, network, addr string) (net.Conn, error) {
 	conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
--- a/io/awtelemetry/conn.go
+++ b/io/awtelemetry/conn.go
@@ -9,11 +9,12 @@
 // Traffic counts the bytes of the connections of one kind.
 type Traffic struct{ sent, received *metrics.Counter }
 
-// NewTraffic returns counters named kind+"SentBytes" and kind+"ReceivedBytes".
+// NewTraffic returns counters of the bytes sent and received whose names hold
+// the kind.
 func NewTraffic(kind string) Traffic {
 	return Traffic{
-		sent:     metrics.GetOrCreateCounter(kind + "SentBytes"),
-		received: metrics.GetOrCreateCounter(kind + "ReceivedBytes"),
+		sent:     metrics.GetOrCreateCounter("arbutuswind_" + kind + "_sent_bytes_total"),
+		received: metrics.GetOrCreateCounter("arbutuswind_" + kind + "_received_bytes_total"),
 	}
 }
 
