Keep the mapping of outcomes beside the messages

Cause: agent and entry each held a map between reasons and their codes, one the reverse of the other by hand; a reason added on one side only would have arrived as another.

Conclusion: one place for the codes.

--- a/io/awagent/serve.go
+++ b/io/awagent/serve.go
@@ -59,27 +59,8 @@
 	return r.complete(ctx)
 }
 
-var reasonCodes = map[awoutcome.Reason]awproto.Reason{
-	awoutcome.QueueFull: awproto.Reason_QUEUE_FULL, awoutcome.ColdLimit: awproto.Reason_COLD_LIMIT,
-	awoutcome.MemoryFull: awproto.Reason_MEMORY_FULL, awoutcome.Deadline: awproto.Reason_DEADLINE,
-	awoutcome.Leaving: awproto.Reason_LEAVING, awoutcome.DomainOut: awproto.Reason_DOMAIN_OUT,
-	awoutcome.WrongVersion: awproto.Reason_WRONG_VERSION, awoutcome.NotReady: awproto.Reason_NOT_READY,
-	awoutcome.DuplicateID: awproto.Reason_DUPLICATE_ATTEMPT, awoutcome.AttemptRefused: awproto.Reason_ATTEMPT_REFUSED,
-	awoutcome.BadRequest: awproto.Reason_BAD_REQUEST, awoutcome.EngineFailed: awproto.Reason_ENGINE_FAILED,
-	awoutcome.Truncated: awproto.Reason_ENGINE_FAILED, awoutcome.Cancelled: awproto.Reason_CANCELLED,
-	awoutcome.IdentityChanged: awproto.Reason_IDENTITY_CHANGED, awoutcome.Isolated: awproto.Reason_ISOLATED,
-	awoutcome.StaleConfig: awproto.Reason_STALE_CONFIG,
-}
-
-var outcomeCodes = map[awoutcome.Outcome]awproto.Outcome{
-	awoutcome.NotRun: awproto.Outcome_NOT_RUN, awoutcome.Ran: awproto.Outcome_RAN, awoutcome.Unknown: awproto.Outcome_UNKNOWN,
-}
-
 func refusalMessage(e *awoutcome.Error, revision uint64) *awproto.ServeDown {
-	return &awproto.ServeDown{Body: &awproto.ServeDown_Refusal{Refusal: &awproto.Refusal{
-		Reason: reasonCodes[e.Reason], Outcome: outcomeCodes[e.Outcome], Detail: e.Detail,
-		RetryAfterMs: e.RetryAfterMs, Revision: revision,
-	}}}
+	return &awproto.ServeDown{Body: &awproto.ServeDown_Refusal{Refusal: awproto.NewRefusal(e, revision)}}
 }
 
 // run is one request. The goroutine of Serve owns all fields but those under
@@ -217,8 +198,7 @@
 	case errors.Is(cause, errCut):
 		e = &awoutcome.Error{Outcome: e.Outcome, Reason: awoutcome.Leaving, Detail: cause.Error()}
 	}
-	f := &awproto.Failure{Reason: reasonCodes[e.Reason], Outcome: outcomeCodes[e.Outcome], Detail: e.Detail}
-	return r.stream.Send(&awproto.ServeDown{Body: &awproto.ServeDown_Failure{Failure: f}})
+	return r.stream.Send(&awproto.ServeDown{Body: &awproto.ServeDown_Failure{Failure: awproto.NewFailure(e)}})
 }
 
 // finishedWhole gives the gate its evidence about the backend server.
--- a/io/awentry/attempt.go
+++ b/io/awentry/attempt.go
@@ -132,7 +132,7 @@
 		switch b := down.Body.(type) {
 		case *awproto.ServeDown_Refusal:
 			r.entry.sync.meet(b.Refusal.Revision, nil)
-			return refusalError(b.Refusal)
+			return b.Refusal.Err()
 		case *awproto.ServeDown_Accepted:
 			if err := r.begin(b.Accepted.VersionDigest); err != nil {
 				return err
@@ -151,7 +151,7 @@
 			}
 			return callerError(r.out.end(b.End))
 		case *awproto.ServeDown_Failure:
-			return failureError(b.Failure)
+			return b.Failure.Err()
 		}
 	}
 }
--- /dev/null
+++ b/io/awproto/outcome.go
@@ -0,0 +1,79 @@
+package awproto
+
+import "arbutuswind/core/awoutcome"
+
+// reasonCodes holds the reasons that agents send. A reason without a code of
+// its own travels as ENGINE_FAILED.
+var reasonCodes = map[awoutcome.Reason]Reason{
+	awoutcome.QueueFull: Reason_QUEUE_FULL, awoutcome.ColdLimit: Reason_COLD_LIMIT,
+	awoutcome.MemoryFull: Reason_MEMORY_FULL, awoutcome.Deadline: Reason_DEADLINE,
+	awoutcome.Leaving: Reason_LEAVING, awoutcome.DomainOut: Reason_DOMAIN_OUT,
+	awoutcome.WrongVersion: Reason_WRONG_VERSION, awoutcome.NotReady: Reason_NOT_READY,
+	awoutcome.DuplicateID: Reason_DUPLICATE_ATTEMPT, awoutcome.AttemptRefused: Reason_ATTEMPT_REFUSED,
+	awoutcome.BadRequest: Reason_BAD_REQUEST, awoutcome.EngineFailed: Reason_ENGINE_FAILED,
+	awoutcome.Cancelled: Reason_CANCELLED, awoutcome.IdentityChanged: Reason_IDENTITY_CHANGED,
+	awoutcome.Isolated: Reason_ISOLATED, awoutcome.StaleConfig: Reason_STALE_CONFIG,
+}
+
+var reasons = func() map[Reason]awoutcome.Reason {
+	m := make(map[Reason]awoutcome.Reason, len(reasonCodes))
+	for reason, code := range reasonCodes {
+		m[code] = reason
+	}
+	return m
+}()
+
+var outcomeCodes = map[awoutcome.Outcome]Outcome{
+	awoutcome.NotRun: Outcome_NOT_RUN, awoutcome.Ran: Outcome_RAN, awoutcome.Unknown: Outcome_UNKNOWN,
+}
+
+// NewRefusal returns the message for a refusal by a process at the revision.
+func NewRefusal(e *awoutcome.Error, revision uint64) *Refusal {
+	return &Refusal{
+		Reason: code(e.Reason), Outcome: outcomeCodes[e.Outcome], Detail: e.Detail,
+		RetryAfterMs: e.RetryAfterMs, Revision: revision,
+	}
+}
+
+// NewFailure returns the message for an answer that broke off.
+func NewFailure(e *awoutcome.Error) *Failure {
+	return &Failure{Reason: code(e.Reason), Outcome: outcomeCodes[e.Outcome], Detail: e.Detail}
+}
+
+func code(reason awoutcome.Reason) Reason {
+	if c, ok := reasonCodes[reason]; ok {
+		return c
+	}
+	return Reason_ENGINE_FAILED
+}
+
+// Err returns the refusal as an error.
+func (x *Refusal) Err() *awoutcome.Error {
+	return &awoutcome.Error{
+		Outcome: x.Outcome.core(), Reason: x.Reason.core(), Detail: x.Detail, RetryAfterMs: x.RetryAfterMs,
+	}
+}
+
+// Err returns the failure as an error.
+func (x *Failure) Err() *awoutcome.Error {
+	return &awoutcome.Error{Outcome: x.Outcome.core(), Reason: x.Reason.core(), Detail: x.Detail}
+}
+
+// core returns the outcome; a code that is not known promises nothing.
+func (x Outcome) core() awoutcome.Outcome {
+	switch x {
+	case Outcome_NOT_RUN:
+		return awoutcome.NotRun
+	case Outcome_RAN:
+		return awoutcome.Ran
+	default:
+		return awoutcome.Unknown
+	}
+}
+
+func (x Reason) core() awoutcome.Reason {
+	if known, ok := reasons[x]; ok {
+		return known
+	}
+	return awoutcome.EngineFailed
+}
