--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,8 @@
 		-args -rapid.seed=$(FUZZ_SEED) -rapid.checks=$(FUZZ_CHECKS) -rapid.steps=120
 	@for target in $(FUZZ_TARGETS); do \
 		go test ./internal/awproof -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZ_TIME) -parallel 2 || exit 1; done
+
+# Needs protoc, protoc-gen-go and protoc-gen-go-drpc; the build does not.
+generate:
+	protoc -I io/awproto --go_out=. --go_opt=module=arbutuswind \
+		--go-drpc_out=. --go-drpc_opt=module=arbutuswind inner.proto
--- a/io/awagent/addresses.go
+++ b/io/awagent/addresses.go
@@ -9,7 +9,7 @@
 	"arbutuswind/io/awstore"
 )
 
-// watchedListAge is the age of the instance list that an agent puts up with
+// watchedListAge is the greatest age of the instance list that an agent uses
 // while entries watch it: it then needs the list only to announce itself to
 // entries that do not. At the design size each change makes the list over a
 // megabyte of traffic for each reader.
