Halt a version that fails its first requests

Cause: only a version that failed to load was halted; one that loads and then answers errors took the place of a working one, replica by replica.

Change: the agent follows the first requests of each placement.

Conclusion: a rollout stops on versions that load and do not answer.

--- a/core/awplace/halt.go
+++ b/core/awplace/halt.go
@@ -8,12 +8,12 @@
 	"arbutuswind/core/awconfig"
 )
 
-// haltShare of the replicas must fail to load a version that others serve
+// haltShare of the replicas must fail to serve a version that others serve
 // before it is halted; fewer failures point at the instances.
 const haltShare = 4
 
 // Halt returns a version to halt and why. A version is halted when instances
-// could not load it repeatedly and either no instance serves it or a quarter
+// could not load it repeatedly, or failed its first requests, and either no instance serves it or a quarter
 // of the replicas, at least two, failed. Only a version with a predecessor
 // that is not halted is stopped, since otherwise nothing could serve instead.
 func Halt(s *awconfig.State, observed []Instance) (digest, reason string, ok bool) {
@@ -38,7 +38,7 @@
 			}
 		}
 		if failed > 0 && (serving == 0 || failed >= max(2, (m.Replicas+haltShare-1)/haltShare)) {
-			return m.Digest, fmt.Sprintf("%d instances could not load it, %d serve it; %s", failed, serving, why), true
+			return m.Digest, fmt.Sprintf("%d instances could not serve it, %d do; %s", failed, serving, why), true
 		}
 	}
 	return "", "", false
--- a/internal/awprocess/rollout_test.go
+++ b/internal/awprocess/rollout_test.go
@@ -90,6 +90,35 @@
 	}
 }
 
+// Guards the version that serves against one that loads and then fails its
+// first requests.
+func TestVersionThatFailsFirstRequestsIsHalted(t *testing.T) {
+	f := startFleet(t, fleetConfig{})
+	for _, n := range f.engines {
+		require.NoError(t, awbench.Fault(n.Backend, awstandin.EngineFault{FailVersion: "v2"}))
+	}
+	_, err := f.Publish("rota", "v2", awbench.RandomWeights(2, 1<<20), 128<<10)
+	require.NoError(t, err)
+	f.apply(sheetHead + "rota,v2,3," + allDomains + ",,checked\n")
+	require.NoError(t, awbench.WaitFor(f.ctx, "the halt", func() (bool, error) {
+		for i := range 3 {
+			call := awbench.Call{Model: "rota", Prompt: "first", MaxTokens: 2, Team: "kitchen"}
+			if _, err := f.caller.Stream(f.ctx, f.Entries[i].Callers, call); err != nil {
+				return false, err
+			}
+		}
+		st, err := f.Entries[0].Operator().Status(f.ctx)
+		if err != nil {
+			return false, err
+		}
+		return len(st.State.Halted) == 1, fmt.Errorf("halted: %v", st.State.Halted)
+	}))
+	f.serving("v1", 3)
+	for i := range 6 {
+		f.stream(i%3, 10, "of the version before")
+	}
+}
+
 // Guards AtMostOnce against an entry that dies after it has claimed: another
 // entry asks the agent that the claim names.
 func TestEntryKilledAfterClaim(t *testing.T) {
--- a/internal/awstandin/engine.go
+++ b/internal/awstandin/engine.go
@@ -32,13 +32,14 @@
 
 // EngineFault holds the faults of an engine.
 type EngineFault struct {
-	FailLoad   bool
-	StallMs    int // added before every token
-	CutAfter   int // streams end without their end event after n tokens; 0 is off
-	GoCold     bool
-	Restart    bool
-	LoseLoad   bool // the answer to the next load command is lost
-	FailStarts int  // the next n completions answer 500
+	FailLoad    bool
+	StallMs     int // added before every token
+	CutAfter    int // streams end without their end event after n tokens; 0 is off
+	GoCold      bool
+	Restart     bool
+	LoseLoad    bool   // the answer to the next load command is lost
+	FailStarts  int    // the next n completions answer an error
+	FailVersion string // completions of this version answer an error
 }
 
 // Engine stands in for a model engine with continuous batching.
@@ -256,7 +257,8 @@
 	if req.ResumeFrom == 0 {
 		e.runs[PromptHash(req.Prompt)]++
 	}
-	serves := e.st.State != "empty" && e.st.Model == req.Model
+	serves := e.st.State != "empty" && e.st.Model == req.Model &&
+		(e.st.Version == "" || e.st.Version != e.faults.get().FailVersion)
 	e.mu.Unlock()
 	if fail || !serves {
 		http.Error(w, "model is not loaded", http.StatusServiceUnavailable)
--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -80,6 +80,7 @@
 	servedDigest string              // of the weights, as the engine reports it while ready
 	state        awproto.AgentState
 	bootID       string
+	trial        trial
 	draining     bool
 	paused       int       // streams whose reader takes nothing
 	awaiting     bool      // the process was paused and no entry was heard from since
--- a/io/awagent/engine.go
+++ b/io/awagent/engine.go
@@ -77,6 +77,10 @@
 		a.setEngine(nil, awproto.AgentState_STARTING, st)
 		return nil
 	}
+	if a.onPause(p) {
+		a.setEngine(nil, awproto.AgentState_FAILED, st)
+		return nil
+	}
 	if a.confirm(st, p) || !a.weights.complete(p.Digest) {
 		return nil
 	}
--- a/io/awagent/serve.go
+++ b/io/awagent/serve.go
@@ -192,6 +192,11 @@
 // outside, that is the reason, whatever broke first because of it.
 func (r *run) fail(ctx context.Context, e *awoutcome.Error) error {
 	r.agent.metrics.failed.Inc()
+	if ctx.Err() == nil && e.Reason == awoutcome.EngineFailed && r.start.Service == nil {
+		r.agent.mu.Lock()
+		r.agent.trialFailed(r.version)
+		r.agent.mu.Unlock()
+	}
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errDeadline):
 		e = &awoutcome.Error{Outcome: e.Outcome, Reason: awoutcome.Deadline, Detail: cause.Error()}
@@ -207,6 +212,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.gate.Finished(r.ticket)
+	a.trialPassed(r.version)
 }
 
 // failedEngine lowers the limit after a backend server broke off on its own,
