Ask every agent in the test of the metrics page

Change: the test takes the metrics of all agents together, since each stream runs on one of them.

Conclusion: the check is as strict: each name on the page must be shown.

--- a/internal/awprocess/metrics_test.go
+++ b/internal/awprocess/metrics_test.go
@@ -26,7 +26,12 @@
 		f.stream(i, 5, "counted")
 	}
 	shown := map[string]bool{}
-	for _, url := range []string{f.Entries[0].Operators, f.engines[0].Local} {
+	// A histogram appears with its first value, so every agent is asked.
+	urls := []string{f.Entries[0].Operators}
+	for _, n := range f.engines {
+		urls = append(urls, n.Local)
+	}
+	for _, url := range urls {
 		for _, name := range f.metrics(url) {
 			shown[name] = true
 		}
