Name the prefix of plain services once

Cause: agent and entry each had the constant; a change on one side would have cut the other off from its services. Change: awproto.ServicePrefix; one line on what each program does. Conclusion: behaviour unchanged.

--- a/cmd/awagent/main.go
+++ b/cmd/awagent/main.go
@@ -1,4 +1,4 @@
-// Command awagent is described in docs/design.md.
+// Command awagent runs beside one backend server, protects it and holds its weights.
 package main
 
 import (
--- a/cmd/awbench/main.go
+++ b/cmd/awbench/main.go
@@ -1,4 +1,4 @@
-// Command awbench is described in docs/design.md.
+// Command awbench runs experiments between real processes and prints one JSON line per result.
 package main
 
 import (
--- a/cmd/awctl/main.go
+++ b/cmd/awctl/main.go
@@ -1,4 +1,4 @@
-// Command awctl is described in docs/design.md.
+// Command awctl is the operators' command line.
 package main
 
 import (
--- a/cmd/awentry/main.go
+++ b/cmd/awentry/main.go
@@ -1,4 +1,4 @@
-// Command awentry is described in docs/design.md.
+// Command awentry accepts callers' requests and routes them to agents.
 package main
 
 import (
--- a/cmd/awstandin/main.go
+++ b/cmd/awstandin/main.go
@@ -1,4 +1,4 @@
-// Command awstandin is described in docs/design.md.
+// Command awstandin runs stand-ins of the systems around arbutuswind for tests and the bench.
 package main
 
 import (
--- a/io/awagent/admission.go
+++ b/io/awagent/admission.go
@@ -55,7 +55,7 @@
 
 func checkService(s *awproto.ServeStart) string {
 	switch {
-	case s.Model != ServicePrefix+s.Service.Service:
+	case s.Model != awproto.ServicePrefix+s.Service.Service:
 		return "model and service differ"
 	case s.ResumeFrom > 0:
 		return "a service call cannot be resumed"
--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -33,9 +33,6 @@
 	"arbutuswind/io/awstore"
 )
 
-// ServicePrefix marks the routing name of a plain service.
-const ServicePrefix = "service/"
-
 const (
 	// pausedBytes bounds the prompts kept for paused streams, half of the
 	// memory that the agent may take beside weights.
@@ -119,7 +116,7 @@
 	a.dialer = awrpc.NewDialer(awrpc.DialerConfig{Identity: a.identity, Revision: a.revision, TLS: a.tls.Client})
 	a.weights = newWeightStore(s.Weights, cfg.Clock)
 	if s.Backend.Service != "" {
-		a.ready = &awproto.ReadyModel{Model: ServicePrefix + s.Backend.Service}
+		a.ready = &awproto.ReadyModel{Model: awproto.ServicePrefix + s.Backend.Service}
 		// A plain service reports no cold start, so its limit rises on evidence alone.
 		a.state = awproto.AgentState_READY
 	}
--- a/io/awentry/callers.go
+++ b/io/awentry/callers.go
@@ -16,9 +16,6 @@
 	"arbutuswind/io/awtelemetry"
 )
 
-// servicePrefix marks the routing name of a plain service.
-const servicePrefix = "service/"
-
 // callerHandler returns the callers' API.
 func (e *Entry) callerHandler() http.Handler {
 	r := chi.NewRouter()
@@ -118,7 +115,7 @@
 func (e *Entry) service(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) error {
 	name := chi.URLParam(r, "service")
 	start := &awproto.ServeStart{
-		Model: servicePrefix + name, Body: req.body,
+		Model: awproto.ServicePrefix + name, Body: req.body,
 		Service: &awproto.ServiceCall{
 			Service: name, Method: r.Method, Path: chi.URLParam(r, "*"),
 			ContentType: r.Header.Get("Content-Type"), IdempotencyKey: req.key,
--- a/io/awentry/fleet_subset.go
+++ b/io/awentry/fleet_subset.go
@@ -11,6 +11,7 @@
 	"arbutuswind/core/awconfig"
 	"arbutuswind/core/awmember"
 	"arbutuswind/core/awroute"
+	"arbutuswind/io/awproto"
 	"arbutuswind/io/awstore"
 )
 
@@ -116,12 +117,12 @@
 // groupKey returns the routing name of what an agent serves or will serve.
 func groupKey(info awmember.Info, s *awconfig.State) string {
 	if info.Service != "" {
-		return servicePrefix + info.Service
+		return awproto.ServicePrefix + info.Service
 	}
 	return s.Placements[info.Instance].Model
 }
 
-func serviceName(model string) (string, bool) { return strings.CutPrefix(model, servicePrefix) }
+func serviceName(model string) (string, bool) { return strings.CutPrefix(model, awproto.ServicePrefix) }
 
 // learn starts to watch an agent, or takes over what changed about one. The
 // caller holds mu.
--- a/io/awproto/doc.go
+++ b/io/awproto/doc.go
@@ -4,3 +4,7 @@
 // generated from it by make generate and committed. Fields are only ever
 // added; an incompatible change raises awrpc.ProtocolVersion.
 package awproto
+
+// ServicePrefix marks the routing name of a plain service; what follows is
+// the name of the service. Model names hold no slash.
+const ServicePrefix = "service/"
