Run the whole path over mutual TLS in a process-level test

Cause: TLS was tested between two endpoints only, never with daemons that exchange weights, resume streams and claim keys.

--- a/internal/awbench/cluster.go
+++ b/internal/awbench/cluster.go
@@ -39,8 +39,10 @@
 	Dir      string // settings and logs
 	BinDir   string
 	Platform string // URL
-	Entries  []*Node
-	Agents   []*Node
+	// TLS returns the settings of an instance; nil for plain TCP.
+	TLS     func(instance string) (awsettings.TLS, error)
+	Entries []*Node
+	Agents  []*Node
 
 	mu    sync.Mutex
 	procs []*Process
@@ -170,7 +172,9 @@
 	cfg.Process.Instance, cfg.Process.Domain, cfg.Process.Region = id, site.Domain, site.Region
 	cfg.Listen = awsettings.EntryListen{Inner: addrs[0], Callers: addrs[1], Operators: addrs[2]}
 	cfg.Platform = c.platformSettings()
-	cfg.TLS.Plain = true
+	if cfg.TLS, err = c.tlsSettings(id); err != nil {
+		return nil, err
+	}
 	if tune != nil {
 		tune(&cfg)
 	}
@@ -200,7 +204,9 @@
 	cfg.Process.Instance, cfg.Process.Domain, cfg.Process.Region = n.ID, n.Site.Domain, n.Site.Region
 	cfg.Listen = awsettings.AgentListen{Inner: addrs[0], Advertised: n.Inner, Local: addrs[1]}
 	cfg.Platform = c.platformSettings()
-	cfg.TLS.Plain = true
+	if cfg.TLS, err = c.tlsSettings(n.ID); err != nil {
+		return err
+	}
 	cfg.Backend.URL, cfg.Backend.Service = n.Backend, n.Service
 	cfg.Weights.StoreRegion = Sites[0].Region
 	if tune != nil {
@@ -264,6 +270,13 @@
 	return n, c.StartAgent(n, tune)
 }
 
+func (c *Cluster) tlsSettings(instance string) (awsettings.TLS, error) {
+	if c.TLS == nil {
+		return awsettings.TLS{Plain: true}, nil
+	}
+	return c.TLS(instance)
+}
+
 func (c *Cluster) platformSettings() awsettings.Platform {
 	return awsettings.Platform{
 		TableURL: c.Platform, ObjectURL: c.Platform, OriginURL: c.Platform,
--- a/internal/awprocess/fleet_test.go
+++ b/internal/awprocess/fleet_test.go
@@ -15,6 +15,7 @@
 	"arbutuswind/core/awconfig"
 	"arbutuswind/core/awweights"
 	"arbutuswind/internal/awbench"
+	"arbutuswind/internal/awstandin"
 	"arbutuswind/io/awcontrol"
 	"arbutuswind/io/awsettings"
 )
@@ -54,6 +55,7 @@
 }
 
 type fleetConfig struct {
+	tls        bool     // the internal protocol runs over mutual TLS
 	proxied    bool     // engines' agents stand behind fault proxies
 	engineArgs []string // of the model engine stand-ins
 	tuneAgent  func(*awsettings.Agent)
@@ -76,6 +78,13 @@
 		}
 		c.Close()
 	})
+	if cfg.tls {
+		ca, err := awstandin.NewAuthority()
+		require.NoError(t, err)
+		c.TLS = func(instance string) (awsettings.TLS, error) {
+			return ca.Issue(t.TempDir(), instance, time.Now().Add(time.Hour))
+		}
+	}
 	f := &fleet{Cluster: c, t: t, ctx: ctx, caller: awbench.NewCaller()}
 	require.NoError(t, c.StartPlatform(ctx))
 	for i, site := range awbench.Sites {
