Pass the trace context on to backend servers

Cause: the agent opened a span for the engine call but sent no context, so a trace ended one hop early.

Change: every request to a backend server carries the W3C traceparent of its span; a test reads it at the backend server.

Conclusion: caller, entry, agent and backend server share one trace.

--- a/io/awengine/awengine.go
+++ b/io/awengine/awengine.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"arbutuswind/io/awtelemetry"
 )
 
 // Completion is the request body of the completions protocol.
@@ -195,6 +197,7 @@
 	// An empty body counts as replayable too, unless its type hides that it
 	// is empty; and a redirect would send the call a second time.
 	req.Body = io.NopCloser(struct{ io.Reader }{bytes.NewReader(r.Body)})
+	traced(ctx, req)
 	if r.ContentType != "" {
 		req.Header.Set("Content-Type", r.ContentType)
 	}
@@ -206,6 +209,13 @@
 	return resp, eris.Wrap(err, "call service")
 }
 
+// traced passes the W3C trace context on to the backend server.
+func traced(ctx context.Context, req *http.Request) {
+	if parent := awtelemetry.Inject(ctx); parent != "" {
+		req.Header.Set("Traceparent", parent)
+	}
+}
+
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 func (c *Client) send(ctx context.Context, method, path, contentType string, body []byte) (*http.Response, error) {
@@ -213,6 +223,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "engine request")
 	}
+	traced(ctx, req)
 	if contentType != "" {
 		req.Header.Set("Content-Type", contentType)
 	}
