Remove twins found in the read-through

Cause: the whole change was read once more. Three pieces stood twice: awbench had a TCP link of its own beside the fault proxy of the stand-ins; capacity measured a window of processor time in two ways; agent and entry each mapped the states of an attempt by hand, one the reverse of the other.

Change: experiment config cuts awstandin.Proxy, which now also drops a connection that it accepted before it was cut; capacity uses costOver for all its windows; awproto holds one map of attempt states, with a test that sends each there and back.

--- a/internal/awbench/capacity.go
+++ b/internal/awbench/capacity.go
@@ -229,26 +229,6 @@
 	})
 }
 
-// usageOver returns processor time over a window and memory at its end.
-func usageOver(a, b *Process, window time.Duration) (first, second Usage, err error) {
-	var before [2]Usage
-	for i, p := range []*Process{a, b} {
-		if before[i], err = p.Usage(); err != nil {
-			return first, second, err
-		}
-	}
-	time.Sleep(window)
-	if first, err = a.Usage(); err != nil {
-		return first, second, err
-	}
-	if second, err = b.Usage(); err != nil {
-		return first, second, err
-	}
-	first.CPU -= before[0].CPU
-	second.CPU -= before[1].CPU
-	return first, second, nil
-}
-
 // streams measures open streams through one entry and one agent.
 func (r *CapacityResult) streams(ctx context.Context, binDir string) error {
 	var entryRSS, agentRSS []Point
@@ -258,18 +238,18 @@
 		if err != nil {
 			return err
 		}
-		tokens := float64(n) * phase(ctx, capacityWindow).Seconds() * 100 // one token per capacityInterval
-		entryRSS = append(entryRSS, Point{float64(n), float64(entry.RSSBytes)})
-		agentRSS = append(agentRSS, Point{float64(n), float64(agent.RSSBytes)})
-		entryCPU = append(entryCPU, float64(entry.CPU.Microseconds())/tokens)
-		agentCPU = append(agentCPU, float64(agent.CPU.Microseconds())/tokens)
+		tokens := float64(n) * 100 // a second, one in each capacityInterval
+		entryRSS = append(entryRSS, Point{float64(n), entry.RSSMB * bytesPerMB})
+		agentRSS = append(agentRSS, Point{float64(n), agent.RSSMB * bytesPerMB})
+		entryCPU = append(entryCPU, entry.CorePercent*usPerPercent/tokens)
+		agentCPU = append(agentCPU, agent.CorePercent*usPerPercent/tokens)
 	}
 	r.EntryRSSByStream, r.AgentRSSByStream = FitSlope(entryRSS), FitSlope(agentRSS)
 	r.EntryCPUUsPerToken, r.AgentCPUUsPerToken = median(entryCPU), median(agentCPU)
 	return nil
 }
 
-func busyFleet(ctx context.Context, binDir string, n int) (entry, agent Usage, err error) {
+func busyFleet(ctx context.Context, binDir string, n int) (entry, agent Cost, err error) {
 	c, err := NewCluster(binDir)
 	if err != nil {
 		return entry, agent, err
@@ -300,7 +280,7 @@
 	if err != nil {
 		return entry, agent, err
 	}
-	return usageOver(e.Process, a.Process, phase(ctx, capacityWindow))
+	return costOver(ctx, e, a)
 }
 
 // oneEngine starts an entry and a warm engine that takes n streams at once
--- a/internal/awbench/config.go
+++ b/internal/awbench/config.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	defer link.Close()
+	defer link.Cut(true)
 	o := newObserver(c)
 	size := ConfigSize{Entries: entries, Agents: agents, Changes: configChanges}
 	var took []time.Duration
@@ -139,13 +139,14 @@
 
 // configFleet starts the processes. The last entry reaches the platform
 // through the link.
-func (c *Cluster) configFleet(ctx context.Context, entries, agents int) (*Link, error) {
+func (c *Cluster) configFleet(ctx context.Context, entries, agents int) (*awstandin.Proxy, error) {
 	ctx, cancel := context.WithTimeout(ctx, configStart)
 	defer cancel()
 	if err := c.StartPlatform(ctx); err != nil {
 		return nil, err
 	}
-	link, err := NewLink(strings.TrimPrefix(c.Platform, "http://"))
+	link := awstandin.NewProxy(strings.TrimPrefix(c.Platform, "http://"))
+	lis, err := link.Start()
 	if err != nil {
 		return nil, err
 	}
@@ -153,7 +154,7 @@
 		tune := func(s *awsettings.Entry) {
 			s.Timing.MaxIsolation = awsettings.Duration(configIsolation)
 			if i == entries-1 {
-				base := "http://" + link.Address()
+				base := "http://" + lis.Addr().String()
 				s.Platform.TableURL, s.Platform.ObjectURL, s.Platform.OriginURL = base, base, base
 				s.Platform.InstanceListURL = base + "/instances"
 			}
@@ -332,7 +333,7 @@
 }
 
 // configFaults takes the store down, then cuts one entry off the platform.
-func (c *Cluster) configFaults(ctx context.Context, o *observer, link *Link, res *ConfigResult) error {
+func (c *Cluster) configFaults(ctx context.Context, o *observer, link *awstandin.Proxy, res *ConfigResult) error {
 	if err := Fault(c.Platform, awstandin.PlatformFault{StoreDown: true}); err != nil {
 		return err
 	}
--- a/internal/awstandin/proxy.go
+++ b/internal/awstandin/proxy.go
@@ -88,6 +88,30 @@
 		return err
 	}
 	defer lis.Close()
+	return p.serve(lis)
+}
+
+// Start relays connections to a free loopback address in the background and
+// returns the listener; closing it ends the relay.
+func (p *Proxy) Start() (net.Listener, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = p.serve(lis) }() // ends when the listener is closed
+	return lis, nil
+}
+
+// Cut breaks every connection and refuses new ones until it is called with
+// false.
+func (p *Proxy) Cut(cut bool) {
+	p.faults.update(func(f *ProxyFault) { f.Refuse = cut })
+	if cut {
+		p.reset()
+	}
+}
+
+func (p *Proxy) serve(lis net.Listener) error {
 	for {
 		conn, err := lis.Accept()
 		if err != nil {
@@ -109,6 +133,9 @@
 	defer server.Close()
 	p.track(client, server)
 	defer p.untrack(client, server)
+	if p.faults.get().Refuse {
+		return // refused since it was accepted
+	}
 	done := make(chan struct{}, 2)
 	go func() {
 		p.pump(server, client, p.up, func(f ProxyFault) bool { return f.DropToServer })
--- a/io/awagent/settle.go
+++ b/io/awagent/settle.go
@@ -22,21 +22,13 @@
 	if req.Refuse {
 		state = a.attempts.Refuse(id)
 	}
-	reply := &awproto.SettleReply{Incarnation: a.cfg.Incarnation, State: attemptStates[state]}
+	reply := &awproto.SettleReply{Incarnation: a.cfg.Incarnation, State: awproto.AttemptCode(state)}
 	if r := a.attempts.Result(id); r != nil {
 		reply.HasResult, reply.Status, reply.ContentType, reply.Result = true, int32(r.Status), r.ContentType, r.Body
 	}
 	return reply, nil
 }
 
-var attemptStates = map[awledger.AttemptState]awproto.AttemptState{
-	awledger.NeverSeen: awproto.AttemptState_ATTEMPT_NEVER_SEEN,
-	awledger.Running:   awproto.AttemptState_ATTEMPT_RUNNING,
-	awledger.Done:      awproto.AttemptState_ATTEMPT_FINISHED,
-	awledger.NotRun:    awproto.AttemptState_ATTEMPT_REFUSED_FOR_GOOD,
-	awledger.Forgotten: awproto.AttemptState_ATTEMPT_FORGOTTEN,
-}
-
 func attemptID(id *awproto.AttemptId) awledger.AttemptID {
 	return awledger.AttemptID{
 		Entry: id.GetEntryInstance(), Incarnation: id.GetEntryIncarnation(), Sequence: id.GetSequence(),
--- a/io/awentry/claims.go
+++ b/io/awentry/claims.go
@@ -259,28 +259,13 @@
 	if err != nil {
 		return awledger.AgentAnswer{}
 	}
-	answer := awledger.AgentAnswer{Reached: true, Incarnation: reply.Incarnation, State: agentState(reply.State)}
+	answer := awledger.AgentAnswer{Reached: true, Incarnation: reply.Incarnation, State: reply.State.Core()}
 	if reply.HasResult {
 		answer.Result = &awledger.Result{Status: int(reply.Status), ContentType: reply.ContentType, Body: reply.Result}
 	}
 	return answer
 }
 
-func agentState(s awproto.AttemptState) awledger.AttemptState {
-	switch s {
-	case awproto.AttemptState_ATTEMPT_RUNNING:
-		return awledger.Running
-	case awproto.AttemptState_ATTEMPT_FINISHED:
-		return awledger.Done
-	case awproto.AttemptState_ATTEMPT_REFUSED_FOR_GOOD:
-		return awledger.NotRun
-	case awproto.AttemptState_ATTEMPT_NEVER_SEEN:
-		return awledger.NeverSeen
-	default:
-		return awledger.Forgotten
-	}
-}
-
 // sweepLoop deletes expired claims until ctx ends: one scan and at most one
 // transaction a period, within the budget of the claims.
 func (e *Entry) sweepLoop(ctx context.Context) {
--- a/io/awproto/outcome_test.go
+++ b/io/awproto/outcome_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"arbutuswind/core/awledger"
 	"arbutuswind/core/awoutcome"
 )
 
@@ -28,3 +29,13 @@
 	require.Equal(t, awoutcome.EngineFailed, (&Refusal{Reason: 99}).Err().Reason)
 	require.Equal(t, awoutcome.EngineFailed, NewFailure(&awoutcome.Error{Reason: awoutcome.Truncated}).Err().Reason)
 }
+
+// Guards NotRunIsTrue against the state of an attempt that changes on its way
+// from agent to entry.
+func TestAttemptStateSurvivesTheWay(t *testing.T) {
+	for state := range attemptCodes {
+		require.Equal(t, state, AttemptCode(state).Core())
+	}
+	require.Equal(t, awledger.Forgotten, AttemptState(99).Core())
+	require.Equal(t, awledger.Forgotten, AttemptState_ATTEMPT_UNSPECIFIED.Core())
+}
