Serve callers of the users' platform straight from backend servers

Cause: the product knew only its own stand-ins; the users' platform lists backend servers and the configuration in a store and speaks HTTP/1.1. Change: core/awdirectory (configuration and list), core/awdispatch (placing, waiting, refusing), io/awbackend (pooled HTTP/1.1), io/awgateway (request path), io/awwatch (store feed) and platform/ (names of the platform); awgateway on edge instances. awloader is started and does nothing yet. Ruled out: the agent in the request path; a hop through a 7.3 Mbit/s link buys nothing where engines, not processors, are the limit.

--- /dev/null
+++ b/cmd/awloader/main.go
@@ -0,0 +1,13 @@
+// Command awloader brings the weights that operators name into the model
+// engine on its instance.
+package main
+
+import (
+	"os"
+
+	"arbutuswind/io/awcommand"
+)
+
+func main() {
+	os.Exit(awcommand.Loader(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/core/awdispatch/awdispatch.go
@@ -0,0 +1,212 @@
+// Package awdispatch decides at one entry which backend server runs a request
+// now, which request waits and which is refused.
+//
+// Entries do not talk to each other on the way of a request. Each sees its own
+// requests exactly and those of others through load reports that are some
+// tens of milliseconds old. Between two reports an entry takes only its share
+// of the room that the last one showed, so that entries that see the same
+// room do not fill it twice. Bounds that hold for all entries together, such
+// as the rate into a cold backend server, are divided by the number of entries
+// that may be alive.
+//
+// A request that finds no room waits for as long as it can still be answered
+// in time; one whose turn would come later is refused at once.
+package awdispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"arbutuswind/core/awclock"
+	"arbutuswind/core/awdirectory"
+	"arbutuswind/core/awmember"
+)
+
+const (
+	// reportFresh is the age up to which a load report describes a backend
+	// server; reports come several times a second.
+	reportFresh = 600 * time.Millisecond
+	// spareShare is the part of a batch that may wait inside an engine, so that
+	// a slot that becomes free is taken in the same pass.
+	spareShare = 8
+	// plainQueue is the number of requests for each slot of a plain service
+	// that may be there at once; its replicas queue a few.
+	plainQueue = 2
+	// coldWindow is the window in which sends to a cold backend server are
+	// counted: the second of the bound and the jitter of the way there.
+	coldWindow = 1200 * time.Millisecond
+	// fullPause keeps requests away from a backend server that has just
+	// rejected one for want of room; about the time in which a slot frees up.
+	fullPause = 100 * time.Millisecond
+	// patienceShare is the part of the latency objective that a request may
+	// wait for room; the rest is needed for the way and the first event.
+	patienceShare = 0.4
+	// latePatience is how long a request waits that can no longer be answered
+	// inside its objective.
+	latePatience = 250 * time.Millisecond
+)
+
+// Config configures a [Dispatcher].
+type Config struct {
+	Clock  awclock.Clock
+	Rand   *rand.Rand
+	Domain string // of this entry
+	Region string
+	Eject  awmember.EjectConfig
+}
+
+// Request describes what is to run.
+type Request struct {
+	Service  string
+	Model    string // empty for plain services
+	Priority int    // 0 is the most urgent
+	// Patience is how long the request may wait for room.
+	Patience time.Duration
+	Deadline time.Time
+	Tokens   int                      // memory that it needs at an engine
+	Allowed  func(region string) bool // nil allows every region
+	Version  int64                    // weights that it must meet; 0 accepts any current ones
+	Avoid    map[awdirectory.Key]bool // backend servers that have failed it
+}
+
+// Outcome states how an attempt ended, as far as it tells about the backend
+// server.
+type Outcome int
+
+// The outcomes.
+const (
+	Succeeded Outcome = iota
+	Failed            // it broke off, was silent or answered something that is no answer
+	Rejected          // it had no room
+	Replaced          // another backend server has the address
+	Abandoned         // the caller left or the time was up
+)
+
+// Refusal states why a request was refused.
+type Refusal int
+
+// The reasons.
+const (
+	NoServer Refusal = iota // no backend server is there that may run it
+	NoRoom                  // none will have room in time
+)
+
+// Dispatcher places requests. It is not safe for concurrent use.
+type Dispatcher struct {
+	cfg      Config
+	servers  map[awdirectory.Key]*server
+	byServe  map[string][]*server
+	out      map[string]bool  // failure domains taken out of service
+	floor    map[string]int64 // oldest version of a model that may begin a request
+	entries  int
+	services map[string]awdirectory.Service
+	queues   map[string][]*Ticket
+	rates    map[string]*rate
+	ejector  *awmember.Ejector
+}
+
+// New returns a dispatcher that knows no backend server.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{
+		cfg: cfg, servers: map[awdirectory.Key]*server{}, byServe: map[string][]*server{}, out: map[string]bool{},
+		floor: map[string]int64{}, entries: 1, services: map[string]awdirectory.Service{},
+		queues: map[string][]*Ticket{}, rates: map[string]*rate{}, ejector: awmember.NewEjector(cfg.Eject),
+	}
+}
+
+// Patience returns how long a request may wait for room. Age is the time that
+// the caller has waited already, in earlier attempts.
+func Patience(objective, age time.Duration) time.Duration {
+	if age >= time.Duration(patienceShare*float64(objective)) {
+		return latePatience
+	}
+	return time.Duration(patienceShare*float64(objective)) - age
+}
+
+// SetEntries sets the number of entries that may be alive, this one included.
+func (d *Dispatcher) SetEntries(n int) { d.entries = max(1, n) }
+
+// SetServices takes the services of a new configuration.
+func (d *Dispatcher) SetServices(list []awdirectory.Service) {
+	clear(d.services)
+	for _, s := range list {
+		d.services[s.Name] = s
+	}
+}
+
+// SetOut replaces the failure domains that get no new work.
+func (d *Dispatcher) SetOut(domains map[string]bool) { d.out = domains }
+
+// SetFloor sets the oldest version of a model that may begin a request.
+func (d *Dispatcher) SetFloor(model string, version int64) { d.floor[model] = version }
+
+// SetServers replaces the list of backend servers. What is known about
+// incarnations that remain is kept.
+func (d *Dispatcher) SetServers(list []awdirectory.Server) {
+	now := d.cfg.Clock.Now()
+	present := map[awdirectory.Key]bool{}
+	clear(d.byServe)
+	for _, info := range list {
+		k := info.Key()
+		present[k] = true
+		s := d.servers[k]
+		if s == nil {
+			s = &server{}
+			d.servers[k] = s
+		}
+		s.update(info, now)
+		d.byServe[info.Service] = append(d.byServe[info.Service], s)
+	}
+	for k := range d.servers {
+		if !present[k] {
+			delete(d.servers, k)
+			d.ejector.Forget(ejectID(k))
+		}
+	}
+	d.serveAll()
+}
+
+// Report takes a load report; one of an unknown incarnation is dropped.
+func (d *Dispatcher) Report(k awdirectory.Key, l Load) {
+	s := d.servers[k]
+	if s == nil {
+		return
+	}
+	s.report(l, d.entries)
+	d.serve(s.info.Service)
+}
+
+// ColdFor notes that a backend server says that it is cold for the given time.
+func (d *Dispatcher) ColdFor(k awdirectory.Key, cold time.Duration) {
+	if s := d.servers[k]; s != nil {
+		s.coldUntil = d.cfg.Clock.Now().Add(cold)
+	}
+}
+
+// Tick refuses requests that have waited too long and places those for which
+// there is room now. It is called every few milliseconds while requests wait.
+func (d *Dispatcher) Tick() { d.serveAll() }
+
+// Waiting returns the number of requests that wait.
+func (d *Dispatcher) Waiting() int {
+	n := 0
+	for _, q := range d.queues {
+		n += len(q)
+	}
+	return n
+}
+
+// Servers returns how many backend servers are known and how many of them may
+// get work of the service now.
+func (d *Dispatcher) Servers(service string) (known, usable int) {
+	now := d.cfg.Clock.Now()
+	for _, s := range d.byServe[service] {
+		known++
+		if d.usable(s, &Request{Service: service}, now) {
+			usable++
+		}
+	}
+	return known, usable
+}
+
+func ejectID(k awdirectory.Key) string { return k.ID }
--- /dev/null
+++ b/core/awdispatch/server.go
@@ -0,0 +1,107 @@
+package awdispatch
+
+import (
+	"time"
+
+	"arbutuswind/core/awdirectory"
+)
+
+// Load is what a backend server says of itself.
+type Load struct {
+	At        time.Time // when the report was received
+	Active    int       // requests that run
+	Queued    int
+	Busy      bool // an order is in progress, so that it accepts nothing
+	CacheUsed int  // tokens
+	CacheAll  int
+	Pace      float64 // over 1 when it is slow
+	Versions  map[string]int64
+}
+
+// server is what this entry knows of one incarnation of a backend server.
+type server struct {
+	info      awdirectory.Server
+	load      Load
+	reported  bool
+	others    int // requests of other entries in the last report
+	allowance int // requests that may still be sent until the next report
+	own       int // requests of this entry in flight
+	coldUntil time.Time
+	fullUntil time.Time
+	replaced  bool        // another backend server answers at its address
+	sends     []time.Time // to a cold backend server, within coldWindow
+}
+
+func (s *server) update(info awdirectory.Server, now time.Time) {
+	// The list is older than a report of the backend server itself.
+	if info.Cold > 0 {
+		s.coldUntil = later(s.coldUntil, now.Add(info.Cold))
+	}
+	s.info = info
+}
+
+func (s *server) report(l Load, entries int) {
+	s.load, s.reported = l, true
+	s.others = max(0, l.Active+l.Queued-s.own)
+	free := max(0, s.info.Slots+s.info.Slots/spareShare-l.Active-l.Queued)
+	s.allowance = (free + entries - 1) / entries
+}
+
+// versions returns the weights that the backend server holds.
+func (s *server) versions(now time.Time) map[string]int64 {
+	if s.fresh(now) {
+		return s.load.Versions
+	}
+	return s.info.Versions
+}
+
+func (s *server) fresh(now time.Time) bool {
+	return s.reported && now.Sub(s.load.At) < reportFresh
+}
+
+func (s *server) cold(now time.Time) bool { return now.Before(s.coldUntil) }
+
+// coldRoom reports whether one more send to a cold backend server stays below
+// this entry's share of the rate that it bears.
+func (s *server) coldRoom(now time.Time, rate float64, entries int) bool {
+	kept := s.sends[:0]
+	for _, at := range s.sends {
+		if now.Sub(at) < coldWindow {
+			kept = append(kept, at)
+		}
+	}
+	s.sends = kept
+	return len(s.sends) < max(1, int(rate)/entries)
+}
+
+// room returns how many more requests this entry may send now, and the load
+// from 0 to 1 that the backend server has.
+func (s *server) room(now time.Time, svc awdirectory.Service, entries int) (int, float64) {
+	slots := max(1, s.info.Slots)
+	limit := slots + slots/spareShare
+	if svc.Engine == nil {
+		limit = slots * plainQueue
+	}
+	share := (limit + entries - 1) / entries
+	room := share - s.own
+	load := float64(s.own) / float64(share)
+	if s.fresh(now) {
+		total := s.others + s.own
+		room = min(limit-total, s.allowance)
+		load = float64(total) / float64(limit)
+		if s.load.Pace > 1 {
+			load *= s.load.Pace
+		}
+	}
+	if svc.MaxConns > 0 {
+		room = min(room, max(1, svc.MaxConns/entries)-s.own)
+	}
+	return room, load
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/awretry/window.go
@@ -0,0 +1,62 @@
+package awretry
+
+import "time"
+
+// WindowConfig bounds the repetitions of all entries together within a
+// sliding window.
+type WindowConfig struct {
+	Ratio  float64       // repetitions for each request of a caller
+	Floor  int           // repetitions allowed without any request
+	Window time.Duration // in which both are counted
+}
+
+// windowParts is the number of parts of a window that are counted apart. The
+// repetitions of one part more than the window are held against the requests
+// of one part less, so that no sliding window exceeds the bound.
+const windowParts = 10
+
+// Window is one entry's share of a budget of repetitions for one service. It
+// is not safe for concurrent use.
+type Window struct {
+	cfg     WindowConfig
+	first   [windowParts + 1]int
+	repeats [windowParts + 1]int
+	part    int64 // number of the newest part since the zero time
+}
+
+// NewWindow returns a budget in which nothing is counted yet.
+func NewWindow(cfg WindowConfig) *Window { return &Window{cfg: cfg} }
+
+func (w *Window) advance(now time.Time) int {
+	part := now.UnixNano() / int64(w.cfg.Window/windowParts)
+	for w.part < part {
+		w.part++
+		if part-w.part > windowParts {
+			w.part = part - windowParts
+		}
+		at := w.part % (windowParts + 1)
+		w.first[at], w.repeats[at] = 0, 0
+	}
+	return int(w.part % (windowParts + 1))
+}
+
+// First counts a request of a caller.
+func (w *Window) First(now time.Time) { w.first[w.advance(now)]++ }
+
+// Take counts a repetition, unless that exceeds the share of one of the given
+// number of entries.
+func (w *Window) Take(now time.Time, entries int) bool {
+	at := w.advance(now)
+	first, repeats := 0, 0
+	for i := range w.first {
+		repeats += w.repeats[i]
+		if i != (at+1)%(windowParts+1) {
+			first += w.first[i]
+		}
+	}
+	if float64(repeats+1) > w.cfg.Ratio*float64(first)+float64(w.cfg.Floor)/float64(max(1, entries)) {
+		return false
+	}
+	w.repeats[at]++
+	return true
+}
--- /dev/null
+++ b/io/awbackend/quiet.go
@@ -0,0 +1,30 @@
+package awbackend
+
+import (
+	"syscall"
+)
+
+// quiet reports whether an idle connection is open and nothing has arrived on
+// it. Bytes that belong to no request, or the other side's close, make it
+// useless.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true // a connection of a test
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/io/awcommand/gateway.go
@@ -0,0 +1,171 @@
+package awcommand
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"arbutuswind/core/awclock"
+	"arbutuswind/core/awdirectory"
+	"arbutuswind/core/awretry"
+	"arbutuswind/io/awbackend"
+	"arbutuswind/io/awgateway"
+	"arbutuswind/io/awhttp"
+	"arbutuswind/io/awsettings"
+	"arbutuswind/io/awwatch"
+	"arbutuswind/platform"
+)
+
+const (
+	// serversEvery is the time between two reads of the list of backend
+	// servers. One that leaves must get no more requests two seconds after it
+	// was listed as leaving.
+	serversEvery = 700 * time.Millisecond
+	// entriesEvery is the time between two counts of the entries. It is only
+	// needed for shares of common bounds, which leave room for a newcomer.
+	entriesEvery = 5 * time.Second
+	// operatorWait is how long the store holds a read of the operators' rows.
+	// Keep-alive probes find a connection that has gone silent meanwhile.
+	operatorWait = 10 * time.Second
+	// balancerNotice is the time in which a balancer that asks every second
+	// notices twice that an entry is not ready.
+	balancerNotice = 2500 * time.Millisecond
+	// stopMargin is left of the grace period for the process to end.
+	stopMargin = 700 * time.Millisecond
+	// registerPause is the pause after a failed registration.
+	registerPause = time.Second
+	// headerTimeout and idleTimeout bound callers before and between requests;
+	// the idle bound is above any that operators configure, because a
+	// connection that is closed under a request costs the caller a retry.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10
+)
+
+// Gateway runs awgateway and returns its exit code.
+func Gateway(args []string, stdout, stderr io.Writer) int {
+	opts, code, ok := parseDaemon("awgateway", args, stdout, stderr)
+	if !ok {
+		return code
+	}
+	cfg, err := awsettings.LoadGateway(opts.Config)
+	if err != nil || opts.Check {
+		return checked(err, stderr)
+	}
+	return runDaemon(stdout, "awgateway", cfg.Process, awsettings.Trace{}, func(ctx context.Context, env environment) error {
+		return newGateway(cfg, env.logger).run(ctx)
+	})
+}
+
+// gateway holds the parts of a running awgateway.
+type gateway struct {
+	cfg     awsettings.Fleet
+	logger  log.Logger
+	tables  *platform.Tables
+	entry   *awgateway.Gateway
+	watcher *awwatch.Watcher
+}
+
+func newGateway(cfg awsettings.Fleet, logger log.Logger) *gateway {
+	clock := awclock.System{}
+	g := &gateway{cfg: cfg, logger: logger, tables: &platform.Tables{Store: platform.NewStore(cfg.Store.Address), Regions: cfg.Regions}}
+	g.entry = awgateway.New(awgateway.Config{
+		Clock: clock, Logger: logger, Dialect: platform.Dialect{}, Pool: awbackend.NewPool(awbackend.Config{Clock: clock}),
+		Domain: cfg.Process.Domain, Region: cfg.Process.Region, Seed: incarnation(),
+		Retry: awretry.WindowConfig{Ratio: cfg.Bounds.RetryRatio, Floor: cfg.Bounds.RetryFloor, Window: cfg.Bounds.RetryWindow.Std()},
+	})
+	g.watcher = awwatch.New(awwatch.Config{
+		Clock: clock, Logger: logger, Source: g.tables, VersionBound: cfg.Bounds.Version.Std(),
+		OnConfig:     func(c *awdirectory.Config) bool { return g.entry.Configure(c) },
+		OnState:      g.apply,
+		ServersEvery: serversEvery, EntriesEvery: entriesEvery, Wait: operatorWait,
+	})
+	return g
+}
+
+func (g *gateway) apply(s awwatch.State) {
+	g.entry.Apply(awgateway.Fleet{Servers: s.Servers, Out: s.Out, Floor: s.Floor, Entries: s.Entries})
+}
+
+// run serves until ctx ends, and then until running requests are answered or
+// the grace period is over.
+func (g *gateway) run(ctx context.Context) error {
+	callers, err := awhttp.Listen(g.cfg.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	ready, err := awhttp.Listen(g.cfg.Listen.Ready)
+	if err != nil {
+		return err
+	}
+	_ = level.Info(g.logger).Log("Message", "started", "Callers", g.cfg.Listen.Callers)
+	front := &http.Server{Handler: g.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	readiness := awhttp.NewServer(http.HandlerFunc(g.entry.ServeReady))
+	live, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, _ := errgroup.WithContext(live)
+	group.Go(func() error { return serve(front, callers) })
+	group.Go(func() error { return serve(readiness, ready) })
+	group.Go(func() error { g.watcher.Run(live); return nil })
+	group.Go(func() error { g.entry.Run(live); return nil })
+	group.Go(func() error { g.register(ctx); return nil })
+	group.Go(func() error {
+		defer cancel()
+		<-ctx.Done()
+		g.stop(front)
+		return readiness.Close()
+	})
+	return group.Wait()
+}
+
+func serve(s *http.Server, lis net.Listener) error {
+	if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrapf(err, "serve %s", lis.Addr())
+	}
+	return nil
+}
+
+// register makes this entry known to the others, which divide common bounds
+// by the number of entries.
+func (g *gateway) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := g.tables.Register(ctx, g.cfg.Process.Instance)
+		if err == nil {
+			return
+		}
+		_ = level.Warn(g.logger).Log("Message", "registration failed", "Error", err.Error())
+		select {
+		case <-time.After(registerPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// stop lets the balancer notice that this entry leaves and waits for running
+// requests.
+func (g *gateway) stop(front *http.Server) {
+	grace := g.cfg.Bounds.Grace.Std() - stopMargin
+	deadline := time.Now().Add(grace)
+	_ = level.Info(g.logger).Log("Message", "stopping", "Grace", grace.String())
+	g.entry.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	go func() {
+		if err := g.tables.Unregister(ctx, g.cfg.Process.Instance); err != nil {
+			_ = level.Warn(g.logger).Log("Message", "registration not removed", "Error", err.Error())
+		}
+	}()
+	time.Sleep(min(balancerNotice, grace/2))
+	if err := front.Shutdown(ctx); err != nil {
+		_ = level.Warn(g.logger).Log("Message", "requests cut at the end of the grace period", "Error", err.Error())
+	}
+	_ = level.Info(g.logger).Log("Message", "stopped")
+}
--- /dev/null
+++ b/io/awgateway/dialect.go
@@ -0,0 +1,72 @@
+package awgateway
+
+import (
+	"net/http"
+	"time"
+
+	"arbutuswind/core/awdirectory"
+)
+
+// Call is what the head of a caller's request says.
+type Call struct {
+	ID          string
+	Deadline    time.Duration // time that the caller waits; 0 if it does not say
+	Key         string        // that names the team; empty if there is none
+	Model       string
+	Prompt      int    // tokens
+	Answer      int    // most tokens that are generated
+	ResumeAfter string // number of the last event that the caller has
+}
+
+// Hop is what a backend server is told beside the caller's own headers.
+type Hop struct {
+	Server      awdirectory.Server
+	Remaining   time.Duration // time left to answer
+	Team        string
+	ResumeAfter string
+	Version     int64 // weights it must have; 0 accepts any
+	Urgency     int   // 0 is the most urgent
+}
+
+// Reply is what the head of an answer says about the exchange.
+type Reply struct {
+	NotRun   bool // the backend server states that it did not run the request
+	Replaced bool // another backend server than the expected one answered
+	Signed   bool // the answer bears the backend server's signature
+	Version  int64
+}
+
+// Dialect translates the headers of callers and backend servers.
+type Dialect interface {
+	Call(h http.Header) Call
+	// Forward returns the headers for a backend server. It may change h, which
+	// holds the caller's headers without those of a single connection.
+	Forward(h http.Header, hop Hop) http.Header
+	Reply(status int, h http.Header) Reply
+	// IDHeader names the header that holds the id of a request.
+	IDHeader() string
+}
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Expect": true,
+}
+
+// passHeaders returns the headers that concern both ends.
+func passHeaders(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	named := map[string]bool{}
+	for _, v := range h.Values("Connection") {
+		for _, name := range splitList(v) {
+			named[http.CanonicalHeaderKey(name)] = true
+		}
+	}
+	for name, values := range h {
+		if !hopHeaders[name] && !named[name] {
+			out[name] = values
+		}
+	}
+	return out
+}
--- a/io/awsettings/daemons.go
+++ b/io/awsettings/daemons.go
@@ -177,11 +177,15 @@
 	f.require(d > 0, key, "%s is not allowed; want a duration above 0s", d.Std())
 }
 
-func (f *faults) common(p Process, t TLS, tr Trace) {
+func (f *faults) process(p Process) {
 	f.require(p.Instance != "", "Process.Instance", "missing; want the unique name of the instance")
 	f.require(p.Domain != "", "Process.Domain", "missing; want the failure domain of the instance")
 	f.require(p.Region != "", "Process.Region", "missing; want the region of the instance")
 	f.require(p.Processors >= 0, "Process.Processors", "%d is not allowed; want 0 or more", p.Processors)
+}
+
+func (f *faults) common(p Process, t TLS, tr Trace) {
+	f.process(p)
 	f.require(t.Plain || (t.Certificate != "" && t.Key != "" && t.CA != ""), "TLS",
 		"want Certificate, Key and CA, or Plain = true for plain TCP")
 	f.require(tr.SampleRatio >= 0 && tr.SampleRatio <= 1, "Trace.SampleRatio", "%v is not allowed; want 0 to 1", tr.SampleRatio)
--- /dev/null
+++ b/io/awwatch/awwatch.go
@@ -0,0 +1,290 @@
+// Package awwatch follows the platform's store and keeps what a process knows
+// of the configuration and of the backend servers up to date.
+//
+// A whole read is followed by reads of what has changed since; when the store
+// no longer has that history, the whole is read again. While the store does
+// not answer, the last state stays in force.
+package awwatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"arbutuswind/core/awclock"
+	"arbutuswind/core/awdirectory"
+)
+
+// ErrHistoryGone is returned by a [Source] that no longer has the changes
+// since the given revision.
+var ErrHistoryGone = errors.New("history is gone")
+
+// OperatorRows is what operators have written.
+type OperatorRows struct {
+	Revision uint64
+	Config   *awdirectory.Config // nil if it did not change
+	Out      map[string]bool     // failure domains that were taken out, or are back
+	Named    map[string]int64    // versions of models
+	Bad      []string            // rows that could not be read
+}
+
+// ServerRows is what backend servers have written.
+type ServerRows struct {
+	Revision uint64
+	Put      []awdirectory.Server
+	Removed  []string
+	Bad      []string // rows that could not be read; they name no backend server
+}
+
+// Source reads the store. A Since of 0 reads the whole.
+type Source interface {
+	Operator(ctx context.Context, since uint64, wait time.Duration) (OperatorRows, error)
+	Servers(ctx context.Context, since uint64) (ServerRows, error)
+	// Entries returns the names of the entries that have registered.
+	Entries(ctx context.Context) ([]string, error)
+}
+
+// State is what is known.
+type State struct {
+	Servers []awdirectory.Server
+	Out     map[string]bool
+	Floor   map[string]int64 // oldest version of a model that may begin a request
+	Wanted  map[string]int64 // version of a model that operators want
+	Entries int
+}
+
+// Config configures a [Watcher].
+type Config struct {
+	Clock        awclock.Clock
+	Logger       log.Logger
+	Source       Source
+	VersionBound time.Duration                  // until no request begins on older weights
+	OnConfig     func(*awdirectory.Config) bool // false if it was not put in force
+	OnState      func(State)
+	// ServersEvery is the time between two reads of the list of backend
+	// servers; 0 turns them off.
+	ServersEvery time.Duration
+	// EntriesEvery is the time between two counts of the entries; 0 turns them
+	// off.
+	EntriesEvery time.Duration
+	// Wait is how long the store holds a read of the operators' rows open
+	// until something changes.
+	Wait time.Duration
+}
+
+const (
+	// callMargin is added to the time for which the store holds a read open;
+	// a store that takes longer is away.
+	callMargin = 1500 * time.Millisecond
+	// retryPause is the longest pause after a failed read. The state of the
+	// fleet must be known within two seconds after the store is back.
+	retryPause = 400 * time.Millisecond
+)
+
+// Watcher follows the store.
+type Watcher struct {
+	cfg      Config
+	state    chan func() // changes of what follows, one at a time
+	table    *awdirectory.Table
+	versions awdirectory.Versions
+	out      map[string]bool
+	models   map[string]int64
+	entries  int
+	read     struct{ operator, servers bool } // a whole read has succeeded
+}
+
+// New returns a watcher that knows nothing.
+func New(cfg Config) *Watcher {
+	return &Watcher{
+		cfg: cfg, state: make(chan func()), table: awdirectory.NewTable(),
+		versions: awdirectory.Versions{Bound: cfg.VersionBound}, out: map[string]bool{}, models: map[string]int64{}, entries: 1,
+	}
+}
+
+// Run follows the store until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	go w.follow(ctx, "operator", 0, w.readOperator)
+	if w.cfg.ServersEvery > 0 {
+		go w.follow(ctx, "servers", w.cfg.ServersEvery, w.readServers)
+	}
+	if w.cfg.EntriesEvery > 0 {
+		go w.follow(ctx, "entries", w.cfg.EntriesEvery, w.readEntries)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case change := <-w.state:
+			change()
+		}
+	}
+}
+
+// follow reads again and again. The read returns the revision to go on from.
+func (w *Watcher) follow(ctx context.Context, what string, every time.Duration, read func(context.Context, uint64) (uint64, error)) {
+	since, failing := uint64(0), false
+	for ctx.Err() == nil {
+		next, err := read(ctx, since)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, ErrHistoryGone):
+			w.log("reading the whole table again", "Table", what, "Since", since)
+			since = 0
+			continue
+		case err != nil:
+			if !failing {
+				failing = true
+				w.log("store lost", "Table", what, "Error", err.Error())
+			}
+			w.do(ctx, w.table.StoreAway)
+			pause(ctx, retryPause/2+time.Duration(rand.Int64N(int64(retryPause/2))))
+			continue
+		}
+		if failing {
+			failing = false
+			w.log("store regained", "Table", what, "Revision", next)
+		}
+		since = next
+		pause(ctx, every)
+	}
+}
+
+func (w *Watcher) log(message string, kv ...any) {
+	_ = level.Info(w.cfg.Logger).Log(append([]any{"Message", message}, kv...)...) // a lost log line must not stop the watcher
+}
+
+// do runs a change of the state.
+func (w *Watcher) do(ctx context.Context, change func()) {
+	select {
+	case w.state <- change:
+	case <-ctx.Done():
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (w *Watcher) readOperator(ctx context.Context, since uint64) (uint64, error) {
+	call, cancel := context.WithTimeout(ctx, w.cfg.Wait+callMargin)
+	defer cancel()
+	rows, err := w.cfg.Source.Operator(call, since, w.cfg.Wait)
+	if err != nil {
+		return 0, err
+	}
+	w.do(ctx, func() { w.applyOperator(rows, since == 0) })
+	return rows.Revision, nil
+}
+
+func (w *Watcher) applyOperator(rows OperatorRows, whole bool) {
+	now := w.cfg.Clock.Now()
+	w.table.StoreBack(now)
+	if whole {
+		clear(w.out)
+	}
+	for domain, out := range rows.Out {
+		w.log("failure domain changed", "Domain", domain, "Out", out, "Revision", rows.Revision)
+		if out {
+			w.out[domain] = true
+		} else {
+			delete(w.out, domain)
+		}
+	}
+	for model, version := range rows.Named {
+		if version > w.models[model] {
+			w.log("version named", "Model", model, "Version", version, "Revision", rows.Revision)
+			w.models[model] = version
+		}
+		w.versions.Name(model, version, now)
+	}
+	for _, key := range rows.Bad {
+		w.log("row cannot be read", "Table", "operator", "Key", key)
+	}
+	if rows.Config != nil {
+		ok := w.cfg.OnConfig(rows.Config)
+		w.log("configuration read", "Version", rows.Config.Version, "InForce", ok, "Revision", rows.Revision)
+	}
+	w.read.operator = true
+	w.publish(now)
+}
+
+func (w *Watcher) readServers(ctx context.Context, since uint64) (uint64, error) {
+	call, cancel := context.WithTimeout(ctx, callMargin)
+	defer cancel()
+	rows, err := w.cfg.Source.Servers(call, since)
+	if err != nil {
+		return 0, err
+	}
+	w.do(ctx, func() { w.applyServers(rows, since == 0) })
+	return rows.Revision, nil
+}
+
+func (w *Watcher) applyServers(rows ServerRows, whole bool) {
+	now := w.cfg.Clock.Now()
+	w.table.StoreBack(now)
+	if whole {
+		w.table.Replace(rows.Put, now)
+	} else {
+		for _, s := range rows.Put {
+			w.table.Put(s)
+		}
+		for _, id := range rows.Removed {
+			w.log("backend server removed from the list", "Server", id, "Revision", rows.Revision)
+			w.table.Remove(id, now)
+		}
+	}
+	for _, id := range rows.Bad {
+		w.log("row cannot be read", "Table", "servers", "Key", id)
+		w.table.Remove(id, now)
+	}
+	w.table.Expire(now)
+	w.read.servers = true
+	w.publish(now)
+}
+
+func (w *Watcher) readEntries(ctx context.Context, _ uint64) (uint64, error) {
+	call, cancel := context.WithTimeout(ctx, callMargin)
+	defer cancel()
+	names, err := w.cfg.Source.Entries(call)
+	if err != nil {
+		return 0, err
+	}
+	w.do(ctx, func() {
+		if n := max(1, len(names)); n != w.entries {
+			w.log("number of entries changed", "Entries", n)
+			w.entries = n
+		}
+	})
+	return 0, nil
+}
+
+// publish hands the state on once all tables have been read.
+func (w *Watcher) publish(now time.Time) {
+	if !w.read.operator || (w.cfg.ServersEvery > 0 && !w.read.servers) {
+		return
+	}
+	s := State{
+		Servers: w.table.Servers(), Out: map[string]bool{}, Floor: w.versions.Floor(now),
+		Wanted: map[string]int64{}, Entries: w.entries,
+	}
+	for domain := range w.out {
+		s.Out[domain] = true
+	}
+	for model := range w.models {
+		s.Wanted[model] = w.versions.Wanted(model)
+	}
+	w.cfg.OnState(s)
+}
