Bring named weights to model engines; report their load to entries

Cause: new and restarted engines held nothing and named versions never served; entries that do not see each other shared engines by a fixed count, so the one entry of a failure domain refused what others had room for. Change: awloader runs beside each engine: transfer (io/awtransfer, moved out of io/awagent so that both use one copy), staging with read-back, order, settling of lost answers; load reports as datagrams (io/awload).

--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -31,6 +31,7 @@
 	"arbutuswind/io/awrpc"
 	"arbutuswind/io/awsettings"
 	"arbutuswind/io/awstore"
+	"arbutuswind/io/awtransfer"
 )
 
 const (
@@ -58,6 +59,7 @@
 	store    *awstore.Client
 	dialer   *awrpc.Dialer
 	weights  *weightStore
+	uploads  *awtransfer.Uploads
 	tls      *awrpc.TLS
 	metrics  *agentMetrics
 	watchers atomic.Int64    // open Watch streams
@@ -114,7 +116,11 @@
 	a.cutCtx, a.cut = context.WithCancelCause(context.Background())
 	a.metrics.gauges(a)
 	a.dialer = awrpc.NewDialer(awrpc.DialerConfig{Identity: a.identity, Revision: a.revision, TLS: a.tls.Client})
-	a.weights = newWeightStore(s.Weights, cfg.Clock)
+	a.weights = newWeightStore()
+	a.uploads = awtransfer.NewUploads(awtransfer.UploadConfig{
+		Clock: cfg.Clock, Holder: a.weights, Region: s.Process.Region, Slots: s.Weights.UploadSlots,
+		Rate: bytesPerSecond(s.Weights.LinkMbit), Share: a.linkShare,
+	})
 	if s.Backend.Service != "" {
 		a.ready = &awproto.ReadyModel{Model: awproto.ServicePrefix + s.Backend.Service}
 		// A plain service reports no cold start, so its limit rises on evidence alone.
--- a/io/awagent/engine.go
+++ b/io/awagent/engine.go
@@ -81,7 +81,7 @@
 		a.setEngine(nil, awproto.AgentState_FAILED, st)
 		return nil
 	}
-	if a.confirm(st, p) || !a.weights.complete(p.Digest) {
+	if a.confirm(st, p) || !a.weights.Complete(p.Digest) {
 		return nil
 	}
 	if err := a.loadVersion(ctx, view, st); err != nil {
@@ -93,7 +93,7 @@
 // confirm reports whether the engine serves the placement, and if so tells
 // the entries. The engine's own word for digest and model decides.
 func (a *Agent) confirm(st awengine.Status, p awconfig.Placement) bool {
-	m, _, known := a.weights.manifest(p.Digest)
+	m, _, known := a.weights.Manifest(p.Digest)
 	if !known || st.State == "empty" || st.Model != p.Model || st.Digest != m.FileDigest {
 		return false
 	}
--- a/io/awagent/fetch.go
+++ b/io/awagent/fetch.go
@@ -11,6 +11,7 @@
 	"arbutuswind/core/awweights"
 	"arbutuswind/io/awengine"
 	"arbutuswind/io/awrpc"
+	"arbutuswind/io/awtransfer"
 )
 
 // wants returns the view and whether the version is still to be held here.
@@ -42,7 +43,7 @@
 			a.weights.retain(wantedDigests(view)...)
 		}
 		for _, digest := range wantedDigests(view) {
-			if a.weights.complete(digest) {
+			if a.weights.Complete(digest) {
 				continue
 			}
 			if err := a.fetchVersion(ctx, digest, view); err != nil && ctx.Err() == nil {
@@ -71,7 +72,7 @@
 	}
 	limits := a.cfg.Settings.Limits
 	memory := awweights.Memory{
-		Total: a.cfg.Settings.Weights.MemoryBytes, Old: a.weights.otherBytes(digest), New: m.SizeBytes,
+		Total: a.cfg.Settings.Weights.MemoryBytes, Old: a.weights.OtherBytes(digest), New: m.SizeBytes,
 		Running: uint64(limits.MaxInFlight) * requestBufferBytes,
 	}
 	plan := memory.Plan()
@@ -89,10 +90,10 @@
 		if err := a.stopServing(ctx, awengine.Status{}); err != nil {
 			return err
 		}
-		a.weights.retainOnly(digest)
+		a.weights.Keep(digest)
 	case awweights.Beside:
 	}
-	a.newTransfer(digest, m).run(ctx)
+	a.newTransfer(digest, m).Run(ctx)
 	a.wake()
 	return nil
 }
@@ -115,7 +116,7 @@
 // this agent's turn. Read from the origin by all, manifests would take a
 // tenth of a copy at a hundred replicas.
 func (a *Agent) fetchManifest(ctx context.Context, digest string, view awconfig.AgentView) (awweights.Manifest, error) {
-	if m, _, ok := a.weights.manifest(digest); ok {
+	if m, _, ok := a.weights.Manifest(digest); ok {
 		return m, nil
 	}
 	began := a.cfg.Clock.Now()
@@ -178,7 +179,7 @@
 		asked++
 		target := awrpc.Target{Address: a.addresses.of(p), Instance: p.Instance}
 		go func() {
-			reply, err := a.chunkMap(ctx, target, digest, true)
+			reply, err := awtransfer.ChunkMap(ctx, a.dialer, target, a.identity, digest, true)
 			if err != nil || awweights.Digest(reply.Manifest) != digest {
 				found <- nil
 				return
--- a/io/awagent/load_test.go
+++ b/io/awagent/load_test.go
@@ -64,7 +64,7 @@
 	_, err = b.agent.weights.add(digest, raw)
 	require.NoError(b.t, err)
 	for i, want := range m.Chunks {
-		require.True(b.t, b.agent.weights.put(digest, i, want, data[i*8:min(len(data), (i+1)*8)]))
+		require.True(b.t, b.agent.weights.Put(digest, i, want, data[i*8:min(len(data), (i+1)*8)]))
 	}
 	return digest
 }
@@ -175,19 +175,19 @@
 	require.Error(t, err, "a manifest under another digest")
 	_, err = w.add(part, raw)
 	require.NoError(t, err)
-	require.False(t, w.put(part, 0, m.Chunks[0], []byte("weights ")), "a chunk of the other version")
-	require.True(t, w.put(part, 0, m.Chunks[0], []byte("other we")))
-	require.False(t, w.complete(part))
-	require.Error(t, w.writeTo(httptest.NewRecorder(), part))
+	require.False(t, w.Put(part, 0, m.Chunks[0], []byte("weights ")), "a chunk of the other version")
+	require.True(t, w.Put(part, 0, m.Chunks[0], []byte("other we")))
+	require.False(t, w.Complete(part))
+	require.Error(t, w.SendTo(httptest.NewRecorder(), part))
 	rec := httptest.NewRecorder()
-	require.NoError(t, w.writeTo(rec, whole))
+	require.NoError(t, w.SendTo(rec, whole))
 	require.Equal(t, "weights of v1", rec.Body.String())
 	w.setLoaded(whole)
 	w.retain(part)
-	require.True(t, w.complete(whole), "the version loaded last is kept to go back to")
+	require.True(t, w.Complete(whole), "the version loaded last is kept to go back to")
 	w.setLoaded(part)
 	w.retain(part)
-	require.False(t, w.complete(whole), "a version that is not wanted is dropped")
+	require.False(t, w.Complete(whole), "a version that is not wanted is dropped")
 	w.retain()
-	require.Nil(t, w.held(part), "nothing is held where nothing is placed")
+	require.Nil(t, w.Held(part), "nothing is held where nothing is placed")
 }
--- a/io/awagent/local.go
+++ b/io/awagent/local.go
@@ -14,11 +14,11 @@
 	r := chi.NewRouter()
 	r.Get("/weights/{digest}", func(w http.ResponseWriter, r *http.Request) {
 		digest := chi.URLParam(r, "digest")
-		if !a.weights.complete(digest) {
+		if !a.weights.Complete(digest) {
 			http.Error(w, "weights are not complete", http.StatusNotFound)
 			return
 		}
-		_ = a.weights.writeTo(w, digest) // the engine sees a short body as a failed load
+		_ = a.weights.SendTo(w, digest) // the engine sees a short body as a failed load
 	})
 	r.Get("/metrics", awtelemetry.MetricsHandler)
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-kit/log"
@@ -19,6 +20,7 @@
 	"arbutuswind/io/awbackend"
 	"arbutuswind/io/awgateway"
 	"arbutuswind/io/awhttp"
+	"arbutuswind/io/awload"
 	"arbutuswind/io/awsettings"
 	"arbutuswind/io/awwatch"
 	"arbutuswind/platform"
@@ -106,6 +108,10 @@
 	if err != nil {
 		return err
 	}
+	socket, err := awload.Listen(innerAddress(g.cfg), awclock.System{})
+	if err != nil {
+		return err
+	}
 	_ = level.Info(g.logger).Log("Message", "started", "Callers", g.cfg.Listen.Callers)
 	front := &http.Server{Handler: g.entry, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	readiness := awhttp.NewServer(http.HandlerFunc(g.entry.ServeReady))
@@ -116,6 +122,7 @@
 	group.Go(func() error { return serve(readiness, ready) })
 	group.Go(func() error { g.watcher.Run(live); return nil })
 	group.Go(func() error { g.entry.Run(live); return nil })
+	group.Go(func() error { g.entry.FollowLoad(live, socket, g.cfg.Listen.InnerPort); return nil })
 	group.Go(func() error { g.register(ctx); return nil })
 	group.Go(func() error {
 		defer cancel()
@@ -169,3 +176,8 @@
 	}
 	_ = level.Info(g.logger).Log("Message", "stopped")
 }
+
+// innerAddress returns the address of the internal protocol.
+func innerAddress(cfg awsettings.Fleet) string {
+	return net.JoinHostPort(cfg.Listen.Address, strconv.Itoa(cfg.Listen.InnerPort))
+}
--- a/io/awcommand/loader.go
+++ b/io/awcommand/loader.go
@@ -4,7 +4,13 @@
 	"context"
 	"io"
 
+	"arbutuswind/core/awclock"
+	"arbutuswind/io/awload"
+	"arbutuswind/io/awloader"
+	"arbutuswind/io/awproto"
+	"arbutuswind/io/awrpc"
 	"arbutuswind/io/awsettings"
+	"arbutuswind/platform"
 )
 
 // Loader runs awloader and returns its exit code.
@@ -18,7 +24,29 @@
 		return checked(err, stderr)
 	}
 	return runDaemon(stdout, "awloader", cfg.Process, awsettings.Trace{}, func(ctx context.Context, env environment) error {
-		<-ctx.Done()
-		return nil
+		return runLoader(ctx, cfg, env)
 	})
 }
+
+func runLoader(ctx context.Context, cfg awsettings.Fleet, env environment) error {
+	clock := awclock.System{}
+	inner, err := awrpc.Listen(innerAddress(cfg), nil)
+	if err != nil {
+		return err
+	}
+	socket, err := awload.Listen(innerAddress(cfg), clock)
+	if err != nil {
+		return err
+	}
+	started := incarnation()
+	return awloader.New(awloader.Config{
+		Clock: clock, Logger: env.logger, Engine: platform.NewEngine(cfg.Backend.Address), Origin: platform.NewOrigin(),
+		Source: &platform.Tables{Store: platform.NewStore(cfg.Store.Address), Regions: cfg.Regions}, Socket: socket,
+		Identity: &awproto.ProcessIdentity{
+			Process: "awloader", Instance: cfg.Process.Instance, Domain: cfg.Process.Domain, Region: cfg.Process.Region,
+			Incarnation: started, Address: innerAddress(cfg),
+		},
+		Backend: cfg.Backend.Address, Service: cfg.Backend.Service, InnerPort: cfg.Listen.InnerPort, LinkMbit: cfg.Limits.LinkMbit,
+		VersionBound: cfg.Bounds.Version.Std(), Regions: cfg.Regions, Seed: started,
+	}).Run(ctx, inner)
+}
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -2,7 +2,7 @@
 // straight to a backend server over HTTP/1.1 and returns the answer.
 //
 // What is true of the fleet comes from outside through [Gateway.Apply] and
-// [Gateway.Report]; where a request runs is decided by
+// [Gateway.FollowLoad]; where a request runs is decided by
 // [arbutuswind/core/awdispatch]. This package carries the decision out. It
 // keeps count of what may have run, so that a request that may not be repeated
 // is sent again only after proof that it did not run, and so that a refusal
@@ -61,6 +61,9 @@
 	entries  int
 	rng      *rand.Rand
 	ages     map[string]time.Duration // longest deadline that callers of a route state
+
+	byAddress   map[string]awdirectory.Server
+	listChanged chan struct{} // a backend server has come
 }
 
 // New returns a gateway that knows no configuration.
@@ -68,7 +71,7 @@
 	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Clock.Now().UnixNano())))
 	return &Gateway{
 		cfg: cfg, metrics: newMetrics(), budgets: map[string]*awretry.Window{}, entries: 1, rng: rng,
-		ages: map[string]time.Duration{},
+		ages: map[string]time.Duration{}, byAddress: map[string]awdirectory.Server{}, listChanged: make(chan struct{}, 1),
 		dispatch: awdispatch.New(awdispatch.Config{
 			Clock: cfg.Clock, Rand: rng, Domain: cfg.Domain, Region: cfg.Region, Eject: awmember.DefaultEject(),
 		}),
@@ -98,6 +101,7 @@
 		g.dispatch.SetFloor(model, version)
 	}
 	g.dispatch.SetServers(f.Servers)
+	g.takeAddresses(f.Servers)
 	g.mu.Unlock()
 	g.listed.Store(true)
 	present := map[string]bool{}
@@ -107,11 +111,22 @@
 	g.cfg.Pool.Keep(func(key string) bool { return present[key] })
 }
 
-// Report takes a load report of a backend server.
-func (g *Gateway) Report(k awdirectory.Key, l awdispatch.Load) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.dispatch.Report(k, l)
+// takeAddresses notes who is where; mu must be held.
+func (g *Gateway) takeAddresses(list []awdirectory.Server) {
+	old := g.byAddress
+	g.byAddress = make(map[string]awdirectory.Server, len(list))
+	for _, s := range list {
+		// An address that is used again belongs to the latest start.
+		if other, ok := g.byAddress[s.Address]; !ok || other.Born < s.Born {
+			g.byAddress[s.Address] = s
+		}
+		if _, known := old[s.Address]; !known {
+			select {
+			case g.listChanged <- struct{}{}:
+			default: // a look at the list is due already
+			}
+		}
+	}
 }
 
 // Ready reports whether callers may be sent here: the configuration and the
--- /dev/null
+++ b/io/awloader/inner.go
@@ -0,0 +1,39 @@
+package awloader
+
+import (
+	"context"
+
+	"storj.io/drpc/drpcmux"
+
+	"arbutuswind/io/awproto"
+	"arbutuswind/io/awrpc"
+)
+
+// innerServer hands chunks to other loaders.
+type innerServer struct {
+	awproto.DRPCAgentUnimplementedServer
+	loader *Loader
+}
+
+func newMux(s *innerServer) (*drpcmux.Mux, error) {
+	mux := drpcmux.New()
+	return mux, awproto.DRPCRegisterAgent(mux, s)
+}
+
+// Hello introduces the loader.
+func (s *innerServer) Hello(_ context.Context, req *awproto.HelloRequest) (*awproto.HelloReply, error) {
+	if req.ProtocolVersion != awrpc.ProtocolVersion {
+		return nil, &awrpc.VersionError{Have: awrpc.ProtocolVersion, Got: req.ProtocolVersion}
+	}
+	return &awproto.HelloReply{ProtocolVersion: awrpc.ProtocolVersion, Sender: s.loader.cfg.Identity}, nil
+}
+
+// ChunkMap tells which chunks of a version are held here.
+func (s *innerServer) ChunkMap(_ context.Context, req *awproto.ChunkMapRequest) (*awproto.ChunkMapReply, error) {
+	return &awproto.ChunkMapReply{Held: s.loader.store.Held(req.VersionDigest), FreeSlots: s.loader.uploads.Free()}, nil
+}
+
+// FetchChunk sends one checked chunk.
+func (s *innerServer) FetchChunk(ctx context.Context, req *awproto.FetchChunkRequest) (*awproto.FetchChunkReply, error) {
+	return s.loader.uploads.FetchChunk(ctx, req)
+}
--- /dev/null
+++ b/io/awloader/reconcile.go
@@ -0,0 +1,311 @@
+package awloader
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"arbutuswind/core/awweights"
+	"arbutuswind/io/awtransfer"
+)
+
+const (
+	// manifestReads is the number of equal reads after which a manifest is
+	// believed: it carries no digest of its own, and one answer may be spoilt.
+	manifestReads = 2
+	// stageRounds bounds how often pieces that went bad are staged again
+	// before one load.
+	stageRounds = 4
+	// loadReserve is the time that an engine needs from the order until it
+	// serves the new version: what runs is finished first.
+	loadReserve = 3500 * time.Millisecond
+	// firstPieces is about the time in which the first loaders hold a version:
+	// the origin's link carries one copy in that time.
+	transferSlack = 1.2
+	// peersEvery is the time between two reads of the list of backend servers
+	// during a transfer.
+	peersEvery = time.Second
+	// loadTimeout bounds the wait for an engine that accepted an order.
+	loadTimeout = 6 * time.Second
+	loadPoll    = 60 * time.Millisecond
+	// failurePause follows a failed step.
+	failurePause = 200 * time.Millisecond
+)
+
+func (l *Loader) reconcileLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if t, ok := l.target(); ok {
+			if err := l.reconcile(ctx, t); err != nil && ctx.Err() == nil {
+				l.log("version not loaded", "Version", t.version, "Error", err.Error())
+				pause(ctx, failurePause)
+			}
+		}
+		wait := time.NewTimer(reconcilePeriod)
+		select {
+		case <-l.changed:
+		case <-wait.C:
+		case <-ctx.Done():
+		}
+		wait.Stop()
+	}
+}
+
+// current reports whether the target is still the one wanted.
+func (l *Loader) current(t target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.wanted == t.version
+}
+
+// reconcile takes the next steps towards the wanted version.
+func (l *Loader) reconcile(ctx context.Context, t target) error {
+	m, digest, err := l.manifest(ctx, t)
+	if err != nil {
+		return err
+	}
+	status, err := l.cfg.Engine.Status(ctx)
+	if err != nil {
+		return nil // reported by reportLoop; a dead engine needs no weights
+	}
+	held := status.Versions[t.model.Name]
+	if held <= t.version && (held == t.version || held == 0) && l.store.Held(digest).Count() == 0 {
+		l.importStaged(ctx, m, digest)
+	}
+	if held >= t.version || status.Busy {
+		return nil
+	}
+	if !l.store.Complete(digest) {
+		if err := l.transfer(ctx, t, m, digest); err != nil {
+			return err
+		}
+	}
+	if !l.store.Complete(digest) || !l.current(t) || !l.awaitTurn(ctx, t, held > 0) {
+		return nil
+	}
+	return l.load(ctx, t, m, digest)
+}
+
+// manifest returns the manifest of the target, read from the origin until
+// enough reads agree.
+func (l *Loader) manifest(ctx context.Context, t target) (Manifest, string, error) {
+	if m, ok := l.manifests[t.version]; ok {
+		return m, m.identity(), nil
+	}
+	seen := map[string]int{}
+	for l.current(t) {
+		m, err := l.cfg.Origin.Manifest(ctx, t.origin.Address, t.model.Name, t.version)
+		if err != nil {
+			return m, "", err
+		}
+		if t.model.Chunks > 0 && len(m.Digests) != t.model.Chunks {
+			return m, "", eris.Errorf("manifest of version %d lists %d pieces, want %d", t.version, len(m.Digests), t.model.Chunks)
+		}
+		digest := m.identity()
+		if seen[digest]++; seen[digest] < manifestReads {
+			continue
+		}
+		l.store.Add(digest, m.exchange(), nil)
+		keep := []string{digest}
+		for version, old := range l.manifests {
+			// The version before is passed on to loaders that are still behind.
+			if version == t.version-1 {
+				keep = append(keep, old.identity())
+			} else {
+				delete(l.manifests, version)
+			}
+		}
+		l.manifests[t.version] = m
+		l.store.Keep(keep...)
+		return m, digest, nil
+	}
+	return Manifest{}, "", eris.New("version is no longer wanted")
+}
+
+// importStaged takes over pieces that lie at the engine from before: after a
+// restart of this process or of the engine.
+func (l *Loader) importStaged(ctx context.Context, m Manifest, digest string) {
+	taken := 0
+	for i, want := range m.Digests {
+		piece, err := l.cfg.Engine.Staged(ctx, m.Model, i)
+		if err != nil {
+			break // nothing is staged, or the engine is gone
+		}
+		if l.store.Put(digest, i, want, piece) {
+			taken++
+		}
+	}
+	if taken > 0 {
+		l.log("staged pieces taken over", "Version", m.Version, "Pieces", taken, "Of", len(m.Digests))
+	}
+}
+
+// transfer brings the missing pieces in.
+func (l *Loader) transfer(ctx context.Context, t target, m Manifest, digest string) error {
+	if err := l.readPeers(ctx, digest); err != nil {
+		l.log("list of backend servers not read", "Error", err.Error())
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			pause(ctx, peersEvery)
+			if err := l.readPeers(ctx, digest); err != nil && ctx.Err() == nil {
+				l.log("list of backend servers not read", "Error", err.Error())
+			}
+		}
+	}()
+	began := l.cfg.Clock.Now()
+	self := awweights.Source{ID: l.cfg.Backend, Region: l.cfg.Identity.Region, Duty: l.onDuty(digest)}
+	h := &transferHost{loader: l, target: t, digest: digest}
+	awtransfer.New(awtransfer.Config{
+		Clock: l.cfg.Clock, Rand: l.rng, Host: h, Dialer: l.dialer, Identity: l.cfg.Identity,
+		Exchange: awweights.Config{
+			Self: self, StoreRegion: l.cfg.Regions[t.origin.Domain], Digest: digest, Manifest: m.exchange(), LinkRate: l.linkRate(),
+		},
+		Held: l.store.Held(digest),
+	}).Run(ctx)
+	s := h.stats
+	l.log("transfer ended", "Version", t.version, "Pieces", s.Held, "Of", s.Chunks, "Bad", s.Bad,
+		"OriginBytes", s.OriginBytes, "RegionBytes", s.RegionBytes, "PeerBytes", s.PeerByte,
+		"Seconds", l.cfg.Clock.Now().Sub(began).Seconds())
+	return nil
+}
+
+func (l *Loader) readPeers(ctx context.Context, digest string) error {
+	ctx, cancel := context.WithTimeout(ctx, peersEvery)
+	defer cancel()
+	rows, err := l.cfg.Source.Servers(ctx, 0)
+	if err != nil {
+		return err
+	}
+	l.setPeers(digest, rows.Put)
+	return nil
+}
+
+// onDuty reports whether this loader is on the panel of its region.
+func (l *Loader) onDuty(digest string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	near := []string{l.cfg.Backend}
+	for _, p := range l.peers {
+		if p.Region == l.cfg.Identity.Region {
+			near = append(near, p.ID)
+		}
+	}
+	return slices.Contains(awweights.Panel(digest, near), l.cfg.Backend)
+}
+
+// awaitTurn waits until this engine may stop serving the older version. It
+// returns false if the version is no longer wanted then.
+func (l *Loader) awaitTurn(ctx context.Context, t target, serving bool) bool {
+	if !serving {
+		return true
+	}
+	l.mu.Lock()
+	all := []string{l.cfg.Backend}
+	for _, p := range l.peers {
+		all = append(all, p.ID)
+	}
+	l.mu.Unlock()
+	slices.Sort(all)
+	copies := float64(t.model.Chunks*t.model.ChunkBytes) / max(1, l.linkRate())
+	earliest := time.Duration(copies * transferSlack * float64(time.Second))
+	turn := awweights.Turn(slices.Index(all, l.cfg.Backend), len(all), earliest, l.cfg.VersionBound, loadReserve)
+	pause(ctx, t.named.Add(turn).Sub(l.cfg.Clock.Now()))
+	return ctx.Err() == nil && l.current(t)
+}
+
+// load stages the pieces, checks them where they lie and orders the load.
+func (l *Loader) load(ctx context.Context, t target, m Manifest, digest string) error {
+	if err := l.stage(ctx, m, digest); err != nil {
+		return err
+	}
+	status, err := l.cfg.Engine.Status(ctx)
+	if err != nil {
+		return err
+	}
+	orderErr := l.cfg.Engine.Load(ctx, t.model.Name, t.version, status.Orders)
+	// The order may have been accepted although its answer is lost: what the
+	// engine says afterwards decides.
+	began := l.cfg.Clock.Now()
+	for l.cfg.Clock.Now().Sub(began) < loadTimeout && ctx.Err() == nil {
+		now, err := l.cfg.Engine.Status(ctx)
+		switch {
+		case err != nil:
+		case now.Versions[t.model.Name] >= t.version && !now.Busy:
+			l.log("version loaded", "Version", t.version, "Seconds", l.cfg.Clock.Now().Sub(began).Seconds(),
+				"SinceNamed", l.cfg.Clock.Now().Sub(t.named).Seconds())
+			return nil
+		case now.Born != status.Born:
+			return eris.New("engine restarted during the load")
+		case orderErr != nil && !now.Busy && now.Orders == status.Orders:
+			return eris.Wrap(orderErr, "order to load")
+		}
+		pause(ctx, loadPoll)
+	}
+	return eris.New("engine did not load in time")
+}
+
+// stage puts the pieces at the engine and reads them back until all are right.
+func (l *Loader) stage(ctx context.Context, m Manifest, digest string) error {
+	for range stageRounds {
+		bad := 0
+		for i := range m.Digests {
+			want, _ := l.store.Chunk(digest, i)
+			piece, err := l.cfg.Engine.Staged(ctx, m.Model, i)
+			if err == nil && bytes.Equal(piece, want) {
+				continue
+			}
+			bad++
+			if err := l.cfg.Engine.Stage(ctx, m.Model, i, want); err != nil {
+				return err
+			}
+		}
+		if bad == 0 {
+			return nil
+		}
+	}
+	return eris.Errorf("staged pieces went bad %d times", stageRounds)
+}
+
+// transferHost runs the transfer of one version for a loader.
+type transferHost struct {
+	loader *Loader
+	target target
+	digest string
+	stats  awweights.Stats
+}
+
+// Peers implements [awtransfer.Host].
+func (h *transferHost) Peers(string) ([]awtransfer.Peer, uint64, bool) {
+	l := h.loader
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peers, l.revision, l.wanted == h.target.version
+}
+
+// Share implements [awtransfer.Host]. Requests do not use the link of a
+// loader's instance.
+func (h *transferHost) Share() float64 { return 1 }
+
+// Origin implements [awtransfer.Host].
+func (h *transferHost) Origin(ctx context.Context, index int, _ string) ([]byte, error) {
+	return h.loader.cfg.Origin.Chunk(ctx, h.target.origin.Address, h.target.model.Name, h.target.version, index)
+}
+
+// Put implements [awtransfer.Host].
+func (h *transferHost) Put(index int, want string, data []byte) bool {
+	return h.loader.store.Put(h.digest, index, want, data)
+}
+
+// Has implements [awtransfer.Host].
+func (h *transferHost) Has(index int) bool {
+	data, _ := h.loader.store.Chunk(h.digest, index)
+	return data != nil
+}
+
+// Progress implements [awtransfer.Host].
+func (h *transferHost) Progress(s awweights.Stats) { h.stats = s }
--- /dev/null
+++ b/io/awtransfer/store.go
@@ -0,0 +1,142 @@
+package awtransfer
+
+import (
+	"io"
+	"slices"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"arbutuswind/core/awweights"
+)
+
+// Store holds the checked chunks of versions. A version is known by the
+// digest of its manifest, so chunks of two versions never mix. It is safe for
+// concurrent use.
+type Store struct {
+	digest func([]byte) string // of a chunk, as manifests list it
+
+	mu       sync.Mutex
+	versions map[string]*heldVersion
+}
+
+type heldVersion struct {
+	raw      []byte // the manifest as published
+	manifest awweights.Manifest
+	chunks   [][]byte
+	held     awweights.Bitmap
+	count    int
+}
+
+// NewStore returns an empty store. The function computes the digest of a chunk.
+func NewStore(digest func([]byte) string) *Store {
+	return &Store{digest: digest, versions: map[string]*heldVersion{}}
+}
+
+// Add starts to hold a version. Raw is its manifest as published.
+func (w *Store) Add(digest string, m awweights.Manifest, raw []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.versions[digest] != nil {
+		return
+	}
+	n := len(m.Chunks)
+	w.versions[digest] = &heldVersion{raw: raw, manifest: m, chunks: make([][]byte, n), held: awweights.NewBitmap(n)}
+}
+
+// Manifest returns the manifest of a version and its published form.
+func (w *Store) Manifest(digest string) (awweights.Manifest, []byte, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := w.versions[digest]
+	if v == nil {
+		return awweights.Manifest{}, nil, false
+	}
+	return v.manifest, v.raw, true
+}
+
+// Put checks a chunk and keeps it; false means that it is corrupt.
+func (w *Store) Put(digest string, i int, want string, chunk []byte) bool {
+	if w.digest(chunk) != want {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if v := w.versions[digest]; v != nil && v.chunks[i] == nil {
+		v.chunks[i] = chunk
+		v.held.Set(i)
+		v.count++
+	}
+	return true
+}
+
+// Chunk returns a checked chunk and the map of those held.
+func (w *Store) Chunk(digest string, i int) ([]byte, awweights.Bitmap) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := w.versions[digest]
+	if v == nil {
+		return nil, nil
+	}
+	if i < 0 || i >= len(v.chunks) {
+		return nil, slices.Clone(v.held)
+	}
+	return v.chunks[i], slices.Clone(v.held)
+}
+
+// Held returns the map of the chunks held.
+func (w *Store) Held(digest string) awweights.Bitmap {
+	_, held := w.Chunk(digest, -1)
+	return held
+}
+
+// Complete reports whether every chunk of a version is held.
+func (w *Store) Complete(digest string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := w.versions[digest]
+	return v != nil && v.count == len(v.chunks)
+}
+
+// SendTo sends the whole version. It returns an error without having
+// written anything when the version is not complete.
+func (w *Store) SendTo(out io.Writer, digest string) error {
+	w.mu.Lock()
+	v := w.versions[digest]
+	if v == nil || v.count != len(v.chunks) {
+		w.mu.Unlock()
+		return eris.New("weights are not complete")
+	}
+	chunks := v.chunks
+	w.mu.Unlock()
+	for _, c := range chunks {
+		if _, err := out.Write(c); err != nil {
+			return eris.Wrap(err, "send weights")
+		}
+	}
+	return nil
+}
+
+// Keep drops every version that is not named.
+func (w *Store) Keep(keep ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for digest := range w.versions {
+		if !slices.Contains(keep, digest) {
+			delete(w.versions, digest)
+		}
+	}
+}
+
+// OtherBytes returns the memory held by versions other than digest.
+func (w *Store) OtherBytes(digest string) uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var n uint64
+	for d, v := range w.versions {
+		if d != digest {
+			n += uint64(v.count) * v.manifest.ChunkBytes
+		}
+	}
+	return n
+}
