Judge each named version by its own bound; fall back to the one before

Loaders ended by themselves when the list named one address twice (duties could not be shared out). Pieces in flight queued in front of the engines' answers on the same link, so that streams paused. Change: core/awdirectory.Versions keeps a floor for each version; peers are taken once for each address; fewer fetches at once and 0.85 of the link; a loader whose origin gives nothing goes on with the version before. Ruled out: the engines' own processor; the pauses end with the transfer.

--- /dev/null
+++ b/core/awdirectory/awdirectory_test.go
@@ -0,0 +1,70 @@
+package awdirectory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against a version that is named before the last one is everywhere:
+// it must not extend the time for which weights older than that may serve.
+func TestEachVersionHasItsOwnBound(t *testing.T) {
+	v := Versions{Bound: 8 * time.Second}
+	require.True(t, v.Name("m", 2, start))
+	require.True(t, v.Name("m", 3, start.Add(3*time.Second)))
+	require.False(t, v.Name("m", 2, start.Add(4*time.Second)), "an older version named again changes nothing")
+	require.Equal(t, int64(3), v.Wanted("m"))
+	floors := v.Floors()["m"]
+	for _, tc := range []struct {
+		after time.Duration
+		floor int64
+	}{{6 * time.Second, 0}, {8 * time.Second, 2}, {11 * time.Second, 3}} {
+		require.Equal(t, tc.floor, FloorAt(floors, start.Add(tc.after)), "after %s", tc.after)
+	}
+}
+
+// Guards against entries that lapsed while the store was away: a backend
+// server that reaches the store is back within two seconds, one that is not
+// must get nothing after that.
+func TestEntriesThatLapseWithTheStore(t *testing.T) {
+	tab := NewTable()
+	tab.Put(Server{ID: "a"})
+	tab.Put(Server{ID: "b"})
+	tab.Put(Server{ID: "c", Draining: true})
+	tab.StoreAway()
+	now := start
+	tab.StoreBack(now)
+	for _, id := range []string{"a", "b", "c"} {
+		tab.Remove(id, now)
+	}
+	require.Len(t, tab.Servers(), 2, "a leaving backend server is gone at once")
+	tab.Put(Server{ID: "a"})
+	require.True(t, tab.Expire(now.Add(ReturnGrace)))
+	require.Equal(t, []Server{{ID: "a"}}, tab.Servers())
+	tab.Remove("a", now.Add(time.Minute))
+	require.Empty(t, tab.Servers(), "without an outage a removed entry is gone at once")
+}
+
+// Guards against requests that take the route of a shorter prefix, of another
+// host, or of a prefix that ends inside a path segment.
+func TestLongestPrefixOfTheHost(t *testing.T) {
+	c := (&Config{Routes: []Route{
+		{Name: "short", Host: "A.example", Prefix: "/x/", Targets: []Target{{Service: "s", Weight: 1}}},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+	}}).Index()
+	require.Equal(t, "long", c.Route("a.example", "/x/y/z").Name)
+	require.Equal(t, "short", c.Route("a.Example", "/x/yy").Name)
+	require.Nil(t, c.Route("a.example", "/x"))
+	require.Nil(t, c.Route("b.example", "/x/y/"))
+	require.Equal(t, "s", c.Routes[0].Pick(0.99))
+}
+
+// Guards against requests of a split route that all go to one service.
+func TestSplitFollowsWeights(t *testing.T) {
+	r := Route{Targets: []Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	require.Equal(t, "a", r.Pick(0.89))
+	require.Equal(t, "b", r.Pick(0.91))
+}
--- a/core/awdirectory/versions.go
+++ b/core/awdirectory/versions.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// named is a version of a model's weights that operators have named.
-type named struct {
-	version int64
-	at      time.Time // when this process learned of it
-	floor   int64     // oldest version that may still begin a request
+// Floor is a version of a model's weights and the time from which no request
+// may begin on an older one.
+type Floor struct {
+	Version int64
+	From    time.Time
 }
 
 // Versions knows which weights operators want and until when older ones may
@@ -15,51 +15,57 @@
 	// Bound is the time from the naming of a version until no request may
 	// begin on an older one.
 	Bound  time.Duration
-	models map[string]*named
+	models map[string][]Floor // in the order of their versions
 }
 
-// beginMargin covers the wait of a request inside an engine before it begins
-// and the time after which this process learned of the version.
-const beginMargin = 1500 * time.Millisecond
+const (
+	// beginMargin covers the wait of a request inside an engine before it
+	// begins and the time after which this process learned of the version.
+	beginMargin = time.Second
+	// keepFloors is how many versions of a model are remembered.
+	keepFloors = 4
+)
 
-// Name notes a version that operators have named; an older one than known is
-// ignored.
-func (v *Versions) Name(model string, version int64, now time.Time) {
-	if v.models == nil {
-		v.models = map[string]*named{}
-	}
-	n := v.models[model]
-	if n == nil {
-		n = &named{}
-		v.models[model] = n
-	}
-	if version > n.version {
-		n.floor = n.expired(now, v.Bound)
-		n.version, n.at = version, now
+// Name notes a version that operators have named. It returns false for one
+// that is known or older than the last. Each version has a bound of its own:
+// a later one does not extend that of the one before.
+func (v *Versions) Name(model string, version int64, now time.Time) bool {
+	if version <= v.Wanted(model) {
+		return false
 	}
-}
-
-func (n *named) expired(now time.Time, bound time.Duration) int64 {
-	if n.version > 0 && now.Sub(n.at) >= bound-beginMargin {
-		return n.version
+	if v.models == nil {
+		v.models = map[string][]Floor{}
 	}
-	return n.floor
+	list := append(v.models[model], Floor{Version: version, From: now.Add(max(0, v.Bound-beginMargin))})
+	v.models[model] = list[max(0, len(list)-keepFloors):]
+	return true
 }
 
-// Floor returns the oldest version of each model that may begin a request now.
-func (v *Versions) Floor(now time.Time) map[string]int64 {
-	out := make(map[string]int64, len(v.models))
-	for model, n := range v.models {
-		n.floor = n.expired(now, v.Bound)
-		out[model] = n.floor
+// Floors returns the floors of each model, in the order of their versions.
+func (v *Versions) Floors() map[string][]Floor {
+	out := make(map[string][]Floor, len(v.models))
+	for model, list := range v.models {
+		out[model] = append([]Floor(nil), list...)
 	}
 	return out
 }
 
 // Wanted returns the version of a model that operators have named last, or 0.
 func (v *Versions) Wanted(model string) int64 {
-	if n := v.models[model]; n != nil {
-		return n.version
+	list := v.models[model]
+	if len(list) == 0 {
+		return 0
+	}
+	return list[len(list)-1].Version
+}
+
+// FloorAt returns the oldest version that may begin a request at a time.
+func FloorAt(list []Floor, now time.Time) int64 {
+	floor := int64(0)
+	for _, f := range list {
+		if !now.Before(f.From) {
+			floor = f.Version
+		}
 	}
-	return 0
+	return floor
 }
--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -96,8 +96,8 @@
 	cfg      Config
 	servers  map[awdirectory.Key]*server
 	byServe  map[string][]*server
-	out      map[string]bool  // failure domains taken out of service
-	floor    map[string]int64 // oldest version of a model that may begin a request
+	out      map[string]bool                // failure domains taken out of service
+	floors   map[string][]awdirectory.Floor // oldest version of a model that may begin a request
 	entries  int
 	services map[string]awdirectory.Service
 	queues   map[string][]*Ticket
@@ -109,7 +109,7 @@
 func New(cfg Config) *Dispatcher {
 	return &Dispatcher{
 		cfg: cfg, servers: map[awdirectory.Key]*server{}, byServe: map[string][]*server{}, out: map[string]bool{},
-		floor: map[string]int64{}, entries: 1, services: map[string]awdirectory.Service{},
+		floors: map[string][]awdirectory.Floor{}, entries: 1, services: map[string]awdirectory.Service{},
 		queues: map[string][]*Ticket{}, rates: map[string]*rate{}, ejector: awmember.NewEjector(cfg.Eject),
 	}
 }
@@ -137,8 +137,8 @@
 // SetOut replaces the failure domains that get no new work.
 func (d *Dispatcher) SetOut(domains map[string]bool) { d.out = domains }
 
-// SetFloor sets the oldest version of a model that may begin a request.
-func (d *Dispatcher) SetFloor(model string, version int64) { d.floor[model] = version }
+// SetFloors replaces the floors of the versions of each model.
+func (d *Dispatcher) SetFloors(floors map[string][]awdirectory.Floor) { d.floors = floors }
 
 // SetServers replaces the list of backend servers. What is known about
 // incarnations that remain is kept.
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -240,5 +240,5 @@
 		return false
 	}
 	v := s.versions(now)[req.Model]
-	return v > 0 && v >= d.floor[req.Model] && (req.Version == 0 || v == req.Version)
+	return v > 0 && v >= awdirectory.FloorAt(d.floors[req.Model], now) && (req.Version == 0 || v == req.Version)
 }
--- a/core/awweights/exchange.go
+++ b/core/awweights/exchange.go
@@ -209,6 +209,7 @@
 	}
 	slices.Sort(x.order)
 	slices.Sort(x.panel)
+	x.panel = slices.Compact(x.panel) // a list may name a process twice, before and after its restart
 	x.duties = AssignDuties(x.cfg.Digest, x.stats.Chunks, x.panel)
 	x.settleHome()
 	for i := range x.holder {
--- a/core/awweights/policy_test.go
+++ b/core/awweights/policy_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"arbutuswind/core/awclock"
 	"arbutuswind/core/awweights"
 )
 
@@ -78,3 +81,31 @@
 	require.Equal(t, "north", awweights.HomeRegion("north", []string{"south", "north"}))
 	require.Equal(t, "middle", awweights.HomeRegion("north", []string{"south", "middle"}))
 }
+
+// Guards against a list that names a process twice, as the platform's list
+// does after a restart: duties could not be shared out evenly and the process
+// ended.
+func TestPeerNamedTwice(t *testing.T) {
+	clock := awclock.NewFake(time.Unix(0, 0))
+	m := awweights.Manifest{Model: "m", Version: "1", ChunkBytes: 1, SizeBytes: 96, Chunks: make([]string, 96)}
+	x := awweights.NewExchange(awweights.Config{Self: awweights.Source{ID: "a", Region: "r", Duty: true}, StoreRegion: "r", Digest: "d", Manifest: m},
+		clock, rand.New(rand.NewPCG(1, 2)), awweights.NewBitmap(96))
+	twice := awweights.Source{ID: "b", Region: "r", Duty: true}
+	require.NotPanics(t, func() { x.SetPeers([]awweights.Source{twice, twice, twice}) })
+}
+
+// Guards against engines that all stop at once for a new version, and against
+// turns that end after the bound.
+func TestTurnsAreSpread(t *testing.T) {
+	const earliest, bound, reserve = 3 * time.Second, 8 * time.Second, 3 * time.Second
+	last := time.Duration(0)
+	for rank := range 10 {
+		turn := awweights.Turn(rank, 10, earliest, bound, reserve)
+		require.GreaterOrEqual(t, turn, last)
+		require.LessOrEqual(t, turn, bound-reserve)
+		last = turn
+	}
+	require.Equal(t, bound-reserve, last)
+	require.Equal(t, earliest, awweights.Turn(0, 10, earliest, bound, reserve))
+	require.Equal(t, time.Second, awweights.Turn(3, 10, earliest, 4*time.Second, reserve), "a bound that leaves no time to spread")
+}
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -94,7 +94,7 @@
 }
 
 func (g *gateway) apply(s awwatch.State) {
-	g.entry.Apply(awgateway.Fleet{Servers: s.Servers, Out: s.Out, Floor: s.Floor, Entries: s.Entries})
+	g.entry.Apply(awgateway.Fleet{Servers: s.Servers, Out: s.Out, Floors: s.Floors, Entries: s.Entries})
 }
 
 // run serves until ctx ends, and then until running requests are answered or
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -42,9 +42,9 @@
 // Fleet is what the store says about backend servers.
 type Fleet struct {
 	Servers []awdirectory.Server
-	Out     map[string]bool  // failure domains taken out of service
-	Floor   map[string]int64 // oldest version of a model that may begin a request
-	Entries int              // entries that may be alive, this one included
+	Out     map[string]bool                // failure domains taken out of service
+	Floors  map[string][]awdirectory.Floor // oldest versions that may begin a request
+	Entries int                            // entries that may be alive, this one included
 }
 
 // Gateway serves callers. It is safe for concurrent use.
@@ -97,9 +97,7 @@
 	g.entries = max(1, f.Entries)
 	g.dispatch.SetEntries(g.entries)
 	g.dispatch.SetOut(f.Out)
-	for model, version := range f.Floor {
-		g.dispatch.SetFloor(model, version)
-	}
+	g.dispatch.SetFloors(f.Floors)
 	g.dispatch.SetServers(f.Servers)
 	g.takeAddresses(f.Servers)
 	g.mu.Unlock()
--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -18,6 +18,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -124,8 +125,10 @@
 	restPeriod = 500 * time.Millisecond
 	// operatorWait is how long the store holds a read of the operators' rows.
 	operatorWait = 10 * time.Second
-	uploadSlots  = 6
-	bitsPerMbit  = 1e6
+	// uploadSlots bounds the pieces that leave at once, which queue on the link
+	// in front of the engine's answers.
+	uploadSlots = 2
+	bitsPerMbit = 1e6
 )
 
 // Loader keeps one engine loaded.
@@ -141,8 +144,7 @@
 	mu       sync.Mutex
 	service  awdirectory.Service
 	origin   awdirectory.Origin
-	wanted   int64
-	named    time.Time // when the wanted version became known
+	named    []target // versions that operators have named, the newest first
 	peers    []awtransfer.Peer
 	revision uint64 // of peers
 	changed  chan struct{}
@@ -156,7 +158,7 @@
 		manifests: map[int64]Manifest{}, changed: make(chan struct{}, 1), dialer: awrpc.NewDialer(awrpc.DialerConfig{Identity: cfg.Identity}),
 	}
 	l.uploads = awtransfer.NewUploads(awtransfer.UploadConfig{
-		Clock: cfg.Clock, Holder: l.store, Region: cfg.Identity.Region, Slots: uploadSlots, Rate: l.linkRate(),
+		Clock: cfg.Clock, Holder: l.store, Region: cfg.Identity.Region, Slots: uploadSlots, Rate: l.linkRate() * linkShare,
 		Share: func() float64 { return 1 },
 	})
 	return l
@@ -194,17 +196,35 @@
 	return true
 }
 
+// maxTargets is how many versions are considered: the newest, and the one
+// before as long as the origin does not give the newest.
+const maxTargets = 2
+
 // firstVersion is the version that a model has before operators name one.
 const firstVersion = 1
 
+// target is a version that the engine may be brought to.
+type target struct {
+	model   awdirectory.Model
+	origin  awdirectory.Origin
+	version int64
+	named   time.Time // when this process learned of it
+}
+
 func (l *Loader) want(s awwatch.State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	wanted := max(firstVersion, s.Wanted[l.service.Model.Name])
-	if wanted > l.wanted {
-		l.wanted, l.named = wanted, l.cfg.Clock.Now()
-		l.wake()
+	floors := s.Floors[l.service.Model.Name]
+	if len(l.named) == 0 {
+		l.named = []target{{version: firstVersion, named: l.cfg.Clock.Now()}}
+	}
+	for _, f := range floors {
+		if f.Version > l.named[0].version {
+			l.named = slices.Insert(l.named, 0, target{version: f.Version, named: l.cfg.Clock.Now()})
+			l.wake()
+		}
 	}
+	l.named = l.named[:min(len(l.named), maxTargets)]
 }
 
 func (l *Loader) wake() {
@@ -214,19 +234,25 @@
 	}
 }
 
-// target is the version that the engine is to hold.
-type target struct {
-	model   awdirectory.Model
-	origin  awdirectory.Origin
-	version int64
-	named   time.Time
+// targets returns the versions to bring the engine to, the newest first.
+func (l *Loader) targets() []target {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.service.Model.Name == "" || l.origin.Address == "" {
+		return nil
+	}
+	list := slices.Clone(l.named)
+	for i := range list {
+		list[i].model, list[i].origin = l.service.Model, l.origin
+	}
+	return list
 }
 
-func (l *Loader) target() (target, bool) {
+// newest reports whether no version has been named after the given one.
+func (l *Loader) newest(version int64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := target{model: l.service.Model, origin: l.origin, version: l.wanted, named: l.named}
-	return t, t.model.Name != "" && t.origin.Address != "" && t.version > 0
+	return len(l.named) == 0 || l.named[0].version == version
 }
 
 func (l *Loader) log(message string, kv ...any) {
@@ -294,14 +320,32 @@
 	return err
 }
 
+// latest returns the engines of the service, one for each address: the list
+// still shows the start before for a while.
+func (l *Loader) latest(servers []awdirectory.Server) []awdirectory.Server {
+	var out []awdirectory.Server
+	for _, s := range servers {
+		if s.Service != l.cfg.Service {
+			continue
+		}
+		at := slices.IndexFunc(out, func(o awdirectory.Server) bool { return o.Address == s.Address })
+		switch {
+		case at < 0:
+			out = append(out, s)
+		case s.Born > out[at].Born:
+			out[at] = s
+		}
+	}
+	return out
+}
+
 // setPeers takes the list of backend servers: beside each engine of the
 // service runs a loader.
 func (l *Loader) setPeers(digest string, servers []awdirectory.Server) {
+	servers = l.latest(servers)
 	placed := map[string][]string{}
 	for _, s := range servers {
-		if s.Service == l.cfg.Service {
-			placed[s.Region] = append(placed[s.Region], s.Address)
-		}
+		placed[s.Region] = append(placed[s.Region], s.Address)
 	}
 	duty := map[string]bool{}
 	for _, addresses := range placed {
@@ -311,7 +355,7 @@
 	}
 	var peers []awtransfer.Peer
 	for _, s := range servers {
-		if s.Service != l.cfg.Service || s.Address == l.cfg.Backend {
+		if s.Address == l.cfg.Backend {
 			continue
 		}
 		at, err := netip.ParseAddrPort(s.Address)
--- a/io/awloader/reconcile.go
+++ b/io/awloader/reconcile.go
@@ -31,15 +31,26 @@
 	// loadTimeout bounds the wait for an engine that accepted an order.
 	loadTimeout = 6 * time.Second
 	loadPoll    = 60 * time.Millisecond
+	// stallAfter is how long a transfer may bring nothing in before another
+	// version is looked at; a piece takes about 30 ms on an instance's link.
+	stallAfter = time.Second
+	// linkShare is the part of the instance's link that pieces use. The engine
+	// beside this process answers requests over the same link.
+	linkShare = 0.85
+	// The fetches at once: more of them only wait for each other on the link,
+	// and the answers of the engine behind them.
+	peerFetches    = 4
+	dutyFetches    = 2
+	fetchesPerPeer = 2
 	// failurePause follows a failed step.
 	failurePause = 200 * time.Millisecond
 )
 
 func (l *Loader) reconcileLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if t, ok := l.target(); ok {
-			if err := l.reconcile(ctx, t); err != nil && ctx.Err() == nil {
-				l.log("version not loaded", "Version", t.version, "Error", err.Error())
+		if list := l.targets(); len(list) > 0 {
+			if err := l.reconcile(ctx, list); err != nil && ctx.Err() == nil {
+				l.log("version not loaded", "Newest", list[0].version, "Error", err.Error())
 				pause(ctx, failurePause)
 			}
 		}
@@ -53,49 +64,64 @@
 	}
 }
 
-// current reports whether the target is still the one wanted.
-func (l *Loader) current(t target) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.wanted == t.version
-}
-
-// reconcile takes the next steps towards the wanted version.
-func (l *Loader) reconcile(ctx context.Context, t target) error {
-	m, digest, err := l.manifest(ctx, t)
-	if err != nil {
-		return err
-	}
+// reconcile takes the next steps towards the newest version of the list. When
+// the origin does not give it, the engine is brought to the version before, of
+// which peers may hold all, so that it serves for as long as that one may.
+func (l *Loader) reconcile(ctx context.Context, list []target) error {
 	status, err := l.cfg.Engine.Status(ctx)
 	if err != nil {
 		return nil // reported by reportLoop; a dead engine needs no weights
 	}
-	held := status.Versions[t.model.Name]
-	if held <= t.version && (held == t.version || held == 0) && l.store.Held(digest).Count() == 0 {
+	held := status.Versions[list[0].model.Name]
+	var first error
+	for i, t := range list {
+		if !l.newest(list[0].version) {
+			return nil
+		}
+		done, err := l.advance(ctx, t, list[0].version, held, i+1 < len(list) && held < list[i+1].version)
+		if done {
+			return err
+		}
+		if first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// advance brings the engine, which holds a version, nearer to the target. It
+// returns true if there is nothing to do for an older version.
+func (l *Loader) advance(ctx context.Context, t target, newest, held int64, fallback bool) (bool, error) {
+	m, digest, err := l.manifest(ctx, t, newest)
+	if err != nil {
+		return held >= t.version, err
+	}
+	if (held == t.version || held == 0) && l.store.Held(digest).Count() == 0 {
 		l.importStaged(ctx, m, digest)
 	}
-	if held >= t.version || status.Busy {
-		return nil
+	if held >= t.version {
+		return true, nil
 	}
 	if !l.store.Complete(digest) {
-		if err := l.transfer(ctx, t, m, digest); err != nil {
-			return err
-		}
+		l.transfer(ctx, transferHost{loader: l, target: t, newest: newest, digest: digest, yields: fallback || t.version < newest}, m)
 	}
-	if !l.store.Complete(digest) || !l.current(t) || !l.awaitTurn(ctx, t, held > 0) {
-		return nil
+	if !l.store.Complete(digest) {
+		return false, nil
+	}
+	if !l.awaitTurn(ctx, t, newest, held > 0) {
+		return true, nil
 	}
-	return l.load(ctx, t, m, digest)
+	return true, l.load(ctx, t, m, digest)
 }
 
 // manifest returns the manifest of the target, read from the origin until
 // enough reads agree.
-func (l *Loader) manifest(ctx context.Context, t target) (Manifest, string, error) {
+func (l *Loader) manifest(ctx context.Context, t target, newest int64) (Manifest, string, error) {
 	if m, ok := l.manifests[t.version]; ok {
 		return m, m.identity(), nil
 	}
 	seen := map[string]int{}
-	for l.current(t) {
+	for l.newest(newest) {
 		m, err := l.cfg.Origin.Manifest(ctx, t.origin.Address, t.model.Name, t.version)
 		if err != nil {
 			return m, "", err
@@ -104,24 +130,30 @@
 			return m, "", eris.Errorf("manifest of version %d lists %d pieces, want %d", t.version, len(m.Digests), t.model.Chunks)
 		}
 		digest := m.identity()
-		if seen[digest]++; seen[digest] < manifestReads {
-			continue
+		if seen[digest]++; seen[digest] >= manifestReads {
+			l.hold(t, m, digest)
+			return m, digest, nil
 		}
-		l.store.Add(digest, m.exchange(), nil)
-		keep := []string{digest}
-		for version, old := range l.manifests {
-			// The version before is passed on to loaders that are still behind.
-			if version == t.version-1 {
-				keep = append(keep, old.identity())
-			} else {
-				delete(l.manifests, version)
-			}
+	}
+	return Manifest{}, "", errSuperseded
+}
+
+var errSuperseded = eris.New("a newer version was named")
+
+// hold makes room for the pieces of a version. The versions next to it stay:
+// other loaders may still need them.
+func (l *Loader) hold(t target, m Manifest, digest string) {
+	l.store.Add(digest, m.exchange(), nil)
+	l.manifests[t.version] = m
+	var keep []string
+	for version, held := range l.manifests {
+		if version < t.version-1 {
+			delete(l.manifests, version)
+			continue
 		}
-		l.manifests[t.version] = m
-		l.store.Keep(keep...)
-		return m, digest, nil
+		keep = append(keep, held.identity())
 	}
-	return Manifest{}, "", eris.New("version is no longer wanted")
+	l.store.Keep(keep...)
 }
 
 // importStaged takes over pieces that lie at the engine from before: after a
@@ -142,36 +174,43 @@
 	}
 }
 
-// transfer brings the missing pieces in.
-func (l *Loader) transfer(ctx context.Context, t target, m Manifest, digest string) error {
-	if err := l.readPeers(ctx, digest); err != nil {
-		l.log("list of backend servers not read", "Error", err.Error())
-	}
+// transfer brings the missing pieces in, until the host no longer wants them.
+func (l *Loader) transfer(ctx context.Context, h transferHost, m Manifest) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
-		for ctx.Err() == nil {
-			pause(ctx, peersEvery)
-			if err := l.readPeers(ctx, digest); err != nil && ctx.Err() == nil {
-				l.log("list of backend servers not read", "Error", err.Error())
-			}
-		}
-	}()
-	began := l.cfg.Clock.Now()
-	self := awweights.Source{ID: l.cfg.Backend, Region: l.cfg.Identity.Region, Duty: l.onDuty(digest)}
-	h := &transferHost{loader: l, target: t, digest: digest}
+	l.followPeers(ctx, h.digest)
+	h.began = l.cfg.Clock.Now()
+	h.progressed = h.began
+	held := l.store.Held(h.digest)
+	h.stats.Held = held.Count()
 	awtransfer.New(awtransfer.Config{
-		Clock: l.cfg.Clock, Rand: l.rng, Host: h, Dialer: l.dialer, Identity: l.cfg.Identity,
+		Clock: l.cfg.Clock, Rand: l.rng, Host: &h, Dialer: l.dialer, Identity: l.cfg.Identity, Held: held,
 		Exchange: awweights.Config{
-			Self: self, StoreRegion: l.cfg.Regions[t.origin.Domain], Digest: digest, Manifest: m.exchange(), LinkRate: l.linkRate(),
+			Self:        awweights.Source{ID: l.cfg.Backend, Region: l.cfg.Identity.Region, Duty: l.onDuty(h.digest)},
+			StoreRegion: l.cfg.Regions[h.target.origin.Domain], Digest: h.digest, Manifest: m.exchange(),
+			LinkRate: l.linkRate() * linkShare, Parallel: peerFetches, DutyParallel: dutyFetches, PerPeer: fetchesPerPeer,
 		},
-		Held: l.store.Held(digest),
 	}).Run(ctx)
 	s := h.stats
-	l.log("transfer ended", "Version", t.version, "Pieces", s.Held, "Of", s.Chunks, "Bad", s.Bad,
+	l.log("transfer ended", "Version", h.target.version, "Pieces", s.Held, "Of", s.Chunks, "Bad", s.Bad,
 		"OriginBytes", s.OriginBytes, "RegionBytes", s.RegionBytes, "PeerBytes", s.PeerByte,
-		"Seconds", l.cfg.Clock.Now().Sub(began).Seconds())
-	return nil
+		"Seconds", l.cfg.Clock.Now().Sub(h.began).Seconds())
+}
+
+// followPeers reads the list of backend servers now and then until ctx ends.
+func (l *Loader) followPeers(ctx context.Context, digest string) {
+	read := func() {
+		if err := l.readPeers(ctx, digest); err != nil && ctx.Err() == nil {
+			l.log("list of backend servers not read", "Error", err.Error())
+		}
+	}
+	read()
+	go func() {
+		for ctx.Err() == nil {
+			pause(ctx, peersEvery)
+			read()
+		}
+	}()
 }
 
 func (l *Loader) readPeers(ctx context.Context, digest string) error {
@@ -200,7 +239,7 @@
 
 // awaitTurn waits until this engine may stop serving the older version. It
 // returns false if the version is no longer wanted then.
-func (l *Loader) awaitTurn(ctx context.Context, t target, serving bool) bool {
+func (l *Loader) awaitTurn(ctx context.Context, t target, newest int64, serving bool) bool {
 	if !serving {
 		return true
 	}
@@ -215,7 +254,7 @@
 	earliest := time.Duration(copies * transferSlack * float64(time.Second))
 	turn := awweights.Turn(slices.Index(all, l.cfg.Backend), len(all), earliest, l.cfg.VersionBound, loadReserve)
 	pause(ctx, t.named.Add(turn).Sub(l.cfg.Clock.Now()))
-	return ctx.Err() == nil && l.current(t)
+	return ctx.Err() == nil && l.newest(newest)
 }
 
 // load stages the pieces, checks them where they lie and orders the load.
@@ -275,16 +314,25 @@
 type transferHost struct {
 	loader *Loader
 	target target
+	newest int64 // version that was the newest when the transfer began
 	digest string
-	stats  awweights.Stats
+	yields bool // to another version when nothing comes in
+
+	began      time.Time
+	progressed time.Time
+	stats      awweights.Stats
 }
 
 // Peers implements [awtransfer.Host].
 func (h *transferHost) Peers(string) ([]awtransfer.Peer, uint64, bool) {
 	l := h.loader
+	wanted := l.newest(h.newest)
+	if h.yields && l.cfg.Clock.Now().Sub(h.progressed) > stallAfter {
+		wanted = false
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.peers, l.revision, l.wanted == h.target.version
+	return l.peers, l.revision, wanted
 }
 
 // Share implements [awtransfer.Host]. Requests do not use the link of a
@@ -308,4 +356,9 @@
 }
 
 // Progress implements [awtransfer.Host].
-func (h *transferHost) Progress(s awweights.Stats) { h.stats = s }
+func (h *transferHost) Progress(s awweights.Stats) {
+	if s.Held > h.stats.Held {
+		h.progressed = h.loader.cfg.Clock.Now()
+	}
+	h.stats = s
+}
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -52,8 +52,7 @@
 type State struct {
 	Servers []awdirectory.Server
 	Out     map[string]bool
-	Floor   map[string]int64 // oldest version of a model that may begin a request
-	Wanted  map[string]int64 // version of a model that operators want
+	Floors  map[string][]awdirectory.Floor // oldest versions that may begin a request
 	Entries int
 }
 
@@ -92,7 +91,6 @@
 	table    *awdirectory.Table
 	versions awdirectory.Versions
 	out      map[string]bool
-	models   map[string]int64
 	entries  int
 	read     struct{ operator, servers bool } // a whole read has succeeded
 }
@@ -101,7 +99,7 @@
 func New(cfg Config) *Watcher {
 	return &Watcher{
 		cfg: cfg, state: make(chan func()), table: awdirectory.NewTable(),
-		versions: awdirectory.Versions{Bound: cfg.VersionBound}, out: map[string]bool{}, models: map[string]int64{}, entries: 1,
+		versions: awdirectory.Versions{Bound: cfg.VersionBound}, out: map[string]bool{}, entries: 1,
 	}
 }
 
@@ -204,11 +202,9 @@
 		}
 	}
 	for model, version := range rows.Named {
-		if version > w.models[model] {
+		if w.versions.Name(model, version, now) {
 			w.log("version named", "Model", model, "Version", version, "Revision", rows.Revision)
-			w.models[model] = version
 		}
-		w.versions.Name(model, version, now)
 	}
 	for _, key := range rows.Bad {
 		w.log("row cannot be read", "Table", "operator", "Key", key)
@@ -218,7 +214,7 @@
 		w.log("configuration read", "Version", rows.Config.Version, "InForce", ok, "Revision", rows.Revision)
 	}
 	w.read.operator = true
-	w.publish(now)
+	w.publish()
 }
 
 func (w *Watcher) readServers(ctx context.Context, since uint64) (uint64, error) {
@@ -252,7 +248,7 @@
 	}
 	w.table.Expire(now)
 	w.read.servers = true
-	w.publish(now)
+	w.publish()
 }
 
 func (w *Watcher) readEntries(ctx context.Context, _ uint64) (uint64, error) {
@@ -272,19 +268,15 @@
 }
 
 // publish hands the state on once all tables have been read.
-func (w *Watcher) publish(now time.Time) {
+func (w *Watcher) publish() {
 	if !w.read.operator || (w.cfg.ServersEvery > 0 && !w.read.servers) {
 		return
 	}
 	s := State{
-		Servers: w.table.Servers(), Out: map[string]bool{}, Floor: w.versions.Floor(now),
-		Wanted: map[string]int64{}, Entries: w.entries,
+		Servers: w.table.Servers(), Out: map[string]bool{}, Floors: w.versions.Floors(), Entries: w.entries,
 	}
 	for domain := range w.out {
 		s.Out[domain] = true
 	}
-	for model := range w.models {
-		s.Wanted[model] = w.versions.Wanted(model)
-	}
 	w.cfg.OnState(s)
 }
