Notice a store that came back; record when a version was named

VERSION broke after a restart of all processes, which took a named version for a new one. Change: a failed read of any table gives up the held read, and the store is asked for an answer at once until it gives one; entries note in the store when a version was first seen and read that back after a restart. A manifest is read from the origin once instead of twice. Ruled out: keep-alive probes, which succeed once the store is back.

--- a/core/awdirectory/versions.go
+++ b/core/awdirectory/versions.go
@@ -41,6 +41,15 @@
 	return true
 }
 
+// NamedAt corrects the time at which a version was named.
+func (v *Versions) NamedAt(model string, version int64, at time.Time) {
+	for i := range v.models[model] {
+		if f := &v.models[model][i]; f.Version == version {
+			f.From = at.Add(max(0, v.Bound-beginMargin))
+		}
+	}
+}
+
 // Floors returns the floors of each model, in the order of their versions.
 func (v *Versions) Floors() map[string][]Floor {
 	out := make(map[string][]Floor, len(v.models))
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -88,7 +88,7 @@
 		Clock: clock, Logger: logger, Source: g.tables, VersionBound: cfg.Bounds.Version.Std(),
 		OnConfig:     func(c *awdirectory.Config) bool { return g.entry.Configure(c) },
 		OnState:      g.apply,
-		ServersEvery: serversEvery, EntriesEvery: entriesEvery, Wait: operatorWait,
+		ServersEvery: serversEvery, EntriesEvery: entriesEvery, Wait: operatorWait, RecordNames: true,
 	})
 	return g
 }
--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -123,8 +123,9 @@
 	reportPeriod = 80 * time.Millisecond
 	// restPeriod replaces it while no entry has asked for reports.
 	restPeriod = 500 * time.Millisecond
-	// operatorWait is how long the store holds a read of the operators' rows.
-	operatorWait = 10 * time.Second
+	// operatorWait is how long the store holds a read of the operators' rows. A
+	// store that went away and came back meanwhile is noticed only then.
+	operatorWait = 4 * time.Second
 	// uploadSlots bounds the pieces that leave at once, which queue on the link
 	// in front of the engine's answers.
 	uploadSlots = 2
--- a/io/awloader/reconcile.go
+++ b/io/awloader/reconcile.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// manifestReads is the number of equal reads after which a manifest is
-	// believed: it carries no digest of its own, and one answer may be spoilt.
-	manifestReads = 2
+	// distrustBad is the number of pieces with a wrong digest in one transfer
+	// after which the manifest is read again: it carries no digest of its own
+	// and may itself be spoilt.
+	distrustBad = 3
 	// stageRounds bounds how often pieces that went bad are staged again
 	// before one load.
 	stageRounds = 4
@@ -92,7 +93,7 @@
 // advance brings the engine, which holds a version, nearer to the target. It
 // returns true if there is nothing to do for an older version.
 func (l *Loader) advance(ctx context.Context, t target, newest, held int64, fallback bool) (bool, error) {
-	m, digest, err := l.manifest(ctx, t, newest)
+	m, digest, err := l.manifest(ctx, t)
 	if err != nil {
 		return held >= t.version, err
 	}
@@ -114,32 +115,24 @@
 	return true, l.load(ctx, t, m, digest)
 }
 
-// manifest returns the manifest of the target, read from the origin until
-// enough reads agree.
-func (l *Loader) manifest(ctx context.Context, t target, newest int64) (Manifest, string, error) {
+// manifest returns the manifest of the target. It is read from the origin
+// once, because it takes as much of the origin's link as a quarter of a piece.
+func (l *Loader) manifest(ctx context.Context, t target) (Manifest, string, error) {
 	if m, ok := l.manifests[t.version]; ok {
 		return m, m.identity(), nil
 	}
-	seen := map[string]int{}
-	for l.newest(newest) {
-		m, err := l.cfg.Origin.Manifest(ctx, t.origin.Address, t.model.Name, t.version)
-		if err != nil {
-			return m, "", err
-		}
-		if t.model.Chunks > 0 && len(m.Digests) != t.model.Chunks {
-			return m, "", eris.Errorf("manifest of version %d lists %d pieces, want %d", t.version, len(m.Digests), t.model.Chunks)
-		}
-		digest := m.identity()
-		if seen[digest]++; seen[digest] >= manifestReads {
-			l.hold(t, m, digest)
-			return m, digest, nil
-		}
+	m, err := l.cfg.Origin.Manifest(ctx, t.origin.Address, t.model.Name, t.version)
+	if err != nil {
+		return m, "", err
+	}
+	if t.model.Chunks > 0 && len(m.Digests) != t.model.Chunks {
+		return m, "", eris.Errorf("manifest of version %d lists %d pieces, want %d", t.version, len(m.Digests), t.model.Chunks)
 	}
-	return Manifest{}, "", errSuperseded
+	digest := m.identity()
+	l.hold(t, m, digest)
+	return m, digest, nil
 }
 
-var errSuperseded = eris.New("a newer version was named")
-
 // hold makes room for the pieces of a version. The versions next to it stay:
 // other loaders may still need them.
 func (l *Loader) hold(t target, m Manifest, digest string) {
@@ -192,6 +185,10 @@
 		},
 	}).Run(ctx)
 	s := h.stats
+	if s.Bad >= distrustBad && s.Held < s.Chunks {
+		l.log("manifest is read again", "Version", h.target.version, "Bad", s.Bad)
+		delete(l.manifests, h.target.version)
+	}
 	l.log("transfer ended", "Version", h.target.version, "Pieces", s.Held, "Of", s.Chunks, "Bad", s.Bad,
 		"OriginBytes", s.OriginBytes, "RegionBytes", s.RegionBytes, "PeerBytes", s.PeerByte,
 		"Seconds", l.cfg.Clock.Now().Sub(h.began).Seconds())
@@ -327,7 +324,7 @@
 func (h *transferHost) Peers(string) ([]awtransfer.Peer, uint64, bool) {
 	l := h.loader
 	wanted := l.newest(h.newest)
-	if h.yields && l.cfg.Clock.Now().Sub(h.progressed) > stallAfter {
+	if (h.yields || h.stats.Bad >= distrustBad) && l.cfg.Clock.Now().Sub(h.progressed) > stallAfter {
 		wanted = false
 	}
 	l.mu.Lock()
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -46,6 +47,9 @@
 	Servers(ctx context.Context, since uint64) (ServerRows, error)
 	// Entries returns the names of the entries that have registered.
 	Entries(ctx context.Context) ([]string, error)
+	// NamedAge returns how long ago a version of a model was first seen by any
+	// entry, and notes the time if this is the first.
+	NamedAge(ctx context.Context, model string, version int64) (time.Duration, error)
 }
 
 // State is what is known.
@@ -70,6 +74,9 @@
 	// EntriesEvery is the time between two counts of the entries; 0 turns them
 	// off.
 	EntriesEvery time.Duration
+	// RecordNames makes this process note in the store when a version was first
+	// seen, so that its bound outlives a restart of all processes.
+	RecordNames bool
 	// Wait is how long the store holds a read of the operators' rows open
 	// until something changes.
 	Wait time.Duration
@@ -93,6 +100,9 @@
 	out      map[string]bool
 	entries  int
 	read     struct{ operator, servers bool } // a whole read has succeeded
+
+	mu        sync.Mutex
+	interrupt context.CancelCauseFunc // of the read of the operators' rows that runs
 }
 
 // New returns a watcher that knows nothing.
@@ -122,11 +132,16 @@
 	}
 }
 
-// follow reads again and again. The read returns the revision to go on from.
-func (w *Watcher) follow(ctx context.Context, what string, every time.Duration, read func(context.Context, uint64) (uint64, error)) {
+// reader reads what has changed since a revision and returns the revision to
+// go on from. Hurry asks for an answer at once, to see whether the store is
+// back.
+type reader func(ctx context.Context, since uint64, hurry bool) (uint64, error)
+
+// follow reads again and again.
+func (w *Watcher) follow(ctx context.Context, what string, every time.Duration, read reader) {
 	since, failing := uint64(0), false
 	for ctx.Err() == nil {
-		next, err := read(ctx, since)
+		next, err := read(ctx, since, failing)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -140,7 +155,10 @@
 				w.log("store lost", "Table", what, "Error", err.Error())
 			}
 			w.do(ctx, w.table.StoreAway)
-			pause(ctx, retryPause/2+time.Duration(rand.Int64N(int64(retryPause/2))))
+			if !errors.Is(err, errInterrupted) {
+				w.interruptOperator()
+				pause(ctx, retryPause/2+time.Duration(rand.Int64N(int64(retryPause/2))))
+			}
 			continue
 		}
 		if failing {
@@ -152,6 +170,19 @@
 	}
 }
 
+var errInterrupted = errors.New("read given up because another read failed")
+
+// interruptOperator ends the read of the operators' rows that runs. The store
+// holds it open for seconds, and it would not notice that the store went away
+// and came back in the meantime.
+func (w *Watcher) interruptOperator() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.interrupt != nil {
+		w.interrupt(errInterrupted)
+	}
+}
+
 func (w *Watcher) log(message string, kv ...any) {
 	_ = level.Info(w.cfg.Logger).Log(append([]any{"Message", message}, kv...)...) // a lost log line must not stop the watcher
 }
@@ -176,18 +207,37 @@
 	}
 }
 
-func (w *Watcher) readOperator(ctx context.Context, since uint64) (uint64, error) {
-	call, cancel := context.WithTimeout(ctx, w.cfg.Wait+callMargin)
+func (w *Watcher) readOperator(ctx context.Context, since uint64, hurry bool) (uint64, error) {
+	wait := w.cfg.Wait
+	if hurry {
+		wait = time.Millisecond
+	}
+	call, cancel := context.WithTimeout(ctx, wait+callMargin)
 	defer cancel()
-	rows, err := w.cfg.Source.Operator(call, since, w.cfg.Wait)
+	call, interrupt := context.WithCancelCause(call)
+	defer interrupt(nil)
+	if !hurry && since > 0 {
+		w.setInterrupt(interrupt)
+		defer w.setInterrupt(nil)
+	}
+	rows, err := w.cfg.Source.Operator(call, since, wait)
+	if cause := context.Cause(call); err != nil && errors.Is(cause, errInterrupted) {
+		return 0, cause
+	}
 	if err != nil {
 		return 0, err
 	}
-	w.do(ctx, func() { w.applyOperator(rows, since == 0) })
+	w.do(ctx, func() { w.applyOperator(ctx, rows, since == 0) })
 	return rows.Revision, nil
 }
 
-func (w *Watcher) applyOperator(rows OperatorRows, whole bool) {
+func (w *Watcher) setInterrupt(f context.CancelCauseFunc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.interrupt = f
+}
+
+func (w *Watcher) applyOperator(ctx context.Context, rows OperatorRows, whole bool) {
 	now := w.cfg.Clock.Now()
 	w.table.StoreBack(now)
 	if whole {
@@ -204,6 +254,9 @@
 	for model, version := range rows.Named {
 		if w.versions.Name(model, version, now) {
 			w.log("version named", "Model", model, "Version", version, "Revision", rows.Revision)
+			if w.cfg.RecordNames {
+				go w.recordName(ctx, model, version, now)
+			}
 		}
 	}
 	for _, key := range rows.Bad {
@@ -217,7 +270,29 @@
 	w.publish()
 }
 
-func (w *Watcher) readServers(ctx context.Context, since uint64) (uint64, error) {
+// recordName corrects the time at which a version was named by that of the
+// entry that saw it first.
+func (w *Watcher) recordName(ctx context.Context, model string, version int64, seen time.Time) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callMargin)
+		age, err := w.cfg.Source.NamedAge(call, model, version)
+		cancel()
+		if err == nil {
+			now := w.cfg.Clock.Now()
+			w.do(ctx, func() {
+				if at := now.Add(-age); at.Before(seen) {
+					w.log("version named earlier", "Model", model, "Version", version, "AgeMs", age.Milliseconds())
+					w.versions.NamedAt(model, version, at)
+					w.publish()
+				}
+			})
+			return
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+func (w *Watcher) readServers(ctx context.Context, since uint64, _ bool) (uint64, error) {
 	call, cancel := context.WithTimeout(ctx, callMargin)
 	defer cancel()
 	rows, err := w.cfg.Source.Servers(call, since)
@@ -251,7 +326,7 @@
 	w.publish()
 }
 
-func (w *Watcher) readEntries(ctx context.Context, _ uint64) (uint64, error) {
+func (w *Watcher) readEntries(ctx context.Context, _ uint64, _ bool) (uint64, error) {
 	call, cancel := context.WithTimeout(ctx, callMargin)
 	defer cancel()
 	names, err := w.cfg.Source.Entries(call)
