Let fewer chunks run over a link that turned slow; log every decision

Change: an exchange learns how fast chunks arrive and keeps at most 250 ms of them on their way. Log lines pass through a bounded queue that never blocks; one line for each send, failed send and request that was not served, with the inputs of the decision; counters and histograms at the metrics port.

--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -197,13 +197,13 @@
 	return n
 }
 
-// Servers returns how many backend servers are known and how many of them may
-// get work of the service now.
-func (d *Dispatcher) Servers(service string) (known, usable int) {
+// Servers returns how many backend servers of a service are known and how many
+// of them may get requests for a model now.
+func (d *Dispatcher) Servers(service, model string) (known, usable int) {
 	now := d.cfg.Clock.Now()
 	for _, s := range d.byServe[service] {
 		known++
-		if d.usable(s, &Request{Service: service}, now) {
+		if d.usable(s, &Request{Service: service, Model: model}, now) {
 			usable++
 		}
 	}
--- a/core/awdispatch/load_test.go
+++ b/core/awdispatch/load_test.go
@@ -35,7 +35,7 @@
 	queued  []*job
 	seconds []time.Time // arrivals
 	busyTo  time.Time
-	busyAt  time.Time
+	slow    float64 // times slower than it says; 0 for not at all
 }
 
 type job struct {
@@ -167,6 +167,9 @@
 		}
 		const stride = 6
 		took += stride * time.Duration((7.4+0.0387*float64(len(e.running)))*float64(time.Millisecond))
+		if e.slow > 0 {
+			took = time.Duration(float64(took) * e.slow)
+		}
 		e.busyTo = e.busyTo.Add(took)
 		kept := e.running[:0]
 		for _, j := range e.running {
@@ -233,6 +236,17 @@
 	}
 }
 
+// Guards against an engine that is slow and does not say so, or that stands
+// behind a slow link: reports of its load alone must keep it from making its
+// share of the callers late.
+func TestEngineThatIsSlowInSecret(t *testing.T) {
+	p := newPlayer(5, 9, 80*time.Millisecond)
+	p.engines[0].slow = 5
+	p.engines[4].slow = 5
+	p.play(20*time.Second, func(int) float64 { return 11 })
+	require.Greater(t, p.inAim(), 0.9)
+}
+
 // Guards against a flood of a cold backend server: entries that do not see
 // each other stay together below the rate that it bears, in any second.
 func TestColdServerUnderPressure(t *testing.T) {
@@ -290,7 +304,9 @@
 		"region": func(_ *Dispatcher, _ *awdirectory.Server, r *Request) {
 			r.Allowed = func(region string) bool { return region == "elsewhere" }
 		},
-		"failed it": func(_ *Dispatcher, s *awdirectory.Server, r *Request) { r.Avoid = map[awdirectory.Key]bool{s.Key(): true} },
+		"failed it": func(_ *Dispatcher, s *awdirectory.Server, r *Request) {
+			r.Avoid = map[awdirectory.Key]bool{s.Key(): true}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newPlayer(1, 1, 0)
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -11,9 +11,9 @@
 // by [Dispatcher.Release].
 type Grant struct {
 	Server  awdirectory.Server
-	Version int64 // weights that the backend server is known to hold; 0 unknown
-
-	began time.Time
+	Version int64         // weights that the backend server is known to hold; 0 unknown
+	Load    float64       // of the backend server when it was chosen, 0 to 1
+	LoadAge time.Duration // of the report behind Load; 0 if there is none
 }
 
 // Decision is the end of a wait.
@@ -45,9 +45,9 @@
 	distanceWeight = 0.08
 )
 
-// rate is the interval between two placements of a service.
+// rate is what an entry sees of a service as a whole.
 type rate struct {
-	interval time.Duration
+	interval time.Duration // between two placements
 	last     time.Time
 }
 
@@ -90,13 +90,18 @@
 	return len(queue) > 0 && queue[0].req.Priority <= priority
 }
 
-// expectedWait estimates when the request at a place of the queue gets room.
-func (d *Dispatcher) expectedWait(service string, at int) time.Duration {
+func (d *Dispatcher) rate(service string) *rate {
 	r := d.rates[service]
 	if r == nil {
-		return 0
+		r = &rate{}
+		d.rates[service] = r
 	}
-	return time.Duration(at) * r.interval
+	return r
+}
+
+// expectedWait estimates when the request at a place of the queue gets room.
+func (d *Dispatcher) expectedWait(service string, at int) time.Duration {
+	return time.Duration(at) * d.rate(service).interval
 }
 
 func (d *Dispatcher) spread(from, to time.Duration) time.Duration {
@@ -169,7 +174,7 @@
 func (d *Dispatcher) place(t *Ticket, now time.Time) bool {
 	svc := d.services[t.req.Service]
 	var best *server
-	bestScore := 0.0
+	bestScore, bestLoad := 0.0, 0.0
 	for _, s := range d.byServe[t.req.Service] {
 		if !d.usable(s, &t.req, now) || now.Before(s.fullUntil) {
 			continue
@@ -180,7 +185,7 @@
 		}
 		score := load + distanceWeight*d.distance(&s.info) + 0.01*d.cfg.Rand.Float64()
 		if best == nil || score < bestScore {
-			best, bestScore = s, score
+			best, bestScore, bestLoad = s, score, load
 		}
 	}
 	if best == nil {
@@ -191,13 +196,12 @@
 	if best.cold(now) {
 		best.sends = append(best.sends, now)
 	}
-	r := d.rates[t.req.Service]
-	if r == nil {
-		r = &rate{}
-		d.rates[t.req.Service] = r
+	d.rate(t.req.Service).observe(now)
+	grant := &Grant{Server: best.info, Version: best.versions(now)[t.req.Model], Load: bestLoad}
+	if best.fresh(now) {
+		grant.LoadAge = now.Sub(best.load.At)
 	}
-	r.observe(now)
-	t.finish(Decision{Grant: &Grant{Server: best.info, Version: best.versions(now)[t.req.Model], began: now}})
+	t.finish(Decision{Grant: grant})
 	return true
 }
 
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -74,10 +74,20 @@
 	return len(s.sends) < max(1, int(rate)/entries)
 }
 
+// slowness returns how many times slower than usual the backend server says
+// that it is, at least 1.
+func (s *server) slowness(now time.Time) float64 {
+	if s.fresh(now) {
+		return max(1, s.load.Pace)
+	}
+	return 1
+}
+
 // room returns how many more requests this entry may send now, and the load
 // from 0 to 1 that the backend server has.
 func (s *server) room(now time.Time, svc awdirectory.Service, entries int) (int, float64) {
-	slots := max(1, s.info.Slots)
+	slow := s.slowness(now)
+	slots := max(1, int(float64(s.info.Slots)/slow))
 	limit := slots
 	if svc.Engine == nil {
 		limit = slots * plainQueue
@@ -89,10 +99,8 @@
 		total := s.others + s.own
 		room = min(limit-total, s.allowance)
 		load = float64(total) / float64(limit)
-		if s.load.Pace > 1 {
-			load *= s.load.Pace
-		}
 	}
+	load += slow - 1
 	if svc.MaxConns > 0 {
 		room = min(room, max(1, svc.MaxConns/entries)-s.own)
 	}
--- a/core/awweights/exchange.go
+++ b/core/awweights/exchange.go
@@ -70,6 +70,12 @@
 	silentAfter = 2
 	// maxDoublings bounds the growth of pauses.
 	maxDoublings = 5
+	// linkDelay is how long chunks on their way may take on the link together.
+	// A link that turned slow carries fewer at once, so that whatever else uses
+	// it does not wait behind them.
+	linkDelay = 250 * time.Millisecond
+	// speedWeight smooths the speed that finished fetches show.
+	speedWeight = 4
 	// scanLimit bounds the chunks compared for one choice, so that the cost
 	// of a choice does not grow with the size of the version.
 	scanLimit = 1024
@@ -159,6 +165,7 @@
 	patience          float64   // 1 to 2, spreads the last resort over agents
 	rescue            time.Time // since when the panel is taken for gone; zero while it works
 	stats             Stats
+	speed             float64 // bytes a second that finished fetches show; 0 if unknown
 }
 
 // NewExchange starts the transfer of a version of which held is held already.
@@ -375,6 +382,9 @@
 		}
 	}
 	x.judge(p, r, res, now)
+	if res == Whole {
+		x.observeSpeed(float64(size)*float64(len(x.active)+1), now.Sub(r.began))
+	}
 	if res != Whole || x.held.Has(r.Index) {
 		return nil
 	}
@@ -392,6 +402,28 @@
 	return cancel
 }
 
+// observeSpeed learns how fast the chunks that were on their way together
+// arrive.
+func (x *Exchange) observeSpeed(bytes float64, took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	speed := bytes / took.Seconds()
+	if x.speed == 0 {
+		x.speed = speed
+	}
+	x.speed += (speed - x.speed) / speedWeight
+}
+
+// atOnce returns how many of at most limit fetches may run at once. Without a
+// known rate of the link all of them may.
+func (x *Exchange) atOnce(limit int) int {
+	if x.cfg.LinkRate <= 0 || x.speed == 0 {
+		return limit
+	}
+	return min(limit, max(1, int(x.speed*linkDelay.Seconds()/float64(x.cfg.Manifest.ChunkBytes))))
+}
+
 // leave ends the claim of one fetch on a chunk.
 func (x *Exchange) leave(i int) {
 	if x.byChunk[i]--; x.byChunk[i] == 0 {
--- a/core/awweights/pick.go
+++ b/core/awweights/pick.go
@@ -5,7 +5,7 @@
 // pickDuty returns a chunk that this agent is to bring into its region. Only
 // chunks that no agent of the region holds are fetched from outside.
 func (x *Exchange) pickDuty(now time.Time) (Fetch, bool) {
-	if !x.cfg.Self.Duty || x.count(false) >= x.cfg.DutyParallel || !x.mapsKnown(now) {
+	if !x.cfg.Self.Duty || x.count(false) >= x.atOnce(x.cfg.DutyParallel) || !x.mapsKnown(now) {
 		return Fetch{}, false
 	}
 	home := x.cfg.Self.Region == x.home
@@ -154,7 +154,7 @@
 // pickPeer returns the chunk that the fewest agents of the region hold, and
 // one of those agents.
 func (x *Exchange) pickPeer(now time.Time) (Fetch, bool) {
-	if x.count(true) >= x.cfg.Parallel {
+	if x.count(true) >= x.atOnce(x.cfg.Parallel) {
 		return Fetch{}, false
 	}
 	found, rarest := Fetch{Index: -1}, 0
@@ -208,7 +208,7 @@
 		}
 		x.rescue = now
 	}
-	if x.count(false) >= x.cfg.DutyParallel {
+	if x.count(false) >= x.atOnce(x.cfg.DutyParallel) {
 		return Fetch{}, false
 	}
 	// Another region's copy is preferred; its chunk maps come in first.
--- a/core/awweights/policy_test.go
+++ b/core/awweights/policy_test.go
@@ -109,3 +109,55 @@
 	require.Equal(t, earliest, awweights.Turn(0, 10, earliest, bound, reserve))
 	require.Equal(t, time.Second, awweights.Turn(3, 10, earliest, 4*time.Second, reserve), "a bound that leaves no time to spread")
 }
+
+// Guards against chunks that fill a link which has become slow: the answers
+// of the engine behind it waited for most of a second.
+func TestSlowLinkCarriesFewerChunks(t *testing.T) {
+	const chunk = 24 << 10
+	for _, tc := range []struct {
+		name   string
+		rate   float64 // of the link now, bytes a second
+		atOnce int
+	}{{"as stated", 900 << 10, 4}, {"an eighth of it", 112 << 10, 1}} {
+		t.Run(tc.name, func(t *testing.T) {
+			clock := awclock.NewFake(time.Unix(0, 0))
+			m := awweights.Manifest{Model: "m", Version: "1", ChunkBytes: chunk, SizeBytes: 96 * chunk, Chunks: make([]string, 96)}
+			x := awweights.NewExchange(awweights.Config{
+				Self: awweights.Source{ID: "a", Region: "r"}, StoreRegion: "r", Digest: "d", Manifest: m, LinkRate: 900 << 10,
+				Parallel: 4, PerPeer: 4,
+			}, clock, rand.New(rand.NewPCG(1, 2)), awweights.NewBitmap(96))
+			x.SetPeers([]awweights.Source{{ID: "b", Region: "r", Duty: true}, {ID: "c", Region: "r", Duty: true}})
+			full := awweights.NewBitmap(96)
+			for i := range 96 {
+				full.Set(i)
+			}
+			x.Heard("b", full)
+			x.Heard("c", full)
+			most := 0
+			var running []uint64
+			for range 40 {
+				for {
+					f, ok := x.Next()
+					if !ok {
+						break
+					}
+					running = append(running, f.ID)
+				}
+				most = len(running)
+				if most == 0 {
+					clock.Advance(50 * time.Millisecond)
+					continue
+				}
+				clock.Advance(time.Duration(float64(most*chunk) / tc.rate * float64(time.Second)))
+				for _, id := range running {
+					x.Done(id, awweights.Whole)
+				}
+				running = running[:0]
+				if x.Complete() {
+					break
+				}
+			}
+			require.LessOrEqual(t, most, tc.atOnce)
+		})
+	}
+}
--- a/internal/awprocess/operations_test.go
+++ b/internal/awprocess/operations_test.go
@@ -15,7 +15,7 @@
 // operations returns the sheet and the commands of the operators' page.
 func operations(t *testing.T) (sheet string, commands []string) {
 	t.Helper()
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	for i, block := range strings.Split(string(page), "```") {
 		kind, body, _ := strings.Cut(block, "\n")
--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -44,8 +44,8 @@
 	// maxSkipped bounds left-over answers in front of the one expected.
 	maxSkipped = 4
 	bufferSize = 4 << 10
-	// unansweredTimeout is how long sent bytes may go without an
-	// acknowledgement before the connection is given up.
+	// Probes find a connection that has gone silent within two and a half
+	// seconds, also while a backend server works on an answer.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
 	keepAliveProbes   = 3
@@ -246,7 +246,7 @@
 // read reads the head of the answer, past answers to earlier requests.
 func (r *Response) read(req Request) error {
 	for range maxSkipped {
-		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: req.Method})
+		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: req.Method}) //nolint:bodyclose // Close ends the connection or reads the body whole
 		if err != nil {
 			return eris.Wrap(err, "read answer")
 		}
--- a/io/awcommand/daemon.go
+++ b/io/awcommand/daemon.go
@@ -145,7 +145,9 @@
 	if p.Processors > 0 {
 		runtime.GOMAXPROCS(p.Processors)
 	}
-	logger := awtelemetry.NewLogger(stderr, name, p.Instance)
+	lines := awtelemetry.NewLines(stderr)
+	defer lines.Close()
+	logger := awtelemetry.NewLogger(lines, name, p.Instance)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	tracer, flush, err := awtelemetry.NewTracer(ctx, awtelemetry.TraceConfig{Endpoint: tr.Endpoint, SampleRatio: tr.SampleRatio}, name)
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -22,6 +22,7 @@
 	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awload"
 	"arbutuswind/io/awsettings"
+	"arbutuswind/io/awtelemetry"
 	"arbutuswind/io/awwatch"
 	"arbutuswind/platform"
 )
@@ -120,6 +121,7 @@
 	group, _ := errgroup.WithContext(live)
 	group.Go(func() error { return serve(front, callers) })
 	group.Go(func() error { return serve(readiness, ready) })
+	group.Go(func() error { return serveMetrics(live, g.cfg, g.logger) })
 	group.Go(func() error { g.watcher.Run(live); return nil })
 	group.Go(func() error { g.entry.Run(live); return nil })
 	group.Go(func() error { g.entry.FollowLoad(live, socket, g.cfg.Listen.InnerPort); return nil })
@@ -181,3 +183,22 @@
 func innerAddress(cfg awsettings.Fleet) string {
 	return net.JoinHostPort(cfg.Listen.Address, strconv.Itoa(cfg.Listen.InnerPort))
 }
+
+// serveMetrics serves the metrics of the process until ctx ends. A port that
+// is taken must not keep the process from serving.
+func serveMetrics(ctx context.Context, cfg awsettings.Fleet, logger log.Logger) error {
+	if cfg.Listen.MetricsPort == 0 {
+		return nil
+	}
+	lis, err := awhttp.Listen(net.JoinHostPort(cfg.Listen.Address, strconv.Itoa(cfg.Listen.MetricsPort)))
+	if err != nil {
+		_ = level.Warn(logger).Log("Message", "metrics are not served", "Error", err.Error())
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/metrics", awtelemetry.MetricsHandler)
+	server := awhttp.NewServer(mux)
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return serve(server, lis)
+}
--- a/io/awcommand/loader.go
+++ b/io/awcommand/loader.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 
+	"github.com/go-kit/log/level"
+
 	"arbutuswind/core/awclock"
 	"arbutuswind/io/awload"
 	"arbutuswind/io/awloader"
@@ -39,6 +41,12 @@
 		return err
 	}
 	started := incarnation()
+	go func() {
+		if err := serveMetrics(ctx, cfg, env.logger); err != nil {
+			_ = level.Warn(env.logger).Log("Message", "metrics are not served", "Error", err.Error())
+		}
+	}()
+	_ = level.Info(env.logger).Log("Message", "started", "Backend", cfg.Backend.Address, "Service", cfg.Backend.Service)
 	return awloader.New(awloader.Config{
 		Clock: clock, Logger: env.logger, Engine: platform.NewEngine(cfg.Backend.Address), Origin: platform.NewOrigin(),
 		Source: &platform.Tables{Store: platform.NewStore(cfg.Store.Address), Regions: cfg.Regions}, Socket: socket,
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -62,6 +62,7 @@
 	rng      *rand.Rand
 	ages     map[string]time.Duration // longest deadline that callers of a route state
 
+	floors      map[string][]awdirectory.Floor
 	byAddress   map[string]awdirectory.Server
 	listChanged chan struct{} // a backend server has come
 }
@@ -97,6 +98,7 @@
 	g.entries = max(1, f.Entries)
 	g.dispatch.SetEntries(g.entries)
 	g.dispatch.SetOut(f.Out)
+	g.floors = f.Floors
 	g.dispatch.SetFloors(f.Floors)
 	g.dispatch.SetServers(f.Servers)
 	g.takeAddresses(f.Servers)
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -31,6 +31,7 @@
 	began   time.Time
 	until   time.Time     // final answer due
 	age     time.Duration // that the caller has waited in earlier attempts
+	config  uint64        // version of the configuration
 
 	runs    int // sends that may have run
 	sends   int
@@ -55,19 +56,20 @@
 	}
 	c := g.config.Load()
 	if c == nil || !g.listed.Load() {
-		g.refuse(w, http.StatusServiceUnavailable, unconfigured, "NoConfiguration", "")
+		q := &request{g: g, w: w, call: g.cfg.Dialect.Call(r.Header), began: g.cfg.Clock.Now()}
+		q.refuse(http.StatusServiceUnavailable, unconfigured, "NoConfiguration")
 		return
 	}
 	q := &request{
-		g: g, w: w, call: g.cfg.Dialect.Call(r.Header), method: r.Method, uri: r.RequestURI, host: r.Host,
+		g: g, w: w, config: c.Version, call: g.cfg.Dialect.Call(r.Header), method: r.Method, uri: r.RequestURI, host: r.Host,
 		began: g.cfg.Clock.Now(), avoid: map[awdirectory.Key]bool{},
 	}
 	if status, reason := q.resolve(c); status != 0 {
-		g.refuse(w, status, 0, reason, q.call.ID)
+		q.refuse(status, 0, reason)
 		return
 	}
 	if status, reason := q.readBody(r, c.Limits.BodyBytes); status != 0 {
-		g.refuse(w, status, 0, reason, q.call.ID)
+		q.refuse(status, 0, reason)
 		return
 	}
 	q.header = passHeaders(r.Header)
@@ -204,7 +206,9 @@
 
 // run sends the request until it is answered.
 func (q *request) run(ctx context.Context) {
+	g := q.g
 	for {
+		asked := g.cfg.Clock.Now()
 		d, ok := q.place(ctx)
 		if !ok {
 			q.end(ctx, 0, "TimedOutWaiting")
@@ -214,6 +218,8 @@
 			q.end(ctx, d.RetryAfter, refusalReason(d.Refusal))
 			return
 		}
+		q.sends++
+		q.logSend(d.Grant, g.cfg.Clock.Now().Sub(asked))
 		res := q.send(ctx, d.Grant)
 		q.release(d.Grant, res.outcome)
 		if res.answered {
@@ -222,6 +228,7 @@
 		if res.mayHaveRun {
 			q.runs++
 		}
+		q.logFailedSend(d.Grant, res)
 		q.avoid[d.Grant.Server.Key()] = true
 		if ctx.Err() != nil || !q.mayRepeat() {
 			q.end(ctx, 0, res.reason)
@@ -247,40 +254,46 @@
 	}
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	return q.g.budget(q.service).Take(q.g.cfg.Clock.Now(), q.g.entries)
+	if !q.g.budget(q.service).Take(q.g.cfg.Clock.Now(), q.g.entries) {
+		return false
+	}
+	q.g.metrics.repeats.Inc()
+	return true
 }
 
 // end gives the final answer of a request that no backend server answered.
 func (q *request) end(ctx context.Context, retryAfter time.Duration, reason string) {
+	timedOut := errors.Is(context.Cause(ctx), errTimeout)
 	switch {
 	case q.started:
-		q.g.note(reason, q.call.ID, "cut", q)
+		q.g.note(reason, "cut", q)
 		panic(http.ErrAbortHandler) // an early end must not look complete
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimeout):
-		q.g.note(reason, q.call.ID, "left", q)
+	case ctx.Err() != nil && !timedOut:
+		q.g.metrics.left.Inc()
+		q.g.note(reason, "caller left", q)
 		panic(http.ErrAbortHandler) // nobody reads an answer
-	case q.runs == 0 && ctx.Err() == nil:
-		if retryAfter == 0 {
-			retryAfter = unconfigured
-		}
-		q.g.refuse(q.w, http.StatusServiceUnavailable, retryAfter, reason, q.call.ID)
-	case ctx.Err() != nil:
-		q.g.refuse(q.w, http.StatusGatewayTimeout, 0, reason, q.call.ID)
+	case timedOut:
+		q.refuse(http.StatusGatewayTimeout, 0, reason)
+	case q.runs == 0:
+		q.refuse(http.StatusServiceUnavailable, max(retryAfter, unconfigured), reason)
 	default:
-		q.g.refuse(q.w, http.StatusBadGateway, 0, reason, q.call.ID)
+		q.refuse(http.StatusBadGateway, 0, reason)
 	}
 }
 
 // refuse answers without a backend server.
-func (g *Gateway) refuse(w http.ResponseWriter, status int, retryAfter time.Duration, reason, id string) {
+func (q *request) refuse(status int, retryAfter time.Duration, reason string) {
+	h := q.w.Header()
+	var inputs []any
 	if retryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+		inputs = append(q.refusalInputs(), "RetryAfterMs", retryAfter.Milliseconds())
 	}
-	if id != "" {
-		w.Header().Set(g.cfg.Dialect.IDHeader(), id)
+	if q.call.ID != "" {
+		h.Set(q.g.cfg.Dialect.IDHeader(), q.call.ID)
 	}
-	w.Header().Set("Content-Length", "0")
-	w.WriteHeader(status)
-	g.metrics.refused(status, reason)
-	g.note(reason, id, strconv.Itoa(status), nil)
+	h.Set("Content-Length", "0")
+	q.w.WriteHeader(status)
+	q.g.metrics.refused(status, reason)
+	q.g.note(reason, strconv.Itoa(status), q, inputs...)
 }
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -20,6 +20,7 @@
 	mayHaveRun bool
 	outcome    awdispatch.Outcome
 	reason     string
+	detail     string // error of the exchange
 }
 
 const (
@@ -41,7 +42,6 @@
 // on.
 func (q *request) send(ctx context.Context, grant *awdispatch.Grant) result {
 	g := q.g
-	q.sends++
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	hop := Hop{
@@ -81,7 +81,7 @@
 
 // failed describes an exchange that broke off.
 func failed(ctx context.Context, err error) result {
-	r := result{mayHaveRun: true, outcome: awdispatch.Failed, reason: "BackendFailed"}
+	r := result{mayHaveRun: true, outcome: awdispatch.Failed, reason: "BackendFailed", detail: err.Error()}
 	var e *awbackend.Error
 	if errors.As(err, &e) {
 		r.mayHaveRun = e.Sent
--- a/io/awload/awload.go
+++ b/io/awload/awload.go
@@ -144,12 +144,11 @@
 	}
 }
 
-var badDatagrams = metrics.GetOrCreateCounter("arbutuswind_load_bad_datagrams_total")
-
 // Socket sends and receives datagrams. It is safe for concurrent use.
 type Socket struct {
 	clock awclock.Clock
 	conn  *net.UDPConn
+	bad   *metrics.Counter
 
 	mu    sync.Mutex
 	asked map[netip.AddrPort]time.Time
@@ -165,7 +164,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", addr)
 	}
-	return &Socket{clock: clock, conn: conn, asked: map[netip.AddrPort]time.Time{}}, nil
+	return &Socket{clock: clock, conn: conn, asked: map[netip.AddrPort]time.Time{}, bad: metrics.GetOrCreateCounter("arbutuswind_load_bad_datagrams_total")}, nil
 }
 
 // Run receives until ctx ends. Questions are noted; onReport, which may be
@@ -182,7 +181,7 @@
 		r, ask, err := decode(buf[:n])
 		switch {
 		case err != nil:
-			badDatagrams.Inc()
+			s.bad.Inc()
 		case ask:
 			s.mu.Lock()
 			s.asked[from] = s.clock.Now()
--- a/io/awsettings/fleet.go
+++ b/io/awsettings/fleet.go
@@ -86,7 +86,7 @@
 type gatewaySettings struct{ Fleet }
 
 func (g *gatewaySettings) check() []Problem {
-	f := g.Fleet.faults()
+	f := g.faults()
 	f.address("Listen.Callers", g.Listen.Callers)
 	f.address("Listen.Ready", g.Listen.Ready)
 	return f
@@ -95,7 +95,7 @@
 type loaderSettings struct{ Fleet }
 
 func (l *loaderSettings) check() []Problem {
-	f := l.Fleet.faults()
+	f := l.faults()
 	f.address("Backend.Address", l.Backend.Address)
 	f.require(l.Backend.Service != "", "Backend.Service", "missing; want the service of the backend server")
 	return f
