--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -64,7 +64,9 @@
 		return checked(err, stderr)
 	}
 	return runDaemon(stdout, "awgateway", cfg.Process, awsettings.Trace{}, func(ctx context.Context, env environment) error {
-		return newGateway(cfg, env.logger).run(ctx)
+		g := newGateway(cfg, env.logger)
+		followSettings(ctx, env.logger, opts.Config, awsettings.LoadGateway, g.reload)
+		return g.run(ctx)
 	})
 }
 
@@ -83,7 +85,7 @@
 	g.entry = awgateway.New(awgateway.Config{
 		Clock: clock, Logger: logger, Dialect: platform.Dialect{}, Pool: awbackend.NewPool(awbackend.Config{Clock: clock}),
 		Domain: cfg.Process.Domain, Region: cfg.Process.Region, Seed: incarnation(),
-		Retry: awretry.WindowConfig{Ratio: cfg.Bounds.RetryRatio, Floor: cfg.Bounds.RetryFloor, Window: cfg.Bounds.RetryWindow.Std()},
+		Retry: retryWindow(cfg.Bounds),
 	})
 	g.watcher = awwatch.New(awwatch.Config{
 		Clock: clock, Logger: logger, Source: g.tables, VersionBound: cfg.Bounds.Version.Std(),
@@ -94,6 +96,16 @@
 	return g
 }
 
+func retryWindow(b awsettings.FleetBounds) awretry.WindowConfig {
+	return awretry.WindowConfig{Ratio: b.RetryRatio, Floor: b.RetryFloor, Window: b.RetryWindow.Std()}
+}
+
+// reload puts changed bounds in force. Addresses stay until a restart.
+func (g *gateway) reload(cfg awsettings.Fleet) {
+	g.entry.SetRetry(retryWindow(cfg.Bounds))
+	g.watcher.SetVersionBound(cfg.Bounds.Version.Std())
+}
+
 func (g *gateway) apply(s awwatch.State) {
 	g.entry.Apply(awgateway.Fleet{Servers: s.Servers, Out: s.Out, Floors: s.Floors, Entries: s.Entries})
 }
--- a/io/awcommand/loader.go
+++ b/io/awcommand/loader.go
@@ -26,6 +26,9 @@
 		return checked(err, stderr)
 	}
 	return runDaemon(stdout, "awloader", cfg.Process, awsettings.Trace{}, func(ctx context.Context, env environment) error {
+		// The bounds of a loader only space its loads out; a change of them is
+		// checked and takes effect at the next start.
+		followSettings(ctx, env.logger, opts.Config, awsettings.LoadLoader, func(awsettings.Fleet) {})
 		return runLoader(ctx, cfg, env)
 	})
 }
--- /dev/null
+++ b/io/awcommand/reload.go
@@ -0,0 +1,65 @@
+package awcommand
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"arbutuswind/io/awsettings"
+)
+
+// settingsPoll is the time between two looks at the settings file, which may
+// change without a signal.
+const settingsPoll = 2 * time.Second
+
+// followSettings reads the settings again on SIGHUP and when the file changes,
+// until ctx ends. Settings with faults are logged and not applied. It is
+// started before anything else: without it SIGHUP ends the process.
+func followSettings(
+	ctx context.Context, logger log.Logger, file string, load func(string) (awsettings.Fleet, error), apply func(awsettings.Fleet),
+) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(hup)
+		tick := time.NewTicker(settingsPoll)
+		defer tick.Stop()
+		last := changeTime(file)
+		for {
+			cause := "signal"
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+			case <-tick.C:
+				if changeTime(file).Equal(last) {
+					continue
+				}
+				cause = "file changed"
+			}
+			last = changeTime(file)
+			cfg, err := load(file)
+			if err != nil {
+				_ = level.Error(logger).Log("Message", "settings not reloaded", "Cause", cause, "Error", err.Error())
+				continue
+			}
+			apply(cfg)
+			_ = level.Info(logger).Log("Message", "settings reloaded", "Cause", cause)
+		}
+	}()
+}
+
+// changeTime returns when a file was last changed; the zero time if it cannot
+// be told, which the next load reports.
+func changeTime(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -92,6 +92,16 @@
 	return true
 }
 
+// SetRetry changes the bounds on repetitions; what is counted starts anew.
+func (g *Gateway) SetRetry(cfg awretry.WindowConfig) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if cfg != g.cfg.Retry {
+		g.cfg.Retry = cfg
+		clear(g.budgets)
+	}
+}
+
 // Apply takes the state of the fleet.
 func (g *Gateway) Apply(f Fleet) {
 	g.mu.Lock()
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -183,6 +183,12 @@
 	}
 }
 
+// SetVersionBound changes the bound of versions that are named from now on.
+// The watcher must be running.
+func (w *Watcher) SetVersionBound(bound time.Duration) {
+	w.state <- func() { w.versions.Bound = bound }
+}
+
 func (w *Watcher) log(message string, kv ...any) {
 	_ = level.Info(w.cfg.Logger).Log(append([]any{"Message", message}, kv...)...) // a lost log line must not stop the watcher
 }
