Ask the origin again soon after it is back; test rows and settings

Change: at most one doubling for the origin; reads of the list of backend servers follow the notice of the settings; a held read of a loader lasts half the version bound. Ruled out: manifests (they are asked for every 200 ms).

--- a/core/awweights/exchange.go
+++ b/core/awweights/exchange.go
@@ -70,6 +70,9 @@
 	silentAfter = 2
 	// maxDoublings bounds the growth of pauses.
 	maxDoublings = 5
+	// originDoublings bounds it for the origin: nothing else can bring what no
+	// peer holds, and only the panels ask it.
+	originDoublings = 1
 	// linkDelay is how long chunks on their way may take on the link together.
 	// A link that turned slow carries fewer at once, so that whatever else uses
 	// it does not wait behind them.
--- a/core/awweights/policy_test.go
+++ b/core/awweights/policy_test.go
@@ -161,3 +161,27 @@
 		})
 	}
 }
+
+// Guards against an origin that is back and is not asked for many seconds:
+// what no peer holds can come from nowhere else.
+func TestOriginIsAskedSoonAfterItIsBack(t *testing.T) {
+	clock := awclock.NewFake(time.Unix(0, 0))
+	m := awweights.Manifest{Model: "m", Version: "1", ChunkBytes: 1, SizeBytes: 8, Chunks: make([]string, 8)}
+	x := awweights.NewExchange(awweights.Config{Self: awweights.Source{ID: "a", Region: "r", Duty: true}, StoreRegion: "r", Digest: "d", Manifest: m},
+		clock, rand.New(rand.NewPCG(1, 2)), awweights.NewBitmap(8))
+	x.SetPeers(nil)
+	last := clock.Now()
+	for range 1000 { // ten seconds without the origin
+		clock.Advance(10 * time.Millisecond)
+		for {
+			f, ok := x.Next()
+			if !ok {
+				break
+			}
+			require.Equal(t, awweights.FromOrigin, f.Kind)
+			x.Done(f.ID, awweights.Failed)
+			last = clock.Now()
+		}
+		require.Less(t, clock.Now().Sub(last), time.Second)
+	}
+}
--- a/core/awweights/source.go
+++ b/core/awweights/source.go
@@ -49,7 +49,11 @@
 		if r.stalled {
 			return // already counted as a stall
 		}
-		p.avoidUntil = later(p.avoidUntil, now.Add(failedFor<<min(p.failures, maxDoublings)))
+		most := maxDoublings
+		if r.Kind == FromOrigin {
+			most = originDoublings
+		}
+		p.avoidUntil = later(p.avoidUntil, now.Add(failedFor<<min(p.failures, most)))
 		p.failures++
 	}
 }
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -28,10 +28,9 @@
 )
 
 const (
-	// serversEvery is the time between two reads of the list of backend
-	// servers. One that leaves must get no more requests two seconds after it
-	// was listed as leaving.
-	serversEvery = 700 * time.Millisecond
+	// noticeShare is the part of the notice of a backend server that leaves after
+	// which the list is read again: two reads and a slow answer fit into it.
+	noticeShare = 0.37
 	// entriesEvery is the time between two counts of the entries. It is only
 	// needed for shares of common bounds, which leave room for a newcomer.
 	entriesEvery = 5 * time.Second
@@ -91,7 +90,7 @@
 		Clock: clock, Logger: logger, Source: g.tables, VersionBound: cfg.Bounds.Version.Std(),
 		OnConfig:     func(c *awdirectory.Config) bool { return g.entry.Configure(c) },
 		OnState:      g.apply,
-		ServersEvery: serversEvery, EntriesEvery: entriesEvery, Wait: operatorWait, RecordNames: true,
+		ServersEvery: time.Duration(noticeShare * float64(cfg.Bounds.DrainNotice)), EntriesEvery: entriesEvery, Wait: operatorWait, RecordNames: true,
 	})
 	return g
 }
--- /dev/null
+++ b/io/awload/awload_test.go
@@ -0,0 +1,57 @@
+package awload
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutuswind/core/awclock"
+)
+
+// Guards against fields that get lost on the way.
+func TestReportKeepsItsFields(t *testing.T) {
+	want := Report{
+		Address: "10.0.0.1:80", Born: 1791885578892, Active: 12, Queued: 1, Busy: true, CacheUsed: 41000, CacheAll: 90000,
+		Pace: 1.25, Versions: map[string]int64{"m": 3, "n": 7},
+	}
+	got, ask, err := decode(want.encode())
+	require.NoError(t, err)
+	require.False(t, ask)
+	require.Equal(t, want, got)
+}
+
+// FuzzDatagram guards against a datagram that ends the process.
+func FuzzDatagram(f *testing.F) {
+	r := Report{Address: "a", Versions: map[string]int64{"m": 1}}
+	f.Add(r.encode())
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		_, _, _ = decode(b)
+	})
+}
+
+// Guards against reports to nobody, and to entries that are gone.
+func TestReportsGoToThoseWhoAsk(t *testing.T) {
+	clock := awclock.NewFake(time.Unix(1000, 0))
+	loader, err := Listen("127.0.0.1:0", clock)
+	require.NoError(t, err)
+	entry, err := Listen("127.0.0.1:0", clock)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	got := make(chan Report, 16)
+	go loader.Run(ctx, nil)
+	go entry.Run(ctx, func(r Report) { got <- r })
+	require.Zero(t, loader.Send(Report{Address: "a"}))
+	at := netip.MustParseAddrPort(loader.conn.LocalAddr().(*net.UDPAddr).String())
+	require.Eventually(t, func() bool {
+		entry.Ask(at)
+		return loader.Send(Report{Address: "a"}) == 1
+	}, 20*time.Second, time.Millisecond)
+	require.Equal(t, "a", (<-got).Address)
+	clock.Advance(subscription + time.Second)
+	require.Zero(t, loader.Send(Report{Address: "a"}))
+}
--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -123,9 +123,10 @@
 	reportPeriod = 80 * time.Millisecond
 	// restPeriod replaces it while no entry has asked for reports.
 	restPeriod = 500 * time.Millisecond
-	// operatorWait is how long the store holds a read of the operators' rows. A
-	// store that went away and came back meanwhile is noticed only then.
-	operatorWait = 4 * time.Second
+	// waitShare is the part of the version bound, one half, for which the store holds a
+	// read of the operators' rows. A store that went away and came back meanwhile
+	// is noticed only then.
+	waitShare = 2
 	// uploadSlots bounds the pieces that leave at once, which queue on the link
 	// in front of the engine's answers.
 	uploadSlots = 2
@@ -172,7 +173,7 @@
 func (l *Loader) Run(ctx context.Context, inner net.Listener) error {
 	watcher := awwatch.New(awwatch.Config{
 		Clock: l.cfg.Clock, Logger: l.cfg.Logger, Source: l.cfg.Source, VersionBound: l.cfg.VersionBound,
-		OnConfig: l.configure, OnState: l.want, Wait: operatorWait,
+		OnConfig: l.configure, OnState: l.want, Wait: l.cfg.VersionBound / waitShare,
 	})
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.serve(ctx, inner) })
