--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -118,9 +118,12 @@
 	// reconcilePeriod is the time between two looks at what is wanted and held
 	// when nothing changes.
 	reconcilePeriod = 150 * time.Millisecond
-	// reportPeriod is the age that a load report may have; an engine finishes
-	// about one request in this time.
+	// reportPeriod is the time between two load reports; an engine finishes about
+	// one request in this time.
 	reportPeriod = 80 * time.Millisecond
+	// reportsPerSecond bounds the reports to all entries together, about 6 KB a
+	// second on the instance's link.
+	reportsPerSecond = 60
 	// restPeriod replaces it while no entry has asked for reports.
 	restPeriod = 500 * time.Millisecond
 	// waitShare is the part of the version bound, one half, for which the store holds a
@@ -297,7 +300,7 @@
 	if sent == 0 {
 		return restPeriod
 	}
-	return reportPeriod
+	return max(reportPeriod, time.Duration(sent)*time.Second/reportsPerSecond)
 }
 
 func pause(ctx context.Context, d time.Duration) {
