--- a/core/awweights/exchange.go
+++ b/core/awweights/exchange.go
@@ -77,6 +77,8 @@
 	// A link that turned slow carries fewer at once, so that whatever else uses
 	// it does not wait behind them.
 	linkDelay = 250 * time.Millisecond
+	// firstAtOnce is how many run before that is known.
+	firstAtOnce = 2
 	// speedWeight smooths the speed that finished fetches show.
 	speedWeight = 4
 	// scanLimit bounds the chunks compared for one choice, so that the cost
@@ -421,9 +423,12 @@
 // atOnce returns how many of at most limit fetches may run at once. Without a
 // known rate of the link all of them may.
 func (x *Exchange) atOnce(limit int) int {
-	if x.cfg.LinkRate <= 0 || x.speed == 0 {
+	if x.cfg.LinkRate <= 0 {
 		return limit
 	}
+	if x.speed == 0 {
+		return min(limit, firstAtOnce)
+	}
 	return min(limit, max(1, int(x.speed*linkDelay.Seconds()/float64(x.cfg.Manifest.ChunkBytes))))
 }
 
--- a/io/awcommand/daemon.go
+++ b/io/awcommand/daemon.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -137,6 +138,13 @@
 	return uint64(time.Now().UnixMilli())<<randomBits | uint64(rand.Uint32N(1<<randomBits))
 }
 
+// memoryShare is the part of the instance's memory for the heap; stacks and
+// what the kernel holds for connections need the rest.
+const memoryShare = 0.7
+
+// limitMemory makes the collector work harder before the process is killed.
+func limitMemory(mib int) { debug.SetMemoryLimit(int64(memoryShare * float64(mib<<20))) }
+
 const flushTimeout = 2 * time.Second
 
 func runDaemon(
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -62,6 +62,7 @@
 	if err != nil || opts.Check {
 		return checked(err, stderr)
 	}
+	limitMemory(cfg.Limits.MemoryMiB)
 	return runDaemon(stdout, "awgateway", cfg.Process, awsettings.Trace{}, func(ctx context.Context, env environment) error {
 		g := newGateway(cfg, env.logger)
 		followSettings(ctx, env.logger, opts.Config, awsettings.LoadGateway, g.reload)
--- a/io/awcommand/loader.go
+++ b/io/awcommand/loader.go
@@ -25,6 +25,7 @@
 	if err != nil || opts.Check {
 		return checked(err, stderr)
 	}
+	limitMemory(cfg.Limits.MemoryMiB)
 	return runDaemon(stdout, "awloader", cfg.Process, awsettings.Trace{}, func(ctx context.Context, env environment) error {
 		// The bounds of a loader only space its loads out; a change of them is
 		// checked and takes effect at the next start.
--- a/io/awgateway/telemetry.go
+++ b/io/awgateway/telemetry.go
@@ -100,8 +100,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	known, usable := g.dispatch.Servers(q.service, q.model)
-	return []any{"Servers", known, "Usable", usable, "Waiting", g.dispatch.Waiting(), "Model", q.model,
-		"Floor", awdirectory.FloorAt(g.floors[q.model], g.cfg.Clock.Now())}
+	return []any{
+		"Servers", known, "Usable", usable, "Waiting", g.dispatch.Waiting(), "Model", q.model,
+		"Floor", awdirectory.FloorAt(g.floors[q.model], g.cfg.Clock.Now()),
+	}
 }
 
 func splitList(v string) []string {
--- a/io/awsettings/awsettings_test.go
+++ b/io/awsettings/awsettings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -16,7 +17,7 @@
 // Guards against a key that operators cannot look up, or a page that differs
 // from the program.
 func TestEveryKeyIsDocumented(t *testing.T) {
-	for _, k := range append(awsettings.EntryKeys(), awsettings.AgentKeys()...) {
+	for _, k := range slices.Concat(awsettings.EntryKeys(), awsettings.AgentKeys(), awsettings.FleetKeys()) {
 		require.NotEmpty(t, k.Unit, k.Name)
 		require.NotEmpty(t, k.Range, k.Name)
 		require.NotEmpty(t, k.Meaning, k.Name)
--- a/io/awsettings/document.go
+++ b/io/awsettings/document.go
@@ -102,6 +102,29 @@
 	"Timing.Drain":         {unitDuration, above0s, "Time for running requests at a planned stop."},
 }
 
+var fleetKeys = map[string]described{
+	"Regions":            {unitText, "one key for each failure domain", "Region of each failure domain."},
+	"Listen.Callers":     {"address", "IP:port; awgateway", "Listener for callers."},
+	"Listen.Ready":       {"address", "IP:port; awgateway", "Listener for the balancer's question whether callers may be sent here."},
+	"Listen.Address":     {"address", "IP", "Address of the internal protocol and the metrics."},
+	"Listen.InnerPort":   {"port", "1 to 65535", "Weight pieces over TCP and load reports over UDP; the same on every instance."},
+	"Listen.MetricsPort": {"port", "0 to 65535", "Metrics at /metrics; 0 turns them off."},
+	"Store.Address":      {"address", address, "The platform's store."},
+	"Backend.Address":    {"address", "IP:port; awloader", "Model engine on the same instance."},
+	"Backend.Service":    {unitText, "required; awloader", "Service of the model engine."},
+	"Bounds.RetryRatio":  {"share", "0 or more", "Repetitions for each request of a service, all entries together."},
+	"Bounds.RetryFloor":  {unitCount, "0 or more", "Repetitions in a window without any request, all entries together."},
+	"Bounds.RetryWindow": {unitDuration, above0s, "Window in which repetitions are counted."},
+	"Bounds.Version":     {unitDuration, above0s, "From the naming of a version until no request begins on older weights."},
+	"Bounds.Grace":       {unitDuration, above0s, "From SIGTERM to SIGKILL."},
+	"Bounds.DrainNotice": {unitDuration, above0s, "From the notice that a backend server leaves until it gets no more requests; the list is read 0.37 of it apart."},
+	"Limits.MemoryMiB":   {"MiB", above0, "Memory above which the process is killed."},
+	"Limits.LinkMbit":    {"Mbit/s", "0 or more", "Rate of the instance's link; 0 means unlimited."},
+}
+
+// FleetKeys describes every key of the settings of awgateway and awloader.
+func FleetKeys() []Key { return keys(DefaultFleet(), fleetKeys) }
+
 // EntryKeys describes every key of awentry's settings.
 func EntryKeys() []Key { return keys(DefaultEntry(), entryKeys) }
 
@@ -113,6 +136,11 @@
 	v := reflect.ValueOf(defaults)
 	for i := range v.NumField() {
 		table := v.Type().Field(i).Name
+		if v.Field(i).Kind() == reflect.Map {
+			d := own[table]
+			list = append(list, Key{Name: table, Unit: d.unit, Range: d.allowed, Meaning: d.meaning})
+			continue
+		}
 		for j := range v.Field(i).NumField() {
 			name := table + "." + v.Field(i).Type().Field(j).Name
 			d, ok := own[name]
@@ -145,14 +173,14 @@
 func Markdown() string {
 	var b strings.Builder
 	b.WriteString("# Settings\n\n" +
-		"Both daemons read a TOML file that is named by `--config`; `--check` checks it and exits. Keys are in Pascal case. " +
+		"Every daemon reads a TOML file that is named by `--config`; `--check` checks it and exits. Keys are in Pascal case. " +
 		"Unknown keys and values out of range are refused with line, key and what is allowed. " +
 		"Durations are written as `\"500ms\"` or `\"10s\"`.\n\n" +
 		"This page is generated from the package `awsettings`: `UPDATE=1 go test ./io/awsettings`.\n")
 	for _, t := range []struct {
 		title string
 		keys  []Key
-	}{{"awentry", EntryKeys()}, {"awagent", AgentKeys()}} {
+	}{{"awentry", EntryKeys()}, {"awagent", AgentKeys()}, {"awgateway and awloader", FleetKeys()}} {
 		fmt.Fprintf(&b, "\n## %s\n\n| Key | Unit | Default | Allowed | Meaning |\n| --- | --- | --- | --- | --- |\n", t.title)
 		for _, k := range t.keys {
 			def := ""
--- a/io/awsettings/fleet.go
+++ b/io/awsettings/fleet.go
@@ -42,13 +42,12 @@
 
 // FleetBounds are the bounds that operators set for all processes together.
 type FleetBounds struct {
-	RetryRatio    float64  // repetitions for each request of a service
-	RetryFloor    int      // repetitions in a window without any request
-	RetryWindow   Duration // in which both are counted
-	Version       Duration // from the naming of a version until no request begins on older weights
-	Grace         Duration // from SIGTERM to SIGKILL
-	DrainNotice   Duration // from the notice that a backend server leaves until it gets no more requests
-	ConfigInForce Duration // from the acceptance of a configuration until it is in force
+	RetryRatio  float64  // repetitions for each request of a service
+	RetryFloor  int      // repetitions in a window without any request
+	RetryWindow Duration // in which both are counted
+	Version     Duration // from the naming of a version until no request begins on older weights
+	Grace       Duration // from SIGTERM to SIGKILL
+	DrainNotice Duration // from the notice that a backend server leaves until it gets no more requests
 }
 
 // FleetLimits describes the instance.
@@ -63,7 +62,7 @@
 		Process: Process{Processors: 1},
 		Bounds: FleetBounds{
 			RetryRatio: 0.1, RetryFloor: 10, RetryWindow: Duration(10 * time.Second), Version: Duration(10 * time.Second),
-			Grace: Duration(8 * time.Second), DrainNotice: Duration(2 * time.Second), ConfigInForce: Duration(2 * time.Second),
+			Grace: Duration(8 * time.Second), DrainNotice: Duration(2 * time.Second),
 		},
 		Limits: FleetLimits{MemoryMiB: 128},
 	}
@@ -116,7 +115,6 @@
 	f.duration("Bounds.Version", c.Bounds.Version)
 	f.duration("Bounds.Grace", c.Bounds.Grace)
 	f.duration("Bounds.DrainNotice", c.Bounds.DrainNotice)
-	f.duration("Bounds.ConfigInForce", c.Bounds.ConfigInForce)
 	f.positive("Limits.MemoryMiB", float64(c.Limits.MemoryMiB))
 	return f
 }
