Bound slow bodies and requests without a time limit

Cause: found while reading the diff: a route without a timeout and a caller without a deadline were answered 504 at once, and a body that never ends was held for good. Change: a default of one minute; the body must be in before the time of the request is up, else 408, which is true: nothing was sent. Ruled out: a read timeout of the whole server, which would cut streams.

--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -112,9 +113,19 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(q.w, r.Body, limit)
 	}
+	control := http.NewResponseController(q.w)
+	if err := control.SetReadDeadline(q.began.Add(q.limit())); err != nil {
+		q.g.log("read deadline not set", q.about("Error", err.Error())...)
+	}
 	data, err := io.ReadAll(body)
+	// The deadline must not end the watch for a caller that leaves.
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		q.g.log("read deadline not cleared", q.about("Error", err.Error())...)
+	}
 	var tooLong *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, "BodyLate"
 	case errors.As(err, &tooLong):
 		return http.StatusRequestEntityTooLarge, "BodyTooLarge"
 	case err != nil:
@@ -124,12 +135,25 @@
 	return 0, ""
 }
 
+// defaultLimit bounds requests for which neither the route nor the caller
+// names a time.
+const defaultLimit = time.Minute
+
+// limit returns the time in which the request gets its final answer.
+func (q *request) limit() time.Duration {
+	limit := q.route.Timeout
+	if d := q.call.Deadline; d > 0 && (limit <= 0 || d < limit) {
+		limit = d
+	}
+	if limit <= 0 {
+		return defaultLimit
+	}
+	return limit
+}
+
 // prepare fixes what stays the same for all sends of the request.
 func (q *request) prepare(c *awdirectory.Config) {
-	q.until = q.began.Add(q.route.Timeout)
-	if q.call.Deadline > 0 && (q.route.Timeout <= 0 || q.call.Deadline < q.route.Timeout) {
-		q.until = q.began.Add(q.call.Deadline)
-	}
+	q.until = q.began.Add(q.limit())
 	g := q.g
 	now := q.began
 	g.mu.Lock()
