Keep only what decisions use of the operators' configuration

Cause: read-through: engines' cost figures, layers, link rates and idle limits were decoded and used by nothing. Ruled out: using the cost model for placing; load reports already keep engines at their slots, and the load player shows nothing to gain from it yet.

--- a/core/awdirectory/awdirectory.go
+++ b/core/awdirectory/awdirectory.go
@@ -60,25 +60,12 @@
 	Regions     []string
 }
 
-// Engine is the published cost model of a service's model engines.
-type Engine struct {
-	Slots       int           // requests that run at once
-	Step        time.Duration // of one token step
-	PerRequest  time.Duration // added to a step for each request that writes
-	PerContext  time.Duration // added to a step for 1,000 tokens of context
-	ReadRate    float64       // prompt tokens a second
-	Stride      int           // token steps of one pass
-	CacheTokens int           // tokens that the memory beside the weights holds
-	UsualPrompt int           // tokens
-	UsualAnswer int           // tokens
-}
-
 // Service is a set of backend servers that answer alike.
 type Service struct {
 	Name     string
 	MaxConns int     // connections of all callers to one backend server
 	ColdRate float64 // requests a second that a cold backend server bears
-	Engine   *Engine // nil for plain services
+	Engine   bool    // its backend servers are model engines
 	Model    Model   // weights that the engines serve; no name for plain services
 	Origin   Origin  // set for the service that hands out weights
 }
@@ -86,26 +73,19 @@
 // Model is what a weight transfer needs to know about a service's weights.
 type Model struct {
 	Name       string
-	Layers     int
 	Chunks     int
 	ChunkBytes int
-	Load       time.Duration // of all staged weights into the engine
 }
 
 // Origin is the source of weights.
 type Origin struct {
-	Address  string
-	Domain   string
-	LinkMbit float64
-	MaxConns int
+	Address string
+	Domain  string
 }
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 }
 
 // Config is one version of the operators' configuration.
--- a/core/awdispatch/load_test.go
+++ b/core/awdispatch/load_test.go
@@ -58,7 +58,7 @@
 func newPlayer(entries, engines int, report time.Duration) *player {
 	p := &player{
 		clock: awclock.NewFake(time.Unix(1000, 0)), rng: rand.New(rand.NewPCG(7, 11)), report: report,
-		service: awdirectory.Service{Name: "s", ColdRate: 36, Engine: &awdirectory.Engine{}, Model: awdirectory.Model{Name: "m"}},
+		service: awdirectory.Service{Name: "s", ColdRate: 36, Engine: true, Model: awdirectory.Model{Name: "m"}},
 		asked:   map[int]int{}, refused: map[int]int{},
 	}
 	var list []awdirectory.Server
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -89,7 +89,7 @@
 	slow := s.slowness(now)
 	slots := max(1, int(float64(s.info.Slots)/slow))
 	limit := slots
-	if svc.Engine == nil {
+	if !svc.Engine {
 		limit = slots * plainQueue
 	}
 	share := (limit + entries - 1) / entries
--- a/io/awgateway/load.go
+++ b/io/awgateway/load.go
@@ -43,7 +43,7 @@
 	defer g.mu.Unlock()
 	var list []netip.AddrPort
 	for address, s := range g.byAddress {
-		if svc := c.Service(s.Service); svc == nil || svc.Engine == nil {
+		if svc := c.Service(s.Service); svc == nil || !svc.Engine {
 			continue
 		}
 		if at, err := netip.ParseAddrPort(address); err == nil { // the list checks addresses
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -159,7 +159,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	q.service = q.route.Pick(g.rng.Float64())
-	if svc := c.Service(q.service); svc != nil && svc.Engine != nil {
+	if svc := c.Service(q.service); svc != nil && svc.Engine {
 		if q.model = q.call.Model; q.model == "" {
 			q.model = svc.Model.Name
 		}
--- a/io/awloader/awloader_test.go
+++ b/io/awloader/awloader_test.go
@@ -167,7 +167,7 @@
 			return awwatch.OperatorRows{
 				Revision: uint64(version), Named: map[string]int64{"m": version},
 				Config: (&awdirectory.Config{Version: 1, Services: []awdirectory.Service{
-					{Name: "s", Engine: &awdirectory.Engine{}, Model: awdirectory.Model{Name: "m", Chunks: testPieces, ChunkBytes: testPieceBytes}},
+					{Name: "s", Engine: true, Model: awdirectory.Model{Name: "m", Chunks: testPieces, ChunkBytes: testPieceBytes}},
 					{Name: "weights", Origin: awdirectory.Origin{Address: "origin", Domain: "d"}},
 				}}).Index(),
 			}, nil
--- a/io/awloader/reconcile.go
+++ b/io/awloader/reconcile.go
@@ -23,8 +23,8 @@
 	// loadReserve is the time that an engine needs from the order until it
 	// serves the new version: what runs is finished first.
 	loadReserve = 3500 * time.Millisecond
-	// firstPieces is about the time in which the first loaders hold a version:
-	// the origin's link carries one copy in that time.
+	// transferSlack is the time in which the first loaders hold a version, in
+	// units of the time in which one copy fits through a link.
 	transferSlack = 1.2
 	// peersEvery is the time between two reads of the list of backend servers
 	// during a transfer.
@@ -332,8 +332,8 @@
 	return l.peers, l.revision, wanted
 }
 
-// Share implements [awtransfer.Host]. Requests do not use the link of a
-// loader's instance.
+// Share implements [awtransfer.Host]. What the engine's answers need of the
+// link is left free at all times; see linkShare.
 func (h *transferHost) Share() float64 { return 1 }
 
 // Origin implements [awtransfer.Host].
