Remove a decision input that nothing gave; name the weight of ties

Cause: read-through: Dispatcher.ColdFor was called by tests only; the cold time of backend servers comes from their list. Change: removed; the test of the cold rate goes through the list, with the same bound. A pool is keyed by the number of the start, not a formatted time. Ruled out: reading the cold time from health checks, which are priced and bring nothing that the list does not.

--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -177,13 +177,6 @@
 	d.serve(s.info.Service)
 }
 
-// ColdFor notes that a backend server says that it is cold for the given time.
-func (d *Dispatcher) ColdFor(k awdirectory.Key, cold time.Duration) {
-	if s := d.servers[k]; s != nil {
-		s.coldUntil = d.cfg.Clock.Now().Add(cold)
-	}
-}
-
 // Tick refuses requests that have waited too long and places those for which
 // there is room now. It is called every few milliseconds while requests wait.
 func (d *Dispatcher) Tick() { d.serveAll() }
--- a/core/awdispatch/load_test.go
+++ b/core/awdispatch/load_test.go
@@ -254,7 +254,9 @@
 	p.service.ColdRate = 10
 	for _, d := range p.entries {
 		d.SetServices([]awdirectory.Service{p.service})
-		d.ColdFor(p.engines[0].info.Key(), time.Minute)
+		cold := p.engines[0].info
+		cold.Cold = time.Minute
+		d.SetServers([]awdirectory.Server{cold, p.engines[1].info})
 	}
 	p.play(10*time.Second, func(int) float64 { return 40 })
 	arrivals := p.engines[0].seconds
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -43,6 +43,9 @@
 	noServerRetry = time.Second
 	// distanceWeight is the load that outweighs one step further away.
 	distanceWeight = 0.08
+	// tieWeight spreads requests over backend servers with the same load, below
+	// the weight of one request in a batch.
+	tieWeight = 0.01
 )
 
 // rate is what an entry sees of a service as a whole.
@@ -183,7 +186,7 @@
 		if room <= 0 || (s.cold(now) && !s.coldRoom(now, svc.ColdRate, d.entries)) || !s.fits(now, t.req.Tokens) {
 			continue
 		}
-		score := load + distanceWeight*d.distance(&s.info) + 0.01*d.cfg.Rand.Float64()
+		score := load + distanceWeight*d.distance(&s.info) + tieWeight*d.cfg.Rand.Float64()
 		if best == nil || score < bestScore {
 			best, bestScore, bestLoad = s, score, load
 		}
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -13,6 +13,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -178,6 +179,7 @@
 	}
 }
 
+// poolKey names the connections to one incarnation of a backend server.
 func poolKey(s *awdirectory.Server) string {
-	return s.ID + "|" + time.UnixMilli(s.Born).UTC().Format("150405.000") + "|" + s.Address
+	return s.ID + "|" + strconv.FormatInt(s.Born, 10) + "|" + s.Address
 }
