Remove twins found when reading the whole change

Change: the gateway takes awwatch.State; awwatch.Pause serves both; the field is gone; splitList stands beside its only caller. Tests keep their assertions.

--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -109,7 +109,6 @@
 type conn struct {
 	net.Conn
 	br     *bufio.Reader
-	used   bool
 	expire time.Time
 }
 
@@ -287,7 +286,6 @@
 		_ = r.conn.Close()
 		return
 	}
-	r.conn.used = true
 	r.conn.expire = r.pool.cfg.Clock.Now().Add(keepAlive(r.Header))
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -15,7 +15,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"arbutuswind/core/awclock"
-	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awretry"
 	"arbutuswind/io/awbackend"
 	"arbutuswind/io/awgateway"
@@ -89,8 +88,8 @@
 	})
 	g.watcher = awwatch.New(awwatch.Config{
 		Clock: clock, Logger: logger, Source: g.tables, VersionBound: cfg.Bounds.Version.Std(),
-		OnConfig:     func(c *awdirectory.Config) bool { return g.entry.Configure(c) },
-		OnState:      g.apply,
+		OnConfig:     g.entry.Configure,
+		OnState:      g.entry.Apply,
 		ServersEvery: time.Duration(noticeShare * float64(cfg.Bounds.DrainNotice)), EntriesEvery: entriesEvery, Wait: operatorWait, RecordNames: true,
 	})
 	return g
@@ -106,10 +105,6 @@
 	g.watcher.SetVersionBound(cfg.Bounds.Version.Std())
 }
 
-func (g *gateway) apply(s awwatch.State) {
-	g.entry.Apply(awgateway.Fleet{Servers: s.Servers, Out: s.Out, Floors: s.Floors, Entries: s.Entries})
-}
-
 // run serves until ctx ends, and then until running requests are answered or
 // the grace period is over.
 func (g *gateway) run(ctx context.Context) error {
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -26,6 +26,7 @@
 	"arbutuswind/core/awmember"
 	"arbutuswind/core/awretry"
 	"arbutuswind/io/awbackend"
+	"arbutuswind/io/awwatch"
 )
 
 // Config configures a [Gateway].
@@ -40,14 +41,6 @@
 	Seed    uint64
 }
 
-// Fleet is what the store says about backend servers.
-type Fleet struct {
-	Servers []awdirectory.Server
-	Out     map[string]bool                // failure domains taken out of service
-	Floors  map[string][]awdirectory.Floor // oldest versions that may begin a request
-	Entries int                            // entries that may be alive, this one included
-}
-
 // Gateway serves callers. It is safe for concurrent use.
 type Gateway struct {
 	cfg      Config
@@ -104,7 +97,7 @@
 }
 
 // Apply takes the state of the fleet.
-func (g *Gateway) Apply(f Fleet) {
+func (g *Gateway) Apply(f awwatch.State) {
 	g.mu.Lock()
 	g.entries = max(1, f.Entries)
 	g.dispatch.SetEntries(g.entries)
--- a/io/awgateway/dialect.go
+++ b/io/awgateway/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"arbutuswind/core/awdirectory"
@@ -70,3 +71,11 @@
 	}
 	return out
 }
+
+func splitList(v string) []string {
+	parts := strings.Split(v, ",")
+	for i := range parts {
+		parts[i] = strings.TrimSpace(parts[i])
+	}
+	return parts
+}
--- a/io/awgateway/telemetry.go
+++ b/io/awgateway/telemetry.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -105,11 +104,3 @@
 		"Floor", awdirectory.FloorAt(g.floors[q.model], g.cfg.Clock.Now()),
 	}
 }
-
-func splitList(v string) []string {
-	parts := strings.Split(v, ",")
-	for i := range parts {
-		parts[i] = strings.TrimSpace(parts[i])
-	}
-	return parts
-}
--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -281,7 +281,7 @@
 		if err == nil {
 			period = l.report(s)
 		}
-		pause(ctx, period)
+		awwatch.Pause(ctx, period)
 	}
 }
 
@@ -303,15 +303,6 @@
 	return max(reportPeriod, time.Duration(sent)*time.Second/reportsPerSecond)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // serve answers other loaders.
 func (l *Loader) serve(ctx context.Context, inner net.Listener) error {
 	mux, err := newMux(&innerServer{loader: l})
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -156,7 +156,7 @@
 			}
 			if !errors.Is(err, errInterrupted) {
 				w.interruptOperator()
-				pause(ctx, retryPause/2+time.Duration(rand.Int64N(int64(retryPause/2))))
+				Pause(ctx, retryPause/2+time.Duration(rand.Int64N(int64(retryPause/2))))
 			}
 			continue
 		}
@@ -165,7 +165,7 @@
 			w.log("store regained", "Table", what, "Revision", next)
 		}
 		since = next
-		pause(ctx, every)
+		Pause(ctx, every)
 	}
 }
 
@@ -200,7 +200,8 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
+// Pause waits for a time, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
@@ -292,7 +293,7 @@
 			})
 			return
 		}
-		pause(ctx, retryPause)
+		Pause(ctx, retryPause)
 	}
 }
 
