Serve requests that are late already after those that can be in time

Cause: on a saturated fleet a refused caller returns after Retry-After and is late wherever it is served. It waited longer for room than a fresh request (250 ms against 100 ms), so it took the places of those that could still be answered in time, who were refused and came back late in their turn.

Ruled out: the queue of the entry (median wait 0 to 58 ms); lack of usable engines (30 of 44 after second 44).

Change: a late request goes behind those of its priority that are not, and leaves a sixth of an engine's places free. Streams that have begun are never late in this sense.

--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -14,7 +14,10 @@
 // there make everybody late.
 //
 // A request that finds no room waits for as long as it can still be answered
-// in time; one whose turn would come later is refused at once.
+// in time; one whose turn would come later is refused at once. Refused callers
+// come back and are late then. Under overload they would take the places of
+// those that can still be answered in time, who would be refused and come back
+// late in their turn. So those that are late already come second.
 package awdispatch
 
 import (
@@ -45,6 +48,10 @@
 	// latePatience is how long a request waits that can no longer be answered
 	// inside its objective.
 	latePatience = 250 * time.Millisecond
+	// lateReserve is the part of a backend server's places that requests
+	// leave free that can no longer be answered inside their objective: about
+	// what arrives between two load reports of a busy engine.
+	lateReserve = 1.0 / 6
 )
 
 // Config configures a [Dispatcher].
@@ -63,6 +70,9 @@
 	Priority int    // 0 is the most urgent
 	// Patience is how long the request may wait for room.
 	Patience time.Duration
+	// Late marks a request that can no longer be answered inside its
+	// objective.
+	Late     bool
 	Deadline time.Time
 	Tokens   int                      // memory that it needs at an engine
 	Allowed  func(region string) bool // nil allows every region
@@ -115,13 +125,14 @@
 	}
 }
 
-// Patience returns how long a request may wait for room. Age is the time that
-// the caller has waited already, in earlier attempts.
-func Patience(objective, age time.Duration) time.Duration {
-	if age >= time.Duration(patienceShare*float64(objective)) {
-		return latePatience
+// Patience returns how long a request may wait for room, and whether it is
+// late already. Age is the time that the caller has waited so far, in earlier
+// attempts too.
+func Patience(objective, age time.Duration) (patience time.Duration, late bool) {
+	if left := time.Duration(patienceShare*float64(objective)) - age; left > 0 {
+		return left, false
 	}
-	return time.Duration(patienceShare*float64(objective)) - age
+	return latePatience, true
 }
 
 // SetEntries sets the number of entries that may be alive, this one included.
--- a/core/awdispatch/load_test.go
+++ b/core/awdispatch/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,15 @@
 	asked, refused map[int]int // by entry
 	first          []time.Duration
 	held           []time.Duration // of refused requests
+	returns        bool            // refused callers come back once, when they were told to
+	backs          []back
+}
+
+// back is a refused caller that comes back.
+type back struct {
+	entry int
+	at    time.Time
+	asked time.Time // for the first time
 }
 
 // engine runs a batch; its cost follows the published model of a pass.
@@ -98,6 +108,7 @@
 			}
 			p.entries[i].Tick()
 		}
+		p.bringBack()
 		p.clock.Advance(playStep)
 		for _, e := range p.engines {
 			p.pass(e)
@@ -124,17 +135,43 @@
 	}
 }
 
+// bringBack submits the callers that are due to come back, at any entry.
+func (p *player) bringBack() {
+	var due []back
+	p.backs = slices.DeleteFunc(p.backs, func(b back) bool {
+		if b.at.After(p.clock.Now()) {
+			return false
+		}
+		due = append(due, b)
+		return true
+	})
+	for _, b := range due {
+		p.offer(p.rng.IntN(len(p.entries)), b.asked)
+	}
+}
+
 func (p *player) submit(entry int) {
-	now := p.clock.Now()
 	p.asked[entry]++
+	p.offer(entry, p.clock.Now())
+}
+
+// offer submits a request of a caller that asked for the first time at the
+// given time.
+func (p *player) offer(entry int, asked time.Time) {
+	now := p.clock.Now()
+	first := asked.Equal(now)
+	patience, late := Patience(objective, now.Sub(asked))
 	size := 0.3 + 1.4*p.rng.Float64()
-	j := &job{entry: entry, asked: now, prompt: int(playPrompt * size), tokens: int(playAnswer * size)}
+	j := &job{entry: entry, asked: asked, prompt: int(playPrompt * size), tokens: int(playAnswer * size)}
 	p.entries[entry].Submit(Request{
-		Service: "s", Model: "m", Patience: Patience(objective, 0), Deadline: now.Add(6 * time.Second),
+		Service: "s", Model: "m", Patience: patience, Late: late, Deadline: now.Add(6 * time.Second),
 	}, func(dec Decision) {
 		if dec.Grant == nil {
 			p.refused[entry]++
-			p.held = append(p.held, p.clock.Now().Sub(j.asked))
+			p.held = append(p.held, p.clock.Now().Sub(now))
+			if p.returns && first {
+				p.backs = append(p.backs, back{entry, p.clock.Now().Add(dec.RetryAfter), asked})
+			}
 			return
 		}
 		j.grant = dec.Grant
@@ -236,6 +273,31 @@
 	}
 }
 
+// Guards against callers that come back and keep others from being served in
+// time: while no engine may begin, everybody is told to come back, and after
+// that the engines are asked for a little more than they bear. Those that come
+// back are late wherever they are served, so they must not take the places of
+// those that can still be served in time.
+func TestCallersThatComeBackAfterAnOutage(t *testing.T) {
+	p := newPlayer(5, 9, 80*time.Millisecond)
+	p.returns = true
+	const capacity = 9 * 11.0 // requests a second, by the cost of a pass
+	demand := func(int) float64 { return 1.05 * capacity / 5 }
+	for _, d := range p.entries {
+		d.SetFloors(map[string][]awdirectory.Floor{"m": {{Version: 2, From: p.clock.Now()}}})
+	}
+	p.play(3*time.Second, demand)
+	for _, d := range p.entries {
+		d.SetFloors(nil)
+	}
+	p.play(2*time.Second, demand)
+	clear(p.asked)
+	p.first = nil
+	p.play(20*time.Second, demand)
+	require.Greater(t, p.inAim(), 0.8)
+	require.Greater(t, float64(len(p.first))/20, 0.85*capacity)
+}
+
 // Guards against an engine that is slow and does not say so, or that stands
 // behind a slow link: reports of its load alone must keep it from making its
 // share of the callers late.
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -70,7 +70,7 @@
 		t.until = req.Deadline
 	}
 	queue := d.queues[req.Service]
-	if !d.urgentWaits(queue, req.Priority) && d.place(t, now) {
+	if (len(queue) == 0 || req.before(&queue[0].req)) && d.place(t, now) {
 		return t
 	}
 	if !d.anyUsable(&req, now) {
@@ -78,7 +78,7 @@
 		return t
 	}
 	at := len(queue)
-	for at > 0 && queue[at-1].req.Priority > req.Priority {
+	for at > 0 && req.before(&queue[at-1].req) {
 		at--
 	}
 	if wait := d.expectedWait(req.Service, at); now.Add(wait).After(t.until) {
@@ -89,8 +89,12 @@
 	return t
 }
 
-func (d *Dispatcher) urgentWaits(queue []*Ticket, priority int) bool {
-	return len(queue) > 0 && queue[0].req.Priority <= priority
+// before reports whether r goes before other, which came earlier.
+func (r *Request) before(other *Request) bool {
+	if r.Priority != other.Priority {
+		return r.Priority < other.Priority
+	}
+	return !r.Late && other.Late
 }
 
 func (d *Dispatcher) rate(service string) *rate {
@@ -183,6 +187,9 @@
 			continue
 		}
 		room, load := s.room(now, svc, d.entries)
+		if t.req.Late && load > 1-lateReserve {
+			continue
+		}
 		if room <= 0 || (s.cold(now) && !s.coldRoom(now, svc.ColdRate, d.entries)) || !s.fits(now, t.req.Tokens) {
 			continue
 		}
