Share what is left of an engine's room by chance

Cause: each entry took its share of the free places of a load report rounded up, so at least one. With 14 entries and requests waiting at each, one free place drew up to 14 requests.

Ruled out: callers that come back (refusals were 2 to 7 against 45 sends in two seconds); a want of engines.

Change: what does not divide evenly goes to an entry with that probability.

--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -184,7 +184,7 @@
 	if s == nil {
 		return
 	}
-	s.report(l, d.entries)
+	s.report(l, d.entries, d.cfg.Rand.Float64())
 	d.serve(s.info.Service)
 }
 
--- a/core/awdispatch/load_test.go
+++ b/core/awdispatch/load_test.go
@@ -298,6 +298,25 @@
 	require.Greater(t, float64(len(p.first))/20, 0.85*capacity)
 }
 
+// Guards against many entries that all answer one report of a free place: what
+// is too much waits inside the engine, where it makes everybody late.
+func TestManyEntriesSeeTheSameRoom(t *testing.T) {
+	const entries, engines = 14, 30
+	p := newPlayer(entries, engines, 30*time.Millisecond)
+	p.returns = true
+	const capacity = engines * 11.0 // requests a second, by the cost of a pass
+	p.play(15*time.Second, func(int) float64 { return 1.2 * capacity / entries })
+	late := 0
+	for _, d := range p.first {
+		if d > objective {
+			late++
+		}
+	}
+	require.Greater(t, p.inAim(), 0.7)
+	require.Less(t, float64(late)/float64(len(p.first)), 0.1)
+	require.Greater(t, float64(len(p.first))/15, 0.85*capacity)
+}
+
 // Guards against an engine that is slow and does not say so, or that stands
 // behind a slow link: reports of its load alone must keep it from making its
 // share of the callers late.
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -41,11 +41,15 @@
 	s.info = info
 }
 
-func (s *server) report(l Load, entries int) {
+// report takes a load report. The free places are shared by all entries that
+// see it. What does not divide evenly goes to some of them, drawn by chance
+// from 0 to 1: if each took one more, many entries would fill the last place
+// many times over.
+func (s *server) report(l Load, entries int, chance float64) {
 	s.load, s.reported = l, true
 	s.others = max(0, l.Active+l.Queued-s.own)
 	free := max(0, s.info.Slots-l.Active-l.Queued)
-	s.allowance = (free + entries - 1) / entries
+	s.allowance = int(float64(free)/float64(entries) + chance)
 }
 
 // versions returns the weights that the backend server holds.
