Add the fault soak of the platform's path

The users ask for a randomized soak of the real programs as processes, with faults from outside. platform/awsoak holds stand-ins of the store (feed with history, transactions, busy, lost answers, a clock that jumps), of the source of weights and of backend servers (crash, leave, shed, fail, hang, break off, forge, rot), proxies in front of all of them, signals in series, and callers that keep their connections. It checks MIXED, ORDER, TWICE, REFUSED, WHOLE, ROUTE, DENIED, LOST (planned stops without other faults), RECOVER and exits.

A proxy can now listen on any loopback address, and its faults can be set by code, which the soak needs.

Ruled out: a verdict on bounds in time, which would hang on the machine.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOLANGCI_LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 BIN := bin
 
-.PHONY: build demo test lint fuzz generate
+.PHONY: build demo test lint fuzz soak generate
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -39,6 +39,13 @@
 	@for target in $(FUZZ_TARGETS); do \
 		go test ./internal/awproof -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZ_TIME) -parallel 2 || exit 1; done
 
+# Runs the fault soak over more days, with fresh seeds unless SOAK_FIRST is set.
+SOAK_SEEDS ?= 50
+SOAK_FIRST ?= $(shell date +%s)
+soak:
+	@echo "first seed $(SOAK_FIRST)"
+	go test ./platform/awsoak -count=1 -timeout 60m -parallel 3 -soak.seeds=$(SOAK_SEEDS) -soak.first=$(SOAK_FIRST)
+
 # Needs protoc, protoc-gen-go and protoc-gen-go-drpc; the build does not.
 generate:
 	protoc -I io/awproto --go_out=. --go_opt=module=arbutuswind \
--- a/internal/awbench/config.go
+++ b/internal/awbench/config.go
@@ -146,7 +146,7 @@
 		return nil, err
 	}
 	link := awstandin.NewProxy(strings.TrimPrefix(c.Platform, "http://"))
-	lis, err := link.Start()
+	lis, err := link.Start("127.0.0.1")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/awstandin/proxy.go
+++ b/internal/awstandin/proxy.go
@@ -91,10 +91,16 @@
 	return p.serve(lis)
 }
 
-// Start relays connections to a free loopback address in the background and
-// returns the listener; closing it ends the relay.
-func (p *Proxy) Start() (net.Listener, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+// Set replaces the faults of the link.
+func (p *Proxy) Set(f ProxyFault) { p.faults.update(func(now *ProxyFault) { *now = f }) }
+
+// Reset closes every connection with a TCP reset.
+func (p *Proxy) Reset() { p.reset() }
+
+// Start relays connections to a free port of a loopback address, an IP, in the
+// background and returns the listener; closing it ends the relay.
+func (p *Proxy) Start(ip string) (net.Listener, error) {
+	lis, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, err
 	}
