Keep the bounds of the versions before the one that is named

Cause: operators overwrite the row of a model's version. A gateway that starts after version 3 was named knew nothing of version 2, and let requests begin on version 1 until the bound of version 3.

Change: the entries note every version in a table of their own already; all notes of the model up to the wanted version are read, and each bound is kept. A note that could not be written at once now holds when the version was seen, not when the write got through.

--- a/core/awdirectory/awdirectory_test.go
+++ b/core/awdirectory/awdirectory_test.go
@@ -26,6 +26,20 @@
 	}
 }
 
+// Guards against a process that starts after the naming of a version and knows
+// only that one: the bound of the version before must hold for it, too.
+func TestBoundOfTheVersionBefore(t *testing.T) {
+	v := Versions{Bound: 8 * time.Second}
+	require.True(t, v.Name("m", 3, start))
+	v.NamedAt("m", 2, start.Add(-9*time.Second))
+	require.Equal(t, int64(3), v.Wanted("m"))
+	floors := v.Floors()["m"]
+	require.Equal(t, int64(2), FloorAt(floors, start))
+	require.Equal(t, int64(3), FloorAt(floors, start.Add(8*time.Second)))
+	v.NamedAt("m", 3, start.Add(-time.Second))
+	require.Equal(t, int64(3), FloorAt(v.Floors()["m"], start.Add(6*time.Second)))
+}
+
 // Guards against entries that lapsed while the store was away: a backend
 // server that reaches the store is back soon, one that is not must get nothing
 // after that.
--- a/core/awdirectory/versions.go
+++ b/core/awdirectory/versions.go
@@ -1,6 +1,10 @@
 package awdirectory
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Floor is a version of a model's weights and the time from which no request
 // may begin on an older one.
@@ -41,13 +45,20 @@
 	return true
 }
 
-// NamedAt corrects the time at which a version was named.
+// NamedAt corrects the time at which a version was named. An older version
+// than the one wanted may be new to this process, which started after it was
+// replaced; its bound still holds.
 func (v *Versions) NamedAt(model string, version int64, at time.Time) {
-	for i := range v.models[model] {
-		if f := &v.models[model][i]; f.Version == version {
-			f.From = at.Add(max(0, v.Bound-beginMargin))
-		}
+	if version > v.Wanted(model) {
+		return
 	}
+	list := v.models[model]
+	i, known := slices.BinarySearchFunc(list, version, func(f Floor, version int64) int { return cmp.Compare(f.Version, version) })
+	if !known {
+		list = slices.Insert(list, i, Floor{Version: version})
+	}
+	list[i].From = at.Add(max(0, v.Bound-beginMargin))
+	v.models[model] = list[max(0, len(list)-keepFloors):]
 }
 
 // Floors returns the floors of each model, in the order of their versions.
--- a/io/awloader/awloader_test.go
+++ b/io/awloader/awloader_test.go
@@ -185,7 +185,9 @@
 
 func (r *rows) Entries(context.Context) ([]string, error) { return nil, nil }
 
-func (r *rows) NamedAge(context.Context, string, int64) (time.Duration, error) { return 0, nil }
+func (r *rows) NamedAges(context.Context, string, int64, time.Duration) (map[int64]time.Duration, error) {
+	return nil, nil
+}
 
 func (r *rows) name(version int64) {
 	r.mu.Lock()
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -47,9 +47,10 @@
 	Servers(ctx context.Context, since uint64) (ServerRows, error)
 	// Entries returns the names of the entries that have registered.
 	Entries(ctx context.Context) ([]string, error)
-	// NamedAge returns how long ago a version of a model was first seen by any
-	// entry, and notes the time if this is the first.
-	NamedAge(ctx context.Context, model string, version int64) (time.Duration, error)
+	// NamedAges returns how long ago a version of a model, and each one before
+	// it, was first seen by any entry. If this is the first to see the version,
+	// it notes that this was some time ago.
+	NamedAges(ctx context.Context, model string, version int64, seen time.Duration) (map[int64]time.Duration, error)
 }
 
 // State is what is known.
@@ -276,20 +277,22 @@
 }
 
 // recordName corrects the time at which a version was named by that of the
-// entry that saw it first.
+// entry that saw it first, and learns of the versions before it.
 func (w *Watcher) recordName(ctx context.Context, model string, version int64, seen time.Time) {
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, callMargin)
-		age, err := w.cfg.Source.NamedAge(call, model, version)
+		ages, err := w.cfg.Source.NamedAges(call, model, version, w.cfg.Clock.Now().Sub(seen))
 		cancel()
 		if err == nil {
 			now := w.cfg.Clock.Now()
 			w.do(ctx, func() {
-				if at := now.Add(-age); at.Before(seen) {
-					w.log("version named earlier", "Model", model, "Version", version, "AgeMs", age.Milliseconds())
-					w.versions.NamedAt(model, version, at)
-					w.publish()
+				for named, age := range ages {
+					if at := now.Add(-age); at.Before(seen) {
+						w.log("version named earlier", "Model", model, "Version", named, "AgeMs", age.Milliseconds())
+						w.versions.NamedAt(model, named, at)
+					}
 				}
+				w.publish()
 			})
 			return
 		}
--- a/io/awwatch/awwatch_test.go
+++ b/io/awwatch/awwatch_test.go
@@ -24,7 +24,7 @@
 	config  uint64
 	named   map[string]int64
 	servers []awdirectory.Server
-	age     time.Duration
+	ages    map[int64]time.Duration
 	since   []uint64 // revisions that the operators' rows were read from
 	held    chan struct{}
 }
@@ -63,7 +63,9 @@
 
 func (s *store) Entries(context.Context) ([]string, error) { return []string{"a", "b"}, nil }
 
-func (s *store) NamedAge(context.Context, string, int64) (time.Duration, error) { return s.age, nil }
+func (s *store) NamedAges(context.Context, string, int64, time.Duration) (map[int64]time.Duration, error) {
+	return s.ages, nil
+}
 
 func (s *store) set(f func()) {
 	s.mu.Lock()
@@ -119,10 +121,23 @@
 	s.set(func() { require.Contains(t, s.since[2:], uint64(0)) })
 }
 
+// Guards VERSION: the bound of a version holds for a process that started after
+// the next one was named.
+func TestVersionBeforeOutlivesARestart(t *testing.T) {
+	s := &store{config: 1, named: map[string]int64{"m": 3}, ages: map[int64]time.Duration{2: time.Hour, 3: 0}}
+	_, states := start(t, s)
+	for st := range states {
+		if f := st.Floors["m"]; len(f) == 2 {
+			require.Equal(t, int64(2), awdirectory.FloorAt(f, time.Now()))
+			return
+		}
+	}
+}
+
 // Guards VERSION: after a restart of all processes a version counts from when
 // it was first seen, not from the restart.
 func TestNamedVersionOutlivesARestart(t *testing.T) {
-	s := &store{config: 1, named: map[string]int64{"m": 2}, age: time.Hour}
+	s := &store{config: 1, named: map[string]int64{"m": 2}, ages: map[int64]time.Duration{2: time.Hour}}
 	_, states := start(t, s)
 	for st := range states {
 		if f := st.Floors["m"]; len(f) > 0 && awdirectory.FloorAt(f, time.Now()) == 2 && st.Entries == 2 {
