Follow the list of engines in the duties of a transfer

Cause: a loader decided once, at the start of a transfer, whether it is on the panel that brings pieces into its region. After a power failure the list grows for a second or two, and the panel with it. New members did not know that they were on it; the others waited for them, as they kept bringing in other pieces.

Ruled out: links (the transfers before that ran at the rate of the link); the origin (copies were in the other regions).

Change: the duty comes with the list of peers, and follows it. TestDutyFollowsTheList failed before.

--- a/core/awweights/exchange.go
+++ b/core/awweights/exchange.go
@@ -197,10 +197,12 @@
 	return x
 }
 
-// SetPeers replaces the agents that chunks may come from. What is known about
-// those that remain is kept.
-func (x *Exchange) SetPeers(list []Source) {
+// SetPeers replaces the agents that chunks may come from, and tells whether
+// this one is on the panel of its region among them. What is known about those
+// that remain is kept.
+func (x *Exchange) SetPeers(duty bool, list []Source) {
 	now := x.clock.Now()
+	x.cfg.Self.Duty = duty
 	old := x.peers
 	x.peers, x.order = map[string]*peer{}, nil
 	x.panel = nil
--- a/core/awweights/exchange_test.go
+++ b/core/awweights/exchange_test.go
@@ -81,7 +81,7 @@
 			peers = append(peers, o)
 		}
 	}
-	n.x.SetPeers(peers)
+	n.x.SetPeers(n.self.Duty, peers)
 }
 
 // run steps the simulation until every live agent is complete.
--- a/core/awweights/policy_test.go
+++ b/core/awweights/policy_test.go
@@ -91,7 +91,7 @@
 	x := awweights.NewExchange(awweights.Config{Self: awweights.Source{ID: "a", Region: "r", Duty: true}, StoreRegion: "r", Digest: "d", Manifest: m},
 		clock, rand.New(rand.NewPCG(1, 2)), awweights.NewBitmap(96))
 	twice := awweights.Source{ID: "b", Region: "r", Duty: true}
-	require.NotPanics(t, func() { x.SetPeers([]awweights.Source{twice, twice, twice}) })
+	require.NotPanics(t, func() { x.SetPeers(true, []awweights.Source{twice, twice, twice}) })
 }
 
 // Guards against engines that all stop at once for a new version, and against
@@ -126,7 +126,7 @@
 				Self: awweights.Source{ID: "a", Region: "r"}, StoreRegion: "r", Digest: "d", Manifest: m, LinkRate: 900 << 10,
 				Parallel: 4, PerPeer: 4,
 			}, clock, rand.New(rand.NewPCG(1, 2)), awweights.NewBitmap(96))
-			x.SetPeers([]awweights.Source{{ID: "b", Region: "r", Duty: true}, {ID: "c", Region: "r", Duty: true}})
+			x.SetPeers(false, []awweights.Source{{ID: "b", Region: "r", Duty: true}, {ID: "c", Region: "r", Duty: true}})
 			full := awweights.NewBitmap(96)
 			for i := range 96 {
 				full.Set(i)
@@ -169,7 +169,7 @@
 	m := awweights.Manifest{Model: "m", Version: "1", ChunkBytes: 1, SizeBytes: 8, Chunks: make([]string, 8)}
 	x := awweights.NewExchange(awweights.Config{Self: awweights.Source{ID: "a", Region: "r", Duty: true}, StoreRegion: "r", Digest: "d", Manifest: m},
 		clock, rand.New(rand.NewPCG(1, 2)), awweights.NewBitmap(8))
-	x.SetPeers(nil)
+	x.SetPeers(true, nil)
 	last := clock.Now()
 	for range 1000 { // ten seconds without the origin
 		clock.Advance(10 * time.Millisecond)
@@ -185,3 +185,23 @@
 		require.Less(t, clock.Now().Sub(last), time.Second)
 	}
 }
+
+// Guards against chunks that nobody brings into a region: the list of agents
+// grows after a transfer began, the panel changes with it, and a new member that
+// does not know it is taken by the others to be about to fetch.
+func TestDutyFollowsTheList(t *testing.T) {
+	clock := awclock.NewFake(time.Unix(0, 0))
+	m := awweights.Manifest{Model: "m", Version: "1", ChunkBytes: 1, SizeBytes: 8, Chunks: make([]string, 8)}
+	x := awweights.NewExchange(awweights.Config{Self: awweights.Source{ID: "a", Region: "r"}, StoreRegion: "r", Digest: "d", Manifest: m},
+		clock, rand.New(rand.NewPCG(1, 2)), awweights.NewBitmap(8))
+	panel := []awweights.Source{{ID: "b", Region: "r", Duty: true}}
+	x.SetPeers(false, panel)
+	x.Heard("b", awweights.NewBitmap(8))
+	clock.Advance(time.Second)
+	_, ok := x.Next()
+	require.False(t, ok, "what is outside is fetched by the panel")
+	x.SetPeers(true, panel)
+	f, ok := x.Next()
+	require.True(t, ok)
+	require.Equal(t, awweights.FromOrigin, f.Kind)
+}
--- a/io/awagent/transfer.go
+++ b/io/awagent/transfer.go
@@ -19,14 +19,11 @@
 
 func (a *Agent) newTransfer(digest string, m awweights.Manifest) *awtransfer.Transfer {
 	w := a.cfg.Settings.Weights
-	a.mu.Lock()
-	duty := a.view.Duty
-	a.mu.Unlock()
 	return awtransfer.New(awtransfer.Config{
 		Clock: a.cfg.Clock, Rand: rand.New(rand.NewPCG(a.cfg.Incarnation, awweights.Score(digest, a.identity.Instance))),
 		Host: &transferHost{agent: a, digest: digest, before: a.weights.report()}, Dialer: a.dialer, Identity: a.identity,
 		Exchange: awweights.Config{
-			Self:        awweights.Source{ID: a.identity.Instance, Region: a.identity.Region, Duty: duty},
+			Self:        awweights.Source{ID: a.identity.Instance, Region: a.identity.Region},
 			StoreRegion: w.StoreRegion, Digest: digest, Manifest: m,
 			LinkRate: bytesPerSecond(w.LinkMbit), RegionRate: bytesPerSecond(w.RegionMbit),
 		},
@@ -34,17 +31,17 @@
 	})
 }
 
-// Peers implements [awtransfer.Host].
-func (h *transferHost) Peers(digest string) ([]awtransfer.Peer, uint64, bool) {
+// View implements [awtransfer.Host].
+func (h *transferHost) View(digest string) awtransfer.View {
 	view, wanted := h.agent.wants(digest)
-	var list []awtransfer.Peer
+	out := awtransfer.View{Duty: view.Duty, Revision: view.Revision, Wanted: wanted}
 	for _, p := range view.Peers {
-		list = append(list, awtransfer.Peer{
+		out.Peers = append(out.Peers, awtransfer.Peer{
 			Source: awweights.Source{ID: p.Instance, Region: p.Region, Duty: p.Duty},
 			Target: awrpc.Target{Address: h.agent.addresses.of(p), Instance: p.Instance},
 		})
 	}
-	return list, view.Revision, wanted
+	return out
 }
 
 // Share implements [awtransfer.Host].
--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -151,6 +151,7 @@
 	origin   awdirectory.Origin
 	named    []target // versions that operators have named, the newest first
 	peers    []awtransfer.Peer
+	duty     bool   // on the panel of the region, by the same list
 	revision uint64 // of peers
 	changed  chan struct{}
 	status   Status
@@ -339,9 +340,12 @@
 // service runs a loader.
 func (l *Loader) setPeers(digest string, servers []awdirectory.Server) {
 	servers = l.latest(servers)
-	placed := map[string][]string{}
+	// The list may not name the engine beside this process yet.
+	placed := map[string][]string{l.cfg.Identity.Region: {l.cfg.Backend}}
 	for _, s := range servers {
-		placed[s.Region] = append(placed[s.Region], s.Address)
+		if s.Address != l.cfg.Backend {
+			placed[s.Region] = append(placed[s.Region], s.Address)
+		}
 	}
 	duty := map[string]bool{}
 	for _, addresses := range placed {
@@ -365,6 +369,6 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.peers = peers
+	l.peers, l.duty = peers, duty[l.cfg.Backend]
 	l.revision++
 }
--- a/io/awloader/reconcile.go
+++ b/io/awloader/reconcile.go
@@ -180,7 +180,7 @@
 	awtransfer.New(awtransfer.Config{
 		Clock: l.cfg.Clock, Rand: l.rng, Host: &h, Dialer: l.dialer, Identity: l.cfg.Identity, Held: held,
 		Exchange: awweights.Config{
-			Self:        awweights.Source{ID: l.cfg.Backend, Region: l.cfg.Identity.Region, Duty: l.onDuty(h.digest)},
+			Self:        awweights.Source{ID: l.cfg.Backend, Region: l.cfg.Identity.Region},
 			StoreRegion: l.cfg.Regions[h.target.origin.Domain], Digest: h.digest, Manifest: m.exchange(),
 			LinkRate: l.linkRate() * linkShare, Parallel: peerFetches, DutyParallel: dutyFetches, PerPeer: fetchesPerPeer,
 		},
@@ -222,19 +222,6 @@
 	return nil
 }
 
-// onDuty reports whether this loader is on the panel of its region.
-func (l *Loader) onDuty(digest string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	near := []string{l.cfg.Backend}
-	for _, p := range l.peers {
-		if p.Region == l.cfg.Identity.Region {
-			near = append(near, p.ID)
-		}
-	}
-	return slices.Contains(awweights.Panel(digest, near), l.cfg.Backend)
-}
-
 // awaitTurn waits until this engine may stop serving the older version. It
 // returns false if the version is no longer wanted then.
 func (l *Loader) awaitTurn(ctx context.Context, t target, newest int64, serving bool) bool {
@@ -321,8 +308,8 @@
 	stats      awweights.Stats
 }
 
-// Peers implements [awtransfer.Host].
-func (h *transferHost) Peers(string) ([]awtransfer.Peer, uint64, bool) {
+// View implements [awtransfer.Host].
+func (h *transferHost) View(string) awtransfer.View {
 	l := h.loader
 	wanted := l.newest(h.newest)
 	if (h.yields || h.stats.Bad >= distrustBad) && l.cfg.Clock.Now().Sub(h.progressed) > stallAfter {
@@ -330,7 +317,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.peers, l.revision, wanted
+	return awtransfer.View{Peers: l.peers, Duty: l.duty, Revision: l.revision, Wanted: wanted}
 }
 
 // Share implements [awtransfer.Host]. What the engine's answers need of the
--- a/io/awtransfer/awtransfer.go
+++ b/io/awtransfer/awtransfer.go
@@ -38,11 +38,17 @@
 	Target awrpc.Target
 }
 
+// View is what a host knows of the fleet.
+type View struct {
+	Peers    []Peer
+	Duty     bool   // this process is on the panel of its region
+	Revision uint64 // rises when one of the others changes
+	Wanted   bool   // the version is still wanted
+}
+
 // Host is what a transfer needs of the process that runs it.
 type Host interface {
-	// Peers returns the peers, a number that rises when they change, and
-	// whether the version is still wanted.
-	Peers(digest string) (list []Peer, revision uint64, wanted bool)
+	View(digest string) View
 	// Share returns the share of the links that weights may use, 0 to 1.
 	Share() float64
 	// Origin reads a chunk from the origin.
@@ -132,13 +138,13 @@
 	var revision uint64
 	var asked time.Time
 	for !t.x.Complete() {
-		peers, seen, wanted := t.cfg.Host.Peers(t.digest)
-		if !wanted {
+		view := t.cfg.Host.View(t.digest)
+		if !view.Wanted {
 			return
 		}
-		if seen != revision || revision == 0 {
-			revision = seen
-			t.setPeers(peers)
+		if view.Revision != revision || revision == 0 {
+			revision = view.Revision
+			t.setPeers(view)
 		}
 		t.x.SetShare(t.cfg.Host.Share())
 		t.startFetches(ctx)
@@ -159,14 +165,14 @@
 	}
 }
 
-func (t *Transfer) setPeers(peers []Peer) {
+func (t *Transfer) setPeers(view View) {
 	var list []awweights.Source
 	t.targets = map[string]awrpc.Target{}
-	for _, p := range peers {
+	for _, p := range view.Peers {
 		list = append(list, p.Source)
 		t.targets[p.ID] = p.Target
 	}
-	t.x.SetPeers(list)
+	t.x.SetPeers(view.Duty, list)
 }
 
 // startFetches hands fetches to the workers while one is free.
