--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -46,12 +46,9 @@
 	// wait for room; the rest is needed for the way and the first event.
 	patienceShare = 0.25
 	// latePatience is how long a request waits that can no longer be answered
-	// inside its objective.
-	latePatience = 250 * time.Millisecond
-	// lateReserve is the part of a backend server's places that requests
-	// leave free that can no longer be answered inside their objective: about
-	// what arrives between two load reports of a busy engine.
-	lateReserve = 1.0 / 6
+	// inside its objective: about the time in which a busy fleet frees places.
+	// One that waits longer takes the place of a later one that can.
+	latePatience = 150 * time.Millisecond
 )
 
 // Config configures a [Dispatcher].
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -187,9 +187,6 @@
 			continue
 		}
 		room, load := s.room(now, svc, d.entries)
-		if t.req.Late && load > 1-lateReserve {
-			continue
-		}
 		if room <= 0 || (s.cold(now) && !s.coldRoom(now, svc.ColdRate, d.entries)) || !s.fits(now, t.req.Tokens) {
 			continue
 		}
