--- a/io/awtransfer/awtransfer.go
+++ b/io/awtransfer/awtransfer.go
@@ -48,6 +48,7 @@
 
 // Host is what a transfer needs of the process that runs it.
 type Host interface {
+	// View is called before each decision; it must be cheap.
 	View(digest string) View
 	// Share returns the share of the links that weights may use, 0 to 1.
 	Share() float64
