--- a/internal/awprocess/fleet_test.go
+++ b/internal/awprocess/fleet_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -15,6 +14,7 @@
 	"arbutuswind/core/awconfig"
 	"arbutuswind/core/awweights"
 	"arbutuswind/internal/awbench"
+	"arbutuswind/internal/awprogram"
 	"arbutuswind/internal/awstandin"
 	"arbutuswind/io/awcontrol"
 	"arbutuswind/io/awsettings"
@@ -23,20 +23,7 @@
 var binDir string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "awprocess-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	binDir = dir
-	build := exec.Command("go", "build", "-o", dir, "arbutuswind/cmd/...")
-	build.Stderr = os.Stderr
-	code := 1
-	if err := build.Run(); err == nil {
-		code = m.Run()
-	}
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(awprogram.Run(m, func(dir string) { binDir = dir }, "arbutuswind/cmd/..."))
 }
 
 // hangLimit ends a test that hangs. No verdict depends on it.
--- a/io/awbackend/awbackend_test.go
+++ b/io/awbackend/awbackend_test.go
@@ -147,6 +147,17 @@
 	require.Equal(t, 3, *dials)
 }
 
+// acceptRequest accepts one connection and reads the head of its request.
+func acceptRequest(lis net.Listener) (net.Conn, *bufio.Reader, error) {
+	conn, err := lis.Accept()
+	if err != nil {
+		return nil, nil, err
+	}
+	br := bufio.NewReader(conn)
+	_, err = http.ReadRequest(br)
+	return conn, br, err
+}
+
 // Guards against the rest of a long body being taken for the next request,
 // when a backend server answers before it has read it all.
 func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
@@ -155,14 +166,10 @@
 	defer lis.Close()
 	done := make(chan struct{})
 	go func() {
-		conn, err := lis.Accept()
+		conn, _, err := acceptRequest(lis)
 		if err != nil {
 			return
 		}
-		br := bufio.NewReader(conn)
-		if _, err := http.ReadRequest(br); err != nil {
-			return
-		}
 		if _, err := io.WriteString(conn, reply("a", "no")); err != nil {
 			return
 		}
@@ -190,14 +197,10 @@
 	gone := errors.New("gone")
 	closed := make(chan error, 1)
 	go func() {
-		conn, err := lis.Accept()
+		_, br, err := acceptRequest(lis)
 		if err != nil {
 			return
 		}
-		br := bufio.NewReader(conn)
-		if _, err := http.ReadRequest(br); err != nil {
-			return
-		}
 		cancel(gone)
 		_, err = br.ReadByte()
 		closed <- err
