Read operators' rows in full after an outage, with one table probing

Ruled out: the list of backend servers and of entries, which were read again 0.6 to 1.8 s after the cut (log of edge-champlain-a-9). Change: after a failed read, the operators' rows are read in full, which holds one configuration. During an outage one table probes, with growing delays up to 1 s (loaders 2 s), instead of three each 0.2 to 0.4 s.

--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -38,6 +38,10 @@
 	// longPollTimeout is how long the store holds a read of the operators' rows
 	// open. Keep-alive probes detect a connection that goes silent meanwhile.
 	longPollTimeout = 10 * time.Second
+	// maxRetryDelay is the longest delay between two reads of an unavailable
+	// store. The state of the fleet must be known within two seconds after the
+	// store is available again.
+	maxRetryDelay = time.Second
 	// balancerDetectionTime is the time in which a load balancer that checks
 	// readiness every second sees two failed checks.
 	balancerDetectionTime = 2500 * time.Millisecond
@@ -93,7 +97,8 @@
 		Clock: clock, Logger: logger, Source: g.source, MaxStaleness: cfg.Bounds.Version.Std(),
 		OnConfig:        g.router.Configure,
 		OnState:         g.router.Apply,
-		ServersInterval: time.Duration(serversIntervalShare * float64(cfg.Bounds.DrainNotice)), EntriesInterval: entriesInterval, LongPollTimeout: longPollTimeout, RecordFirstSeen: true,
+		ServersInterval: time.Duration(serversIntervalShare * float64(cfg.Bounds.DrainNotice)), EntriesInterval: entriesInterval, LongPollTimeout: longPollTimeout,
+		MaxRetryDelay: maxRetryDelay, RecordFirstSeen: true,
 	})
 	return g
 }
--- a/io/awcommand/loader.go
+++ b/io/awcommand/loader.go
@@ -54,7 +54,7 @@
 	_ = level.Info(env.logger).Log("Message", "started", "Backend", cfg.Backend.Address, "Service", cfg.Backend.Service)
 	return awloader.New(awloader.Config{
 		Clock: clock, Logger: env.logger, Engine: platform.NewEngine(cfg.Backend.Address), Origin: platform.NewOrigin(),
-		Source: platform.LoaderSource{StoreSource: &platform.StoreSource{Store: platform.NewStore(cfg.Store.Address), Regions: cfg.Regions}},
+		Source: &platform.LoaderSource{StoreSource: &platform.StoreSource{Store: platform.NewStore(cfg.Store.Address), Regions: cfg.Regions}},
 		Socket: socket,
 		Identity: &awproto.ProcessIdentity{
 			Process: "awloader", Instance: cfg.Process.Instance, Domain: cfg.Process.Domain, Region: cfg.Process.Region,
--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -132,6 +132,9 @@
 	// MaxStaleness. A store that became unavailable and available again in the
 	// meantime is noticed only when the poll ends.
 	longPollDivisor = 2
+	// maxRetryDelay is the longest delay between two reads of an unavailable
+	// store. There are many loaders, and each call counts at the store.
+	maxRetryDelay = 2 * time.Second
 	// uploadSlots is the maximum number of parallel uploads to peers. Uploads
 	// delay the engine's responses, which share the link.
 	uploadSlots = 2
@@ -180,7 +183,7 @@
 func (l *Loader) Run(ctx context.Context, inner net.Listener) error {
 	watcher := awwatch.New(awwatch.Config{
 		Clock: l.cfg.Clock, Logger: l.cfg.Logger, Source: l.cfg.Source, MaxStaleness: l.cfg.MaxStaleness,
-		OnConfig: l.applyConfig, OnState: l.applyState, LongPollTimeout: l.cfg.MaxStaleness / longPollDivisor,
+		OnConfig: l.applyConfig, OnState: l.applyState, LongPollTimeout: l.cfg.MaxStaleness / longPollDivisor, MaxRetryDelay: maxRetryDelay,
 	})
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.serve(ctx, inner) })
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -44,7 +43,9 @@
 }
 
 // Source reads the store. Operator and Servers return all rows if since is 0,
-// and otherwise only those changed since that revision.
+// and otherwise only those changed since that revision, with every intermediate
+// version of a row. A call fails if the store sends nothing for about a second
+// longer than it may hold the read open.
 type Source interface {
 	// Operator returns operators' rows. If nothing has changed, it waits up to
 	// wait for a change.
@@ -89,18 +90,26 @@
 	// LongPollTimeout is how long the store holds a read of the operators' rows
 	// open while nothing changes.
 	LongPollTimeout time.Duration
+	// MaxRetryDelay is the longest delay between two reads while the store is
+	// unavailable.
+	MaxRetryDelay time.Duration
 }
 
+// Tables of a [Source], as named in logs.
 const (
-	// storeTimeout limits each call of the store, in addition to the time for
-	// which the store holds a read open. A store that takes longer counts as
-	// unavailable.
-	storeTimeout = 1500 * time.Millisecond
-	// maxRetryDelay is the longest delay after a failed read. The state of the
-	// fleet must be known within two seconds after the store is available again.
-	maxRetryDelay = 400 * time.Millisecond
+	tableOperator = "operator"
+	tableServers  = "servers"
+	tableEntries  = "entries"
 )
 
+// storeTimeout limits each call of the store, in addition to the time for which
+// the store holds a read open. It bounds a response that keeps arriving; a
+// [Source] fails much sooner if the store is silent.
+const storeTimeout = 8 * time.Second
+
+// recordRetryDelay is the delay after a failed record of a version's time.
+const recordRetryDelay = 400 * time.Millisecond
+
 // Watcher watches the store. Use [New] to create one.
 type Watcher struct {
 	cfg        Config
@@ -110,6 +119,7 @@
 	domainsOut map[string]bool
 	entries    int
 	loaded     struct{ operator, servers bool } // whether the table has been read in full
+	outage     outage
 
 	mu        sync.Mutex
 	abortRead context.CancelCauseFunc // aborts the current long poll of the operators' rows; nil if there is none
@@ -120,17 +130,18 @@
 	return &Watcher{
 		cfg: cfg, updates: make(chan func()), table: awdirectory.NewTable(),
 		versions: awdirectory.VersionTracker{MaxStaleness: cfg.MaxStaleness}, domainsOut: map[string]bool{}, entries: 1,
+		outage: outage{maxWait: maxOutageWait},
 	}
 }
 
 // Run watches the store until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	go w.poll(ctx, "operator", 0, w.readOperator)
+	go w.poll(ctx, tableOperator, 0, w.readOperator)
 	if w.cfg.ServersInterval > 0 {
-		go w.poll(ctx, "servers", w.cfg.ServersInterval, w.readServers)
+		go w.poll(ctx, tableServers, w.cfg.ServersInterval, w.readServers)
 	}
 	if w.cfg.EntriesInterval > 0 {
-		go w.poll(ctx, "entries", w.cfg.EntriesInterval, w.readEntries)
+		go w.poll(ctx, tableEntries, w.cfg.EntriesInterval, w.readEntries)
 	}
 	for {
 		select {
@@ -149,37 +160,51 @@
 
 // poll reads a table repeatedly. It logs when the store becomes unavailable and
 // when it is available again.
-func (w *Watcher) poll(ctx context.Context, tableName string, interval time.Duration, read readFunc) {
-	since, failing := uint64(0), false
+func (w *Watcher) poll(ctx context.Context, table string, interval time.Duration, read readFunc) {
+	since, failures := uint64(0), 0
 	for ctx.Err() == nil {
-		next, err := read(ctx, since, failing)
+		w.outage.await(ctx, table)
+		next, err := read(ctx, since, failures > 0)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryGone):
-			w.log("change history is no longer available; reading the whole table again", "Table", tableName, "Since", since)
+			w.log("change history is no longer available; reading the whole table again", "Table", table, "Since", since)
 			since = 0
 			continue
 		case err != nil:
-			if !failing {
-				failing = true
-				w.log("store lost", "Table", tableName, "Error", err.Error())
+			failures++
+			if failures == 1 {
+				w.log("store lost", "Table", table, "Error", err.Error())
+			}
+			if errors.Is(err, errReadAborted) {
+				continue
 			}
-			if !errors.Is(err, errReadAborted) {
-				w.abortOperatorRead()
-				Sleep(ctx, maxRetryDelay/2+time.Duration(rand.Int64N(int64(maxRetryDelay/2))))
+			// The number of entries alone does not show whether the store is available.
+			if table != tableEntries && w.outage.begin(table) {
+				w.beginOutage(ctx)
 			}
+			Sleep(ctx, retryDelay(failures, w.cfg.MaxRetryDelay))
 			continue
 		}
-		if failing {
-			failing = false
-			w.log("store regained", "Table", tableName, "Revision", next)
+		w.outage.end(table)
+		if failures > 0 {
+			failures = 0
+			w.log("store regained", "Table", table, "Revision", next)
 		}
 		since = next
 		Sleep(ctx, interval)
 	}
 }
 
+// beginOutage aborts the long poll of the operators' rows and records the time
+// from which registrations of backend servers may lapse.
+func (w *Watcher) beginOutage(ctx context.Context) {
+	w.abortOperatorRead()
+	now := w.cfg.Clock.Now()
+	w.update(ctx, func() { w.table.MarkStoreUnavailable(now) })
+}
+
 var errReadAborted = errors.New("read aborted because a read of another table failed")
 
 // abortOperatorRead aborts the current long poll of the operators' rows. The
@@ -224,16 +249,21 @@
 	}
 }
 
+// Connected reports whether the last read of the store succeeded.
+func (w *Watcher) Connected() bool { return !w.outage.active() }
+
 func (w *Watcher) readOperator(ctx context.Context, since uint64, probe bool) (uint64, error) {
 	wait := w.cfg.LongPollTimeout
 	if probe {
-		wait = time.Millisecond
+		// The changes include every version of the configuration that was in force
+		// during the outage. They can take longer to arrive than the newest is due.
+		wait, since = time.Millisecond, 0
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
 	callCtx, abort := context.WithCancelCause(callCtx)
 	defer abort(nil)
-	if !probe && since > 0 {
+	if since > 0 {
 		w.setAbortRead(abort)
 		defer w.setAbortRead(nil)
 	}
@@ -307,7 +337,7 @@
 			})
 			return
 		}
-		Sleep(ctx, maxRetryDelay)
+		Sleep(ctx, recordRetryDelay)
 	}
 }
 
@@ -316,8 +346,6 @@
 	defer cancel()
 	rows, err := w.cfg.Source.Servers(callCtx, since)
 	if err != nil {
-		now := w.cfg.Clock.Now()
-		w.update(ctx, func() { w.table.MarkStoreUnavailable(now) })
 		return 0, err
 	}
 	w.update(ctx, func() { w.applyServers(rows, since == 0) })
--- a/io/awwatch/awwatch_test.go
+++ b/io/awwatch/awwatch_test.go
@@ -19,8 +19,8 @@
 // fakeStore is a [Source] for tests.
 type fakeStore struct {
 	mu             sync.Mutex
-	down           bool // reads fail, except long polls, which hang
-	historyGone    bool // the next read since a revision fails with ErrHistoryGone
+	down           bool          // reads fail, except long polls, which hang
+	historyGone    chan struct{} // a value ends the long poll with ErrHistoryGone
 	config         uint64
 	modelVersions  map[string]int64
 	servers        []awdirectory.Server
@@ -32,12 +32,9 @@
 func (s *fakeStore) Operator(ctx context.Context, since uint64, wait time.Duration) (OperatorRows, error) {
 	s.mu.Lock()
 	s.sinceRevisions = append(s.sinceRevisions, since)
-	config, down, historyGone := s.config, s.down, s.historyGone
-	s.historyGone = false
+	config, down := s.config, s.down
 	s.mu.Unlock()
 	switch {
-	case historyGone && since > 0:
-		return OperatorRows{}, ErrHistoryGone
 	case down && wait <= time.Millisecond:
 		return OperatorRows{}, errStoreDown
 	case since == config:
@@ -46,8 +43,12 @@
 		case s.longPolls <- struct{}{}:
 		default:
 		}
-		<-ctx.Done()
-		return OperatorRows{}, ctx.Err()
+		select {
+		case <-s.historyGone:
+			return OperatorRows{}, ErrHistoryGone
+		case <-ctx.Done():
+			return OperatorRows{}, ctx.Err()
+		}
 	}
 	return OperatorRows{Revision: config, Config: &awdirectory.Config{Version: config}, DesiredVersions: s.modelVersions}, nil
 }
@@ -73,19 +74,20 @@
 	f()
 }
 
-func startWatcher(t *testing.T, s *fakeStore) (configs chan uint64, states chan State) {
+func startWatcher(t *testing.T, s *fakeStore) (w *Watcher, configs chan uint64, states chan State) {
 	t.Helper()
 	configs, states = make(chan uint64, 64), make(chan State, 4096)
 	s.longPolls = make(chan struct{}, 64)
-	w := New(Config{
+	w = New(Config{
 		Clock: awclock.System{}, Logger: log.NewNopLogger(), Source: s, MaxStaleness: time.Hour, RecordFirstSeen: true,
 		OnConfig: func(c *awdirectory.Config) bool { configs <- c.Version; return true },
 		OnState:  func(st State) { states <- st }, ServersInterval: time.Millisecond, EntriesInterval: time.Millisecond, LongPollTimeout: time.Hour,
+		MaxRetryDelay: time.Millisecond,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go w.Run(ctx)
-	return configs, states
+	return w, configs, states
 }
 
 // Guards rules CONFIG and HOME: a process must not keep an old configuration after
@@ -94,40 +96,86 @@
 // meanwhile.
 func TestOutageAbortsLongPoll(t *testing.T) {
 	s := &fakeStore{config: 1}
-	configs, _ := startWatcher(t, s)
+	w, configs, _ := startWatcher(t, s)
 	require.Equal(t, uint64(1), <-configs)
 	<-s.longPolls
 	s.locked(func() { s.down = true })
-	for seen := 0; seen < 3; { // wait until the watcher has noticed the outage
-		s.locked(func() { seen = len(s.sinceRevisions) })
-		time.Sleep(time.Millisecond)
-	}
+	require.Eventually(t, func() bool { return !w.Connected() }, time.Minute, time.Millisecond)
 	s.locked(func() { s.down, s.config = false, 2 })
 	require.Equal(t, uint64(2), <-configs)
 }
 
+// Guards rules CONFIG, EVAC and HOME: while operators write configurations in
+// quick succession, the changes since before an outage hold all of them. On a
+// link between regions they arrived several seconds after the newest was due.
+func TestOperatorRowsAreReadInFullAfterOutage(t *testing.T) {
+	s := &fakeStore{config: 1}
+	w, configs, _ := startWatcher(t, s)
+	require.Equal(t, uint64(1), <-configs)
+	<-s.longPolls
+	s.locked(func() { s.down = true })
+	require.Eventually(t, func() bool { return !w.Connected() }, time.Minute, time.Millisecond)
+	s.locked(func() { s.down, s.config = false, 25 })
+	require.Equal(t, uint64(25), <-configs)
+	s.locked(func() {
+		require.Equal(t, uint64(1), s.sinceRevisions[1], "long poll before the outage")
+		require.Equal(t, uint64(0), s.sinceRevisions[2])
+	})
+}
+
+// Guards against three tables of each process calling a store that turns them
+// away: only the table whose read failed first probes it.
+func TestOneTableProbesDuringOutage(t *testing.T) {
+	o := outage{maxWait: time.Hour}
+	ctx := context.Background()
+	require.True(t, o.begin(tableServers))
+	require.False(t, o.begin(tableOperator))
+	o.await(ctx, tableServers) // the prober does not wait
+	done := make(chan struct{})
+	go func() { o.await(ctx, tableOperator); close(done) }()
+	o.end(tableOperator) // a read that was under way
+	require.True(t, o.active())
+	select {
+	case <-done:
+		require.Fail(t, "a table that does not probe was read")
+	case <-time.After(10 * time.Millisecond):
+	}
+	o.end(tableServers)
+	<-done
+	require.False(t, o.active())
+
+	o = outage{maxWait: time.Millisecond}
+	require.True(t, o.begin(tableServers))
+	o.await(ctx, tableOperator) // the store may fail for one table only
+}
+
+// Guards against retries that are all sent at once, and against delays above the limit.
+func TestRetryDelayGrows(t *testing.T) {
+	for failures, longest := range map[int]time.Duration{1: firstRetryDelay, 2: 2 * firstRetryDelay, 9: time.Second, 900: time.Second} {
+		d := retryDelay(failures, time.Second)
+		require.LessOrEqual(t, d, longest)
+		require.GreaterOrEqual(t, d, longest/2)
+	}
+}
+
 // Guards against missing changes after the store has dropped its change history:
 // the watcher must read the whole table again.
 func TestFullReadAfterHistoryIsGone(t *testing.T) {
-	s := &fakeStore{config: 1}
-	configs, _ := startWatcher(t, s)
+	s := &fakeStore{config: 1, historyGone: make(chan struct{})}
+	_, configs, _ := startWatcher(t, s)
 	require.Equal(t, uint64(1), <-configs)
 	<-s.longPolls
-	s.locked(func() { s.historyGone, s.down = true, true })
-	for gone := true; gone; { // wait until a read has failed with ErrHistoryGone
-		s.locked(func() { gone = s.historyGone })
-		time.Sleep(time.Millisecond)
-	}
-	s.locked(func() { s.down, s.config = false, 5 })
+	s.locked(func() { s.config = 5 })
+	s.historyGone <- struct{}{}
 	require.Equal(t, uint64(5), <-configs)
-	s.locked(func() { require.Contains(t, s.sinceRevisions[2:], uint64(0)) })
+	s.locked(func() { require.Equal(t, []uint64{0, 1, 0}, s.sinceRevisions[:3]) })
 }
 
 // Guards rule VERSION: a process that starts after a newer version became desired
 // must still enforce the staleness limit of the previous one.
 func TestPreviousVersionLimitSurvivesRestart(t *testing.T) {
 	s := &fakeStore{config: 1, modelVersions: map[string]int64{"m": 3}, ages: map[int64]time.Duration{2: time.Hour, 3: 0}}
-	_, states := startWatcher(t, s)
+	_, _, states := startWatcher(t, s)
 	for st := range states {
 		if f := st.Floors["m"]; len(f) == 2 {
 			require.Equal(t, int64(2), awdirectory.FloorAt(f, time.Now()))
@@ -140,7 +188,7 @@
 // restart; it must count from when the version was first seen.
 func TestFirstSeenTimeSurvivesRestart(t *testing.T) {
 	s := &fakeStore{config: 1, modelVersions: map[string]int64{"m": 2}, ages: map[int64]time.Duration{2: time.Hour}}
-	_, states := startWatcher(t, s)
+	_, _, states := startWatcher(t, s)
 	for st := range states {
 		if f := st.Floors["m"]; len(f) > 0 && awdirectory.FloorAt(f, time.Now()) == 2 && st.Entries == 2 {
 			return
