Tell loaders the named versions with subscriptions; read changes of the list

Cause: each loader held a read of the store open and, during a transfer, read the whole list of backend servers every second: 31 loaders of a region and about 94 KB a read fill the link of 25 Mbit/s between regions, on which the gateways read configurations. Change: gateways that are connected to the store send the named versions with their subscription to load reports; loaders read the store only if no gateway has done so for 3 s. The list is read once and then only its changes.

--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -140,7 +140,10 @@
 	group.Go(func() error { return serveMetrics(serveCtx, g.cfg, g.logger) })
 	group.Go(func() error { g.watcher.Run(serveCtx); return nil })
 	group.Go(func() error { g.router.Run(serveCtx); return nil })
-	group.Go(func() error { g.router.CollectLoadReports(serveCtx, socket, g.cfg.Listen.InnerPort); return nil })
+	group.Go(func() error {
+		g.router.CollectLoadReports(serveCtx, socket, g.cfg.Listen.InnerPort, g.watcher.Connected)
+		return nil
+	})
 	group.Go(func() error { g.register(ctx); return nil })
 	group.Go(func() error {
 		defer cancel()
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -61,7 +62,7 @@
 
 	floors      map[string][]awdirectory.Floor // by model
 	byAddress   map[string]awdirectory.Server
-	serverAdded chan struct{} // signals a new address in byAddress
+	resubscribe chan struct{} // signals a new address in byAddress or a newly named version
 }
 
 // New returns a gateway without a configuration.
@@ -69,7 +70,7 @@
 	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Clock.Now().UnixNano())))
 	return &Gateway{
 		cfg: cfg, metrics: newMetrics(), budgets: map[string]*awretry.WindowBudget{}, entryCount: 1, rng: rng,
-		maxTimeouts: map[string]time.Duration{}, byAddress: map[string]awdirectory.Server{}, serverAdded: make(chan struct{}, 1),
+		maxTimeouts: map[string]time.Duration{}, byAddress: map[string]awdirectory.Server{}, resubscribe: make(chan struct{}, 1),
 		dispatch: awdispatch.New(awdispatch.Config{
 			Clock: cfg.Clock, Rand: rng, Domain: cfg.Domain, Region: cfg.Region, Eject: awmember.DefaultEjectConfig(),
 		}),
@@ -106,6 +107,9 @@
 	g.entryCount = max(1, state.Entries)
 	g.dispatch.SetEntryCount(g.entryCount)
 	g.dispatch.SetDomainsOut(state.DomainsOut)
+	if !maps.Equal(newestVersions(g.floors), newestVersions(state.Floors)) {
+		g.signalResubscribe()
+	}
 	g.floors = state.Floors
 	g.dispatch.SetFloors(state.Floors)
 	g.dispatch.SetServers(state.Servers)
@@ -129,14 +133,18 @@
 			g.byAddress[s.Address] = s
 		}
 		if _, known := old[s.Address]; !known {
-			select {
-			case g.serverAdded <- struct{}{}:
-			default: // a signal is already pending
-			}
+			g.signalResubscribe()
 		}
 	}
 }
 
+func (g *Gateway) signalResubscribe() {
+	select {
+	case g.resubscribe <- struct{}{}:
+	default: // a signal is already pending
+	}
+}
+
 // Ready reports whether the gateway should receive requests: it has a
 // configuration and a list of backend servers, and Stop has not been called.
 func (g *Gateway) Ready() bool {
--- a/io/awgateway/load.go
+++ b/io/awgateway/load.go
@@ -15,24 +15,43 @@
 const subscribeInterval = time.Second
 
 // CollectLoadReports subscribes to the load reports of the loaders of all model
-// engines and applies them until ctx is done. Loaders listen on port.
-func (g *Gateway) CollectLoadReports(ctx context.Context, socket *awload.Socket, port int) {
-	go socket.Run(ctx, g.handleLoadReport)
+// engines and applies them until ctx is done. Loaders listen on port. While
+// connected returns true, the loaders learn the named versions with it.
+func (g *Gateway) CollectLoadReports(ctx context.Context, socket *awload.Socket, port int, connected func() bool) {
+	go socket.Run(ctx, awload.Handlers{Report: g.handleLoadReport})
 	tick := time.NewTicker(subscribeInterval)
 	defer tick.Stop()
 	for {
+		subscription := awload.Subscription(connected(), g.namedVersions())
 		for _, addr := range g.loaderAddresses(port) {
-			socket.Subscribe(addr)
+			socket.Subscribe(addr, subscription)
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-g.serverAdded:
+		case <-g.resubscribe:
 		case <-tick.C:
 		}
 	}
 }
 
+// namedVersions returns the newest named version of each model.
+func (g *Gateway) namedVersions() map[string]int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return newestVersions(g.floors)
+}
+
+func newestVersions(floors map[string][]awdirectory.Floor) map[string]int64 {
+	versions := make(map[string]int64, len(floors))
+	for model, list := range floors {
+		if len(list) > 0 {
+			versions[model] = list[len(list)-1].Version
+		}
+	}
+	return versions
+}
+
 // loaderAddresses returns the addresses of the loaders of all model engines.
 func (g *Gateway) loaderAddresses(port int) []netip.AddrPort {
 	c := g.config.Load()
--- a/io/awload/awload.go
+++ b/io/awload/awload.go
@@ -1,5 +1,5 @@
 // Package awload sends load reports over UDP from the processes next to backend
-// servers to the entries.
+// servers to the entries, and the named versions of the weights the other way.
 //
 // An entry subscribes to the reports of a process and renews the subscription
 // before it expires. If a datagram is lost, the load is merely less recent until
@@ -27,8 +27,8 @@
 	maxDatagramBytes = 1200 // fits into one packet on all common links
 )
 
-// Field numbers of a datagram. A datagram with only fieldSubscribe is a request
-// for reports.
+// Field numbers of a datagram. A datagram with fieldSubscribe is a request for
+// reports. It carries the named versions if the entry is connected to the store.
 const (
 	fieldSubscribe protowire.Number = iota + 1
 	fieldAddress
@@ -73,28 +73,39 @@
 	appendInt(fieldCacheUsed, int64(r.CacheUsed))
 	appendInt(fieldCacheTotal, int64(r.CacheTotal))
 	appendInt(fieldSlowdownPercent, int64(r.Slowdown*100))
-	for model, version := range r.Versions {
+	return appendVersions(b, r.Versions)
+}
+
+func appendVersions(b []byte, versions map[string]int64) []byte {
+	for model, version := range versions {
 		b = protowire.AppendTag(b, fieldModel, protowire.BytesType)
 		b = protowire.AppendString(b, model)
-		appendInt(fieldVersion, version)
+		b = protowire.AppendTag(b, fieldVersion, protowire.VarintType)
+		b = protowire.AppendVarint(b, uint64(version))
 	}
 	return b
 }
 
-// decode decodes a datagram. subscribe is true if it is a request for reports.
-func decode(b []byte) (r Report, subscribe bool, err error) {
+// Values of fieldSubscribe.
+const (
+	subscribeOnly      = 1
+	subscribeConnected = 2 // the datagram holds all named versions
+)
+
+// decode decodes a datagram. subscribe is not 0 if it is a request for reports.
+func decode(b []byte) (r Report, subscribe uint64, err error) {
 	model := ""
 	for len(b) > 0 {
 		f, kind, n := protowire.ConsumeTag(b)
 		if n < 0 {
-			return r, false, eris.Wrap(protowire.ParseError(n), "datagram")
+			return r, 0, eris.Wrap(protowire.ParseError(n), "datagram")
 		}
 		b = b[n:]
 		switch kind {
 		case protowire.BytesType:
 			v, n := protowire.ConsumeString(b)
 			if n < 0 {
-				return r, false, eris.Wrap(protowire.ParseError(n), "datagram")
+				return r, 0, eris.Wrap(protowire.ParseError(n), "datagram")
 			}
 			b = b[n:]
 			if f == fieldAddress {
@@ -106,15 +117,17 @@
 		case protowire.VarintType:
 			v, n := protowire.ConsumeVarint(b)
 			if n < 0 {
-				return r, false, eris.Wrap(protowire.ParseError(n), "datagram")
+				return r, 0, eris.Wrap(protowire.ParseError(n), "datagram")
 			}
 			b = b[n:]
-			subscribe = subscribe || f == fieldSubscribe
+			if f == fieldSubscribe {
+				subscribe = v
+			}
 			r.set(f, int64(v), model)
 		default:
 			n := protowire.ConsumeFieldValue(f, kind, b)
 			if n < 0 {
-				return r, false, eris.Wrap(protowire.ParseError(n), "datagram")
+				return r, 0, eris.Wrap(protowire.ParseError(n), "datagram")
 			}
 			b = b[n:]
 		}
@@ -170,9 +183,17 @@
 	return &Socket{clock: clock, conn: conn, subscribers: map[netip.AddrPort]time.Time{}, badDatagrams: metrics.GetOrCreateCounter("arbutuswind_load_bad_datagrams_total")}, nil
 }
 
+// Handlers handle the content of datagrams. Each may be nil.
+type Handlers struct {
+	Report func(Report)
+	// NamedVersions handles the versions that operators have named, by model, as
+	// known to an entry that is connected to the store.
+	NamedVersions func(map[string]int64)
+}
+
 // Run receives datagrams until ctx ends and then closes the socket. It records
-// subscribers and passes reports to onReport, which may be nil.
-func (s *Socket) Run(ctx context.Context, onReport func(Report)) {
+// subscribers and passes the content of datagrams to the handlers.
+func (s *Socket) Run(ctx context.Context, h Handlers) {
 	stop := context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	defer stop()
 	buf := make([]byte, maxDatagramBytes)
@@ -185,20 +206,33 @@
 		switch {
 		case err != nil:
 			s.badDatagrams.Inc()
-		case subscribe:
+		case subscribe != 0:
 			s.mu.Lock()
 			s.subscribers[from] = s.clock.Now()
 			s.mu.Unlock()
-		case onReport != nil:
-			onReport(r)
+			if subscribe == subscribeConnected && h.NamedVersions != nil {
+				h.NamedVersions(r.Versions)
+			}
+		case h.Report != nil:
+			h.Report(r)
 		}
 	}
 }
 
-// Subscribe requests load reports from the process at addr for subscriptionTTL.
-func (s *Socket) Subscribe(addr netip.AddrPort) {
+// Subscription returns the datagram that requests load reports. An entry that is
+// connected to the store passes the versions that operators have named, by model.
+func Subscription(connected bool, namedVersions map[string]int64) []byte {
 	b := protowire.AppendTag(nil, fieldSubscribe, protowire.VarintType)
-	_, _ = s.conn.WriteToUDPAddrPort(protowire.AppendVarint(b, 1), addr) // the caller renews the subscription every second
+	if !connected {
+		return protowire.AppendVarint(b, subscribeOnly)
+	}
+	return appendVersions(protowire.AppendVarint(b, subscribeConnected), namedVersions)
+}
+
+// Subscribe sends a subscription to the process at addr, which reports its load
+// for subscriptionTTL.
+func (s *Socket) Subscribe(addr netip.AddrPort, subscription []byte) {
+	_, _ = s.conn.WriteToUDPAddrPort(subscription, addr) // the caller renews the subscription every second
 }
 
 // Send sends a report to all subscribers and returns their number.
--- a/io/awload/awload_test.go
+++ b/io/awload/awload_test.go
@@ -20,7 +20,7 @@
 	}
 	got, subscribe, err := decode(want.encode())
 	require.NoError(t, err)
-	require.False(t, subscribe)
+	require.Zero(t, subscribe)
 	require.Equal(t, want, got)
 }
 
@@ -43,15 +43,23 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	got := make(chan Report, 16)
-	go loader.Run(ctx, nil)
-	go entry.Run(ctx, func(r Report) { got <- r })
+	got, versions := make(chan Report, 16), make(chan map[string]int64, 1)
+	go loader.Run(ctx, Handlers{NamedVersions: func(v map[string]int64) {
+		select {
+		case versions <- v:
+		default:
+		}
+	}})
+	go entry.Run(ctx, Handlers{Report: func(r Report) { got <- r }})
 	require.Zero(t, loader.Send(Report{Address: "a"}))
 	at := netip.MustParseAddrPort(loader.conn.LocalAddr().(*net.UDPAddr).String())
 	require.Eventually(t, func() bool {
-		entry.Subscribe(at)
+		entry.Subscribe(at, Subscription(false, map[string]int64{"m": 1}))
 		return loader.Send(Report{Address: "a"}) == 1
 	}, 20*time.Second, time.Millisecond)
+	require.Empty(t, versions, "versions of an entry without the store may be out of date")
+	entry.Subscribe(at, Subscription(true, map[string]int64{"m": 4}))
+	require.Equal(t, map[string]int64{"m": 4}, <-versions)
 	require.Equal(t, "a", (<-got).Address)
 	clock.Advance(subscriptionTTL + time.Second)
 	require.Zero(t, loader.Send(Report{Address: "a"}))
--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -147,6 +147,8 @@
 	dialer  *awrpc.Dialer
 	store   *awtransfer.Store
 	uploads *awtransfer.Uploads
+	source  *relayedVersions
+	servers serverList
 	rng     *rand.Rand
 	// manifests holds manifests by version. Only reconcileLoop uses it.
 	manifests map[int64]Manifest
@@ -165,7 +167,8 @@
 // New returns a loader. It does nothing until [Loader.Run] is called.
 func New(cfg Config) *Loader {
 	l := &Loader{
-		cfg: cfg, store: awtransfer.NewStore(Digest), rng: rand.New(rand.NewPCG(cfg.Seed, awweights.Score("loader", cfg.Backend))),
+		cfg: cfg, source: newRelayedVersions(cfg.Source, cfg.Clock), servers: serverList{table: awdirectory.NewTable()},
+		store: awtransfer.NewStore(Digest), rng: rand.New(rand.NewPCG(cfg.Seed, awweights.Score("loader", cfg.Backend))),
 		manifests: map[int64]Manifest{}, changed: make(chan struct{}, 1), dialer: awrpc.NewDialer(awrpc.DialerConfig{Identity: cfg.Identity}),
 	}
 	l.uploads = awtransfer.NewUploads(awtransfer.UploadConfig{
@@ -182,13 +185,13 @@
 // loaders on inner.
 func (l *Loader) Run(ctx context.Context, inner net.Listener) error {
 	watcher := awwatch.New(awwatch.Config{
-		Clock: l.cfg.Clock, Logger: l.cfg.Logger, Source: l.cfg.Source, MaxStaleness: l.cfg.MaxStaleness,
+		Clock: l.cfg.Clock, Logger: l.cfg.Logger, Source: l.source, MaxStaleness: l.cfg.MaxStaleness,
 		OnConfig: l.applyConfig, OnState: l.applyState, LongPollTimeout: l.cfg.MaxStaleness / longPollDivisor, MaxRetryDelay: maxRetryDelay,
 	})
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return l.serve(ctx, inner) })
 	group.Go(func() error { watcher.Run(ctx); return nil })
-	group.Go(func() error { l.cfg.Socket.Run(ctx, nil); return nil })
+	group.Go(func() error { l.cfg.Socket.Run(ctx, awload.Handlers{NamedVersions: l.source.relay}); return nil })
 	group.Go(func() error { l.reportLoop(ctx); return nil })
 	group.Go(func() error { l.reconcileLoop(ctx); return nil })
 	return group.Wait()
--- a/io/awloader/reconcile.go
+++ b/io/awloader/reconcile.go
@@ -218,11 +218,11 @@
 func (l *Loader) readPeers(ctx context.Context, digest string) error {
 	ctx, cancel := context.WithTimeout(ctx, peersInterval)
 	defer cancel()
-	rows, err := l.cfg.Source.Servers(ctx, 0)
+	list, err := l.servers.read(ctx, l.cfg.Source, l.cfg.Clock.Now())
 	if err != nil {
 		return err
 	}
-	l.setPeers(digest, rows.Put)
+	l.setPeers(digest, list)
 	return nil
 }
 
--- /dev/null
+++ b/io/awloader/source_test.go
@@ -0,0 +1,95 @@
+package awloader
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutuswind/core/awclock"
+	"arbutuswind/core/awdirectory"
+	"arbutuswind/io/awwatch"
+)
+
+// countingSource is an [awwatch.Source] that counts its calls.
+type countingSource struct {
+	fakeSource
+	operatorReads int
+	serverReads   []uint64 // since arguments
+	gone          bool     // the next read of changes fails
+	changes       awwatch.ServerRows
+}
+
+func (s *countingSource) Operator(_ context.Context, since uint64, _ time.Duration) (awwatch.OperatorRows, error) {
+	s.operatorReads++
+	return awwatch.OperatorRows{Revision: since + 1}, nil
+}
+
+func (s *countingSource) Servers(_ context.Context, since uint64) (awwatch.ServerRows, error) {
+	s.serverReads = append(s.serverReads, since)
+	if since == 0 {
+		return awwatch.ServerRows{Revision: 7, Put: []awdirectory.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}, nil
+	}
+	if s.gone {
+		s.gone = false
+		return awwatch.ServerRows{}, awwatch.ErrHistoryGone
+	}
+	return s.changes, nil
+}
+
+// Guards against loaders that each hold a read of the store open: while entries
+// send the named versions, the store is not read, and a version that arrives
+// between two calls is not missed.
+func TestNamedVersionsComeFromEntries(t *testing.T) {
+	ctx := context.Background()
+	clock := awclock.NewFake(time.Unix(1000, 0))
+	store := &countingSource{}
+	source := newRelayedVersions(store, clock)
+	rows, err := source.Operator(ctx, 4, time.Hour)
+	require.NoError(t, err)
+	require.Equal(t, uint64(5), rows.Revision, "no entry has sent versions yet")
+
+	source.relay(map[string]int64{"m": 2})
+	rows, err = source.Operator(ctx, 5, time.Hour)
+	require.NoError(t, err)
+	require.Equal(t, awwatch.OperatorRows{Revision: 5, DesiredVersions: map[string]int64{"m": 2}}, rows)
+
+	source.relay(map[string]int64{"m": 3})
+	source.relay(map[string]int64{"m": 2}) // from an entry that lags behind
+	rows, err = source.Operator(ctx, 5, time.Hour)
+	require.NoError(t, err)
+	require.Equal(t, map[string]int64{"m": 3}, rows.DesiredVersions)
+
+	rows, err = source.Operator(ctx, 5, time.Millisecond)
+	require.NoError(t, err)
+	require.Equal(t, uint64(5), rows.Revision)
+	require.Equal(t, 1, store.operatorReads)
+
+	clock.Advance(versionsTTL)
+	rows, err = source.Operator(ctx, 5, time.Hour)
+	require.NoError(t, err)
+	require.Equal(t, uint64(6), rows.Revision, "the entries are silent")
+}
+
+// Guards against a saturated link between regions: every loader read the whole
+// list of backend servers each second of a transfer.
+func TestServerListReadsChanges(t *testing.T) {
+	store := &countingSource{changes: awwatch.ServerRows{
+		Revision: 9, Put: []awdirectory.Server{{ID: "d"}}, Removed: []string{"a"}, Unreadable: []string{"b"},
+	}}
+	list := serverList{table: awdirectory.NewTable()}
+	ids := func() (out []string) {
+		servers, err := list.read(context.Background(), store, time.Now())
+		require.NoError(t, err)
+		for _, s := range servers {
+			out = append(out, s.ID)
+		}
+		return out
+	}
+	require.Equal(t, []string{"a", "b", "c"}, ids())
+	require.Equal(t, []string{"c", "d"}, ids())
+	store.gone = true
+	require.Equal(t, []string{"a", "b", "c"}, ids())
+	require.Equal(t, []uint64{0, 7, 9, 0}, store.serverReads)
+}
