Relate each engine to a few entries

Load: 53 entries of uneven load before 90 and more engines of 8 slots. Cause: a loader sends 60 reports a second in all. Each of 53 entries got one in 0.9 s, and a report older than 0.6 s is not used, so engines were mostly placed on blindly, with a seventh of a slot rounded up to one for each entry: 53 at once at 8 slots, and 53 a second at a cold engine that can handle 14. Change: awroute.Sharers relates an engine to about four entries, balanced and stable by hash, with members in each failure domain; only these get its reports and share its slots. Others are used if no related engine may run a request. Shares of slots and of the cold rate are rounded so that they add up. An entry is not ready before it has read the list of entries.

--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -9,6 +9,13 @@
 // rate to a cold backend server, are divided by the number of entries that may
 // be alive.
 //
+// In a large fleet each engine is related to a few entries, which get its load
+// reports and share its slots, and an entry sends to its related engines only.
+// With 53 entries before 150 engines of 8 slots, all of them together would know
+// each engine by a report a second and get a seventh of a slot each. Other
+// engines are used if no related one may run a request, for example if only one
+// region is allowed and its related engines have failed.
+//
 // An engine is never sent more requests than it runs at once. A request queued
 // inside an engine can no longer go to another one, and under overload such
 // queues delay all requests.
@@ -25,11 +32,18 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awmember"
 )
 
+// EntriesPerEngine is the number of entries to which an engine should be related;
+// see [Dispatcher.SetSharers]. With fewer entries, each knows the free slots of
+// its engines better, until the uneven load of the entries weighs more.
+const EntriesPerEngine = 4
+
 const (
 	// reportMaxAge is the age from which a load report is ignored. Reports
 	// arrive several times a second.
@@ -58,6 +72,7 @@
 type Config struct {
 	Clock  awclock.Clock
 	Rand   *rand.Rand
+	Self   string // name of this entry
 	Domain string // failure domain of this entry
 	Region string // region of this entry
 	Eject  awmember.EjectConfig
@@ -110,6 +125,7 @@
 	domainsOut      map[string]bool                // failure domains taken out of service
 	floors          map[string][]awdirectory.Floor // by model: oldest versions that may start a request
 	entryCount      int                            // entries that may be alive, with this one
+	sharers         map[string]int                 // by address of an engine related to this entry: entries that share it
 	services        map[string]awdirectory.Service
 	queues          map[string][]*Ticket
 	assignmentRates map[string]*assignmentRate
@@ -139,6 +155,16 @@
 // one.
 func (d *Dispatcher) SetEntryCount(n int) { d.entryCount = max(1, n) }
 
+// SetSharers replaces the relations to engines: the number of entries that share
+// an engine, by the addresses of those related to this entry. Services without
+// any related engine are shared by all entries.
+func (d *Dispatcher) SetSharers(sharers map[string]int) {
+	d.sharers = sharers
+	for _, s := range d.servers {
+		s.sharers = sharers[s.info.Address]
+	}
+}
+
 // SetServices replaces the services.
 func (d *Dispatcher) SetServices(list []awdirectory.Service) {
 	clear(d.services)
@@ -164,10 +190,11 @@
 		present[k] = true
 		s := d.servers[k]
 		if s == nil {
-			s = &server{}
+			s = &server{rounding: d.rounding(info.Address)}
 			d.servers[k] = s
 		}
 		s.updateInfo(info, now)
+		s.sharers = d.sharers[info.Address]
 		d.byService[info.Service] = append(d.byService[info.Service], s)
 	}
 	for k := range d.servers {
@@ -185,7 +212,7 @@
 	if s == nil {
 		return
 	}
-	s.updateLoad(l, d.entryCount, d.cfg.Rand.Float64())
+	s.updateLoad(l, s.entries(d.entryCount), d.cfg.Rand.Float64())
 	d.assignQueued(s.info.Service)
 }
 
@@ -216,4 +243,10 @@
 	return known, usable
 }
 
+// rounding returns a number in [0, 1) that is spread evenly over the entries of a
+// backend server.
+func (d *Dispatcher) rounding(address string) float64 {
+	return float64(xxhash.Sum64String(d.cfg.Self+"|"+address)>>11) / (1 << 53)
+}
+
 func ejectID(k awdirectory.Key) string { return k.ID }
--- a/core/awdispatch/load_test.go
+++ b/core/awdispatch/load_test.go
@@ -12,6 +12,7 @@
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awmember"
+	"arbutuswind/core/awroute"
 )
 
 // simulation sends requests through entries that do not communicate to simulated
@@ -84,7 +85,7 @@
 	for i := range entries {
 		d := New(Config{
 			Clock: s.clock, Rand: rand.New(rand.NewPCG(uint64(i), 3)), Domain: fmt.Sprint("d", i%3), Region: fmt.Sprint("d", i%3),
-			Eject: awmember.DefaultEjectConfig(),
+			Eject: awmember.DefaultEjectConfig(), Self: fmt.Sprint("e", i),
 		})
 		d.SetEntryCount(entries)
 		d.SetServices([]awdirectory.Service{s.service})
@@ -94,6 +95,33 @@
 	return s
 }
 
+// setSlots sets the slots of all engines.
+func (s *simulation) setSlots(slots int) {
+	var list []awdirectory.Server
+	for _, e := range s.engines {
+		e.info.Slots = slots
+		list = append(list, e.info)
+	}
+	for _, d := range s.entries {
+		d.SetServers(list)
+	}
+}
+
+// relate relates each engine to a few entries.
+func (s *simulation) relate() {
+	var names []string
+	for i := range s.entries {
+		names = append(names, fmt.Sprint("e", i))
+	}
+	var members []awroute.Member
+	for _, e := range s.engines {
+		members = append(members, awroute.Member{Instance: e.info.Address, Domain: e.info.Domain})
+	}
+	for i, d := range s.entries {
+		d.SetSharers(awroute.Sharers(names[i], names, members, EntriesPerEngine))
+	}
+}
+
 // run advances the simulation by d; rate returns the requests a second of an
 // entry.
 func (s *simulation) run(d time.Duration, rate func(entry int) float64) {
@@ -130,6 +158,9 @@
 func (s *simulation) sendReports() {
 	for _, e := range s.engines {
 		for _, d := range s.entries {
+			if d.sharers != nil && d.sharers[e.info.Address] == 0 {
+				continue
+			}
 			d.Report(e.info.Key(), Load{
 				At: s.clock.Now(), Active: len(e.running), Queued: len(e.queued), Versions: e.info.Versions,
 			})
@@ -190,7 +221,7 @@
 // tokens for each running request.
 func (s *simulation) runPasses(e *engine) {
 	for s.clock.Now().After(e.busyUntil) {
-		for len(e.queued) > 0 && len(e.running) < simSlots {
+		for len(e.queued) > 0 && len(e.running) < e.info.Slots {
 			e.running = append(e.running, e.queued[0])
 			e.queued = e.queued[1:]
 		}
@@ -318,6 +349,27 @@
 	require.Greater(t, float64(len(s.firstTokens))/15, 0.85*capacity)
 }
 
+// Guards against engines that no entry knows well enough to use. The fleet is
+// that of 53 entries of uneven load before 90 engines of 8 slots, of which each
+// sends 60 reports a second in all. If all entries share every engine, each gets
+// a report a second and a seventh of a slot.
+func TestManyEntriesBeforeSmallEngines(t *testing.T) {
+	const entries, engines, slots = 53, 90, 8
+	const capacity = engines * 7.5 // requests a second, from the time of a pass
+	s := newSimulation(entries, engines, EntriesPerEngine*time.Second/60)
+	s.setSlots(slots)
+	s.relate()
+	s.run(15*time.Second, func(entry int) float64 {
+		return 0.85 * capacity / entries * (0.6 + 0.8*float64(entry)/(entries-1))
+	})
+	refused, requests := 0, 0
+	for i := range entries {
+		refused, requests = refused+s.refusals[i], requests+s.requests[i]
+	}
+	require.Greater(t, s.onTimeShare(), 0.95)
+	require.Less(t, float64(refused)/float64(requests), 0.02)
+}
+
 // Guards against an engine that is slow without reporting it, or that is behind a
 // slow link, and makes its share of the requests late. Its load reports alone
 // must prevent that.
@@ -354,6 +406,42 @@
 	}
 }
 
+// Guards rule FAILBACK with more entries than the requests a second that a cold
+// engine can handle: the shares of all entries must add up to about its rate,
+// whether or not it is related to a few entries only.
+func TestColdServerRateLimitOfManyEntries(t *testing.T) {
+	const rate = 14
+	for _, related := range []bool{false, true} {
+		s := newSimulation(53, 10, 100*time.Millisecond)
+		s.service.ColdRate = rate
+		cold := s.engines[0].info
+		cold.ColdRemaining = time.Minute
+		list := []awdirectory.Server{cold}
+		for _, e := range s.engines[1:] {
+			list = append(list, e.info)
+		}
+		if related {
+			s.relate()
+		}
+		for _, d := range s.entries {
+			d.SetServices([]awdirectory.Service{s.service})
+			d.SetServers(list)
+		}
+		s.run(5*time.Second, func(int) float64 { return 20 })
+		arrivals := s.engines[0].arrivals
+		require.Greater(t, len(arrivals), rate, "related: %v", related)
+		for i := range arrivals {
+			inSecond := 0
+			for _, at := range arrivals[i:] {
+				if at.Sub(arrivals[i]) < time.Second {
+					inSecond++
+				}
+			}
+			require.LessOrEqual(t, inSecond, rate+rate/2, "related: %v", related)
+		}
+	}
+}
+
 // Guards against requests that start on an outdated version of the weights,
 // against requests to an engine that is loading weights, and against requests
 // that are queued although no backend server can become usable in time.
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -184,23 +184,12 @@
 }
 
 // assign grants a request the best backend server with free capacity. It returns
-// false if there is none.
+// false if there is none. It considers servers that are not related to this entry
+// only if no related one may run the request.
 func (d *Dispatcher) assign(t *Ticket, now time.Time) bool {
-	svc := d.services[t.req.Service]
-	var best *server
-	bestScore, bestLoad := 0.0, 0.0
-	for _, s := range d.byService[t.req.Service] {
-		if !d.usable(s, &t.req, now) || now.Before(s.rejectedUntil) {
-			continue
-		}
-		free, load := s.capacity(now, svc, d.entryCount)
-		if free <= 0 || (s.cold(now) && !s.mayTakeColdRequest(now, svc.ColdRate, d.entryCount)) || !s.fitsMemory(now, t.req.Tokens) {
-			continue
-		}
-		score := load + distancePenalty*d.distance(&s.info) + tieBreakWeight*d.cfg.Rand.Float64()
-		if best == nil || score < bestScore {
-			best, bestScore, bestLoad = s, score, load
-		}
+	best, load, usable := d.best(&t.req, now, true)
+	if !usable {
+		best, load, _ = d.best(&t.req, now, false)
 	}
 	if best == nil {
 		return false
@@ -211,7 +200,7 @@
 		best.coldSends = append(best.coldSends, now)
 	}
 	d.assignmentRate(t.req.Service).observe(now)
-	grant := &Grant{Server: best.info, Version: best.versions(now)[t.req.Model], Load: bestLoad}
+	grant := &Grant{Server: best.info, Version: best.versions(now)[t.req.Model], Load: load}
 	if best.hasFreshLoad(now) {
 		grant.LoadAge = now.Sub(best.load.At)
 	}
@@ -219,6 +208,32 @@
 	return true
 }
 
+// best returns the best backend server with free capacity among those that are
+// related to this entry, or among the others, and its load. It also reports
+// whether any of them may run the request, with or without free capacity.
+func (d *Dispatcher) best(req *Request, now time.Time, related bool) (best *server, bestLoad float64, usable bool) {
+	svc := d.services[req.Service]
+	bestScore := 0.0
+	for _, s := range d.byService[req.Service] {
+		if (s.sharers > 0) != related || !d.usable(s, req, now) {
+			continue
+		}
+		usable = true
+		if now.Before(s.rejectedUntil) {
+			continue
+		}
+		free, load := s.capacity(now, svc, d.entryCount)
+		if free <= 0 || (s.cold(now) && !s.mayTakeColdRequest(now, svc.ColdRate, s.entries(d.entryCount))) || !s.fitsMemory(now, req.Tokens) {
+			continue
+		}
+		score := load + distancePenalty*d.distance(&s.info) + tieBreakWeight*d.cfg.Rand.Float64()
+		if best == nil || score < bestScore {
+			best, bestScore, bestLoad = s, score, load
+		}
+	}
+	return best, bestLoad, usable
+}
+
 // fitsMemory reports whether the engine has enough free cache for a request.
 // Without a recent report, or if the engine reports no cache size, it does.
 func (s *server) fitsMemory(now time.Time, tokens int) bool {
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -21,6 +21,8 @@
 // server holds what this entry knows about one incarnation of a backend server.
 type server struct {
 	info          awdirectory.Server
+	sharers       int     // entries related to it, with this one; 0 if this entry is not related to it
+	rounding      float64 // rounds this entry's shares of its limits; see share
 	load          Load
 	reported      bool
 	otherRequests int // requests of other entries, from the last report
@@ -68,6 +70,23 @@
 
 func (s *server) cold(now time.Time) bool { return now.Before(s.coldUntil) }
 
+// entries returns the number of entries that share the backend server. all is
+// the number of all entries.
+func (s *server) entries(all int) int {
+	if s.sharers > 0 {
+		return s.sharers
+	}
+	return all
+}
+
+// share returns this entry's share of a limit for all entries together. Shares
+// are rounded up for some entries and down for others, so that they add up to
+// about the limit. If all entries rounded up, 53 of them would send 53 requests
+// to a server that can handle 14.
+func (s *server) share(limit float64, entries int) int {
+	return int(limit/float64(entries) + s.rounding)
+}
+
 // mayTakeColdRequest reports whether one more request to a cold backend server
 // stays within this entry's share of its rate limit, in requests a second.
 func (s *server) mayTakeColdRequest(now time.Time, rate float64, entries int) bool {
@@ -78,7 +97,7 @@
 		}
 	}
 	s.coldSends = kept
-	return len(s.coldSends) < max(1, int(rate)/entries)
+	return len(s.coldSends) < s.share(rate, entries)
 }
 
 // slowdown returns how many times slower than usual the backend server reports
@@ -93,16 +112,20 @@
 // capacity returns how many more requests this entry may send now, and the load
 // of the backend server: 1 is full. The part of the slowdown above 1 is added to
 // the load.
-func (s *server) capacity(now time.Time, svc awdirectory.Service, entries int) (int, float64) {
+func (s *server) capacity(now time.Time, svc awdirectory.Service, allEntries int) (int, float64) {
 	slowdown := s.slowdown(now)
 	slots := max(1, int(float64(s.info.Slots)/slowdown))
 	limit := slots
+	entries := s.entries(allEntries)
+	share := s.share(float64(limit), entries)
 	if !svc.Engine {
+		// These servers are not related to some entries only. They reject what
+		// they cannot queue, so each entry may try one request.
 		limit = slots * plainRequestsPerSlot
+		share = (limit + entries - 1) / entries
 	}
-	share := (limit + entries - 1) / entries
 	free := share - s.ownRequests
-	load := float64(s.ownRequests) / float64(share)
+	load := float64(s.ownRequests) / float64(max(1, share))
 	if s.hasFreshLoad(now) {
 		total := s.otherRequests + s.ownRequests
 		free = min(limit-total, s.allowance)
@@ -110,7 +133,7 @@
 	}
 	load += slowdown - 1
 	if svc.MaxConns > 0 {
-		free = min(free, max(1, svc.MaxConns/entries)-s.ownRequests)
+		free = min(free, max(1, svc.MaxConns/allEntries)-s.ownRequests)
 	}
 	return free, load
 }
--- a/core/awroute/subset.go
+++ b/core/awroute/subset.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,28 +38,34 @@
 )
 
 // Subset returns the instances of the agents that the entry self watches for
-// one model, sorted. All entries that know the same entries and agents compute
-// the same assignment.
+// one model, sorted. See [Sharers].
+func Subset(self string, entries []string, agents []Member) []string {
+	return slices.Sorted(maps.Keys(Sharers(self, entries, agents, EntriesPerAgent)))
+}
+
+// Sharers returns the agents that the entry self watches for one model, with the
+// number of entries that watch each of them: about perAgent, or more in a small
+// fleet. All entries that know the same entries and agents compute the same
+// assignment.
 //
 // In each domain, pairs of entry and agent are accepted in the order of their
 // hash while the entry is below its quota and the agent is below its maximum.
 // The hash of a pair does not depend on other pairs, so adding or removing an
 // entry or agent changes few other pairs.
-func Subset(self string, entries []string, agents []Member) []string {
+func Sharers(self string, entries []string, agents []Member, perAgent int) map[string]int {
 	entries = sortedUnique(append(slices.Clone(entries), self))
 	domains := map[string][]string{}
 	for _, m := range agents {
 		domains[m.Domain] = append(domains[m.Domain], m.Instance)
 	}
-	size := max(MinSubset, ceilDiv(EntriesPerAgent*len(agents), len(entries)))
-	var selected []string
+	size := max(MinSubset, ceilDiv(perAgent*len(agents), len(entries)))
+	sharers := map[string]int{}
 	for _, ids := range domains {
 		ids = sortedUnique(ids)
 		quota := min(len(ids), max(minPerDomain, ceilDiv(size*len(ids), len(agents))))
-		selected = append(selected, domainSubset(self, entries, ids, quota)...)
+		maps.Copy(sharers, domainSharers(self, entries, ids, quota))
 	}
-	slices.Sort(selected)
-	return selected
+	return sharers
 }
 
 type pair struct {
@@ -66,10 +73,15 @@
 	entry, agent int
 }
 
-// domainSubset returns the agents of one domain that the entry self watches.
-func domainSubset(self string, entries, agents []string, quota int) []string {
+// domainSharers returns the agents of one domain that the entry self watches,
+// with the number of entries that watch each.
+func domainSharers(self string, entries, agents []string, quota int) map[string]int {
 	if quota >= len(agents) {
-		return agents
+		all := make(map[string]int, len(agents))
+		for _, id := range agents {
+			all[id] = len(entries)
+		}
+		return all
 	}
 	a := assignment{
 		self: self, entries: entries, agents: agents, quota: quota,
@@ -77,11 +89,11 @@
 		maxEntries: ceilDiv(len(entries)*quota*slackNum, len(agents)*slackDen),
 	}
 	fraction := min(1, float64(candidateFactor*quota)/float64(len(agents)))
-	ids, complete := a.assign(fraction)
+	sharers, complete := a.assign(fraction)
 	if !complete {
-		ids, _ = a.assign(1)
+		sharers, _ = a.assign(1)
 	}
-	return ids
+	return sharers
 }
 
 // assignment holds the parameters for pairing entries with the agents of one
@@ -96,12 +108,13 @@
 
 // assign considers the given fraction of pairs, those with the lowest hashes.
 // It accepts pairs up to minEntries per agent first and then up to maxEntries.
-// It returns the agents of self and whether every entry reached its quota.
-func (a *assignment) assign(fraction float64) ([]string, bool) {
+// It returns the agents of self with their numbers of entries, and whether every
+// entry reached its quota.
+func (a *assignment) assign(fraction float64) (map[string]int, bool) {
 	pairs := a.candidatePairs(fraction)
 	agentCounts, entryCounts := make([]int, len(a.entries)), make([]int, len(a.agents))
 	accepted := make([]bool, len(pairs))
-	var selected []string
+	var selected []int
 	completeEntries := 0
 	for _, limit := range []int{a.minEntries, a.maxEntries} {
 		for i, p := range pairs {
@@ -114,11 +127,15 @@
 				completeEntries++
 			}
 			if a.entries[p.entry] == a.self {
-				selected = append(selected, a.agents[p.agent])
+				selected = append(selected, p.agent)
 			}
 		}
 	}
-	return selected, completeEntries == len(a.entries)
+	sharers := make(map[string]int, len(selected))
+	for _, agent := range selected {
+		sharers[a.agents[agent]] = entryCounts[agent]
+	}
+	return sharers, completeEntries == len(a.entries)
 }
 
 func (a *assignment) candidatePairs(fraction float64) []pair {
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -90,7 +90,7 @@
 	g := &gateway{cfg: cfg, logger: logger, source: &platform.StoreSource{Store: platform.NewStore(cfg.Store.Address), Regions: cfg.Regions}}
 	g.router = awgateway.New(awgateway.Config{
 		Clock: clock, Logger: logger, Headers: platform.HeaderCodec{}, Pool: awbackend.NewPool(awbackend.Config{Clock: clock}),
-		Domain: cfg.Process.Domain, Region: cfg.Process.Region, Seed: incarnation(),
+		Instance: cfg.Process.Instance, Domain: cfg.Process.Domain, Region: cfg.Process.Region, Seed: incarnation(),
 		Retry: retryWindow(cfg.Bounds),
 	})
 	g.watcher = awwatch.New(awwatch.Config{
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -39,10 +39,12 @@
 	Logger  log.Logger
 	Headers HeaderCodec
 	Pool    *awbackend.Pool
-	Domain  string
-	Region  string
-	Retry   awretry.WindowConfig
-	Seed    uint64
+	// Instance is the name under which this entry is registered.
+	Instance string
+	Domain   string
+	Region   string
+	Retry    awretry.WindowConfig
+	Seed     uint64
 }
 
 // Gateway serves callers. It is safe for concurrent use.
@@ -60,6 +62,7 @@
 	rng         *rand.Rand
 	maxTimeouts map[string]time.Duration // longest timeout that callers have sent, by route
 
+	relations   relations
 	floors      map[string][]awdirectory.Floor // by model
 	byAddress   map[string]awdirectory.Server
 	resubscribe chan struct{} // signals a new address in byAddress or a newly named version
@@ -72,7 +75,7 @@
 		cfg: cfg, metrics: newMetrics(), budgets: map[string]*awretry.WindowBudget{}, entryCount: 1, rng: rng,
 		maxTimeouts: map[string]time.Duration{}, byAddress: map[string]awdirectory.Server{}, resubscribe: make(chan struct{}, 1),
 		dispatch: awdispatch.New(awdispatch.Config{
-			Clock: cfg.Clock, Rand: rng, Domain: cfg.Domain, Region: cfg.Region, Eject: awmember.DefaultEjectConfig(),
+			Clock: cfg.Clock, Rand: rng, Self: cfg.Instance, Domain: cfg.Domain, Region: cfg.Region, Eject: awmember.DefaultEjectConfig(),
 		}),
 	}
 }
@@ -104,7 +107,7 @@
 // servers that are no longer in it.
 func (g *Gateway) Apply(state awwatch.State) {
 	g.mu.Lock()
-	g.entryCount = max(1, state.Entries)
+	g.entryCount = max(1, len(state.Entries))
 	g.dispatch.SetEntryCount(g.entryCount)
 	g.dispatch.SetDomainsOut(state.DomainsOut)
 	if !maps.Equal(newestVersions(g.floors), newestVersions(state.Floors)) {
@@ -112,6 +115,7 @@
 	}
 	g.floors = state.Floors
 	g.dispatch.SetFloors(state.Floors)
+	g.dispatch.SetSharers(g.relations.update(g.cfg.Instance, state, g.isEngineService))
 	g.dispatch.SetServers(state.Servers)
 	g.updateAddresses(state.Servers)
 	g.mu.Unlock()
--- a/io/awgateway/load.go
+++ b/io/awgateway/load.go
@@ -14,8 +14,8 @@
 // a loader. A loader sends reports for three times as long after each.
 const subscribeInterval = time.Second
 
-// CollectLoadReports subscribes to the load reports of the loaders of all model
-// engines and applies them until ctx is done. Loaders listen on port. While
+// CollectLoadReports subscribes to the load reports of the loaders of all engines
+// that this entry is related to and applies them until ctx is done. Loaders listen on port. While
 // connected returns true, the loaders learn the named versions with it.
 func (g *Gateway) CollectLoadReports(ctx context.Context, socket *awload.Socket, port int, connected func() bool) {
 	go socket.Run(ctx, awload.Handlers{Report: g.handleLoadReport})
@@ -52,20 +52,14 @@
 	return versions
 }
 
-// loaderAddresses returns the addresses of the loaders of all model engines.
+// loaderAddresses returns the addresses of the loaders of the engines that this
+// entry is related to.
 func (g *Gateway) loaderAddresses(port int) []netip.AddrPort {
-	c := g.config.Load()
-	if c == nil {
-		return nil
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var list []netip.AddrPort
-	for address, s := range g.byAddress {
-		if svc := c.Service(s.Service); svc == nil || !svc.Engine {
-			continue
-		}
-		if addr, err := netip.ParseAddrPort(address); err == nil { // addresses are validated when the list is read
+	for _, s := range g.related() {
+		if addr, err := netip.ParseAddrPort(s.Address); err == nil { // addresses are validated when the list is read
 			list = append(list, netip.AddrPortFrom(addr.Addr(), uint16(port)))
 		}
 	}
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,7 +67,7 @@
 	Servers    []awdirectory.Server
 	DomainsOut map[string]bool                // failure domains that are out
 	Floors     map[string][]awdirectory.Floor // by model: from when on no request may begin on an older version
-	Entries    int                            // number of registered entries, at least 1
+	Entries    []string                       // names of the registered entries, sorted
 }
 
 // Config configures a [Watcher].
@@ -117,8 +118,8 @@
 	table      *awdirectory.Table
 	versions   awdirectory.VersionTracker
 	domainsOut map[string]bool
-	entries    int
-	loaded     struct{ operator, servers bool } // whether the table has been read in full
+	entries    []string
+	loaded     struct{ operator, servers, entries bool } // whether the table has been read in full
 	outage     outage
 
 	mu        sync.Mutex
@@ -129,7 +130,7 @@
 func New(cfg Config) *Watcher {
 	return &Watcher{
 		cfg: cfg, updates: make(chan func()), table: awdirectory.NewTable(),
-		versions: awdirectory.VersionTracker{MaxStaleness: cfg.MaxStaleness}, domainsOut: map[string]bool{}, entries: 1,
+		versions: awdirectory.VersionTracker{MaxStaleness: cfg.MaxStaleness}, domainsOut: map[string]bool{},
 		outage: outage{maxWait: maxOutageWait},
 	}
 }
@@ -383,18 +384,22 @@
 		return 0, err
 	}
 	w.update(ctx, func() {
-		if n := max(1, len(names)); n != w.entries {
-			w.log("number of entries changed", "Entries", n)
-			w.entries = n
+		slices.Sort(names)
+		if w.loaded.entries && slices.Equal(names, w.entries) {
+			return
 		}
+		w.loaded.entries = true
+		w.log("entries changed", "Entries", len(names))
+		w.entries = names
+		w.publish()
 	})
 	return 0, nil
 }
 
-// publish passes the state to OnState once the operators' rows and, if they are
-// watched, those of backend servers have been read.
+// publish passes the state to OnState once all watched tables have been read. An
+// entry that does not know the others yet would take their shares of all limits.
 func (w *Watcher) publish() {
-	if !w.loaded.operator || (w.cfg.ServersInterval > 0 && !w.loaded.servers) {
+	if !w.loaded.operator || (w.cfg.ServersInterval > 0 && !w.loaded.servers) || (w.cfg.EntriesInterval > 0 && !w.loaded.entries) {
 		return
 	}
 	s := State{
--- a/io/awwatch/awwatch_test.go
+++ b/io/awwatch/awwatch_test.go
@@ -190,7 +190,7 @@
 	s := &fakeStore{config: 1, modelVersions: map[string]int64{"m": 2}, ages: map[int64]time.Duration{2: time.Hour}}
 	_, _, states := startWatcher(t, s)
 	for st := range states {
-		if f := st.Floors["m"]; len(f) > 0 && awdirectory.FloorAt(f, time.Now()) == 2 && st.Entries == 2 {
+		if f := st.Floors["m"]; len(f) > 0 && awdirectory.FloorAt(f, time.Now()) == 2 && len(st.Entries) == 2 {
 			return
 		}
 	}
