Pace configurations in quick succession; limit responses without end

Cause 1: the changes of the operators' rows hold each of 25 configurations written within 2 s; eleven entries of a region read all of them over one link. Change: after a configuration the next read waits 0.3 s, and while they follow each other within a second, the table is read in full. Headers are limited to 64 KiB, skipped bodies to 1 MiB, bodies of rejections to 16 KiB; the event splitter no longer passes its limit by one write.

--- a/core/awstream/events.go
+++ b/core/awstream/events.go
@@ -23,10 +23,10 @@
 // off by the end of the stream is not returned.
 type Splitter struct{ buf []byte }
 
-// Write appends bytes of the stream. It returns [ErrEventTooLong] if more than
-// [MaxEventBytes] are already buffered.
+// Write appends bytes of the stream. It returns [ErrEventTooLong], and appends
+// nothing, if more than [MaxEventBytes] would be buffered.
 func (s *Splitter) Write(p []byte) error {
-	if len(s.buf) > MaxEventBytes {
+	if len(s.buf)+len(p) > MaxEventBytes {
 		return ErrEventTooLong
 	}
 	s.buf = append(s.buf, p...)
--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -45,6 +45,11 @@
 	// search of the expected one, including informational ones.
 	maxResponsesRead = 4
 	bufferBytes      = 4 << 10
+	// maxHeaderBytes limits the header of one response, and maxSkippedBytes the
+	// body of a response to an earlier request. A backend server in trouble may
+	// send bytes without end.
+	maxHeaderBytes  = 64 << 10
+	maxSkippedBytes = 1 << 20
 	// TCP keep-alive probes detect a dead connection within 2.5 seconds, also
 	// while the backend server is processing a request.
 	keepAliveIdle     = time.Second
@@ -112,9 +117,42 @@
 type conn struct {
 	net.Conn
 	br      *bufio.Reader
+	header  *headerLimit
 	expires time.Time
 }
 
+func newConn(raw net.Conn) *conn {
+	header := &headerLimit{r: raw}
+	return &conn{Conn: raw, br: bufio.NewReaderSize(header, bufferBytes), header: header}
+}
+
+var errHeaderTooLong = errors.New("response header exceeds the size limit")
+
+// headerLimit is a reader that fails while a header is read and more than
+// maxHeaderBytes have arrived.
+type headerLimit struct {
+	r        io.Reader
+	inHeader bool
+	read     int // bytes read since the header began
+}
+
+// Read implements [io.Reader].
+func (h *headerLimit) Read(p []byte) (int, error) {
+	if h.inHeader && h.read > maxHeaderBytes {
+		return 0, errHeaderTooLong
+	}
+	n, err := h.r.Read(p)
+	h.read += n
+	return n, err
+}
+
+// readHeader reads the header of the next response.
+func (c *conn) readHeader(method string) (*http.Response, error) {
+	c.header.inHeader, c.header.read = true, 0
+	defer func() { c.header.inHeader = false }()
+	return http.ReadResponse(c.br, &http.Request{Method: method})
+}
+
 // Response is the response of a backend server. The caller must call Close.
 type Response struct {
 	Status int
@@ -148,7 +186,7 @@
 	if err != nil {
 		return nil, &Error{Err: eris.Wrapf(err, "connect to %s", addr)}
 	}
-	return p.exchange(ctx, key, &conn{Conn: raw, br: bufio.NewReaderSize(raw, bufferBytes)}, req)
+	return p.exchange(ctx, key, newConn(raw), req)
 }
 
 // takeIdle removes an idle connection that is still usable from the pool and
@@ -253,7 +291,7 @@
 // only if its status is 300 or above.
 func (r *Response) readResponse(req Request) error {
 	for range maxResponsesRead {
-		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: req.Method}) //nolint:bodyclose // Response.Close closes the connection unless the body was read to its end
+		resp, err := r.conn.readHeader(req.Method) //nolint:bodyclose // Response.Close closes the connection unless the body was read to its end
 		if err != nil {
 			return eris.Wrap(err, "read response")
 		}
@@ -266,7 +304,11 @@
 			r.Body = &bodyReader{r}
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
+		if err == nil && skipped == maxSkippedBytes {
+			err = fmt.Errorf("body of %d bytes or more", maxSkippedBytes)
+		}
+		if err != nil {
 			return eris.Wrap(err, "skip response to an earlier request")
 		}
 		if resp.Close {
--- a/io/awbackend/awbackend_test.go
+++ b/io/awbackend/awbackend_test.go
@@ -213,3 +213,47 @@
 	require.ErrorIs(t, err, errCallerLeft)
 	require.Error(t, <-closed)
 }
+
+// Guards against memory that grows without limit, and requests that never end,
+// when a backend server sends bytes that are no response until the client closes
+// the connection. The request may have run.
+func TestBytesWithoutEnd(t *testing.T) {
+	for name, start := range map[string]string{
+		"junk":                  "",
+		"header line":           "HTTP/1.1 200 OK\r\nX-Filler: ",
+		"informational":         "HTTP/1.1 100 Continue\r\nX-Filler: ",
+		"earlier request":       "HTTP/1.1 200 OK\r\n" + idHeader + ": old\r\n\r\n",
+		"chunk of earlier one":  "HTTP/1.1 200 OK\r\n" + idHeader + ": old\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n",
+		"line of a chunk":       "HTTP/1.1 200 OK\r\n" + idHeader + ": old\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"headers without a gap": "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: b\r\n", 20_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer lis.Close()
+			sent, closed := 0, make(chan struct{})
+			go func() {
+				defer close(closed)
+				conn, err := lis.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, err = io.WriteString(conn, start)
+				filler := []byte(strings.Repeat("x", 16<<10))
+				for err == nil {
+					var n int
+					n, err = conn.Write(filler)
+					sent += n
+				}
+			}()
+			_, _, err = get(t, NewPool(Config{Clock: awclock.System{}}), lis.Addr().String(), "a")
+			var e *Error
+			require.ErrorAs(t, err, &e)
+			require.True(t, e.Sent)
+			<-closed // the client has closed the connection
+			require.Less(t, sent, 64<<20)
+		})
+	}
+}
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -28,6 +28,9 @@
 	// before it is forwarded, so that the request can be retried if the response
 	// breaks off.
 	maxBufferedBody = 256 << 10
+	// maxRejectionBody is the size up to which the body of a rejection is read in
+	// order to keep the connection.
+	maxRejectionBody = 16 << 10
 	// lowestPriority is the highest number, and so the lowest priority, that
 	// engines accept.
 	lowestPriority = 9
@@ -71,7 +74,7 @@
 	case respInfo.Replaced:
 		return sendResult{outcome: awdispatch.Replaced, reason: "Replaced"}
 	case respInfo.NotRun:
-		_, _ = io.Copy(io.Discard, resp.Body) // the connection is not kept if this fails
+		_, _ = io.CopyN(io.Discard, resp.Body, maxRejectionBody) // the connection is not kept unless the body ends
 		return sendResult{outcome: awdispatch.Rejected, reason: "Rejected"}
 	case resp.Status < 300 && !respInfo.Signed:
 		return failedResult(ctx, errUnsigned)
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -122,6 +122,8 @@
 	loaded     struct{ operator, servers, entries bool } // whether the table has been read in full
 	outage     outage
 
+	configs configPace // used by readOperator only
+
 	mu        sync.Mutex
 	abortRead context.CancelCauseFunc // aborts the current long poll of the operators' rows; nil if there is none
 }
@@ -260,6 +262,9 @@
 		// during the outage. They can take longer to arrive than the newest is due.
 		wait, since = time.Millisecond, 0
 	}
+	if w.configs.inSuccession {
+		since = 0
+	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
 	callCtx, abort := context.WithCancelCause(callCtx)
@@ -276,9 +281,43 @@
 		return 0, err
 	}
 	w.update(ctx, func() { w.applyOperator(ctx, rows, since == 0) })
+	if w.configs.observe(rows.Config, w.cfg.Clock.Now()) {
+		Sleep(ctx, configPause)
+	}
 	return rows.Revision, nil
 }
 
+const (
+	// configPause is the delay after a read that brought a configuration. Further
+	// ones are then read together.
+	configPause = 300 * time.Millisecond
+	// successionGap is the time between two configurations from which they no
+	// longer count as written in quick succession.
+	successionGap = time.Second
+)
+
+// configPace notices configurations that are written in quick succession. The
+// changes of a table hold each of them in full, which a link between regions
+// may not carry in time for all entries behind it. A full read holds only the
+// newest.
+type configPace struct {
+	version      uint64
+	readAt       time.Time // when version was read
+	inSuccession bool
+}
+
+// observe records the configuration of a read, which is nil if it has not
+// changed. It reports whether the configuration is new.
+func (p *configPace) observe(c *awdirectory.Config, now time.Time) bool {
+	if c == nil || c.Version == p.version {
+		p.inSuccession = false
+		return false
+	}
+	p.inSuccession = p.version != 0 && now.Sub(p.readAt) < successionGap
+	p.version, p.readAt = c.Version, now
+	return true
+}
+
 func (w *Watcher) setAbortRead(f context.CancelCauseFunc) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/awwatch/awwatch_test.go
+++ b/io/awwatch/awwatch_test.go
@@ -123,6 +123,26 @@
 	})
 }
 
+// Guards rule CONFIG: configurations written in quick succession must not be read
+// one by one. With 25 of them in two seconds, the link of a region with eleven
+// entries was busy for longer than the newest was due.
+func TestConfigurationsInQuickSuccession(t *testing.T) {
+	now := time.Unix(1000, 0)
+	config := func(version uint64) *awdirectory.Config { return &awdirectory.Config{Version: version} }
+	var p configPace
+	require.True(t, p.observe(config(3), now))
+	require.False(t, p.inSuccession)
+	require.True(t, p.observe(config(4), now.Add(successionGap)))
+	require.False(t, p.inSuccession, "a single change is read with the changes")
+	require.True(t, p.observe(config(5), now.Add(successionGap+configPause)))
+	require.True(t, p.inSuccession)
+	require.True(t, p.observe(config(9), now.Add(successionGap+2*configPause)))
+	require.True(t, p.inSuccession)
+	require.False(t, p.observe(config(9), now.Add(successionGap+3*configPause)))
+	require.False(t, p.inSuccession, "the succession has ended")
+	require.False(t, p.observe(nil, now.Add(time.Hour)))
+}
+
 // Guards against three tables of each process calling a store that turns them
 // away: only the table whose read failed first probes it.
 func TestOneTableProbesDuringOutage(t *testing.T) {
