--- a/io/awloader/reconcile.go
+++ b/io/awloader/reconcile.go
@@ -29,7 +29,7 @@
 	transferTimeFactor = 1.2
 	// peersInterval is the time between two reads of the list of backend servers
 	// during a transfer.
-	peersInterval = time.Second
+	peersInterval = 2 * time.Second
 	// loadTimeout limits the wait for an engine to complete a load order.
 	loadTimeout = 6 * time.Second
 	loadPoll    = 60 * time.Millisecond
