Get manifests from peers; spread loads up to the first limit only

Ruled out: the time at which loaders learn of the version (all within 0.1 s). Change: the region fetchers of a version read its manifest from the origin, the others from them, and from the origin only after 1.2 s or after a corrupt one. The spread of loads ends before the limit of the weights that an engine has, also if the version that sets it was skipped.

--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -150,18 +150,23 @@
 	source  *relayedVersions
 	servers serverList
 	rng     *rand.Rand
-	// manifests holds manifests by version. Only reconcileLoop uses it.
-	manifests map[int64]Manifest
-
-	mu            sync.Mutex
-	service       awdirectory.Service
-	origin        awdirectory.Origin
-	desired       []target // versions that operators have set, newest first
-	peers         []awtransfer.Peer
-	regionFetcher bool   // whether this loader is a region fetcher, from the same list of servers as peers
-	peersRevision uint64 // rises with every change of peers
-	changed       chan struct{}
-	status        Status
+	// manifests holds manifests by version, and corruptManifests the versions
+	// whose manifest had a wrong digest. Only reconcileLoop uses them.
+	manifests        map[int64]Manifest
+	corruptManifests map[int64]bool
+	manifestWait     time.Duration // how long to ask peers for a manifest
+
+	mu sync.Mutex
+	// offeredManifests holds the encoded manifests for other loaders, by key.
+	offeredManifests map[string][]byte
+	service          awdirectory.Service
+	origin           awdirectory.Origin
+	desired          []target // versions that operators have set, newest first
+	peers            []awtransfer.Peer
+	regionFetcher    bool   // whether this loader is a region fetcher, from the same list of servers as peers
+	peersRevision    uint64 // rises with every change of peers
+	changed          chan struct{}
+	status           Status
 }
 
 // New returns a loader. It does nothing until [Loader.Run] is called.
@@ -169,7 +174,7 @@
 	l := &Loader{
 		cfg: cfg, source: newRelayedVersions(cfg.Source, cfg.Clock), servers: serverList{table: awdirectory.NewTable()},
 		store: awtransfer.NewStore(Digest), rng: rand.New(rand.NewPCG(cfg.Seed, awweights.Score("loader", cfg.Backend))),
-		manifests: map[int64]Manifest{}, changed: make(chan struct{}, 1), dialer: awrpc.NewDialer(awrpc.DialerConfig{Identity: cfg.Identity}),
+		manifests: map[int64]Manifest{}, corruptManifests: map[int64]bool{}, manifestWait: manifestWait, offeredManifests: map[string][]byte{}, changed: make(chan struct{}, 1), dialer: awrpc.NewDialer(awrpc.DialerConfig{Identity: cfg.Identity}),
 	}
 	l.uploads = awtransfer.NewUploads(awtransfer.UploadConfig{
 		Clock: cfg.Clock, Holder: l.store, Region: cfg.Identity.Region, Slots: uploadSlots, Rate: l.linkRate() * chunkLinkShare,
@@ -369,13 +374,12 @@
 		if s.Address == l.cfg.Backend {
 			continue
 		}
-		at, err := netip.ParseAddrPort(s.Address)
-		if err != nil {
+		target, ok := l.peerTarget(s.Address)
+		if !ok {
 			continue // addresses are validated when the list is read
 		}
 		peers = append(peers, awtransfer.Peer{
-			Source: awweights.Source{ID: s.Address, Region: s.Region, RegionFetcher: fetchers[s.Address]},
-			Target: awrpc.Target{Address: netip.AddrPortFrom(at.Addr(), uint16(l.cfg.InnerPort)).String()},
+			Source: awweights.Source{ID: s.Address, Region: s.Region, RegionFetcher: fetchers[s.Address]}, Target: target,
 		})
 	}
 	l.mu.Lock()
@@ -383,3 +387,12 @@
 	l.peers, l.regionFetcher = peers, fetchers[l.cfg.Backend]
 	l.peersRevision++
 }
+
+// peerTarget returns the address of the loader next to the engine at an address.
+func (l *Loader) peerTarget(engine string) (awrpc.Target, bool) {
+	at, err := netip.ParseAddrPort(engine)
+	if err != nil {
+		return awrpc.Target{}, false
+	}
+	return awrpc.Target{Address: netip.AddrPortFrom(at.Addr(), uint16(l.cfg.InnerPort)).String()}, true
+}
--- a/io/awloader/awloader_test.go
+++ b/io/awloader/awloader_test.go
@@ -15,6 +15,7 @@
 
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awdirectory"
+	"arbutuswind/core/awweights"
 	"arbutuswind/io/awload"
 	"arbutuswind/io/awproto"
 	"arbutuswind/io/awrpc"
@@ -217,6 +218,7 @@
 			Identity: &awproto.ProcessIdentity{Process: "awloader", Instance: fmt.Sprint(i), Domain: "d", Region: "r"},
 			Backend:  address, Service: "s", InnerPort: port, MaxStaleness: time.Second, Regions: map[string]string{"d": "r"}, Seed: uint64(i),
 		})
+		l.manifestWait = time.Minute              // the peers respond, however busy the machine is
 		done.Go(func() { _ = l.Run(ctx, inner) }) // ends with ctx
 	}
 	return r
@@ -274,6 +276,24 @@
 	require.LessOrEqual(t, o.chunksSent, testChunks/2)
 }
 
+// Guards against an origin whose link is busy with manifests: only the region
+// fetchers read the manifest of a version from it, and the others get it from
+// them.
+func TestManifestComesFromPeers(t *testing.T) {
+	o := &fakeOrigin{}
+	var engines []*fakeEngine
+	for range awweights.FetchersPerRegion + 4 {
+		engines = append(engines, newEngine(1))
+	}
+	r := startLoaders(t, o, engines...)
+	requireVersion(t, 1, engines...)
+	r.setDesired(2)
+	requireVersion(t, 2, engines...)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	require.LessOrEqual(t, o.manifestReads[2], awweights.FetchersPerRegion)
+}
+
 // Guards against an engine that stays on an old version because the newest one
 // can't be fetched: it must be switched to the version before the newest.
 func TestVersionBeforeTheNewest(t *testing.T) {
--- a/io/awloader/inner.go
+++ b/io/awloader/inner.go
@@ -28,8 +28,12 @@
 	return &awproto.HelloReply{ProtocolVersion: awrpc.ProtocolVersion, Sender: s.loader.cfg.Identity}, nil
 }
 
-// ChunkMap returns which chunks of a version this loader holds.
+// ChunkMap returns which chunks of a version this loader holds. A request for a
+// manifest has the manifest's key in place of the digest.
 func (s *innerServer) ChunkMap(_ context.Context, req *awproto.ChunkMapRequest) (*awproto.ChunkMapReply, error) {
+	if req.WantManifest {
+		return &awproto.ChunkMapReply{Manifest: s.loader.offeredManifest(req.VersionDigest)}, nil
+	}
 	return &awproto.ChunkMapReply{Held: s.loader.store.Held(req.VersionDigest), FreeSlots: s.loader.uploads.FreeSlots()}, nil
 }
 
--- a/io/awloader/reconcile.go
+++ b/io/awloader/reconcile.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awweights"
 	"arbutuswind/io/awtransfer"
 	"arbutuswind/io/awwatch"
@@ -112,22 +113,24 @@
 	if !l.store.Complete(digest) {
 		return false, nil
 	}
-	if !l.awaitLoadDelay(ctx, t, newest, held > 0) {
+	if !l.awaitLoadDelay(ctx, t, newest, held) {
 		return true, nil
 	}
 	return true, l.load(ctx, t, m, digest)
 }
 
 // manifest returns the manifest of the target and its version digest. It is
-// read from the origin only once, because it is as large as a quarter of a
-// chunk and the origin's link is scarce.
+// read only once, because it is as large as a quarter of a chunk.
 func (l *Loader) manifest(ctx context.Context, t target) (Manifest, string, error) {
 	if m, ok := l.manifests[t.version]; ok {
 		return m, m.versionDigest(), nil
 	}
-	m, err := l.cfg.Origin.Manifest(ctx, t.origin.Address, t.model.Name, t.version)
-	if err != nil {
-		return m, "", err
+	m, ok := l.manifestFromPeers(ctx, t)
+	if !ok {
+		var err error
+		if m, err = l.cfg.Origin.Manifest(ctx, t.origin.Address, t.model.Name, t.version); err != nil {
+			return m, "", err
+		}
 	}
 	if t.model.Chunks > 0 && len(m.Digests) != t.model.Chunks {
 		return m, "", eris.Errorf("manifest of version %d lists %d chunks, want %d", t.version, len(m.Digests), t.model.Chunks)
@@ -142,10 +145,11 @@
 func (l *Loader) addVersion(t target, m Manifest, digest string) {
 	l.store.Add(digest, m.weightsManifest(), nil)
 	l.manifests[t.version] = m
+	l.offerManifest(m)
 	var keep []string
 	for version, held := range l.manifests {
 		if version < t.version-1 {
-			delete(l.manifests, version)
+			l.dropManifest(held)
 			continue
 		}
 		keep = append(keep, held.versionDigest())
@@ -192,7 +196,8 @@
 	s := h.stats
 	if s.CorruptChunks >= maxCorruptChunks && s.Held < s.Chunks {
 		l.log("too many corrupt chunks; the manifest will be read again", "Version", h.target.version, "Bad", s.CorruptChunks)
-		delete(l.manifests, h.target.version)
+		l.dropManifest(m)
+		l.corruptManifests[h.target.version] = true
 	}
 	l.log("transfer ended", "Version", h.target.version, "Pieces", s.Held, "Of", s.Chunks, "Bad", s.CorruptChunks,
 		"OriginBytes", s.OriginBytes, "RegionBytes", s.RegionBytes, "PeerBytes", s.PeerBytes,
@@ -216,9 +221,7 @@
 }
 
 func (l *Loader) readPeers(ctx context.Context, digest string) error {
-	ctx, cancel := context.WithTimeout(ctx, peersInterval)
-	defer cancel()
-	list, err := l.servers.read(ctx, l.cfg.Source, l.cfg.Clock.Now())
+	list, err := l.listServers(ctx)
 	if err != nil {
 		return err
 	}
@@ -226,11 +229,18 @@
 	return nil
 }
 
+// listServers returns the list of backend servers, at most peersInterval old.
+func (l *Loader) listServers(ctx context.Context) ([]awdirectory.Server, error) {
+	ctx, cancel := context.WithTimeout(ctx, peersInterval)
+	defer cancel()
+	return l.servers.read(ctx, l.cfg.Source, l.cfg.Clock.Now(), peersInterval-peersInterval/10)
+}
+
 // awaitLoadDelay waits until this engine may stop serving the older version, so
 // that not all engines load at once. It returns false if the version is no
 // longer wanted afterwards.
-func (l *Loader) awaitLoadDelay(ctx context.Context, t target, newest int64, serving bool) bool {
-	if !serving {
+func (l *Loader) awaitLoadDelay(ctx context.Context, t target, newest, held int64) bool {
+	if held == 0 {
 		return true
 	}
 	l.mu.Lock()
@@ -238,13 +248,49 @@
 	for _, p := range l.peers {
 		all = append(all, p.ID)
 	}
+	limit := l.usableUntil(held).Sub(t.desiredSince)
 	l.mu.Unlock()
 	slices.Sort(all)
-	copies := float64(t.model.Chunks*t.model.ChunkBytes) / max(1, l.linkRate())
-	earliest := time.Duration(copies * transferTimeFactor * float64(time.Second))
-	delay := awweights.LoadDelay(slices.Index(all, l.cfg.Backend), len(all), earliest, l.cfg.MaxStaleness, loadReserve)
+	delay := awweights.LoadDelay(slices.Index(all, l.cfg.Backend), len(all), l.transferTime(t.model), limit, loadReserve)
 	awwatch.Sleep(ctx, t.desiredSince.Add(delay).Sub(l.cfg.Clock.Now()))
-	return ctx.Err() == nil && l.isNewest(newest)
+	return ctx.Err() == nil && l.wanted(t, newest, 1)
+}
+
+// transferTime is the time from when a version is named until the first loaders
+// hold it.
+func (l *Loader) transferTime(m awdirectory.Model) time.Duration {
+	copies := float64(m.Chunks*m.ChunkBytes) / max(1, l.linkRate())
+	return time.Duration(copies * transferTimeFactor * float64(time.Second))
+}
+
+// usableUntil returns the time from which no request may start on a version: the
+// limit of the first later one. mu must be held.
+func (l *Loader) usableUntil(version int64) time.Time {
+	until := l.cfg.Clock.Now().Add(l.cfg.MaxStaleness)
+	for _, d := range l.desired {
+		if at := d.desiredSince.Add(l.cfg.MaxStaleness); d.version > version && at.Before(until) {
+			until = at
+		}
+	}
+	return until
+}
+
+// wanted reports whether the change to a version should go on. newest is the
+// newest version when it began, and heldShare the share of its chunks held.
+func (l *Loader) wanted(t target, newest int64, heldShare float64) bool {
+	if l.isNewest(newest) {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.cfg.Clock.Now()
+	c := awweights.Change{
+		HeldShare: heldShare, NewerIn: max(0, l.desired[0].desiredSince.Add(l.transferTime(t.model)).Sub(now)) + loadReserve,
+	}
+	if held := l.status.Versions[t.model.Name]; held > 0 {
+		c.UsableFor = l.usableUntil(held).Sub(now)
+	}
+	return c.ShouldFinish()
 }
 
 // load stages the chunks, checks them at the engine and orders the load.
@@ -316,7 +362,7 @@
 // View implements [awtransfer.Host].
 func (h *transferHost) View(string) awtransfer.View {
 	l := h.loader
-	wanted := l.isNewest(h.newest)
+	wanted := l.wanted(h.target, h.newest, float64(h.stats.Held)/float64(max(1, h.target.model.Chunks)))
 	if (h.stopOnStall || h.stats.CorruptChunks >= maxCorruptChunks) && l.cfg.Clock.Now().Sub(h.progressedAt) > stallTimeout {
 		wanted = false
 	}
--- a/io/awloader/source.go
+++ b/io/awloader/source.go
@@ -94,12 +94,17 @@
 	mu       sync.Mutex
 	table    *awdirectory.Table
 	revision uint64
+	readAt   time.Time
 }
 
-// read brings the list up to date and returns it.
-func (s *serverList) read(ctx context.Context, source awwatch.Source, now time.Time) ([]awdirectory.Server, error) {
+// read returns the list as of at most maxAge ago. It reads the changes from the
+// store if the last read is longer ago.
+func (s *serverList) read(ctx context.Context, source awwatch.Source, now time.Time, maxAge time.Duration) ([]awdirectory.Server, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.revision > 0 && now.Sub(s.readAt) < maxAge {
+		return s.table.Servers(), nil
+	}
 	rows, err := source.Servers(ctx, s.revision)
 	if errors.Is(err, awwatch.ErrHistoryGone) {
 		s.revision = 0
@@ -121,6 +126,6 @@
 	for _, id := range rows.Unreadable {
 		s.table.Remove(id, now)
 	}
-	s.revision = rows.Revision
+	s.revision, s.readAt = rows.Revision, now
 	return s.table.Servers(), nil
 }
--- a/io/awloader/source_test.go
+++ b/io/awloader/source_test.go
@@ -79,8 +79,9 @@
 		Revision: 9, Put: []awdirectory.Server{{ID: "d"}}, Removed: []string{"a"}, Unreadable: []string{"b"},
 	}}
 	list := serverList{table: awdirectory.NewTable()}
+	now := time.Unix(1000, 0)
 	ids := func() (out []string) {
-		servers, err := list.read(context.Background(), store, time.Now())
+		servers, err := list.read(context.Background(), store, now, time.Second)
 		require.NoError(t, err)
 		for _, s := range servers {
 			out = append(out, s.ID)
@@ -88,7 +89,11 @@
 		return out
 	}
 	require.Equal(t, []string{"a", "b", "c"}, ids())
+	now = now.Add(time.Second / 2)
+	require.Equal(t, []string{"a", "b", "c"}, ids(), "the last read is recent enough")
+	now = now.Add(time.Second / 2)
 	require.Equal(t, []string{"c", "d"}, ids())
+	now = now.Add(time.Second)
 	store.gone = true
 	require.Equal(t, []string{"a", "b", "c"}, ids())
 	require.Equal(t, []uint64{0, 7, 9, 0}, store.serverReads)
