Read the store less often: on need, and held open for a while

Change: loaders read the list during a transfer only while no chunk arrives, or each 5 s; the store holds a gateway's read of the list open for a third of its interval; the longest delay of a gateway between probes is 1.5 s, below the 3 s after an outage from which bounds count.

--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -41,7 +41,7 @@
 	// maxRetryDelay is the longest delay between two reads of an unavailable
 	// store. The state of the fleet must be known within two seconds after the
 	// store is available again.
-	maxRetryDelay = time.Second
+	maxRetryDelay = 1500 * time.Millisecond
 	// balancerDetectionTime is the time in which a load balancer that checks
 	// readiness every second sees two failed checks.
 	balancerDetectionTime = 2500 * time.Millisecond
--- a/io/awloader/awloader_test.go
+++ b/io/awloader/awloader_test.go
@@ -178,7 +178,7 @@
 	return awwatch.OperatorRows{}, ctx.Err()
 }
 
-func (r *fakeSource) Servers(context.Context, uint64) (awwatch.ServerRows, error) {
+func (r *fakeSource) Servers(context.Context, uint64, time.Duration) (awwatch.ServerRows, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return awwatch.ServerRows{Put: r.servers}, nil
@@ -221,8 +221,8 @@
 			Identity: &awproto.ProcessIdentity{Process: "awloader", Instance: fmt.Sprint(i), Domain: "d", Region: "r"},
 			Backend:  r.servers[i].Address, Service: "s", InnerPort: port, MaxStaleness: time.Second, Regions: map[string]string{"d": "r"}, Seed: uint64(i),
 		})
-		l.manifestWait = time.Minute              // the peers respond, however busy the machine is
-		done.Go(func() { _ = l.Run(ctx, inner) }) // ends with ctx
+		l.manifestWait, l.source.firstWait = time.Minute, 0 // the peers respond, however busy the machine is; there are no entries
+		done.Go(func() { _ = l.Run(ctx, inner) })           // ends with ctx
 	}
 	return r
 }
--- a/io/awloader/reconcile.go
+++ b/io/awloader/reconcile.go
@@ -28,9 +28,11 @@
 	// transferTimeFactor is the time until the first loaders hold a version, as
 	// a multiple of the time that one copy takes on a link.
 	transferTimeFactor = 1.2
-	// peersInterval is the time between two reads of the list of backend servers
-	// during a transfer.
-	peersInterval = 2 * time.Second
+	// peersInterval is the shortest time between two reads of the list of backend
+	// servers during a transfer, and maxPeersInterval the longest. While chunks
+	// arrive, the known peers suffice.
+	peersInterval    = time.Second
+	maxPeersInterval = 5 * time.Second
 	// loadTimeout limits the wait for an engine to complete a load order.
 	loadTimeout = 6 * time.Second
 	loadPoll    = 60 * time.Millisecond
@@ -204,7 +206,8 @@
 		"Seconds", l.cfg.Clock.Now().Sub(h.startedAt).Seconds())
 }
 
-// pollPeers reads the list of backend servers every peersInterval until ctx ends.
+// pollPeers reads the list of backend servers until ctx ends: each peersInterval
+// while no chunk arrives, and each maxPeersInterval otherwise.
 func (l *Loader) pollPeers(ctx context.Context, digest string) {
 	read := func() {
 		if err := l.readPeers(ctx, digest); err != nil && ctx.Err() == nil {
@@ -213,9 +216,18 @@
 	}
 	read()
 	go func() {
-		for ctx.Err() == nil {
+		readAt, held := l.cfg.Clock.Now(), 0
+		for {
 			awwatch.Sleep(ctx, peersInterval)
-			read()
+			if ctx.Err() != nil {
+				return
+			}
+			before := held
+			held = l.store.Held(digest).Count()
+			if now := l.cfg.Clock.Now(); held == before || now.Sub(readAt) >= maxPeersInterval {
+				readAt = now
+				read()
+			}
 		}
 	}()
 }
--- a/io/awloader/source.go
+++ b/io/awloader/source.go
@@ -146,6 +146,9 @@
 	readAt   time.Time
 }
 
+// minWait is the shortest wait for a change that the store accepts.
+const minWait = time.Millisecond
+
 // read returns the list as of at most maxAge ago. It reads the changes from the
 // store if the last read is longer ago.
 func (s *serverList) read(ctx context.Context, source awwatch.Source, now time.Time, maxAge time.Duration) ([]awdirectory.Server, error) {
@@ -154,10 +157,10 @@
 	if s.revision > 0 && now.Sub(s.readAt) < maxAge {
 		return s.table.Servers(), nil
 	}
-	rows, err := source.Servers(ctx, s.revision)
+	rows, err := source.Servers(ctx, s.revision, minWait)
 	if errors.Is(err, awwatch.ErrHistoryGone) {
 		s.revision = 0
-		rows, err = source.Servers(ctx, 0)
+		rows, err = source.Servers(ctx, 0, minWait)
 	}
 	if err != nil {
 		return nil, err
--- a/io/awloader/source_test.go
+++ b/io/awloader/source_test.go
@@ -27,7 +27,7 @@
 	return awwatch.OperatorRows{Revision: since + 1}, nil
 }
 
-func (s *countingSource) Servers(_ context.Context, since uint64) (awwatch.ServerRows, error) {
+func (s *countingSource) Servers(_ context.Context, since uint64, _ time.Duration) (awwatch.ServerRows, error) {
 	s.serverReads = append(s.serverReads, since)
 	if since == 0 {
 		return awwatch.ServerRows{Revision: 7, Put: []awdirectory.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}, nil
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -51,8 +51,9 @@
 	// Operator returns operators' rows. If nothing has changed, it waits up to
 	// wait for a change.
 	Operator(ctx context.Context, since uint64, wait time.Duration) (OperatorRows, error)
-	// Servers returns the rows of backend servers.
-	Servers(ctx context.Context, since uint64) (ServerRows, error)
+	// Servers returns the rows of backend servers. If nothing has changed, it waits
+	// up to wait for a change.
+	Servers(ctx context.Context, since uint64, wait time.Duration) (ServerRows, error)
 	// Entries returns the names of all registered entries.
 	Entries(ctx context.Context) ([]string, error)
 	// VersionAges returns, for a version of a model and each recorded earlier
@@ -79,7 +80,8 @@
 	OnConfig     func(*awdirectory.Config) bool // returns whether the configuration was put in force
 	OnState      func(State)                    // called after each read of the operators' or the backend servers' rows
 	// ServersInterval is the time between reads of the list of backend servers.
-	// If it is 0, the list is not read.
+	// The store holds such a read open for a third of it while nothing changes. If
+	// it is 0, the list is not read.
 	ServersInterval time.Duration
 	// EntriesInterval is the time between reads of the list of entries. If it is
 	// 0, the list is not read.
@@ -108,6 +110,10 @@
 // [Source] fails much sooner if the store is silent.
 const storeTimeout = 8 * time.Second
 
+// serversHoldDivisor makes the store hold a read of the list open for a third of
+// the interval between reads. A store that is silent is noticed only after that.
+const serversHoldDivisor = 3
+
 // recordRetryDelay is the delay after a failed record of a version's time.
 const recordRetryDelay = 400 * time.Millisecond
 
@@ -290,7 +296,7 @@
 const (
 	// configPause is the delay after a read that brought a configuration. Further
 	// ones are then read together.
-	configPause = 300 * time.Millisecond
+	configPause = 400 * time.Millisecond
 	// successionGap is the time between two configurations from which they no
 	// longer count as written in quick succession.
 	successionGap = time.Second
@@ -381,10 +387,14 @@
 	}
 }
 
-func (w *Watcher) readServers(ctx context.Context, since uint64, _ bool) (uint64, error) {
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+func (w *Watcher) readServers(ctx context.Context, since uint64, probe bool) (uint64, error) {
+	wait := w.cfg.ServersInterval / serversHoldDivisor
+	if probe {
+		wait = time.Millisecond
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
-	rows, err := w.cfg.Source.Servers(callCtx, since)
+	rows, err := w.cfg.Source.Servers(callCtx, since, wait)
 	if err != nil {
 		return 0, err
 	}
--- a/io/awwatch/awwatch_test.go
+++ b/io/awwatch/awwatch_test.go
@@ -53,7 +53,7 @@
 	return OperatorRows{Revision: config, Config: &awdirectory.Config{Version: config}, DesiredVersions: s.modelVersions}, nil
 }
 
-func (s *fakeStore) Servers(context.Context, uint64) (ServerRows, error) {
+func (s *fakeStore) Servers(context.Context, uint64, time.Duration) (ServerRows, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
