Take out the finishing of older versions; test the limit of held weights

Conclusion: finishing the older version costs more capacity than it saves when the next one comes four seconds later; ShouldFinish and the faster transfer are not kept. A version change without a dip stays open.

--- a/io/awloader/reconcile.go
+++ b/io/awloader/reconcile.go
@@ -263,16 +263,11 @@
 	limit := l.usableUntil(held).Sub(t.desiredSince)
 	l.mu.Unlock()
 	slices.Sort(all)
-	delay := awweights.LoadDelay(slices.Index(all, l.cfg.Backend), len(all), l.transferTime(t.model), limit, loadReserve)
+	copies := float64(t.model.Chunks*t.model.ChunkBytes) / max(1, l.linkRate())
+	earliest := time.Duration(copies * transferTimeFactor * float64(time.Second))
+	delay := awweights.LoadDelay(slices.Index(all, l.cfg.Backend), len(all), earliest, limit, loadReserve)
 	awwatch.Sleep(ctx, t.desiredSince.Add(delay).Sub(l.cfg.Clock.Now()))
-	return ctx.Err() == nil && l.wanted(t, newest, 1)
-}
-
-// transferTime is the time from when a version is named until the first loaders
-// hold it.
-func (l *Loader) transferTime(m awdirectory.Model) time.Duration {
-	copies := float64(m.Chunks*m.ChunkBytes) / max(1, l.linkRate())
-	return time.Duration(copies * transferTimeFactor * float64(time.Second))
+	return ctx.Err() == nil && l.isNewest(newest)
 }
 
 // usableUntil returns the time from which no request may start on a version: the
@@ -287,24 +282,6 @@
 	return until
 }
 
-// wanted reports whether the change to a version should go on. newest is the
-// newest version when it began, and heldShare the share of its chunks held.
-func (l *Loader) wanted(t target, newest int64, heldShare float64) bool {
-	if l.isNewest(newest) {
-		return true
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.cfg.Clock.Now()
-	c := awweights.Change{
-		HeldShare: heldShare, NewerIn: max(0, l.desired[0].desiredSince.Add(l.transferTime(t.model)).Sub(now)) + loadReserve,
-	}
-	if held := l.status.Versions[t.model.Name]; held > 0 {
-		c.UsableFor = l.usableUntil(held).Sub(now)
-	}
-	return c.ShouldFinish()
-}
-
 // load stages the chunks, checks them at the engine and orders the load.
 func (l *Loader) load(ctx context.Context, t target, m Manifest, digest string) error {
 	if err := l.stage(ctx, m, digest); err != nil {
@@ -374,7 +351,7 @@
 // View implements [awtransfer.Host].
 func (h *transferHost) View(string) awtransfer.View {
 	l := h.loader
-	wanted := l.wanted(h.target, h.newest, float64(h.stats.Held)/float64(max(1, h.target.model.Chunks)))
+	wanted := l.isNewest(h.newest)
 	if (h.stopOnStall || h.stats.CorruptChunks >= maxCorruptChunks) && l.cfg.Clock.Now().Sub(h.progressedAt) > stallTimeout {
 		wanted = false
 	}
--- a/io/awloader/source_test.go
+++ b/io/awloader/source_test.go
@@ -107,3 +107,18 @@
 	require.Equal(t, []string{"a", "b", "c"}, ids())
 	require.Equal(t, []uint64{0, 7, 9, 0}, store.serverReads)
 }
+
+// Guards against loads of a version that are spread beyond the limit of the
+// weights that the engines have, because an earlier version was skipped.
+func TestWeightsAreUsableUntilTheFirstLaterVersion(t *testing.T) {
+	clock := awclock.NewFake(time.Unix(1000, 0))
+	named := func(version int64, ago time.Duration) target {
+		return target{version: version, desiredSince: clock.Now().Add(-ago)}
+	}
+	l := &Loader{
+		cfg:     Config{Clock: clock, MaxStaleness: 10 * time.Second},
+		desired: []target{named(3, time.Second), named(2, 5*time.Second)},
+	}
+	require.Equal(t, 5*time.Second, l.usableUntil(1).Sub(clock.Now()))
+	require.Equal(t, 9*time.Second, l.usableUntil(2).Sub(clock.Now()))
+}
