Forget huge timeouts of callers; don't blame a server for a caller that leaves

Cause, from reading: the longest timeout seen on a route was never lowered, so one caller with a huge deadline made all later ones count as late, which are served after the others and wait less; and a failed write of a long body to a caller whose connection is gone counted as a failure of the backend server. Change: awdispatch.CallerTimeouts remembers the longest timeout of 10 to 20 s; failed writes to the caller are told apart from failed reads. Tests: TestHugeTimeoutIsForgotten, TestCallerThatLeavesIsNoFailureOfTheServer (Failed instead of Abandoned on the code before).

--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -55,12 +55,12 @@
 	serversLoaded atomic.Bool // Apply has been called
 	metrics       gatewayMetrics
 
-	mu          sync.Mutex
-	dispatch    *awdispatch.Dispatcher
-	budgets     map[string]*awretry.WindowBudget
-	entryCount  int
-	rng         *rand.Rand
-	maxTimeouts map[string]time.Duration // longest timeout that callers have sent, by route
+	mu             sync.Mutex
+	dispatch       *awdispatch.Dispatcher
+	budgets        map[string]*awretry.WindowBudget
+	entryCount     int
+	rng            *rand.Rand
+	callerTimeouts *awdispatch.CallerTimeouts
 
 	relations   relations
 	floors      map[string][]awdirectory.Floor // by model
@@ -73,7 +73,7 @@
 	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Clock.Now().UnixNano())))
 	return &Gateway{
 		cfg: cfg, metrics: newMetrics(), budgets: map[string]*awretry.WindowBudget{}, entryCount: 1, rng: rng,
-		maxTimeouts: map[string]time.Duration{}, byAddress: map[string]awdirectory.Server{}, resubscribe: make(chan struct{}, 1),
+		callerTimeouts: awdispatch.NewCallerTimeouts(), byAddress: map[string]awdirectory.Server{}, resubscribe: make(chan struct{}, 1),
 		dispatch: awdispatch.New(awdispatch.Config{
 			Clock: cfg.Clock, Rand: rng, Self: cfg.Instance, Domain: cfg.Domain, Region: cfg.Region, Eject: awmember.DefaultEjectConfig(),
 		}),
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -170,13 +170,7 @@
 			q.model = svc.Model.Name
 		}
 	}
-	// Callers send the time that they have left. The difference from the longest
-	// timeout seen on the route is the time spent in earlier attempts.
-	maxTimeout := max(g.maxTimeouts[q.route.Name], q.info.Timeout)
-	g.maxTimeouts[q.route.Name] = maxTimeout
-	if q.info.Timeout > 0 {
-		q.priorWait = maxTimeout - q.info.Timeout
-	}
+	q.priorWait = g.callerTimeouts.PriorWait(q.route.Name, q.info.Timeout, now)
 	g.retryBudget(q.service).CountRequest(now)
 }
 
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -129,7 +129,10 @@
 		return sendResult{mayHaveRun: true, outcome: awdispatch.Abandoned, reason: "CallerLeft"}
 	}
 	if exceedsBuffer {
-		if _, err := io.Copy(q.w, resp.Body); err != nil {
+		w := &callerWriter{w: q.w}
+		if _, err := io.Copy(w, resp.Body); err != nil && w.failed {
+			return sendResult{mayHaveRun: true, outcome: awdispatch.Abandoned, reason: "CallerLeft"}
+		} else if err != nil {
 			return failedResult(ctx, err)
 		}
 	}
@@ -141,6 +144,20 @@
 	return sendResult{answered: true, outcome: out}
 }
 
+// callerWriter writes to the caller and records a failure, which must not count
+// against the backend server.
+type callerWriter struct {
+	w      io.Writer
+	failed bool
+}
+
+// Write implements [io.Writer].
+func (c *callerWriter) Write(p []byte) (int, error) {
+	n, err := c.w.Write(p)
+	c.failed = c.failed || err != nil
+	return n, err
+}
+
 // timeForRetry reports whether enough time for another send is left before the
 // deadline: more than half of the route's latency objective.
 func (q *request) timeForRetry() bool {
