Log where a loader's configuration comes from and which engines are related

On-call could not tell from the logs whether a loader waits for an entry or for the store, nor why an entry refuses while engines have free capacity. No change of decisions; tests of the folders pass.

--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -230,17 +230,28 @@
 	return n
 }
 
-// Servers returns the number of known backend servers of a service, and how
-// many of them can get requests for the model now.
-func (d *Dispatcher) Servers(service, model string) (known, usable int) {
+// Availability describes the backend servers of a service, for logs.
+type Availability struct {
+	Known   int // listed
+	Usable  int // can get requests for the model now, whether or not they have free capacity
+	Related int // of Usable, those related to this entry
+}
+
+// Availability returns the availability of a service's backend servers for
+// requests for a model.
+func (d *Dispatcher) Availability(service, model string) Availability {
 	now := d.cfg.Clock.Now()
+	var a Availability
 	for _, s := range d.byService[service] {
-		known++
+		a.Known++
 		if d.usable(s, &Request{Service: service, Model: model}, now) {
-			usable++
+			a.Usable++
+			if s.sharers > 0 {
+				a.Related++
+			}
 		}
 	}
-	return known, usable
+	return a
 }
 
 // rounding returns a number in [0, 1) that is spread evenly over the entries of a
--- a/io/awgateway/telemetry.go
+++ b/io/awgateway/telemetry.go
@@ -101,9 +101,9 @@
 	g := q.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	known, usable := g.dispatch.Servers(q.service, q.model)
+	a := g.dispatch.Availability(q.service, q.model)
 	return []any{
-		"Servers", known, "Usable", usable, "Waiting", g.dispatch.Waiting(), "Model", q.model,
+		"Servers", a.Known, "Usable", a.Usable, "Related", a.Related, "Waiting", g.dispatch.Waiting(), "Model", q.model,
 		"Floor", awdirectory.FloorAt(g.floors[q.model], g.cfg.Clock.Now()),
 	}
 }
--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -172,7 +172,7 @@
 // New returns a loader. It does nothing until [Loader.Run] is called.
 func New(cfg Config) *Loader {
 	l := &Loader{
-		cfg: cfg, source: newRelayedSource(cfg.Source, cfg.Clock, cfg.Service), servers: serverList{table: awdirectory.NewTable()},
+		cfg: cfg, source: newRelayedSource(cfg.Source, cfg.Clock, cfg.Logger, cfg.Service), servers: serverList{table: awdirectory.NewTable()},
 		store: awtransfer.NewStore(Digest), rng: rand.New(rand.NewPCG(cfg.Seed, awweights.Score("loader", cfg.Backend))),
 		manifests: map[int64]Manifest{}, corruptManifests: map[int64]bool{}, manifestWait: manifestWait, offeredManifests: map[string][]byte{}, changed: make(chan struct{}, 1), dialer: awrpc.NewDialer(awrpc.DialerConfig{Identity: cfg.Identity}),
 	}
--- a/io/awloader/source.go
+++ b/io/awloader/source.go
@@ -8,6 +8,9 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awdirectory"
 	"arbutuswind/io/awload"
@@ -36,6 +39,7 @@
 type relayedSource struct {
 	awwatch.Source
 	clock     awclock.Clock
+	logger    log.Logger
 	service   string
 	firstWait time.Duration // see firstRelayWait
 
@@ -44,11 +48,15 @@
 	fleet     awload.Fleet  // with the newest versions from any entry
 	changed   chan struct{} // closed and replaced when fleet changes
 
-	returned *awload.Fleet // last returned; used by Operator only, which is not called concurrently
+	// The following are used by Operator only, which is not called concurrently.
+	returned  *awload.Fleet // last returned
+	readStore bool          // the last call read the store
 }
 
-func newRelayedSource(source awwatch.Source, clock awclock.Clock, service string) *relayedSource {
-	return &relayedSource{Source: source, clock: clock, service: service, firstWait: firstRelayWait, changed: make(chan struct{})}
+func newRelayedSource(source awwatch.Source, clock awclock.Clock, logger log.Logger, service string) *relayedSource {
+	return &relayedSource{
+		Source: source, clock: clock, logger: logger, service: service, firstWait: firstRelayWait, changed: make(chan struct{}),
+	}
 }
 
 // relay records what an entry has sent. An entry may lag behind another one, so it
@@ -86,10 +94,12 @@
 		r.mu.Lock()
 		age, fleet, changed := r.clock.Now().Sub(r.relayedAt), r.fleet, r.changed
 		r.mu.Unlock()
-		switch {
-		case age >= relayTTL:
+		if age >= relayTTL {
+			r.logSource(true)
 			return r.Source.Operator(ctx, since, wait)
-		case since == 0 || r.returned == nil || !reflect.DeepEqual(fleet, *r.returned):
+		}
+		r.logSource(false)
+		if since == 0 || r.returned == nil || !reflect.DeepEqual(fleet, *r.returned) {
 			r.returned = &fleet
 			return r.rows(fleet), nil
 		}
@@ -108,6 +118,20 @@
 	}
 }
 
+// logSource logs where the configuration and the versions come from, if that has
+// changed.
+func (r *relayedSource) logSource(store bool) {
+	if store == r.readStore {
+		return
+	}
+	r.readStore = store
+	message := "an entry sends the configuration again"
+	if store {
+		message = "no entry sends the configuration; reading the store"
+	}
+	_ = level.Info(r.logger).Log("Message", message) // a failure to log must not stop the loader
+}
+
 // awaitFirst waits up to firstWait for the first datagram of an entry.
 func (r *relayedSource) awaitFirst(ctx context.Context) {
 	r.mu.Lock()
--- a/io/awloader/source_test.go
+++ b/io/awloader/source_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
 	"arbutuswind/core/awclock"
@@ -46,7 +47,7 @@
 	ctx := context.Background()
 	clock := awclock.NewFake(time.Unix(1000, 0))
 	store := &countingSource{}
-	source := newRelayedSource(store, clock, "s")
+	source := newRelayedSource(store, clock, log.NewNopLogger(), "s")
 	source.firstWait = 0
 	rows, err := source.Operator(ctx, 0, time.Hour)
 	require.NoError(t, err)
