Leave the rate of a cold engine to its related entries

Cause, from reading: an entry whose related engines may all not run a request falls back to the others, with a share of their cold rate beside that of the related entries; with 53 entries at once that adds up to twice the rate. Change: no requests to cold engines outside the relations.

--- a/core/awdispatch/load_test.go
+++ b/core/awdispatch/load_test.go
@@ -442,6 +442,20 @@
 	}
 }
 
+// Guards rule FAILBACK when entries fall back to engines that are not related to
+// them: the rate of a cold engine belongs to its related entries.
+func TestColdEngineTakesNoRequestsOfOtherEntries(t *testing.T) {
+	s := newSimulation(53, 1, 100*time.Millisecond)
+	cold := s.engines[0].info
+	cold.ColdRemaining = time.Minute
+	for _, d := range s.entries {
+		d.SetSharers(map[string]int{"10.9.9.9:1": 4}) // an engine that has failed
+		d.SetServers([]awdirectory.Server{cold})
+	}
+	s.run(3*time.Second, func(int) float64 { return 5 })
+	require.Empty(t, s.engines[0].arrivals)
+}
+
 // Guards against requests that start on an outdated version of the weights,
 // against requests to an engine that is loading weights, and against requests
 // that are queued although no backend server can become usable in time.
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -223,7 +223,7 @@
 			continue
 		}
 		free, load := s.capacity(now, svc, d.entryCount)
-		if free <= 0 || (s.cold(now) && !s.mayTakeColdRequest(now, svc.ColdRate, s.entries(d.entryCount))) || !s.fitsMemory(now, req.Tokens) {
+		if free <= 0 || (s.cold(now) && !s.mayTakeColdRequest(now, svc, d.entryCount, len(d.sharers) > 0)) || !s.fitsMemory(now, req.Tokens) {
 			continue
 		}
 		score := load + distancePenalty*d.distance(&s.info) + tieBreakWeight*d.cfg.Rand.Float64()
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -88,8 +88,12 @@
 }
 
 // mayTakeColdRequest reports whether one more request to a cold backend server
-// stays within this entry's share of its rate limit, in requests a second.
-func (s *server) mayTakeColdRequest(now time.Time, rate float64, entries int) bool {
+// stays within this entry's share of its rate limit, in requests a second. An
+// engine's limit belongs to the entries related to it.
+func (s *server) mayTakeColdRequest(now time.Time, svc awdirectory.Service, allEntries int, hasRelations bool) bool {
+	if svc.Engine && hasRelations && s.sharers == 0 {
+		return false
+	}
 	kept := s.coldSends[:0]
 	for _, at := range s.coldSends {
 		if now.Sub(at) < coldWindow {
@@ -97,7 +101,7 @@
 		}
 	}
 	s.coldSends = kept
-	return len(s.coldSends) < s.share(rate, entries)
+	return len(s.coldSends) < s.share(svc.ColdRate, s.entries(allEntries))
 }
 
 // slowdown returns how many times slower than usual the backend server reports
