--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -11,6 +11,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -94,7 +95,7 @@
 	// open while nothing changes.
 	LongPollTimeout time.Duration
 	// MaxRetryDelay is the longest delay between two reads while the store is
-	// unavailable.
+	// unavailable. If the list of entries is read and short, the delay is shorter.
 	MaxRetryDelay time.Duration
 }
 
@@ -128,7 +129,8 @@
 	loaded     struct{ operator, servers, entries bool } // whether the table has been read in full
 	outage     outage
 
-	configs configPace // used by readOperator only
+	entryCount atomic.Int32 // length of entries, for the polls
+	configs    configPace   // used by readOperator only
 
 	mu        sync.Mutex
 	abortRead context.CancelCauseFunc // aborts the current long poll of the operators' rows; nil if there is none
@@ -193,7 +195,7 @@
 			if table != tableEntries && w.outage.begin(table) {
 				w.beginOutage(ctx)
 			}
-			Sleep(ctx, retryDelay(failures, w.cfg.MaxRetryDelay))
+			Sleep(ctx, retryDelay(failures, w.maxRetryDelay()))
 			continue
 		}
 		w.outage.end(table)
@@ -206,6 +208,14 @@
 	}
 }
 
+// maxRetryDelay returns the longest delay after a failed read.
+func (w *Watcher) maxRetryDelay() time.Duration {
+	if w.cfg.EntriesInterval == 0 {
+		return w.cfg.MaxRetryDelay // this process does not know how many others there are
+	}
+	return maxRetryDelay(int(w.entryCount.Load()), w.cfg.MaxRetryDelay)
+}
+
 // beginOutage aborts the long poll of the operators' rows and records the time
 // from which registrations of backend servers may lapse.
 func (w *Watcher) beginOutage(ctx context.Context) {
@@ -440,6 +450,7 @@
 		w.loaded.entries = true
 		w.log("entries changed", "Entries", len(names))
 		w.entries = names
+		w.entryCount.Store(int32(len(names)))
 		w.publish()
 	})
 	return 0, nil
--- a/io/awwatch/awwatch_test.go
+++ b/io/awwatch/awwatch_test.go
@@ -178,6 +178,17 @@
 	}
 }
 
+// Guards against a small fleet that learns of new versions a second late after an
+// outage, and against a large one that probes the store hundreds of times a second.
+func TestRetryDelayFollowsTheNumberOfEntries(t *testing.T) {
+	const limit = 1500 * time.Millisecond
+	require.Equal(t, firstRetryDelay, maxRetryDelay(0, limit))
+	require.Equal(t, firstRetryDelay, maxRetryDelay(5, limit))
+	require.Equal(t, 600*time.Millisecond, maxRetryDelay(20, limit))
+	require.Equal(t, limit, maxRetryDelay(53, limit))
+	require.Equal(t, time.Millisecond, maxRetryDelay(53, time.Millisecond))
+}
+
 // Guards against missing changes after the store has dropped its change history:
 // the watcher must read the whole table again.
 func TestFullReadAfterHistoryIsGone(t *testing.T) {
--- a/io/awwatch/outage.go
+++ b/io/awwatch/outage.go
@@ -8,8 +8,12 @@
 )
 
 const (
+	// retryPerEntry is the growth of the longest retry delay with the number of
+	// entries. All of them together probe the store at most about 30 to 60 times a
+	// second, and the few of a small fleet notice its return at once.
+	retryPerEntry = 30 * time.Millisecond
 	// firstRetryDelay is the longest delay after the first failed read. It
-	// doubles with each further one, up to Config.MaxRetryDelay.
+	// doubles with each further one, up to maxRetryDelay.
 	firstRetryDelay = 400 * time.Millisecond
 	// maxOutageWait is how long a table waits for the probes of another one.
 	// The store may fail for one table only.
@@ -74,6 +78,12 @@
 	}
 }
 
+// maxRetryDelay returns the longest delay after a failed read with the given
+// number of entries. limit bounds it.
+func maxRetryDelay(entries int, limit time.Duration) time.Duration {
+	return min(limit, max(firstRetryDelay, time.Duration(entries)*retryPerEntry))
+}
+
 // retryDelay returns a random delay after the given number of failed reads in a
 // row, so that processes do not retry together.
 func retryDelay(failures int, limit time.Duration) time.Duration {
