Let an entry end a loader's wait for the store

The store is away from 18 to 26 s, so no gateway is connected and the loaders read the store themselves; after a failed read they waited up to 2 s, also when a gateway was back in touch. A third of them learnt of version 3 0.4 to 0.7 s late, its transfer was at 86 of 96 chunks (median) when all processes were killed at 32.6 s, and these chunks were lost. Change: relayedSource waits after a failed read, until an entry sends something new or a random time around 1.5 s has passed; the watcher's own delay is short. Test: TestEntryEndsTheWaitForTheStore.

--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -132,9 +132,9 @@
 	// MaxStaleness. A store that became unavailable and available again in the
 	// meantime is noticed only when the poll ends.
 	longPollDivisor = 2
-	// maxRetryDelay is the longest delay between two reads of an unavailable
-	// store. There are many loaders, and each call counts at the store.
-	maxRetryDelay = 2 * time.Second
+	// maxRetryDelay is the longest delay of the watcher after a failed read. It is
+	// short, since relayedSource has waited already.
+	maxRetryDelay = 200 * time.Millisecond
 	// uploadSlots is the maximum number of parallel uploads to peers. Uploads
 	// delay the engine's responses, which share the link.
 	uploadSlots = 2
--- a/io/awloader/source.go
+++ b/io/awloader/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"reflect"
 	"sync"
 	"time"
@@ -24,6 +25,9 @@
 	// firstRelayWait is how long a loader waits for the first datagram. Entries
 	// send it as soon as they have read the configuration and the engine is listed.
 	firstRelayWait = 4 * time.Second
+	// storeRetryDelay is the mean delay after a failed read of the store. There are
+	// many loaders, and each call counts at the store.
+	storeRetryDelay = 1500 * time.Millisecond
 	// relayedRevision makes a later read of changes from the store fail, so that
 	// the table is read in full.
 	relayedRevision = 1
@@ -38,10 +42,11 @@
 // after a power failure keeps the region's link busy for many seconds.
 type relayedSource struct {
 	awwatch.Source
-	clock     awclock.Clock
-	logger    log.Logger
-	service   string
-	firstWait time.Duration // see firstRelayWait
+	clock      awclock.Clock
+	logger     log.Logger
+	service    string
+	firstWait  time.Duration // see firstRelayWait
+	retryDelay time.Duration // see storeRetryDelay
 
 	mu        sync.Mutex
 	relayedAt time.Time     // when an entry last sent a fleet
@@ -55,7 +60,7 @@
 
 func newRelayedSource(source awwatch.Source, clock awclock.Clock, logger log.Logger, service string) *relayedSource {
 	return &relayedSource{
-		Source: source, clock: clock, logger: logger, service: service, firstWait: firstRelayWait, changed: make(chan struct{}),
+		Source: source, clock: clock, logger: logger, service: service, firstWait: firstRelayWait, retryDelay: storeRetryDelay, changed: make(chan struct{}),
 	}
 }
 
@@ -96,7 +101,11 @@
 		r.mu.Unlock()
 		if age >= relayTTL {
 			r.logSource(true)
-			return r.Source.Operator(ctx, since, wait)
+			rows, err := r.Source.Operator(ctx, since, wait)
+			if err != nil && !errors.Is(err, awwatch.ErrHistoryGone) && r.awaitChange(ctx, changed) {
+				continue // an entry was back in touch before the store was read again
+			}
+			return rows, err
 		}
 		r.logSource(false)
 		if since == 0 || r.returned == nil || !reflect.DeepEqual(fleet, *r.returned) {
@@ -118,6 +127,20 @@
 	}
 }
 
+// awaitChange waits for an entry to send something new, up to a random time
+// around storeRetryDelay. It reports whether one has done so.
+func (r *relayedSource) awaitChange(ctx context.Context, changed <-chan struct{}) bool {
+	limit := time.NewTimer(r.retryDelay/2 + time.Duration(rand.Int64N(int64(r.retryDelay)+1)))
+	defer limit.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // logSource logs where the configuration and the versions come from, if that has
 // changed.
 func (r *relayedSource) logSource(store bool) {
--- a/io/awloader/source_test.go
+++ b/io/awloader/source_test.go
@@ -18,13 +18,18 @@
 type countingSource struct {
 	fakeSource
 	operatorReads int
-	serverReads   []uint64 // since arguments
-	gone          bool     // the next read of changes fails
+	down          chan struct{} // if set, reads of the operators' rows fail and send to it
+	serverReads   []uint64      // since arguments
+	gone          bool          // the next read of changes fails
 	changes       awwatch.ServerRows
 }
 
 func (s *countingSource) Operator(_ context.Context, since uint64, _ time.Duration) (awwatch.OperatorRows, error) {
 	s.operatorReads++
+	if s.down != nil {
+		s.down <- struct{}{}
+		return awwatch.OperatorRows{}, errDown
+	}
 	return awwatch.OperatorRows{Revision: since + 1}, nil
 }
 
@@ -82,6 +87,24 @@
 	require.Equal(t, 2, store.operatorReads, "the entries are silent")
 }
 
+// Guards against loaders that learn of a version up to two seconds after an outage
+// of the store, because they wait before they read the store again while an entry
+// is back in touch.
+func TestEntryEndsTheWaitForTheStore(t *testing.T) {
+	store := &countingSource{down: make(chan struct{})}
+	source := newRelayedSource(store, awclock.NewFake(time.Unix(1000, 0)), log.NewNopLogger(), "s")
+	source.firstWait, source.retryDelay = 0, time.Hour
+	rows := make(chan awwatch.OperatorRows)
+	go func() {
+		got, err := source.Operator(context.Background(), 3, time.Hour)
+		require.NoError(t, err)
+		rows <- got
+	}()
+	<-store.down
+	source.relay(awload.Fleet{Model: "m", Versions: map[string]int64{"m": 3}})
+	require.Equal(t, map[string]int64{"m": 3}, (<-rows).DesiredVersions)
+}
+
 // Guards against a saturated link between regions: every loader read the whole
 // list of backend servers each second of a transfer.
 func TestServerListReadsChanges(t *testing.T) {
