--- a/io/awloader/reconcile.go
+++ b/io/awloader/reconcile.go
@@ -29,10 +29,11 @@
 	// a multiple of the time that one copy takes on a link.
 	transferTimeFactor = 1.2
 	// peersInterval is the shortest time between two reads of the list of backend
-	// servers during a transfer, and maxPeersInterval the longest. While chunks
-	// arrive, the known peers suffice.
+	// servers during a transfer, and maxPeersInterval the longest, which applies
+	// while chunks arrive. The duties of an engine that has died are taken over
+	// when the list no longer has it.
 	peersInterval    = time.Second
-	maxPeersInterval = 5 * time.Second
+	maxPeersInterval = 2 * time.Second
 	// loadTimeout limits the wait for an engine to complete a load order.
 	loadTimeout = 6 * time.Second
 	loadPoll    = 60 * time.Millisecond
