--- /dev/null
+++ b/core/awdispatch/limits_test.go
@@ -0,0 +1,140 @@
+package awdispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutuswind/core/awdirectory"
+)
+
+// Guards against overload of a cold backend server. Entries that do not
+// communicate must together stay within its rate limit in any second.
+func TestColdServerRateLimit(t *testing.T) {
+	s := newSimulation(5, 2, 80*time.Millisecond)
+	s.service.ColdRate = 10
+	for _, d := range s.entries {
+		d.SetServices([]awdirectory.Service{s.service})
+		cold := s.engines[0].info
+		cold.ColdRemaining = time.Minute
+		d.SetServers([]awdirectory.Server{cold, s.engines[1].info})
+	}
+	s.run(10*time.Second, func(int) float64 { return 40 })
+	arrivals := s.engines[0].arrivals
+	require.NotEmpty(t, arrivals)
+	for i := range arrivals {
+		n := 0
+		for _, at := range arrivals[i:] {
+			if at.Sub(arrivals[i]) < time.Second {
+				n++
+			}
+		}
+		require.LessOrEqual(t, n, 10)
+	}
+}
+
+// Guards rule FAILBACK with more entries than the requests a second that a cold
+// engine can handle: the shares of all entries must add up to about its rate,
+// whether or not it is related to a few entries only.
+func TestColdServerRateLimitOfManyEntries(t *testing.T) {
+	const rate = 14
+	for _, related := range []bool{false, true} {
+		s := newSimulation(53, 10, 100*time.Millisecond)
+		s.service.ColdRate = rate
+		cold := s.engines[0].info
+		cold.ColdRemaining = time.Minute
+		list := []awdirectory.Server{cold}
+		for _, e := range s.engines[1:] {
+			list = append(list, e.info)
+		}
+		if related {
+			s.relate()
+		}
+		for _, d := range s.entries {
+			d.SetServices([]awdirectory.Service{s.service})
+			d.SetServers(list)
+		}
+		s.run(5*time.Second, func(int) float64 { return 20 })
+		arrivals := s.engines[0].arrivals
+		require.Greater(t, len(arrivals), rate, "related: %v", related)
+		for i := range arrivals {
+			inSecond := 0
+			for _, at := range arrivals[i:] {
+				if at.Sub(arrivals[i]) < time.Second {
+					inSecond++
+				}
+			}
+			require.LessOrEqual(t, inSecond, rate+rate/2, "related: %v", related)
+		}
+	}
+}
+
+// Guards rule FAILBACK when entries fall back to engines that are not related to
+// them: the rate of a cold engine belongs to its related entries.
+func TestColdEngineTakesNoRequestsOfOtherEntries(t *testing.T) {
+	s := newSimulation(53, 1, 100*time.Millisecond)
+	cold := s.engines[0].info
+	cold.ColdRemaining = time.Minute
+	for _, d := range s.entries {
+		d.SetSharers(map[string]int{"10.9.9.9:1": 4}) // an engine that has failed
+		d.SetServers([]awdirectory.Server{cold})
+	}
+	s.run(3*time.Second, func(int) float64 { return 5 })
+	require.Empty(t, s.engines[0].arrivals)
+}
+
+// Guards against requests that start on an outdated version of the weights,
+// against requests to an engine that is loading weights, and against requests
+// that are queued although no backend server can become usable in time.
+func TestUnusableWeights(t *testing.T) {
+	s := newSimulation(1, 1, 0)
+	d := s.entries[0]
+	submit := func() Decision {
+		var got Decision
+		d.Submit(Request{Service: "s", Model: "m", Deadline: s.clock.Now().Add(time.Second)}, func(dec Decision) { got = dec })
+		return got
+	}
+	require.NotNil(t, submit().Grant)
+	d.SetFloors(map[string][]awdirectory.Floor{"m": {{Version: 2, From: s.clock.Now().Add(time.Second)}}})
+	require.NotNil(t, submit().Grant, "before the floor takes effect")
+	s.clock.Advance(time.Second)
+	refused := submit()
+	require.Nil(t, refused.Grant)
+	require.Equal(t, NoServer, refused.Refusal)
+	key := s.engines[0].info.Key()
+	d.Report(key, Load{At: s.clock.Now(), Versions: map[string]int64{"m": 2}})
+	require.NotNil(t, submit().Grant, "the load report takes precedence over the server list")
+	d.Report(key, Load{At: s.clock.Now(), Versions: map[string]int64{"m": 2}, Busy: true})
+	require.Nil(t, submit().Grant)
+}
+
+// Guards against new requests to a backend server in a failure domain out of
+// service, to one that is draining, to one in a region that is not allowed, and to
+// one that failed the request before.
+func TestUnusableServers(t *testing.T) {
+	for name, change := range map[string]func(d *Dispatcher, s *awdirectory.Server, r *Request){
+		"domain out": func(d *Dispatcher, s *awdirectory.Server, _ *Request) {
+			d.SetDomainsOut(map[string]bool{s.Domain: true})
+		},
+		"leaving": func(_ *Dispatcher, s *awdirectory.Server, _ *Request) { s.Draining = true },
+		"region": func(_ *Dispatcher, _ *awdirectory.Server, r *Request) {
+			r.Allowed = func(region string) bool { return region == "elsewhere" }
+		},
+		"failed before": func(_ *Dispatcher, s *awdirectory.Server, r *Request) {
+			r.Avoid = map[awdirectory.Key]bool{s.Key(): true}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(1, 1, 0)
+			req := Request{Service: "s", Model: "m", Deadline: s.clock.Now().Add(time.Second)}
+			info := s.engines[0].info
+			change(s.entries[0], &info, &req)
+			s.entries[0].SetServers([]awdirectory.Server{info})
+			var got Decision
+			s.entries[0].Submit(req, func(dec Decision) { got = dec })
+			require.Nil(t, got.Grant)
+			require.Positive(t, got.RetryAfter)
+		})
+	}
+}
