Use one wait for an event with a limit

relayedSource.awaitChange, awaitFirst and outage.await had each written the wait for a channel, a limit or the end of the context again, beside awwatch.Sleep. awwatch.WaitFor serves all four. Behaviour is unchanged; the tests of awwatch, awloader and awcommand pass.

--- a/io/awloader/source.go
+++ b/io/awloader/source.go
@@ -130,15 +130,7 @@
 // awaitChange waits for an entry to send something new, up to a random time
 // around storeRetryDelay. It reports whether one has done so.
 func (r *relayedSource) awaitChange(ctx context.Context, changed <-chan struct{}) bool {
-	limit := time.NewTimer(r.retryDelay/2 + time.Duration(rand.Int64N(int64(r.retryDelay)+1)))
-	defer limit.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-limit.C:
-	case <-ctx.Done():
-	}
-	return false
+	return awwatch.WaitFor(ctx, changed, r.retryDelay/2+time.Duration(rand.Int64N(int64(r.retryDelay)+1)))
 }
 
 // logSource logs where the configuration and the versions come from, if that has
@@ -160,15 +152,8 @@
 	r.mu.Lock()
 	changed, wait := r.changed, r.relayedAt.IsZero()
 	r.mu.Unlock()
-	if !wait {
-		return
-	}
-	limit := time.NewTimer(r.firstWait)
-	defer limit.Stop()
-	select {
-	case <-changed:
-	case <-limit.C:
-	case <-ctx.Done():
+	if wait {
+		awwatch.WaitFor(ctx, changed, r.firstWait)
 	}
 }
 
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -260,12 +260,21 @@
 	if d <= 0 {
 		return
 	}
-	t := time.NewTimer(d)
+	WaitFor(ctx, nil, d)
+}
+
+// WaitFor waits until the event's channel is closed, up to limit, or until ctx
+// ends if that is sooner. It reports whether the event has occurred.
+func WaitFor(ctx context.Context, event <-chan struct{}, limit time.Duration) bool {
+	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
+	case <-event:
+		return true
 	case <-t.C:
 	case <-ctx.Done():
 	}
+	return false
 }
 
 // Connected reports whether the last read of the store succeeded.
--- a/io/awwatch/outage.go
+++ b/io/awwatch/outage.go
@@ -66,15 +66,8 @@
 	wait := o.prober != "" && o.prober != table
 	over := o.over
 	o.mu.Unlock()
-	if !wait {
-		return
-	}
-	limit := time.NewTimer(o.maxWait)
-	defer limit.Stop()
-	select {
-	case <-over:
-	case <-limit.C:
-	case <-ctx.Done():
+	if wait {
+		WaitFor(ctx, over, o.maxWait)
 	}
 }
 
