Log the rate limits that backend servers name

Cause looked for: whether the limit reaches the gateways at all. The logs could not tell, since DecodeResponse dropped the header.

Change: platform decodes the limit, core/awthrottle keeps an account per incarnation, and the gateway logs and counts changes. A limit is lifted only by a response to a request sent after the limit was known, because responses overtake each other. Nothing obeys the limit yet; TestRateLimitOfServerIsKept fails (40 requests instead of at most 11) and is listed as known red.

--- /dev/null
+++ b/core/awthrottle/account.go
@@ -0,0 +1,69 @@
+package awthrottle
+
+import (
+	"time"
+)
+
+// Signals is what a backend server says about itself in a response, beside the
+// response to the request.
+type Signals struct {
+	// Limited reports that the backend server names a rate limit.
+	Limited bool
+	// RateLimit is the number of requests per second that the backend server takes
+	// from all entries together.
+	RateLimit float64
+	// Unreadable reports that a limit was named but could not be read. The response
+	// then neither names nor lifts a limit.
+	Unreadable bool
+}
+
+const (
+	// minRate is the lowest rate, in requests per second, that is used for a limit.
+	// A backend server that named zero and got no requests at all could never lift
+	// its limit.
+	minRate = 0.2
+	// maxRate is the rate above which a limit is not worth tracking.
+	maxRate = 1e4
+)
+
+// Account holds what one incarnation of a backend server has said about itself.
+// The zero value is the account of one that has said nothing.
+type Account struct {
+	Rate float64 // in the response that named a limit last, requests per second
+	// NamedAt is when the last response that names a limit arrived, and LiftedAt
+	// when the last request was sent whose response names none. Responses may
+	// overtake each other, so a limit is lifted only by a response to a request that
+	// was sent after the limit was known.
+	NamedAt, LiftedAt time.Time
+}
+
+// Limit returns the rate limit in requests per second, and whether there is one.
+func (a *Account) Limit() (float64, bool) {
+	return a.Rate, !a.NamedAt.IsZero() && !a.LiftedAt.After(a.NamedAt)
+}
+
+// observe records the signals in a response to a request. It reports whether the
+// limit has changed.
+func (a *Account) observe(s Signals, sent, now time.Time) bool {
+	switch {
+	case s.Unreadable:
+		return false
+	case s.Limited && s.RateLimit <= maxRate:
+		return a.merge(Account{Rate: max(minRate, s.RateLimit), NamedAt: now})
+	}
+	return a.merge(Account{LiftedAt: sent})
+}
+
+// merge adds what another account of the same incarnation holds. It reports
+// whether the limit has changed.
+func (a *Account) merge(b Account) bool {
+	rate, limited := a.Limit()
+	if b.NamedAt.After(a.NamedAt) {
+		a.Rate, a.NamedAt = b.Rate, b.NamedAt
+	}
+	if b.LiftedAt.After(a.LiftedAt) {
+		a.LiftedAt = b.LiftedAt
+	}
+	newRate, nowLimited := a.Limit()
+	return limited != nowLimited || (nowLimited && rate != newRate)
+}
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -30,6 +30,7 @@
 	"arbutuswind/core/awmember"
 	"arbutuswind/core/awquarantine"
 	"arbutuswind/core/awretry"
+	"arbutuswind/core/awthrottle"
 	"arbutuswind/io/awbackend"
 	"arbutuswind/io/awwatch"
 )
@@ -63,6 +64,7 @@
 	rng            *rand.Rand
 	callerTimeouts *awdispatch.CallerTimeouts
 	exchange       exchange
+	throttle       *awthrottle.Throttle
 
 	relations   relations
 	floors      map[string][]awdirectory.Floor // by model
@@ -73,9 +75,11 @@
 // New returns a gateway without a configuration.
 func New(cfg Config) *Gateway {
 	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Clock.Now().UnixNano())))
+	throttle := awthrottle.New(awthrottle.Config{Clock: cfg.Clock})
 	return &Gateway{
 		cfg: cfg, metrics: newMetrics(), budgets: map[string]*awretry.WindowBudget{}, entryCount: 1, rng: rng,
 		exchange:       newExchange(awquarantine.New(cfg.Clock, cfg.Instance)),
+		throttle:       throttle,
 		callerTimeouts: awdispatch.NewCallerTimeouts(), byAddress: map[string]awdirectory.Server{}, resubscribe: make(chan struct{}, 1),
 		dispatch: awdispatch.New(awdispatch.Config{
 			Clock: cfg.Clock, Rand: rng, Self: cfg.Instance, Domain: cfg.Domain, Region: cfg.Region, Eject: awmember.DefaultEjectConfig(),
--- a/io/awgateway/dialect.go
+++ b/io/awgateway/dialect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"arbutuswind/core/awdirectory"
+	"arbutuswind/core/awthrottle"
 )
 
 // RequestInfo holds the data from the headers of a caller's request.
@@ -42,6 +43,7 @@
 	Replaced bool  // a different backend server than the expected one responded
 	Signed   bool  // the response has the backend server's signature
 	Version  int64 // version of the weights; 0 if not set
+	Signals  awthrottle.Signals
 }
 
 // HeaderCodec decodes and encodes the HTTP headers of callers and backend
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -81,6 +81,9 @@
 	defer resp.Close()
 	g.recordAnswer(poolKey(&grant.Server), sent)
 	respInfo := g.cfg.Headers.DecodeResponse(resp.Status, resp.Header)
+	if !respInfo.Replaced {
+		g.observeSignals(&grant.Server, respInfo.Signals, sent)
+	}
 	switch {
 	case respInfo.Replaced:
 		return sendResult{outcome: awdispatch.Replaced, reason: "Replaced"}
--- a/io/awgateway/telemetry.go
+++ b/io/awgateway/telemetry.go
@@ -24,7 +24,9 @@
 	firstEvent, answer, queueWait *metrics.Histogram
 	sends, retries, callersLeft   *metrics.Counter
 	logLinesDropped, badFacts     *metrics.Counter
+	badSignals                    *metrics.Counter
 	quarantined                   *metrics.Gauge // prompt parts in quarantine
+	rateLimits                    *metrics.Gauge // backend servers with a rate limit
 	logLimiter                    *rate.Limiter
 }
 
@@ -36,7 +38,9 @@
 		retries: counter("arbutuswind_gateway_repeats_total"), callersLeft: counter("arbutuswind_gateway_callers_left_total"),
 		logLinesDropped: counter("arbutuswind_gateway_log_lines_left_out_total"),
 		badFacts:        counter("arbutuswind_gateway_bad_facts_total"),
+		badSignals:      counter("arbutuswind_gateway_bad_signals_total"),
 		quarantined:     metrics.GetOrCreateGauge("arbutuswind_gateway_quarantined_parts", nil),
+		rateLimits:      metrics.GetOrCreateGauge("arbutuswind_gateway_rate_limits", nil),
 		logLimiter:      rate.NewLimiter(logLinesPerSecond, logLineBurst),
 	}
 }
