Share the rate limits of backend servers between the entries

Cause: nothing read what servers say; slots and load reports alone decided what they get. The class is feedback that is dropped at a boundary.

Change: for each server with a limit one entry, the first in rendezvous order that answers, issues permits at the named rate (core/awthrottle), and the dispatcher sends only with one. Entries ask while requests wait, first attempts before late ones, so the rate goes where callers are. Fixed shares were ruled out: with 53 entries and 2 requests a second each entry would have one permit in 26 s, and 53 unused ones could be spent at once. A change of a limit is told to all entries, and an entry that starts asks for the limits in force.

TestRateLimitIsSharedByEntries and its neighbours play 1 to 53 entries with loss, freezes, kills and joins.

Open: awentry and awagent, other servers' signals.

--- a/core/awdirectory/table.go
+++ b/core/awdirectory/table.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -26,6 +27,9 @@
 	StartUnixMs int64
 }
 
+// String returns the key as text.
+func (k Key) String() string { return k.ID + "|" + strconv.FormatInt(k.StartUnixMs, 10) }
+
 // Key returns the key of the server's incarnation.
 func (s *Server) Key() Key { return Key{ID: s.ID, StartUnixMs: s.StartUnixMs} }
 
--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -37,6 +37,7 @@
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awmember"
+	"arbutuswind/core/awthrottle"
 )
 
 // EntriesPerEngine is the number of entries to which an engine should be related;
@@ -81,6 +82,9 @@
 	Domain string // failure domain of this entry
 	Region string // region of this entry
 	Eject  awmember.EjectConfig
+	// Throttle limits what is sent to backend servers that ask for fewer requests.
+	// If nil, this entry alone keeps to their limits.
+	Throttle *awthrottle.Throttle
 }
 
 // Request describes a request to dispatch.
@@ -136,10 +140,14 @@
 	queues          map[string][]*Ticket
 	assignmentRates map[string]*assignmentRate
 	ejector         *awmember.Ejector
+	submissions     uint64
 }
 
 // New returns a dispatcher without backend servers.
 func New(cfg Config) *Dispatcher {
+	if cfg.Throttle == nil {
+		cfg.Throttle = awthrottle.New(awthrottle.Config{Clock: cfg.Clock, Rand: cfg.Rand, Self: cfg.Self})
+	}
 	return &Dispatcher{
 		cfg: cfg, servers: map[awdirectory.Key]*server{}, byService: map[string][]*server{}, domainsOut: map[string]bool{},
 		floors: map[string][]awdirectory.Floor{}, entryCount: 1, services: map[string]awdirectory.Service{},
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -1,6 +1,7 @@
 package awdispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -26,6 +27,8 @@
 // Ticket identifies a submitted request.
 type Ticket struct {
 	req       Request
+	submitted time.Time
+	salt      float64 // from 0 to 1; spreads requests over backend servers with a rate limit
 	waitUntil time.Time
 	decide    func(Decision)
 	done      bool
@@ -69,7 +72,7 @@
 // first. The function decide must not call the dispatcher.
 func (d *Dispatcher) Submit(req Request, decide func(Decision)) *Ticket {
 	now := d.cfg.Clock.Now()
-	t := &Ticket{req: req, waitUntil: now.Add(req.MaxWait), decide: decide}
+	t := &Ticket{req: req, submitted: now, salt: d.nextSalt(), waitUntil: now.Add(req.MaxWait), decide: decide}
 	if req.Deadline.Before(t.waitUntil) {
 		t.waitUntil = req.Deadline
 	}
@@ -90,9 +93,17 @@
 		return t
 	}
 	d.queues[req.Service] = slices.Insert(queue, position, t)
+	d.updateWants(req.Service, now)
 	return t
 }
 
+// nextSalt returns a number in [0, 1). Those of consecutive requests are far apart.
+func (d *Dispatcher) nextSalt() float64 {
+	d.submissions++
+	_, salt := math.Modf(float64(d.submissions) * math.Phi)
+	return salt
+}
+
 // before reports whether r is queued before other, which was submitted earlier.
 func (r *Request) before(other *Request) bool {
 	if r.Priority != other.Priority {
@@ -127,6 +138,7 @@
 	q := d.queues[t.req.Service]
 	if i := slices.Index(q, t); i >= 0 {
 		d.queues[t.req.Service] = slices.Delete(q, i, i+1)
+		d.updateWants(t.req.Service, d.cfg.Clock.Now())
 	}
 }
 
@@ -186,19 +198,25 @@
 	}
 	clear(queue[len(kept):])
 	d.queues[service] = kept
+	d.updateWants(service, now)
 }
 
 // assign grants a request the best backend server with free capacity. It returns
 // false if there is none. It considers servers that are not related to this entry
 // only if no related one may run the request.
 func (d *Dispatcher) assign(t *Ticket, now time.Time) bool {
-	best, load, usable := d.best(&t.req, now, true)
-	if !usable {
-		best, load, _ = d.best(&t.req, now, false)
+	c := d.best(&t.req, now, true)
+	if !c.usable {
+		c = d.best(&t.req, now, false)
 	}
+	if c.throttled != nil && c.server != nil {
+		d.cfg.Throttle.WantSpare(c.throttled.info.Key())
+	}
+	best, load := c.server, c.load
 	if best == nil {
 		return false
 	}
+	d.cfg.Throttle.Sent(best.info.Key())
 	best.ownRequests++
 	best.allowance--
 	if best.cold(now) {
@@ -213,30 +231,54 @@
 	return true
 }
 
-// best returns the best backend server with free capacity among those that are
-// related to this entry, or among the others, and its load. It also reports
-// whether any of them may run the request, with or without free capacity.
-func (d *Dispatcher) best(req *Request, now time.Time, related bool) (best *server, bestLoad float64, usable bool) {
-	svc := d.services[req.Service]
-	bestScore := 0.0
+// choice is the result of comparing backend servers for a request.
+type choice struct {
+	server      *server // best one with free capacity that may be sent to now; nil if there is none
+	score, load float64 // of server
+	usable      bool    // some backend server may run the request, with or without free capacity
+	// throttled is a backend server that is better than server but lacks a permit.
+	throttled *server
+}
+
+// best compares the backend servers that are related to this entry, or the others.
+func (d *Dispatcher) best(req *Request, now time.Time, related bool) choice {
+	var c choice
+	throttledScore := 0.0
 	for _, s := range d.byService[req.Service] {
 		if (s.sharers > 0) != related || !d.usable(s, req, now) {
 			continue
 		}
-		usable = true
-		if now.Before(s.rejectedUntil) {
-			continue
-		}
-		free, load := s.capacity(now, svc, d.entryCount)
-		if free <= 0 || (s.cold(now) && !s.mayTakeColdRequest(now, svc, d.entryCount, len(d.sharers) > 0)) || !s.fitsMemory(now, req.Tokens) {
+		c.usable = true
+		load, ok := d.freeCapacity(s, req, now)
+		if !ok {
 			continue
 		}
 		score := load + distancePenalty*d.distance(&s.info) + tieBreakWeight*d.cfg.Rand.Float64()
-		if best == nil || score < bestScore {
-			best, bestScore, bestLoad = s, score, load
+		switch {
+		case !d.cfg.Throttle.MaySend(s.info.Key()):
+			if c.throttled == nil || score < throttledScore {
+				c.throttled, throttledScore = s, score
+			}
+		case c.server == nil || score < c.score:
+			c.server, c.score, c.load = s, score, load
 		}
 	}
-	return best, bestLoad, usable
+	if c.server != nil && c.score <= throttledScore {
+		c.throttled = nil
+	}
+	return c
+}
+
+// freeCapacity returns the load of a usable backend server, and whether it has
+// free capacity for the request.
+func (d *Dispatcher) freeCapacity(s *server, req *Request, now time.Time) (float64, bool) {
+	if now.Before(s.rejectedUntil) {
+		return 0, false
+	}
+	svc := d.services[req.Service]
+	free, load := s.capacity(now, svc, d.entryCount)
+	ok := free > 0 && (!s.cold(now) || s.mayTakeColdRequest(now, svc, d.entryCount, len(d.sharers) > 0)) && s.fitsMemory(now, req.Tokens)
+	return load, ok
 }
 
 // fitsMemory reports whether the engine has enough free cache for a request.
--- a/core/awthrottle/account.go
+++ b/core/awthrottle/account.go
@@ -37,6 +37,15 @@
 	NamedAt, LiftedAt time.Time
 }
 
+// WithRate returns the account with a rate in requests per second. Rates that are no
+// usable limit are replaced by the nearest one.
+func (a Account) WithRate(rate float64) Account {
+	if a.Rate = minRate; rate > minRate { // false also if it is not a number
+		a.Rate = min(maxRate, rate)
+	}
+	return a
+}
+
 // Limit returns the rate limit in requests per second, and whether there is one.
 func (a *Account) Limit() (float64, bool) {
 	return a.Rate, !a.NamedAt.IsZero() && !a.LiftedAt.After(a.NamedAt)
@@ -49,11 +58,27 @@
 	case s.Unreadable:
 		return false
 	case s.Limited && s.RateLimit <= maxRate:
-		return a.merge(Account{Rate: max(minRate, s.RateLimit), NamedAt: now})
+		return a.merge(Account{NamedAt: now}.WithRate(s.RateLimit))
 	}
 	return a.merge(Account{LiftedAt: sent})
 }
 
+// mergeTolerance is the time by which what another entry says must be newer. Times
+// are sent as ages, so each exchange makes them appear later by a network delay.
+const mergeTolerance = 50 * time.Millisecond
+
+// mergeRemote adds what another entry knows. It reports whether the limit has
+// changed.
+func (a *Account) mergeRemote(b Account) bool {
+	if !b.NamedAt.After(a.NamedAt.Add(mergeTolerance)) {
+		b.NamedAt = time.Time{}
+	}
+	if !b.LiftedAt.After(a.LiftedAt.Add(mergeTolerance)) {
+		b.LiftedAt = time.Time{}
+	}
+	return a.merge(b)
+}
+
 // merge adds what another account of the same incarnation holds. It reports
 // whether the limit has changed.
 func (a *Account) merge(b Account) bool {
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -36,6 +36,9 @@
 	// only used to divide shared limits, and the shares leave headroom for an
 	// entry that is not counted yet.
 	entriesInterval = 5 * time.Second
+	// entrySettling is the time from the start of an entry until all others have
+	// read it from the store.
+	entrySettling = entriesInterval + 2*time.Second
 	// longPollTimeout is how long the store holds a read of the operators' rows
 	// open. Keep-alive probes detect a connection that goes silent meanwhile.
 	longPollTimeout = 10 * time.Second
@@ -93,7 +96,7 @@
 	g.router = awgateway.New(awgateway.Config{
 		Clock: clock, Logger: logger, Headers: platform.HeaderCodec{}, Pool: awbackend.NewPool(awbackend.Config{Clock: clock}),
 		Instance: cfg.Process.Instance, Domain: cfg.Process.Domain, Region: cfg.Process.Region, Seed: incarnation(),
-		Retry: retryWindow(cfg.Bounds),
+		Retry: retryWindow(cfg.Bounds), Settling: entrySettling,
 	})
 	g.watcher = awwatch.New(awwatch.Config{
 		Clock: clock, Logger: logger, Source: g.source, MaxStaleness: cfg.Bounds.Version.Std(),
@@ -147,6 +150,7 @@
 		return nil
 	})
 	group.Go(func() error { g.router.ShareFacts(serveCtx, socket); return nil })
+	group.Go(func() error { g.router.ShareLimits(serveCtx, socket); return nil })
 	group.Go(func() error { g.register(ctx); return nil })
 	group.Go(func() error {
 		defer cancel()
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -17,6 +17,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -47,6 +48,8 @@
 	Region   string
 	Retry    awretry.WindowConfig
 	Seed     uint64
+	// Settling is the time from the start of an entry until all others know it.
+	Settling time.Duration
 }
 
 // Gateway serves callers. It is safe for concurrent use.
@@ -65,24 +68,29 @@
 	callerTimeouts *awdispatch.CallerTimeouts
 	exchange       exchange
 	throttle       *awthrottle.Throttle
+	noticeTargets  map[string]netip.AddrPort // addresses of other entries by name
+	noticesWanted  bool                      // other entries are to be asked for their notices
 
 	relations   relations
 	floors      map[string][]awdirectory.Floor // by model
 	byAddress   map[string]awdirectory.Server
+	noticesDue  chan struct{} // signals that notices may have to be sent
 	resubscribe chan struct{} // signals a new address in byAddress or a newly named version
 }
 
 // New returns a gateway without a configuration.
 func New(cfg Config) *Gateway {
 	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Clock.Now().UnixNano())))
-	throttle := awthrottle.New(awthrottle.Config{Clock: cfg.Clock})
+	throttle := awthrottle.New(awthrottle.Config{Clock: cfg.Clock, Rand: rng, Self: cfg.Instance, Settling: cfg.Settling})
 	return &Gateway{
 		cfg: cfg, metrics: newMetrics(), budgets: map[string]*awretry.WindowBudget{}, entryCount: 1, rng: rng,
 		exchange:       newExchange(awquarantine.New(cfg.Clock, cfg.Instance)),
 		throttle:       throttle,
 		callerTimeouts: awdispatch.NewCallerTimeouts(), byAddress: map[string]awdirectory.Server{}, resubscribe: make(chan struct{}, 1),
+		noticesDue: make(chan struct{}, 1),
 		dispatch: awdispatch.New(awdispatch.Config{
 			Clock: cfg.Clock, Rand: rng, Self: cfg.Instance, Domain: cfg.Domain, Region: cfg.Region, Eject: awmember.DefaultEjectConfig(),
+			Throttle: throttle,
 		}),
 	}
 }
@@ -125,13 +133,19 @@
 	g.dispatch.SetSharers(g.relations.update(g.cfg.Instance, state, g.isEngineService))
 	g.dispatch.SetServers(state.Servers)
 	g.exchange.setEntries(state.Entries, g.cfg.Instance)
+	g.setNoticeTargets(state.Entries)
 	g.updateAddresses(state.Servers)
 	g.mu.Unlock()
 	g.serversLoaded.Store(true)
 	present := map[string]bool{}
+	keys := map[awdirectory.Key]bool{}
 	for i := range state.Servers {
 		present[poolKey(&state.Servers[i])] = true
+		keys[state.Servers[i].Key()] = true
 	}
+	g.mu.Lock()
+	g.throttle.SetServers(func(k awdirectory.Key) bool { return keys[k] })
+	g.mu.Unlock()
 	g.cfg.Pool.Prune(func(key string) bool { return present[key] })
 }
 
@@ -160,7 +174,12 @@
 
 // Stop makes the gateway unready. It still serves requests that arrive, but
 // closes their connections after the response.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+func (g *Gateway) Stop() {
+	g.stopping.Store(true)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.throttle.Stop()
+}
 
 // dispatchInterval is how often waiting requests are checked even if no
 // capacity was released. A request may exceed its maximum wait by up to this
@@ -180,6 +199,10 @@
 			if g.dispatch.Waiting() > 0 {
 				g.dispatch.Tick()
 			}
+			if g.throttle.Limits() > 0 {
+				g.throttle.Tick()
+				signal(g.noticesDue)
+			}
 			g.mu.Unlock()
 		}
 	}
--- a/io/awgateway/quarantine.go
+++ b/io/awgateway/quarantine.go
@@ -291,10 +291,10 @@
 const itemOverhead = 4
 
 // mustMarshal encodes a message, which has no required fields.
-func mustMarshal(m *awproto.Facts) []byte {
+func mustMarshal(m proto.Message) []byte {
 	b, err := proto.Marshal(m)
 	if err != nil {
-		panic(fmt.Sprintf("encode facts: %v", err))
+		panic(fmt.Sprintf("encode message: %v", err))
 	}
 	return b
 }
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -207,6 +207,7 @@
 	decisions := make(chan awdispatch.Decision, 1)
 	g.mu.Lock()
 	ticket := g.dispatch.Submit(req, func(d awdispatch.Decision) { decisions <- d })
+	g.signalNotices()
 	g.mu.Unlock()
 	select {
 	case d := <-decisions:
@@ -230,6 +231,7 @@
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
 	q.g.dispatch.Release(grant, out)
+	q.g.signalNotices()
 }
 
 // run sends the request until it is answered or must not be sent again.
--- a/io/awgateway/telemetry.go
+++ b/io/awgateway/telemetry.go
@@ -24,7 +24,7 @@
 	firstEvent, answer, queueWait *metrics.Histogram
 	sends, retries, callersLeft   *metrics.Counter
 	logLinesDropped, badFacts     *metrics.Counter
-	badSignals                    *metrics.Counter
+	badSignals, badNotices        *metrics.Counter
 	quarantined                   *metrics.Gauge // prompt parts in quarantine
 	rateLimits                    *metrics.Gauge // backend servers with a rate limit
 	logLimiter                    *rate.Limiter
@@ -39,6 +39,7 @@
 		logLinesDropped: counter("arbutuswind_gateway_log_lines_left_out_total"),
 		badFacts:        counter("arbutuswind_gateway_bad_facts_total"),
 		badSignals:      counter("arbutuswind_gateway_bad_signals_total"),
+		badNotices:      counter("arbutuswind_gateway_bad_notices_total"),
 		quarantined:     metrics.GetOrCreateGauge("arbutuswind_gateway_quarantined_parts", nil),
 		rateLimits:      metrics.GetOrCreateGauge("arbutuswind_gateway_rate_limits", nil),
 		logLimiter:      rate.NewLimiter(logLinesPerSecond, logLineBurst),
--- a/io/awload/awload.go
+++ b/io/awload/awload.go
@@ -47,6 +47,7 @@
 	fieldOrigin
 	fieldOriginDomain
 	fieldFacts
+	fieldNotices
 )
 
 // Report is the load of a backend server as reported by itself.
@@ -105,6 +106,7 @@
 	subscribe uint64
 	fleet     Fleet
 	facts     []byte // nil unless the datagram is one between entries
+	notices   []byte // likewise
 }
 
 // decode decodes a datagram.
@@ -154,6 +156,8 @@
 		d.fleet.OriginDomain = v
 	case fieldFacts:
 		d.facts = []byte(v)
+	case fieldNotices:
+		d.notices = []byte(v)
 	}
 }
 
@@ -225,6 +229,8 @@
 	// Facts handles what another entry has sent with [Socket.SendFacts] and
 	// returns what to send back.
 	Facts func(payload []byte) [][]byte
+	// Notices handles what another entry has sent with [Socket.SendNotices].
+	Notices func(from netip.AddrPort, payload []byte)
 }
 
 // Run receives datagrams until ctx ends and then closes the socket. It records
@@ -255,6 +261,10 @@
 					s.SendFacts(from, answer)
 				}
 			}
+		case d.notices != nil:
+			if h.Notices != nil {
+				h.Notices(from, d.notices)
+			}
 		case h.Report != nil:
 			h.Report(d.report)
 		}
@@ -308,8 +318,18 @@
 // SendFacts sends facts between entries. The payload must leave room for the
 // header of a datagram of 1200 bytes; a lost datagram is not sent again.
 func (s *Socket) SendFacts(addr netip.AddrPort, payload []byte) {
-	b := protowire.AppendTag(nil, fieldFacts, protowire.BytesType)
-	_, _ = s.conn.WriteToUDPAddrPort(protowire.AppendBytes(b, payload), addr) // digests follow
+	s.sendPayload(addr, fieldFacts, payload) // digests follow
+}
+
+// SendNotices sends notices about backend servers between entries, as SendFacts
+// does.
+func (s *Socket) SendNotices(addr netip.AddrPort, payload []byte) {
+	s.sendPayload(addr, fieldNotices, payload) // asks are repeated
+}
+
+func (s *Socket) sendPayload(addr netip.AddrPort, field protowire.Number, payload []byte) {
+	b := protowire.AppendTag(nil, field, protowire.BytesType)
+	_, _ = s.conn.WriteToUDPAddrPort(protowire.AppendBytes(b, payload), addr)
 }
 
 // Send sends a report to all subscribers and returns their number.
