Keep agents to the rate limit that their backend server names

What callers of awentry would see: a server in need gets all that its slots allow, as on the other path. Nothing read what servers say.

Cause: the same as in the gateway: awengine dropped the headers of responses.

Change: awengine decodes the limit of each response, the agent keeps the same account (core/awthrottle) and the admission controller starts requests at the rate, with the same token bucket as the issuers. All requests to a server pass through its agent, so no permits are needed. The report to entries shows no free slot and the expected wait while the rate allows nothing, so entries choose other agents; a request whose turn comes too late for its deadline is refused at once.

--- a/core/awadmit/awadmit.go
+++ b/core/awadmit/awadmit.go
@@ -16,6 +16,7 @@
 
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awoutcome"
+	"arbutuswind/core/awthrottle"
 )
 
 // Config holds the limits of the backend server and of the queue in front of it.
@@ -87,6 +88,8 @@
 	limiter       limiter
 	meanHold      time.Duration   // moving average of the time from grant to release
 	estimate      serviceEstimate // of the time from grant to finish
+	rate          float64         // requests per second that the backend server takes; 0 if it names no limit
+	bucket        awthrottle.Bucket
 }
 
 // NewController returns a Controller for a cold backend server.
@@ -98,9 +101,48 @@
 // has weight 1.
 func (c *Controller) SetWeights(weights map[string]int) { c.fairQueue.setWeights(weights) }
 
+// SetRate changes the number of requests per second that the backend server takes.
+// 0 removes the limit.
+func (c *Controller) SetRate(rate float64) {
+	if rate > 0 && c.rate == 0 {
+		c.bucket = awthrottle.Bucket{}
+		c.bucket.Refill(rate, c.cfg.Clock.Now())
+	}
+	c.rate = rate
+	c.dispatch()
+}
+
+// minGrantInterval bounds how often a high rate limit is checked.
+const minGrantInterval = 20 * time.Millisecond
+
+// GrantDue grants queued requests that the rate limit allows by now. It returns the
+// time until the rate limit allows another one, and false if there is no limit.
+func (c *Controller) GrantDue() (time.Duration, bool) {
+	if c.rate == 0 {
+		return 0, false
+	}
+	c.dispatch()
+	return max(minGrantInterval, c.bucket.Wait(float64(c.bucket.Available()+1), c.rate)), true
+}
+
+// startable returns how many requests the rate limit allows now, at most n.
+func (c *Controller) startable(n int) int {
+	if c.rate == 0 {
+		return n
+	}
+	c.bucket.Refill(c.rate, c.cfg.Clock.Now())
+	return min(n, c.bucket.Available())
+}
+
 // Limit returns the current limit of requests in flight.
 func (c *Controller) Limit() int { return c.limiter.limit }
 
+// Startable returns how many requests would be in flight if as many started now as
+// the limits allow.
+func (c *Controller) Startable() int {
+	return min(c.limiter.limit, c.inFlight+c.startable(c.limiter.limit))
+}
+
 // InFlight returns the number of requests granted and not released.
 func (c *Controller) InFlight() int { return c.inFlight }
 
@@ -149,11 +191,14 @@
 }
 
 func (c *Controller) fits(t *Ticket) bool {
-	return c.inFlight < c.limiter.limit && t.requiredBytes <= c.FreeMemory()
+	return c.inFlight < c.limiter.limit && t.requiredBytes <= c.FreeMemory() && c.startable(1) > 0
 }
 
 func (c *Controller) grant(t *Ticket) {
 	t.granted, t.epoch, t.grantedAt = true, c.limiter.epoch, c.cfg.Clock.Now()
+	if c.rate > 0 {
+		c.bucket.Take()
+	}
 	c.inFlight++
 	c.reservedBytes += t.requiredBytes
 	c.fairQueue.charge(t.req.Team, t.requiredBytes)
@@ -234,6 +279,9 @@
 
 // fullReason returns the limit to report as the reason why the queue is full.
 func (c *Controller) fullReason() awoutcome.Reason {
+	if c.startable(1) == 0 {
+		return awoutcome.Overloaded
+	}
 	if c.limiter.limit < c.cfg.MaxInFlight {
 		return awoutcome.ColdLimit
 	}
@@ -277,10 +325,15 @@
 
 // waitForTurns returns the expected time until n more requests have started.
 func (c *Controller) waitForTurns(n float64) time.Duration {
+	var rateWait time.Duration
+	if c.rate > 0 {
+		c.bucket.Refill(c.rate, c.cfg.Clock.Now())
+		rateWait = c.bucket.Wait(n, c.rate)
+	}
 	if len(c.queue) == 0 && c.inFlight < c.limiter.limit {
-		return 0
+		return rateWait
 	}
-	return time.Duration(float64(c.meanHold) * n / float64(c.limiter.limit))
+	return max(rateWait, time.Duration(float64(c.meanHold)*n/float64(c.limiter.limit)))
 }
 
 // estimateWait estimates how long a request would wait, given its priority and the
--- a/core/awadmit/awadmit_test.go
+++ b/core/awadmit/awadmit_test.go
@@ -53,6 +53,37 @@
 	}
 }
 
+// Guards against a rate limit that is exceeded, and against requests that wait for
+// it although their deadline passes first.
+func TestRateLimit(t *testing.T) {
+	ctrl, clock := newTestController(Config{MaxInFlight: 100, ColdInFlight: 100, MemoryBytes: 1000, BytesPerToken: 1, MaxQueue: 100, QueueBytes: 1000})
+	ctrl.SetRate(2)
+	granted := 0
+	offer := func(deadline time.Duration) error {
+		r := request(clock, "a", 1)
+		r.Deadline = clock.Now().Add(deadline)
+		r.OnDecided = func() { granted++ }
+		_, err := ctrl.Offer(r)
+		return err
+	}
+	for range 10 {
+		require.NoError(t, offer(time.Hour))
+	}
+	require.Error(t, offer(time.Second), "its turn is after five seconds")
+	for second := range 5 {
+		require.Equal(t, 2*second, granted)
+		require.Equal(t, ctrl.InFlight(), ctrl.Startable())
+		for range 10 {
+			clock.Advance(100 * time.Millisecond)
+			ctrl.GrantDue()
+		}
+	}
+	require.Equal(t, 10, granted)
+	ctrl.SetRate(0)
+	require.NoError(t, offer(time.Second))
+	require.Equal(t, 11, ctrl.InFlight())
+}
+
 // Guards against grants that ignore priority, and against a team with many requests
 // that gets more than the share of its weight.
 func TestOrder(t *testing.T) {
--- a/core/awadmit/queue.go
+++ b/core/awadmit/queue.go
@@ -16,7 +16,7 @@
 // queued requests in order while they fit.
 func (c *Controller) dispatch() {
 	c.expire()
-	for c.inFlight < c.limiter.limit {
+	for c.inFlight < c.limiter.limit && c.startable(1) > 0 {
 		i, ok := c.nextToGrant()
 		if !ok {
 			return
--- a/core/awthrottle/account.go
+++ b/core/awthrottle/account.go
@@ -1,6 +1,9 @@
 package awthrottle
 
 import (
+	"math"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -17,6 +20,21 @@
 	Unreadable bool
 }
 
+// ParseSignals returns the signals for the text of a rate limit, a decimal number,
+// or for a response without one. A limit that is not a number, negative or infinite
+// is unreadable; zero is a limit.
+func ParseSignals(limit string) Signals {
+	limit = strings.TrimSpace(limit)
+	if limit == "" {
+		return Signals{}
+	}
+	rate, err := strconv.ParseFloat(limit, 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return Signals{Unreadable: true}
+	}
+	return Signals{Limited: true, RateLimit: rate}
+}
+
 const (
 	// minRate is the lowest rate, in requests per second, that is used for a limit.
 	// A backend server that named zero and got no requests at all could never lift
@@ -51,9 +69,9 @@
 	return a.Rate, !a.NamedAt.IsZero() && !a.LiftedAt.After(a.NamedAt)
 }
 
-// observe records the signals in a response to a request. It reports whether the
+// Observe records the signals in a response to a request. It reports whether the
 // limit has changed.
-func (a *Account) observe(s Signals, sent, now time.Time) bool {
+func (a *Account) Observe(s Signals, sent, now time.Time) bool {
 	switch {
 	case s.Unreadable:
 		return false
--- a/core/awthrottle/awthrottle.go
+++ b/core/awthrottle/awthrottle.go
@@ -173,7 +173,7 @@
 	}
 	s, now := t.server(k), t.cfg.Clock.Now()
 	s.heardAt = now
-	if !t.changed(s, s.account.observe(signals, sent, now)) {
+	if !t.changed(s, s.account.Observe(signals, sent, now)) {
 		return false
 	}
 	for _, name := range t.entries {
--- a/core/awthrottle/issuer.go
+++ b/core/awthrottle/issuer.go
@@ -33,15 +33,12 @@
 const (
 	// askTTL is how long an ask is served.
 	askTTL = 500 * time.Millisecond
-	// burstWindow is the time for which unused rate accumulates.
-	burstWindow = 500 * time.Millisecond
 )
 
 // issuance holds the permits of one backend server that this entry issues.
 type issuance struct {
-	credit     float64 // permits that may be issued now
-	refilledAt time.Time
-	asks       []*pendingAsk // at most one of each entry
+	bucket Bucket
+	asks   []*pendingAsk // at most one of each entry
 }
 
 type pendingAsk struct {
@@ -67,7 +64,7 @@
 	}
 	i := &s.issue
 	i.refill(rate, now)
-	i.credit = min(i.capacity(rate), i.credit+float64(max(0, a.Returned)))
+	i.bucket.Return(a.Returned, rate)
 	i.asks = slices.DeleteFunc(i.asks, func(p *pendingAsk) bool { return p.entry == from })
 	if a.Wanted.total() > 0 {
 		i.asks = append(i.asks, &pendingAsk{entry: from, wanted: a.Wanted, cautious: a.Cautious, at: now})
@@ -99,9 +96,6 @@
 	}
 }
 
-// capacity returns how many permits may accumulate.
-func (i *issuance) capacity(rate float64) float64 { return 1 + rate*burstWindow.Seconds() }
-
 // refill adds the permits since the last call, at half the rate if another issuer
 // may still be at work. It drops asks that were not repeated.
 func (i *issuance) refill(rate float64, now time.Time) {
@@ -110,10 +104,7 @@
 	if len(i.asks) > 0 && !sole {
 		rate /= 2
 	}
-	if !i.refilledAt.IsZero() {
-		i.credit = min(i.capacity(rate), i.credit+rate*now.Sub(i.refilledAt).Seconds())
-	}
-	i.refilledAt = now
+	i.bucket.Refill(rate, now)
 }
 
 // issueAll issues permits while there are any, and returns them by entry. Requests
@@ -131,11 +122,10 @@
 		for _, a := range i.asks {
 			total += *class(&a.wanted)
 		}
-		for ; i.credit >= 1 && total > 0; total-- {
+		for ; total > 0 && i.bucket.Take(); total-- {
 			p := i.pick(class, t.cfg.Rand.IntN(total))
 			*class(&p.wanted)--
 			permits[p.entry]++
-			i.credit--
 		}
 	}
 	return permits
--- a/internal/awstandin/engine.go
+++ b/internal/awstandin/engine.go
@@ -40,6 +40,7 @@
 	LoseLoad    bool   // the next successful load command gets no reply
 	FailStarts  int    // the next n completions fail with status 503
 	FailVersion string // completions of this version fail with status 503
+	RateLimit   string // named in all responses; empty for none
 }
 
 // Engine stands in for a model engine with continuous batching.
@@ -71,6 +72,14 @@
 // Handler returns the HTTP API of the engine.
 func (e *Engine) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if limit := e.faults.get().RateLimit; limit != "" {
+				w.Header().Set(awengine.HeaderRateLimit, limit)
+			}
+			next.ServeHTTP(w, r)
+		})
+	})
 	r.Post("/fault", e.setFault)
 	r.Get("/status", e.status)
 	r.Post("/commands/load", e.load)
--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -26,6 +26,7 @@
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awconfig"
 	"arbutuswind/core/awledger"
+	"arbutuswind/core/awthrottle"
 	"arbutuswind/io/awengine"
 	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awproto"
@@ -74,6 +75,8 @@
 
 	mu                 sync.Mutex
 	admission          *awadmit.Controller
+	account            awthrottle.Account // what the backend server has said since it started
+	rateChanged        chan struct{}      // signals a new rate limit
 	attempts           *awledger.AttemptTable
 	view               awconfig.AgentView
 	requestedRevision  uint64              // highest revision for which a newer view was requested
@@ -113,8 +116,9 @@
 		attempts:       awledger.NewAttemptTable(),
 		metrics:        newMetrics(),
 		lastPauseCheck: cfg.Clock.Now(), lastFreshHeartbeat: cfg.Clock.Now(),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), rateChanged: make(chan struct{}, 1),
 	}
+	a.engine.OnSignals(cfg.Clock, a.observeSignals)
 	a.cutCtx, a.cut = context.WithCancelCause(context.Background())
 	a.metrics.registerGauges(a)
 	a.dialer = awrpc.NewDialer(awrpc.DialerConfig{Identity: a.identity, Revision: a.revision, TLS: a.tls.Client})
@@ -165,6 +169,7 @@
 	}
 	group.Go(func() error { a.announceLoop(serveCtx); return nil })
 	group.Go(func() error { a.monitorLoop(serveCtx); return nil })
+	group.Go(func() error { a.rateLoop(serveCtx); return nil })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -202,7 +207,7 @@
 	defer a.mu.Unlock()
 	r := &awproto.AgentReport{
 		Incarnation: a.cfg.Incarnation, State: a.reportedState(a.cfg.Clock.Now()), ViewRevision: a.view.Revision,
-		InFlight: uint32(a.admission.InFlight()), Limit: uint32(a.admission.Limit()), FreeMemoryBytes: a.admission.FreeMemory(),
+		InFlight: uint32(a.admission.InFlight()), Limit: uint32(a.admission.Startable()), FreeMemoryBytes: a.admission.FreeMemory(),
 		Queued: uint32(a.admission.Queued()), WaitMs: uint32(min(a.admission.ExpectedWait(), maxReportedWait).Milliseconds()),
 		Transfer: a.weights.report(), Fencing: a.reportedFencing(),
 	}
--- a/io/awagent/engine.go
+++ b/io/awagent/engine.go
@@ -211,6 +211,9 @@
 		a.admission.FlushQueue(awoutcome.NotReady, "backend server is not ready")
 	}
 	unchanged := a.state == state && a.ready.GetVersionDigest() == ready.GetVersionDigest() && a.bootID == boot
+	if a.bootID != boot {
+		a.forgetSignals()
+	}
 	a.ready, a.state, a.bootID, a.servedDigest = ready, state, boot, st.Digest
 	if !unchanged {
 		a.notify()
--- a/io/awengine/awengine.go
+++ b/io/awengine/awengine.go
@@ -18,6 +18,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"arbutuswind/core/awclock"
+	"arbutuswind/core/awthrottle"
 	"arbutuswind/io/awtelemetry"
 )
 
@@ -88,14 +90,32 @@
 
 // Client is a client of one backend server.
 type Client struct {
-	base string
-	http *http.Client
+	base    string
+	http    *http.Client
+	clock   awclock.Clock
+	observe func(s awthrottle.Signals, sent time.Time)
+}
+
+// HeaderRateLimit is the header of a response with the number of requests per
+// second that the backend server takes, a decimal number.
+const HeaderRateLimit = "Request-Rate-Limit"
+
+// OnSignals sets the function that gets what each response says about the backend
+// server, and when its request was sent. It must be called before any request.
+func (c *Client) OnSignals(clock awclock.Clock, observe func(s awthrottle.Signals, sent time.Time)) {
+	c.clock, c.observe = clock, observe
+}
+
+func (c *Client) observeResponse(resp *http.Response, sent time.Time) {
+	if c.observe != nil {
+		c.observe(awthrottle.ParseSignals(resp.Header.Get(HeaderRateLimit)), sent)
+	}
 }
 
 // New returns a client of the backend server at the URL base.
 func New(base string) *Client {
 	tr := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, ReadBufferSize: 4 << 10}
-	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: tr}}
+	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: tr}, clock: awclock.System{}}
 }
 
 // Status returns the current status of the engine.
@@ -207,8 +227,13 @@
 		req.Header.Set("Idempotency-Key", r.IdempotencyKey)
 	}
 	client := &http.Client{Transport: c.http.Transport, CheckRedirect: noRedirect}
+	sent := c.clock.Now()
 	resp, err := client.Do(req)
-	return resp, eris.Wrap(err, "call service")
+	if err != nil {
+		return nil, eris.Wrap(err, "call service")
+	}
+	c.observeResponse(resp, sent)
+	return resp, nil
 }
 
 // setTraceContext adds the W3C trace context of ctx to a request.
@@ -229,10 +254,12 @@
 	if contentType != "" {
 		req.Header.Set("Content-Type", contentType)
 	}
+	sent := c.clock.Now()
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, eris.Wrapf(err, "%s %s", method, path)
 	}
+	c.observeResponse(resp, sent)
 	if resp.StatusCode >= http.StatusBadRequest {
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 		_ = resp.Body.Close()
