Leave alone servers that say they are leaving or ask for a pause

What users would see: requests at a server long after it has said in its responses that it is leaving (DRAIN), and at one that has turned an entry away with a time for which it wants nothing (BUDGET).

Change: the account of an incarnation also holds that it leaves and until when it is paused, the dispatcher asks it in one place for each send, so first sends, repeats, resumed streams and waiting requests obey it. A pause concerns the entry that got it and ends at different moments at different entries. If all servers are paused beyond the time that a request may wait, it is refused at once, with a Retry-After from the end of the first pause on, spread over callers.

--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -84,6 +84,10 @@
 		t.finish(Decision{Refusal: NoServer, RetryAfter: d.randomDuration(minNoServerRetry, 2*minNoServerRetry)})
 		return t
 	}
+	if end, paused := d.pauseEnd(&req, now); paused && end.After(t.waitUntil) {
+		t.finish(Decision{Refusal: NoRoom, RetryAfter: end.Sub(now) + d.randomDuration(0, maxRetryAfter)})
+		return t
+	}
 	position := len(queue)
 	for position > 0 && req.before(&queue[position-1].req) {
 		position--
@@ -272,7 +276,7 @@
 // freeCapacity returns the load of a usable backend server, and whether it has
 // free capacity for the request.
 func (d *Dispatcher) freeCapacity(s *server, req *Request, now time.Time) (float64, bool) {
-	if now.Before(s.rejectedUntil) {
+	if now.Before(s.rejectedUntil) || now.Before(d.pausedUntil(s)) {
 		return 0, false
 	}
 	svc := d.services[req.Service]
@@ -310,7 +314,7 @@
 // not it has free capacity now.
 func (d *Dispatcher) usable(s *server, req *Request, now time.Time) bool {
 	k := s.info.Key()
-	if now.Before(s.reachableFrom) || s.info.Draining || d.domainsOut[s.info.Domain] || req.Avoid[k] || s.replaced ||
+	if now.Before(s.reachableFrom) || s.info.Draining || d.cfg.Throttle.Leaving(k) || d.domainsOut[s.info.Domain] || req.Avoid[k] || s.replaced ||
 		(req.Allowed != nil && !req.Allowed(s.info.Region)) || d.ejector.IsEjected(ejectID(k), now) {
 		return false
 	}
--- a/core/awdispatch/throttle_test.go
+++ b/core/awdispatch/throttle_test.go
@@ -72,7 +72,8 @@
 		f.start(fmt.Sprint("e", i))
 	}
 	f.readEntries()
-	f.run(10 * time.Second) // all entries have settled
+	f.clock.Advance(10 * time.Second) // all entries have settled
+	f.run(100 * time.Millisecond)
 	return f
 }
 
@@ -305,3 +306,68 @@
 	f.run(5 * time.Second)
 	require.InDelta(t, f.submitted, f.granted, 5)
 }
+
+// newSignalled returns a dispatcher before two servers, of which the first is
+// preferred, and a function that submits a request.
+func newSignalled(t *testing.T) (*awclock.Fake, *awthrottle.Throttle, *Dispatcher, func() Decision) {
+	t.Helper()
+	clock := awclock.NewFake(time.Unix(1000, 0))
+	rng := rand.New(rand.NewPCG(1, 1))
+	throttle := awthrottle.New(awthrottle.Config{Clock: clock, Rand: rng, Self: "e"})
+	d := New(Config{Clock: clock, Rand: rng, Self: "e", Domain: "d", Region: "r", Eject: awmember.DefaultEjectConfig(), Throttle: throttle})
+	d.SetServices([]awdirectory.Service{{Name: "s"}})
+	d.SetServers([]awdirectory.Server{
+		{ID: "near", StartUnixMs: 1, Service: "s", Address: "10.0.0.1:1", Domain: "d", Region: "r", Slots: 4},
+		{ID: "far", StartUnixMs: 1, Service: "s", Address: "10.0.0.2:1", Domain: "x", Region: "x", Slots: 4},
+	})
+	submit := func() (out Decision) {
+		d.Submit(Request{Service: "s", MaxWait: 10 * time.Millisecond, Deadline: clock.Now().Add(time.Second)}, func(dec Decision) { out = dec })
+		if out.Grant != nil {
+			d.Release(out.Grant, Succeeded)
+		}
+		return out
+	}
+	return clock, throttle, d, submit
+}
+
+// Guards against requests to a backend server that has said that it is leaving, and
+// against a new incarnation that inherits it.
+func TestLeavingServerGetsNoRequests(t *testing.T) {
+	clock, throttle, d, submit := newSignalled(t)
+	near := awdirectory.Key{ID: "near", StartUnixMs: 1}
+	require.Equal(t, near, keyOf(submit()))
+	throttle.Observe(near, awthrottle.Signals{Leaving: true}, clock.Now())
+	for range 100 {
+		clock.Advance(100 * time.Millisecond)
+		throttle.Observe(near, awthrottle.Signals{}, clock.Now()) // a response on another connection
+		require.Equal(t, "far", submit().Grant.Server.ID)
+	}
+	d.SetServers([]awdirectory.Server{{ID: "near", StartUnixMs: 2, Service: "s", Address: "10.0.0.1:1", Domain: "d", Region: "r", Slots: 4}})
+	require.Equal(t, awdirectory.Key{ID: "near", StartUnixMs: 2}, keyOf(submit()))
+}
+
+func keyOf(dec Decision) awdirectory.Key { return dec.Grant.Server.Key() }
+
+// Guards against requests to a backend server during the pause that it has asked
+// for, and against callers that wait although every server has asked for one.
+func TestPausedServerGetsNoRequests(t *testing.T) {
+	clock, throttle, _, submit := newSignalled(t)
+	near, far := awdirectory.Key{ID: "near", StartUnixMs: 1}, awdirectory.Key{ID: "far", StartUnixMs: 1}
+	const pause = 3 * time.Second
+	end := clock.Now().Add(pause)
+	throttle.Observe(near, awthrottle.Signals{Pause: pause}, clock.Now())
+	require.Equal(t, far, keyOf(submit()))
+	throttle.Observe(far, awthrottle.Signals{Pause: 2 * pause}, clock.Now())
+	var retryAfter []time.Duration
+	for clock.Now().Before(end) {
+		dec := submit()
+		require.Nil(t, dec.Grant)
+		require.GreaterOrEqual(t, clock.Now().Add(dec.RetryAfter), end, "there is no room before")
+		retryAfter = append(retryAfter, clock.Now().Add(dec.RetryAfter).Sub(end))
+		clock.Advance(100 * time.Millisecond)
+	}
+	slices.Sort(retryAfter)
+	require.Greater(t, retryAfter[len(retryAfter)-1]-retryAfter[0], 500*time.Millisecond, "callers are spread")
+	clock.Advance(pauseSpread)
+	require.Equal(t, near, keyOf(submit()))
+}
--- a/core/awthrottle/account.go
+++ b/core/awthrottle/account.go
@@ -15,24 +15,39 @@
 	// RateLimit is the number of requests per second that the backend server takes
 	// from all entries together.
 	RateLimit float64
-	// Unreadable reports that a limit was named but could not be read. The response
-	// then neither names nor lifts a limit.
-	Unreadable bool
+	// LimitUnreadable reports that a limit was named but could not be read. The
+	// response then neither names nor lifts a limit.
+	LimitUnreadable bool
+	Leaving         bool          // the backend server will stop
+	Pause           time.Duration // time for which it takes no requests from this entry; 0 if it does not say
 }
 
-// ParseSignals returns the signals for the text of a rate limit, a decimal number,
-// or for a response without one. A limit that is not a number, negative or infinite
-// is unreadable; zero is a limit.
-func ParseSignals(limit string) Signals {
-	limit = strings.TrimSpace(limit)
-	if limit == "" {
-		return Signals{}
+// Texts holds the values of the headers of a response that make up [Signals]. If a
+// header was sent more than once, it holds the first value.
+type Texts struct {
+	RateLimit  string
+	Leaving    string
+	RetryAfter string // of a response that turns the request away, empty for others
+}
+
+// Parse returns the signals. A limit that is not a number, negative or infinite is
+// unreadable; zero is a limit. Only "1" means that the server is leaving. A pause
+// is a number of seconds of at most maxPause; dates, negative numbers and other
+// texts are no pause.
+func (x Texts) Parse() Signals {
+	s := Signals{Leaving: strings.TrimSpace(x.Leaving) == "1"}
+	if limit := strings.TrimSpace(x.RateLimit); limit != "" {
+		rate, err := strconv.ParseFloat(limit, 64)
+		s.Limited = err == nil && !math.IsInf(rate, 0) && rate >= 0
+		s.LimitUnreadable = !s.Limited
+		if s.Limited {
+			s.RateLimit = rate
+		}
 	}
-	rate, err := strconv.ParseFloat(limit, 64)
-	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
-		return Signals{Unreadable: true}
+	if seconds, err := strconv.ParseFloat(strings.TrimSpace(x.RetryAfter), 64); err == nil && seconds > 0 {
+		s.Pause = time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))
 	}
-	return Signals{Limited: true, RateLimit: rate}
+	return s
 }
 
 const (
@@ -42,6 +57,11 @@
 	minRate = 0.2
 	// maxRate is the rate above which a limit is not worth tracking.
 	maxRate = 1e4
+	// maxPause is the longest pause that is kept, and maxLeaving the time after
+	// which a server that is leaving is tried again. A server that says something
+	// wrong once must not be lost for good.
+	maxPause   = 5 * time.Minute
+	maxLeaving = 5 * time.Minute
 )
 
 // Account holds what one incarnation of a backend server has said about itself.
@@ -53,6 +73,10 @@
 	// overtake each other, so a limit is lifted only by a response to a request that
 	// was sent after the limit was known.
 	NamedAt, LiftedAt time.Time
+	// LeavingUntil is until when the server gets no requests because it said that it
+	// is leaving, and PausedUntil because it asked for a pause. A pause concerns this
+	// entry only.
+	LeavingUntil, PausedUntil time.Time
 }
 
 // WithRate returns the account with a rate in requests per second. Rates that are no
@@ -69,11 +93,26 @@
 	return a.Rate, !a.NamedAt.IsZero() && !a.LiftedAt.After(a.NamedAt)
 }
 
-// Observe records the signals in a response to a request. It reports whether the
-// limit has changed.
-func (a *Account) Observe(s Signals, sent, now time.Time) bool {
+// Change is a set of what has changed in an account.
+type Change struct{ Limit, Leaving, Pause bool }
+
+// Observe records the signals in a response to a request.
+func (a *Account) Observe(s Signals, sent, now time.Time) Change {
+	c := Change{Limit: a.observeLimit(s, sent, now)}
+	if s.Leaving {
+		c.Leaving = !now.Before(a.LeavingUntil)
+		a.LeavingUntil = now.Add(maxLeaving)
+	}
+	if until := now.Add(s.Pause); s.Pause > 0 && until.After(a.PausedUntil) {
+		c.Pause = !now.Before(a.PausedUntil)
+		a.PausedUntil = until
+	}
+	return c
+}
+
+func (a *Account) observeLimit(s Signals, sent, now time.Time) bool {
 	switch {
-	case s.Unreadable:
+	case s.LimitUnreadable:
 		return false
 	case s.Limited && s.RateLimit <= maxRate:
 		return a.merge(Account{NamedAt: now}.WithRate(s.RateLimit))
--- a/core/awthrottle/awthrottle.go
+++ b/core/awthrottle/awthrottle.go
@@ -166,22 +166,38 @@
 func (t *Throttle) Stop() { t.stopping = true }
 
 // Observe records the signals in a response of a backend server to a request sent
-// at the given time. It reports whether the limit of the server has changed.
-func (t *Throttle) Observe(k awdirectory.Key, signals Signals, sent time.Time) bool {
+// at the given time. It returns what has changed.
+func (t *Throttle) Observe(k awdirectory.Key, signals Signals, sent time.Time) Change {
 	if signals == (Signals{}) && t.servers[k] == nil {
-		return false
+		return Change{}
 	}
 	s, now := t.server(k), t.cfg.Clock.Now()
 	s.heardAt = now
-	if !t.changed(s, s.account.Observe(signals, sent, now)) {
-		return false
+	c := s.account.Observe(signals, sent, now)
+	if !t.changed(s, c.Limit) {
+		return c
 	}
 	for _, name := range t.entries {
 		if name != t.cfg.Self {
 			t.post(name, k, s, Notice{})
 		}
 	}
-	return true
+	return c
+}
+
+// Leaving reports whether a backend server has said that it is leaving.
+func (t *Throttle) Leaving(k awdirectory.Key) bool {
+	s := t.servers[k]
+	return s != nil && t.cfg.Clock.Now().Before(s.account.LeavingUntil)
+}
+
+// PausedUntil returns the end of the pause that a backend server has asked for. It
+// is in the past if there is none.
+func (t *Throttle) PausedUntil(k awdirectory.Key) time.Time {
+	if s := t.servers[k]; s != nil {
+		return s.account.PausedUntil
+	}
+	return time.Time{}
 }
 
 // Greet tells an entry that has started which limits are in force.
@@ -310,6 +326,9 @@
 
 // Ask asks for the permits that are wanted and neither held nor asked for yet.
 func (t *Throttle) Ask() {
+	if len(t.limited) == 0 {
+		return
+	}
 	now := t.cfg.Clock.Now()
 	wants := map[awdirectory.Key]Wanted{}
 	for _, byServer := range t.wants {
--- a/io/awagent/rate.go
+++ b/io/awagent/rate.go
@@ -13,7 +13,7 @@
 func (a *Agent) observeSignals(s awthrottle.Signals, sent time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.account.Observe(s, sent, a.cfg.Clock.Now()) {
+	if a.account.Observe(s, sent, a.cfg.Clock.Now()).Limit {
 		a.applyRateLimit()
 	}
 }
--- a/io/awengine/awengine.go
+++ b/io/awengine/awengine.go
@@ -108,7 +108,7 @@
 
 func (c *Client) observeResponse(resp *http.Response, sent time.Time) {
 	if c.observe != nil {
-		c.observe(awthrottle.ParseSignals(resp.Header.Get(HeaderRateLimit)), sent)
+		c.observe(awthrottle.Texts{RateLimit: resp.Header.Get(HeaderRateLimit)}.Parse(), sent)
 	}
 }
 
--- a/io/awgateway/telemetry.go
+++ b/io/awgateway/telemetry.go
@@ -25,6 +25,7 @@
 	sends, retries, callersLeft   *metrics.Counter
 	logLinesDropped, badFacts     *metrics.Counter
 	badSignals, badNotices        *metrics.Counter
+	serversLeaving, pauses        *metrics.Counter
 	quarantined                   *metrics.Gauge // prompt parts in quarantine
 	rateLimits                    *metrics.Gauge // backend servers with a rate limit
 	logLimiter                    *rate.Limiter
@@ -40,6 +41,8 @@
 		badFacts:        counter("arbutuswind_gateway_bad_facts_total"),
 		badSignals:      counter("arbutuswind_gateway_bad_signals_total"),
 		badNotices:      counter("arbutuswind_gateway_bad_notices_total"),
+		serversLeaving:  counter("arbutuswind_gateway_servers_leaving_total"),
+		pauses:          counter("arbutuswind_gateway_server_pauses_total"),
 		quarantined:     metrics.GetOrCreateGauge("arbutuswind_gateway_quarantined_parts", nil),
 		rateLimits:      metrics.GetOrCreateGauge("arbutuswind_gateway_rate_limits", nil),
 		logLimiter:      rate.NewLimiter(logLinesPerSecond, logLineBurst),
--- a/io/awgateway/throttle.go
+++ b/io/awgateway/throttle.go
@@ -17,15 +17,24 @@
 // observeSignals records what a backend server says about itself in a response to
 // a request sent at the given time.
 func (g *Gateway) observeSignals(s *awdirectory.Server, signals awthrottle.Signals, sent time.Time) {
-	if signals.Unreadable {
+	if signals.LimitUnreadable {
 		g.metrics.badSignals.Inc()
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.throttle.Observe(s.Key(), signals, sent) {
+	c := g.throttle.Observe(s.Key(), signals, sent)
+	if c.Limit {
 		g.logLimit(s.Key(), "response")
 		g.signalNotices()
 	}
+	if c.Leaving {
+		g.metrics.serversLeaving.Inc()
+		_ = level.Info(g.cfg.Logger).Log("Message", "backend server is leaving", "Server", s.ID, "Source", "response")
+	}
+	if c.Pause {
+		g.metrics.pauses.Inc()
+		_ = level.Info(g.cfg.Logger).Log("Message", "backend server asks for a pause", "Server", s.ID, "PauseMs", signals.Pause.Milliseconds())
+	}
 }
 
 // logLimit logs the changed rate limit of a backend server; mu must be held.
