Leave alone the engine of an agent that leaves or wants a pause

Cause: as in the gateway, awengine left the headers of responses behind.

Change: the agent keeps both in its account, refuses new and queued requests with a proof that they have not run, and reports itself as draining, so entries choose others. A new incarnation of the engine starts clean. The agent cannot see a plain service start again, so leaving counts as a pause of two seconds there. Corrected from: a full queue behind a rate limit was refused with a reason that agents do not send and that ends the request at the entry; it is QueueFull now, after which the entry tries another agent.

Evidence: TestEngineThatWantsNothingGetsNothing; both cases fail with the check left out on a scratch copy.

--- a/core/awadmit/awadmit.go
+++ b/core/awadmit/awadmit.go
@@ -280,7 +280,7 @@
 // fullReason returns the limit to report as the reason why the queue is full.
 func (c *Controller) fullReason() awoutcome.Reason {
 	if c.startable(1) == 0 {
-		return awoutcome.Overloaded
+		return awoutcome.QueueFull
 	}
 	if c.limiter.limit < c.cfg.MaxInFlight {
 		return awoutcome.ColdLimit
--- a/internal/awstandin/engine.go
+++ b/internal/awstandin/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	FailStarts  int    // the next n completions fail with status 503
 	FailVersion string // completions of this version fail with status 503
 	RateLimit   string // named in all responses; empty for none
+	Leaving     bool   // all responses say that the engine is leaving
+	PauseMs     int    // completions are turned away with this Retry-After; 0 means off
 }
 
 // Engine stands in for a model engine with continuous batching.
@@ -74,8 +77,12 @@
 	r := chi.NewRouter()
 	r.Use(func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if limit := e.faults.get().RateLimit; limit != "" {
-				w.Header().Set(awengine.HeaderRateLimit, limit)
+			f := e.faults.get()
+			if f.RateLimit != "" {
+				w.Header().Set(awengine.HeaderRateLimit, f.RateLimit)
+			}
+			if f.Leaving {
+				w.Header().Set(awengine.HeaderLeaving, "1")
 			}
 			next.ServeHTTP(w, r)
 		})
@@ -258,6 +265,11 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if pause := e.faults.get().PauseMs; pause > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(float64(pause)/1000, 'f', 3, 64))
+		http.Error(w, "the engine wants a pause", http.StatusServiceUnavailable)
+		return
+	}
 	fail := false
 	e.faults.update(func(f *EngineFault) {
 		if fail = f.FailStarts > 0; fail {
--- a/io/awagent/admission.go
+++ b/io/awagent/admission.go
@@ -86,7 +86,7 @@
 	case start.VersionDigest != "" && start.VersionDigest != a.ready.VersionDigest:
 		return awoutcome.Refuse(awoutcome.WrongVersion, "instance serves another version")
 	}
-	return nil
+	return a.checkSignals(now)
 }
 
 // admit waits until the request may run. If it returns an error with the
@@ -363,6 +363,9 @@
 // reportedState returns the state to report to entries. The caller holds mu.
 func (a *Agent) reportedState(now time.Time) awproto.AgentState {
 	serving := a.state == awproto.AgentState_READY || a.state == awproto.AgentState_COLD
+	if serving && a.checkSignals(now) != nil {
+		return awproto.AgentState_DRAINING
+	}
 	if serving && (a.awaitingHeartbeat || a.isolated(now) || a.ready == nil) {
 		return awproto.AgentState_STARTING
 	}
--- a/io/awagent/rate.go
+++ b/io/awagent/rate.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"arbutuswind/core/awoutcome"
 	"arbutuswind/core/awthrottle"
 )
 
@@ -13,9 +14,43 @@
 func (a *Agent) observeSignals(s awthrottle.Signals, sent time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.account.Observe(s, sent, a.cfg.Clock.Now()).Limit {
+	if a.cfg.Settings.Backend.Service != "" && s.Leaving {
+		// The agent cannot see that a plain service has started again, so it tries it
+		// again after a while.
+		s.Leaving, s.Pause = false, max(s.Pause, serviceRestartTime)
+	}
+	c := a.account.Observe(s, sent, a.cfg.Clock.Now())
+	if c.Limit {
 		a.applyRateLimit()
 	}
+	if c.Leaving {
+		a.log("Message", "backend server is leaving")
+		a.admission.FlushQueue(awoutcome.Leaving, "backend server is leaving")
+		a.notify()
+	}
+	if c.Pause {
+		a.log("Message", "backend server asks for a pause", "PauseMs", s.Pause.Milliseconds())
+		a.admission.FlushQueue(awoutcome.QueueFull, "backend server asks for a pause")
+		a.notify()
+	}
+}
+
+// serviceRestartTime is how long a plain service that says that it is leaving gets
+// no requests.
+const serviceRestartTime = 2 * time.Second
+
+// checkSignals returns an error if the backend server has said that it is leaving
+// or has asked for a pause. The caller holds mu.
+func (a *Agent) checkSignals(now time.Time) *awoutcome.Error {
+	switch left := a.account.PausedUntil.Sub(now); {
+	case now.Before(a.account.LeavingUntil):
+		return awoutcome.Refuse(awoutcome.Leaving, "backend server is leaving")
+	case left > 0:
+		e := awoutcome.Refuse(awoutcome.QueueFull, "backend server asks for a pause")
+		e.RetryAfterMs = uint32(left.Milliseconds()) + 1
+		return e
+	}
+	return nil
 }
 
 // forgetSignals drops what an earlier incarnation of the backend server has said.
@@ -26,6 +61,7 @@
 	if limited {
 		a.applyRateLimit()
 	}
+	a.notify()
 }
 
 // applyRateLimit applies a changed rate limit. The caller holds mu.
--- a/io/awagent/rate_test.go
+++ b/io/awagent/rate_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"arbutuswind/io/awproto"
 )
 
 // Guards against an engine that gets more requests than the limit that it names in
@@ -52,3 +54,36 @@
 		a.recordHeartbeat(true)
 	}
 }
+
+// Guards against requests to an engine that has said that it is leaving or has
+// asked for a pause.
+func TestEngineThatWantsNothingGetsNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault  string
+		reason awproto.Reason
+	}{
+		"leaving": {`{"Leaving":true}`, awproto.Reason_LEAVING},
+		"pause":   {`{"PauseMs":60000}`, awproto.Reason_QUEUE_FULL},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newTestAgent(t, 16, time.Hour)
+			a.injectFault(c.fault)
+			first, _ := a.startRequest(a.start())
+			first.drainStream()
+			a.injectFault(`{"Leaving":false,"PauseMs":0}`)
+			second, _ := a.startRequest(a.start())
+			_, last := second.drainStream()
+			require.Equal(t, c.reason, last.GetRefusal().GetReason(), "%v", last)
+			report, _ := a.report()
+			require.Equal(t, awproto.AgentState_DRAINING, report.State)
+
+			st, err := a.engine.Status(t.Context())
+			require.NoError(t, err)
+			st.BootID = "a new incarnation"
+			a.setServing(st)
+			third, _ := a.startRequest(a.start())
+			_, last = third.drainStream()
+			require.NotNil(t, last.GetEnd(), "%v", last)
+		})
+	}
+}
--- a/io/awengine/awengine.go
+++ b/io/awengine/awengine.go
@@ -96,9 +96,12 @@
 	observe func(s awthrottle.Signals, sent time.Time)
 }
 
-// HeaderRateLimit is the header of a response with the number of requests per
-// second that the backend server takes, a decimal number.
-const HeaderRateLimit = "Request-Rate-Limit"
+// Headers in which a backend server says something about itself in a response. With
+// status 503, Retry-After holds the seconds for which it takes no requests.
+const (
+	HeaderRateLimit = "Request-Rate-Limit" // requests per second that it takes, a decimal number
+	HeaderLeaving   = "Backend-Leaving"    // 1 if it will stop
+)
 
 // OnSignals sets the function that gets what each response says about the backend
 // server, and when its request was sent. It must be called before any request.
@@ -107,9 +110,14 @@
 }
 
 func (c *Client) observeResponse(resp *http.Response, sent time.Time) {
-	if c.observe != nil {
-		c.observe(awthrottle.Texts{RateLimit: resp.Header.Get(HeaderRateLimit)}.Parse(), sent)
+	if c.observe == nil {
+		return
+	}
+	texts := awthrottle.Texts{RateLimit: resp.Header.Get(HeaderRateLimit), Leaving: resp.Header.Get(HeaderLeaving)}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		texts.RetryAfter = resp.Header.Get("Retry-After")
 	}
+	c.observe(texts.Parse(), sent)
 }
 
 // New returns a client of the backend server at the URL base.
