Keep entries that start together from using a limit twice

What servers would see: up to twice their limit for some seconds after several entries start at once.

Cause: the entries register and read the list of entries at the same moment, so each may know only itself until the next read after 5 s, and issues permits alone. Ruled out: an issuer wrongly taken for silent beside load; a log line for that, added here, did not appear.

Change: the second read of the entries follows after a second; an entry that gets a notice of an unknown one adds it; one that has just started and knows no other issues a quarter of the rate. So do issuers that stand in for a silent one (half before, which together with the first leaves no room for bursts), and an issuer that declined is asked again after 0.5 s, so that two issue at once for less long.

--- a/core/awthrottle/awthrottle.go
+++ b/core/awthrottle/awthrottle.go
@@ -11,8 +11,8 @@
 // The issuer of a server is the first of all entries in rendezvous order that
 // answers. An entry that has just started declines, because the others may not
 // know it yet and ask another issuer. While an earlier issuer does not answer, it
-// may still be issuing to entries that reach it, so the next one issues at half
-// the rate.
+// may still be issuing to entries that reach it, so the next one issues at a part
+// of the rate. So does an entry that has just started and knows no other one.
 package awthrottle
 
 import (
@@ -21,8 +21,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awdirectory"
 )
@@ -48,7 +46,7 @@
 	// ended.
 	goneAfter = 10 * time.Second
 	// declineTTL is how long an issuer that declined is not asked again.
-	declineTTL = time.Second
+	declineTTL = 500 * time.Millisecond
 	// pauseLimit is the time between two ticks from which this process is taken to
 	// have been paused. Silence of others before that is no evidence.
 	pauseLimit = 100 * time.Millisecond
@@ -63,6 +61,9 @@
 	Self  string // name of this entry
 	// Settling is the time from the start of an entry until all others know it.
 	Settling time.Duration
+	// OnSilence is called when an issuer of permits stops answering, and when it
+	// answers again; may be nil.
+	OnSilence func(entry string, silent bool)
 }
 
 // Wanted counts permits that an entry asks for, by what they are for.
@@ -114,14 +115,6 @@
 	issue      issuance
 }
 
-// peer is what this entry knows of another one as an issuer.
-type peer struct {
-	silentFrom    time.Time // first ask without an answer; zero if there is none
-	dead          bool
-	probedAt      time.Time
-	declinedUntil time.Time
-}
-
 // New returns a throttle for which no backend server has said anything.
 func New(cfg Config) *Throttle {
 	now := cfg.Clock.Now()
@@ -150,6 +143,14 @@
 	}
 }
 
+// AddEntry adds an entry that has sent a notice before it is in the list of all
+// entries.
+func (t *Throttle) AddEntry(name string) {
+	if _, ok := slices.BinarySearch(t.entries, name); !ok {
+		t.SetEntries(append(slices.Clone(t.entries), name))
+	}
+}
+
 // SetServers forgets backend servers that are not listed and have not been heard
 // of for a while.
 func (t *Throttle) SetServers(listed func(awdirectory.Key) bool) {
@@ -310,13 +311,13 @@
 	now := t.cfg.Clock.Now()
 	paused := now.Sub(t.ticked) > pauseLimit
 	t.ticked = now
-	for _, p := range t.peers {
+	for name, p := range t.peers {
 		switch {
 		case p.silentFrom.IsZero():
 		case paused && !p.dead:
 			p.silentFrom = now
-		case now.Sub(p.silentFrom) > silenceLimit:
-			p.dead = true
+		case now.Sub(p.silentFrom) > silenceLimit && !p.dead:
+			t.setSilent(name, p, true)
 		}
 	}
 	for _, k := range t.limited {
@@ -388,70 +389,6 @@
 	t.outbox[to] = append(t.outbox[to], n)
 }
 
-func (t *Throttle) peer(name string) *peer {
-	p := t.peers[name]
-	if p == nil {
-		p = &peer{}
-		t.peers[name] = p
-	}
-	return p
-}
-
-// route returns the issuer to ask for a backend server's permits, and how. It
-// probes those before it that do not answer.
-func (t *Throttle) route(k awdirectory.Key, s *server, now time.Time) (issuer string, forced, cautious bool) {
-	declined := ""
-	for _, name := range t.candidates(k, s) {
-		if name == t.cfg.Self {
-			if t.issues(now) {
-				return name, false, cautious
-			}
-			declined = firstOf(declined, name)
-			continue
-		}
-		p := t.peer(name)
-		switch {
-		case p.dead:
-			cautious = cautious || now.Sub(p.silentFrom) < goneAfter
-			if now.Sub(p.probedAt) >= probeInterval {
-				p.probedAt = now
-				t.post(name, k, s, Notice{Ask: &Ask{}})
-			}
-		case now.Before(p.declinedUntil):
-			declined = firstOf(declined, name)
-		default:
-			return name, false, cautious
-		}
-	}
-	return firstOf(declined, t.cfg.Self), true, cautious
-}
-
-func firstOf(a, b string) string {
-	if a != "" {
-		return a
-	}
-	return b
-}
-
-// candidates returns all entries in the order in which they are asked for permits
-// of a backend server.
-func (t *Throttle) candidates(k awdirectory.Key, s *server) []string {
-	if s.issuers == nil {
-		rank := make(map[string]uint64, len(t.entries))
-		for _, name := range t.entries {
-			rank[name] = xxhash.Sum64String(k.String() + "|" + name)
-		}
-		s.issuers = slices.Clone(t.entries)
-		slices.SortFunc(s.issuers, func(a, b string) int {
-			if rank[a] < rank[b] {
-				return -1
-			}
-			return 1
-		})
-	}
-	return s.issuers
-}
-
 // accept takes the permits in an answer to an ask.
 func (t *Throttle) accept(s *server, a Answer, now time.Time) {
 	s.answered = true
@@ -467,7 +404,10 @@
 func (t *Throttle) Receive(from string, notices []Notice) []awdirectory.Key {
 	now := t.cfg.Clock.Now()
 	p := t.peer(from)
-	p.silentFrom, p.dead = time.Time{}, false
+	p.silentFrom = time.Time{}
+	if p.dead {
+		t.setSilent(from, p, false)
+	}
 	var changed []awdirectory.Key
 	for _, n := range notices {
 		s := t.server(n.Server)
--- a/core/awthrottle/issuer.go
+++ b/core/awthrottle/issuer.go
@@ -96,13 +96,17 @@
 	}
 }
 
-// refill adds the permits since the last call, at half the rate if another issuer
-// may still be at work. It drops asks that were not repeated.
+// cautiousShare is the part of the rate at which permits are issued while another
+// issuer may be at work.
+const cautiousShare = 0.25
+
+// refill adds the permits since the last call, and fewer if another issuer may be at
+// work. It drops asks that were not repeated.
 func (i *issuance) refill(rate float64, now time.Time) {
 	i.asks = slices.DeleteFunc(i.asks, func(p *pendingAsk) bool { return now.Sub(p.at) > askTTL })
 	sole := slices.ContainsFunc(i.asks, func(p *pendingAsk) bool { return !p.cautious })
 	if len(i.asks) > 0 && !sole {
-		rate /= 2
+		rate *= cautiousShare
 	}
 	i.bucket.Refill(rate, now)
 }
--- a/io/awgateway/throttle.go
+++ b/io/awgateway/throttle.go
@@ -139,6 +139,7 @@
 	defer g.mu.Unlock()
 	if _, known := g.noticeTargets[m.Sender]; !known && g.noticeTargets != nil {
 		g.noticeTargets[m.Sender] = from // it has registered since the entries were read
+		g.throttle.AddEntry(m.Sender)
 	}
 	if m.Wanted {
 		g.throttle.Greet(m.Sender)
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -137,6 +137,10 @@
 	abortRead context.CancelCauseFunc // aborts the current long poll of the operators' rows; nil if there is none
 }
 
+// startupTime is the time within which entries that are started together have
+// registered. The first read of the entries may miss some of them.
+const startupTime = time.Second
+
 // New returns a watcher with an empty state.
 func New(cfg Config) *Watcher {
 	return &Watcher{
@@ -173,7 +177,7 @@
 // poll reads a table repeatedly. It logs when the store becomes unavailable and
 // when it is available again.
 func (w *Watcher) poll(ctx context.Context, table string, interval time.Duration, read readFunc) {
-	since, failures := uint64(0), 0
+	since, failures, first := uint64(0), 0, true
 	for ctx.Err() == nil {
 		w.outage.await(ctx, table)
 		next, err := read(ctx, since, failures > 0)
@@ -205,7 +209,12 @@
 			w.log("store regained", "Table", table, "Revision", next)
 		}
 		since = next
-		Sleep(ctx, interval)
+		if first && table == tableEntries {
+			Sleep(ctx, min(interval, startupTime))
+		} else {
+			Sleep(ctx, interval)
+		}
+		first = false
 	}
 }
 
