Record a response under one lock of the gateway

Cause: recording an answer for the quarantine and what a server says about itself took the lock twice for each response, the first also for plain services, whose answers the quarantine does not use.

Change: recordResponse does both; answers of plain services are no longer recorded in the quarantine.

--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -82,9 +82,12 @@
 // New returns a gateway without a configuration.
 func New(cfg Config) *Gateway {
 	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Clock.Now().UnixNano())))
-	throttle := awthrottle.New(awthrottle.Config{Clock: cfg.Clock, Rand: rng, Self: cfg.Instance, Settling: cfg.Settling, OnSilence: func(entry string, silent bool) {
-		_ = level.Info(cfg.Logger).Log("Message", "issuer of permits", "Entry", entry, "Silent", silent)
-	}})
+	throttle := awthrottle.New(awthrottle.Config{
+		Clock: cfg.Clock, Rand: rng, Self: cfg.Instance, Settling: cfg.Settling,
+		OnSilence: func(entry string, silent bool) {
+			_ = level.Info(cfg.Logger).Log("Message", "issuer of permits", "Entry", entry, "Silent", silent)
+		},
+	})
 	return &Gateway{
 		cfg: cfg, metrics: newMetrics(), budgets: map[string]*awretry.WindowBudget{}, entryCount: 1, rng: rng,
 		exchange:       newExchange(awquarantine.New(cfg.Clock, cfg.Instance)),
--- a/io/awgateway/quarantine.go
+++ b/io/awgateway/quarantine.go
@@ -145,13 +145,6 @@
 	}
 }
 
-// recordAnswer records that an engine responds to a request sent at the given time.
-func (g *Gateway) recordAnswer(engine string, sent time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.exchange.quarantine.RecordAnswer(engine, sent)
-}
-
 // recordSound records that the parts of the prompt do not crash engines.
 func (q *request) recordSound() {
 	if len(q.info.SharedParts) == 0 {
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -79,11 +79,8 @@
 		return failedResult(ctx, err)
 	}
 	defer resp.Close()
-	g.recordAnswer(poolKey(&grant.Server), sent)
 	respInfo := g.cfg.Headers.DecodeResponse(resp.Status, resp.Header)
-	if !respInfo.Replaced {
-		g.observeSignals(&grant.Server, respInfo.Signals, sent)
-	}
+	q.recordResponse(&grant.Server, respInfo, sent)
 	switch {
 	case respInfo.Replaced:
 		return sendResult{outcome: awdispatch.Replaced, reason: "Replaced"}
--- a/io/awgateway/throttle.go
+++ b/io/awgateway/throttle.go
@@ -14,14 +14,26 @@
 	"arbutuswind/io/awproto"
 )
 
-// observeSignals records what a backend server says about itself in a response to
-// a request sent at the given time.
+// recordResponse records that a backend server responds to a request sent at the
+// given time, and what it says about itself. A response of another server at its
+// address says nothing about it.
+func (q *request) recordResponse(s *awdirectory.Server, info ResponseInfo, sent time.Time) {
+	g := q.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if q.model != "" {
+		g.exchange.quarantine.RecordAnswer(poolKey(s), sent)
+	}
+	if !info.Replaced {
+		g.observeSignals(s, info.Signals, sent)
+	}
+}
+
+// observeSignals records what a backend server says about itself; mu must be held.
 func (g *Gateway) observeSignals(s *awdirectory.Server, signals awthrottle.Signals, sent time.Time) {
 	if signals.LimitUnreadable {
 		g.metrics.badSignals.Inc()
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	c := g.throttle.Observe(s.Key(), signals, sent)
 	if c.Limit {
 		g.logLimit(s.Key(), "response")
