Log how long a silent backend server sent nothing, and pauses of the process

A send that was given up did not say how long its server had been silent, a cut stream named only the last reason, a refusal did not say that a body was left unread, and a pause of the process left no trace.

Change: SilentMs, LastFailure and UnreadBody in the lines about requests, the line 'process paused', counters of cut responses and silent sends, and a histogram of pauses. No decision changes.

--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -192,15 +192,25 @@
 // time, so it is short compared with the waits that awdispatch allows.
 const dispatchInterval = 20 * time.Millisecond
 
+// minLoggedPause is the shortest pause of the process that is logged. Garbage
+// collection and other work delay a tick by less.
+const minLoggedPause = 100 * time.Millisecond
+
 // Run dispatches waiting requests periodically until ctx is done.
 func (g *Gateway) Run(ctx context.Context) {
 	tick := time.NewTicker(dispatchInterval)
 	defer tick.Stop()
+	last := g.cfg.Clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			now := g.cfg.Clock.Now()
+			if pause := now.Sub(last) - dispatchInterval; pause > minLoggedPause {
+				g.recordPause(pause)
+			}
+			last = now
 			g.mu.Lock()
 			if g.dispatch.Waiting() > 0 {
 				g.dispatch.Tick()
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -25,6 +25,7 @@
 	host          string
 	header        http.Header
 	body          []byte
+	unreadBody    int64 // length of a body that was not read; -1 if its length is not known
 	route         *awdirectory.Route
 	team          *awdirectory.Team
 	service       string
@@ -39,6 +40,7 @@
 	probe         bool // the request tests whether its prompt still crashes engines
 	crashes       int  // sends that ended with a crash of the engine and may have caused it
 	avoid         map[awdirectory.Key]bool
+	lastFailure   string // reason of the last failed send
 	lastEventID   uint64 // ID of the last event that was forwarded
 	weightVersion int64  // version of the weights that generated the forwarded events
 	headerSent    bool   // the response header has been sent
@@ -69,6 +71,7 @@
 		start: g.cfg.Clock.Now(), avoid: map[awdirectory.Key]bool{},
 	}
 	if status, reason := q.resolve(c); status != 0 {
+		q.unreadBody = r.ContentLength
 		q.refuse(status, 0, reason)
 		return
 	}
@@ -267,6 +270,7 @@
 		if res.mayHaveRun {
 			q.possibleRuns++
 		}
+		q.lastFailure = res.reason
 		q.logFailedSend(d.Grant, res)
 		if res.suspect && q.model != "" {
 			q.crashes++
@@ -313,6 +317,7 @@
 	timedOut := errors.Is(context.Cause(ctx), errTimeout)
 	switch {
 	case q.headerSent:
+		q.g.metrics.cut(reason)
 		q.g.logNotServed(reason, "cut", q)
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	case ctx.Err() != nil && !timedOut:
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"arbutuswind/core/awclock"
 	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awdispatch"
 	"arbutuswind/core/awquarantine"
@@ -25,7 +26,8 @@
 	suspect    bool // the engine closed the connection and the request may be the cause
 	outcome    awdispatch.Outcome
 	reason     string
-	detail     string // error text for the log
+	detail     string        // error text for the log
+	silence    time.Duration // time for which the backend server had sent nothing when the send ended
 }
 
 const (
@@ -52,7 +54,7 @@
 
 // send sends the request to the granted backend server and forwards the
 // response.
-func (q *request) send(ctx context.Context, grant *awdispatch.Grant) sendResult {
+func (q *request) send(ctx context.Context, grant *awdispatch.Grant) (res sendResult) {
 	g := q.g
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -66,11 +68,16 @@
 	if q.lastEventID > 0 {
 		fwd.ResumeAfter = strconv.FormatUint(q.lastEventID, 10)
 	}
-	idle := newIdleTimer(q.route, cancel)
+	idle := newIdleTimer(q.route, func() {
+		g.metrics.silentSends.Inc()
+		cancel(errIdleTimeout)
+	})
 	defer idle.stop()
 	endTracking := q.trackUnproven(cancel)
 	defer endTracking()
 	sent := g.cfg.Clock.Now()
+	lastBytes := sent
+	defer func() { res.silence = g.cfg.Clock.Now().Sub(lastBytes) }()
 	resp, err := g.cfg.Pool.Do(ctx, poolKey(&grant.Server), grant.Server.Address, awbackend.Request{
 		Method: q.method, URI: q.uri, Host: q.host, Header: g.cfg.Headers.ForwardHeaders(q.header.Clone(), fwd), Body: q.body,
 		IDHeader: g.cfg.Headers.IDHeader(), ID: q.info.ID,
@@ -79,6 +86,7 @@
 		return failedResult(ctx, err)
 	}
 	defer resp.Close()
+	resp.Body = &timedReader{r: resp.Body, clock: g.cfg.Clock, last: &lastBytes}
 	respInfo := g.cfg.Headers.DecodeResponse(resp.Status, resp.Header)
 	q.recordResponse(&grant.Server, respInfo, sent)
 	switch {
@@ -162,6 +170,22 @@
 	return sendResult{answered: true, outcome: out}
 }
 
+// timedReader records when bytes were last read.
+type timedReader struct {
+	r     io.Reader
+	clock awclock.Clock
+	last  *time.Time
+}
+
+// Read implements [io.Reader].
+func (t *timedReader) Read(p []byte) (int, error) {
+	n, err := t.r.Read(p)
+	if n > 0 {
+		*t.last = t.clock.Now()
+	}
+	return n, err
+}
+
 // callerWriter writes to the caller and records a failure, which must not count
 // against the backend server.
 type callerWriter struct {
@@ -304,10 +328,10 @@
 	minIdleTimeout  = 1200 * time.Millisecond
 )
 
-func newIdleTimer(r *awdirectory.Route, cancel context.CancelCauseFunc) *idleTimer {
+func newIdleTimer(r *awdirectory.Route, expire func()) *idleTimer {
 	t := &idleTimer{timeout: max(minIdleTimeout, idleTimeoutGaps*r.MaxEventGap)}
 	if r.Kind == awdirectory.Stream && r.Resumable {
-		t.timer = time.AfterFunc(t.timeout, func() { cancel(errIdleTimeout) })
+		t.timer = time.AfterFunc(t.timeout, expire)
 	}
 	return t
 }
--- a/io/awgateway/telemetry.go
+++ b/io/awgateway/telemetry.go
@@ -25,6 +25,8 @@
 	sends, retries, callersLeft   *metrics.Counter
 	logLinesDropped, badFacts     *metrics.Counter
 	badSignals, badNotices        *metrics.Counter
+	silentSends                   *metrics.Counter
+	pauseTime                     *metrics.Histogram
 	serversLeaving, pauses        *metrics.Counter
 	quarantined                   *metrics.Gauge // prompt parts in quarantine
 	rateLimits                    *metrics.Gauge // backend servers with a rate limit
@@ -39,6 +41,8 @@
 		retries: counter("arbutuswind_gateway_repeats_total"), callersLeft: counter("arbutuswind_gateway_callers_left_total"),
 		logLinesDropped: counter("arbutuswind_gateway_log_lines_left_out_total"),
 		badFacts:        counter("arbutuswind_gateway_bad_facts_total"),
+		silentSends:     counter("arbutuswind_gateway_silent_sends_total"),
+		pauseTime:       histogram("arbutuswind_gateway_pause_seconds"),
 		badSignals:      counter("arbutuswind_gateway_bad_signals_total"),
 		badNotices:      counter("arbutuswind_gateway_bad_notices_total"),
 		serversLeaving:  counter("arbutuswind_gateway_servers_leaving_total"),
@@ -53,6 +57,11 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`arbutuswind_gateway_refused_total{Status="%d",Reason=%q}`, status, reason)).Inc()
 }
 
+// cut counts a response that was cut after its header had been sent.
+func (m *gatewayMetrics) cut(reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`arbutuswind_gateway_cut_total{Reason=%q}`, reason)).Inc()
+}
+
 // logRequest writes a log line about a request unless the limit is exceeded.
 func (g *Gateway) logRequest(message string, kv ...any) {
 	if !g.metrics.logLimiter.AllowN(g.cfg.Clock.Now(), 1) {
@@ -75,6 +84,12 @@
 	if q.lastEventID > 0 {
 		kv = append(kv, "LastEvent", q.lastEventID)
 	}
+	if q.lastFailure != "" {
+		kv = append(kv, "LastFailure", q.lastFailure)
+	}
+	if q.unreadBody != 0 {
+		kv = append(kv, "UnreadBody", q.unreadBody)
+	}
 	return kv
 }
 
@@ -89,10 +104,17 @@
 
 // logFailedSend logs a send that did not produce the final response.
 func (q *request) logFailedSend(grant *awdispatch.Grant, res sendResult) {
-	q.g.logRequest("send failed", q.logFields("Server", grant.Server.ID, "Reason", res.reason, "RanMaybe", res.mayHaveRun, "Error", res.detail,
+	q.g.logRequest("send failed", q.logFields("Server", grant.Server.ID, "Reason", res.reason, "RanMaybe", res.mayHaveRun, "Error", res.detail, "SilentMs", res.silence.Milliseconds(),
 		"Parts", strings.Join(q.info.SharedParts, ","))...)
 }
 
+// recordPause records that the process did not run for a time, during which it
+// could not read what backend servers had sent.
+func (g *Gateway) recordPause(d time.Duration) {
+	g.metrics.pauseTime.Update(d.Seconds())
+	g.logRequest("process paused", "Ms", d.Milliseconds())
+}
+
 // recordServed records a response that came from a backend server. It logs only
 // server errors and requests that were sent more than once.
 func (g *Gateway) recordServed(q *request, status int) {
