Keep an error response from ending a stream that it should resume

What callers saw: a stream of which another backend server should send the rest ended as if it were whole, when that server responded with an error. Cause: such a response took the path of whole answers, which writes it to the caller and finishes the response, although the header and events of the first server had been sent.

Change: once the header of a stream has been sent, a response that is no stream is a failed send, with the reason NotResumed.

Figures: TestErrorResponseDoesNotEndStream failed before (no error at the caller with 500 and 404), passes now.

--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -133,7 +133,10 @@
 	if err != nil {
 		return failedResult(ctx, err)
 	}
-	if resp.Status >= 500 && q.route.Repeatable() && !q.headerSent && q.sends < max(1, q.route.MaxAttempts) && q.timeForRetry() {
+	if q.headerSent { // the response is an event stream, which only events can continue
+		return sendResult{mayHaveRun: true, outcome: awdispatch.Failed, reason: "NotResumed", detail: http.StatusText(resp.Status)}
+	}
+	if resp.Status >= 500 && q.route.Repeatable() && q.sends < max(1, q.route.MaxAttempts) && q.timeForRetry() {
 		return sendResult{mayHaveRun: true, outcome: awdispatch.Failed, reason: "ServerError"}
 	}
 	h := q.w.Header()
