Keep a stream with its silent server until another one goes on

What callers saw: a stream whose backend server was silent for 1.2 s or five times the route's maximum gap was cut, or got 502 before its first event, unless another server was free. A server that was silent for a second or so and went on lost what it ran (LOST). Cause: silence was taken for failure. The send was cancelled first, and its replacement sought afterwards. Time in which a slow caller took nothing counted as silence of the server too.

Change: after that silence the request is sent to another backend server as well, if one has room and the attempts and the budget allow it. The send that delivers the next event first goes on and the others are cancelled, so each event is forwarded once and in order (awstream.Race). No time limit ends a send but the caller's deadline and the route's timeout. A send that is running counts as a possible run. Waiting for the caller is no silence.

--- a/core/awretry/hedge.go
+++ b/core/awretry/hedge.go
@@ -10,6 +10,10 @@
 	minHedgeDelay = 1200 * time.Millisecond
 )
 
+// HedgeRetry is the time until another backend server is sought again if none
+// has room: about the time until a busy fleet frees a slot.
+const HedgeRetry = 150 * time.Millisecond
+
 // HedgeDelay returns how long the backend servers of a resumable stream may send
 // nothing before the stream is also sent to another one. maxGap is the route's
 // maximum gap between events.
--- a/core/awstream/race.go
+++ b/core/awstream/race.go
@@ -14,7 +14,8 @@
 // Race decides which of several sends of one event stream is forwarded. A send
 // that is silent is not given up when another one begins: whichever delivers the
 // next event first goes on, and all others are overtaken. The caller gets each
-// event once, in order. It is not safe for concurrent use.
+// event once, in order. The zero value has no sends. It is not safe for
+// concurrent use.
 type Race struct {
 	lastID     uint64
 	unnumbered bool // an event without an ID has been forwarded
@@ -22,12 +23,12 @@
 	begun      int
 }
 
-// NewRace returns a race without sends.
-func NewRace() *Race { return &Race{running: map[int]bool{}} }
-
 // Begin adds a send, which resumes the stream after [Race.LastID], and returns
 // its number.
 func (r *Race) Begin() int {
+	if r.running == nil {
+		r.running = map[int]bool{}
+	}
 	r.begun++
 	r.running[r.begun] = true
 	return r.begun
@@ -79,5 +80,8 @@
 // Fail removes a send that failed.
 func (r *Race) Fail(send int) { delete(r.running, send) }
 
+// Running returns the number of sends that have neither failed nor been overtaken.
+func (r *Race) Running() int { return len(r.running) }
+
 // IsRunning reports whether a send has neither failed nor been overtaken.
 func (r *Race) IsRunning(send int) bool { return r.running[send] }
--- a/io/awgateway/quarantine.go
+++ b/io/awgateway/quarantine.go
@@ -40,7 +40,7 @@
 // together with the other entries. All fields are protected by the gateway's mu.
 type exchange struct {
 	quarantine *awquarantine.Quarantine
-	unproven   map[*request]context.CancelCauseFunc // sends whose answer has not begun
+	unproven   map[*send]bool // sends whose answer has not begun
 	peers      []netip.AddrPort
 	logged     map[string]bool // blocked parts that have been logged
 	changed    chan struct{}   // signals pending facts
@@ -49,7 +49,7 @@
 
 func newExchange(q *awquarantine.Quarantine) exchange {
 	return exchange{
-		quarantine: q, unproven: map[*request]context.CancelCauseFunc{}, logged: map[string]bool{},
+		quarantine: q, unproven: map[*send]bool{}, logged: map[string]bool{},
 		changed: make(chan struct{}, 1), joined: make(chan struct{}, 1),
 	}
 }
@@ -79,9 +79,9 @@
 // refused and has pending facts sent; mu must be held.
 func (g *Gateway) updateExchange() {
 	x := &g.exchange
-	for q, cancel := range x.unproven {
-		if _, blocked := x.quarantine.Blocked(q.info.SharedParts); blocked {
-			cancel(errQuarantined)
+	for s := range x.unproven {
+		if _, blocked := x.quarantine.Blocked(s.q.info.SharedParts); blocked {
+			s.cancel(errQuarantined)
 		}
 	}
 	signal(x.changed)
@@ -129,19 +129,20 @@
 	return blocked
 }
 
-// trackUnproven lets the quarantine end a send. The returned function ends that;
+// trackUnproven lets the quarantine end the send. The returned function ends that;
 // it must be called when the answer has begun or the send has ended.
-func (q *request) trackUnproven(cancel context.CancelCauseFunc) func() {
-	if len(q.info.SharedParts) == 0 || q.probe {
+func (s *send) trackUnproven() func() {
+	if len(s.q.info.SharedParts) == 0 || s.q.probe {
 		return func() {}
 	}
-	q.g.mu.Lock()
-	defer q.g.mu.Unlock()
-	q.g.exchange.unproven[q] = cancel
+	g := s.q.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.exchange.unproven[s] = true
 	return func() {
-		q.g.mu.Lock()
-		defer q.g.mu.Unlock()
-		delete(q.g.exchange.unproven, q)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.exchange.unproven, s)
 	}
 }
 
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -8,11 +8,13 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awdispatch"
 	"arbutuswind/core/awretry"
+	"arbutuswind/core/awstream"
 )
 
 // request is the state of one request of a caller.
@@ -35,15 +37,21 @@
 	priorWait     time.Duration // time that the caller has spent in earlier attempts
 	configVersion uint64        // version of the configuration
 
-	possibleRuns  int // number of sends that the backend server may have run
-	sends         int
-	probe         bool // the request tests whether its prompt still crashes engines
-	crashes       int  // sends that ended with a crash of the engine and may have caused it
-	avoid         map[awdirectory.Key]bool
-	lastFailure   string // reason of the last failed send
-	lastEventID   uint64 // ID of the last event that was forwarded
-	weightVersion int64  // version of the weights that generated the forwarded events
-	headerSent    bool   // the response header has been sent
+	possibleRuns int // number of sends that the backend server may have run
+	sends        int
+	probe        bool // the request tests whether its prompt still crashes engines
+	crashes      int  // sends that ended with a crash of the engine and may have caused it
+	avoid        map[awdirectory.Key]bool
+	lastFailure  string  // reason of the last failed send
+	running      []*send // sends that have not ended
+	ended        chan endedSend
+
+	// forward is held while a send writes to the caller. It protects the fields below.
+	forward       sync.Mutex
+	race          awstream.Race
+	racing        []*send // sends that have neither ended nor been overtaken
+	weightVersion int64   // version of the weights that generated the forwarded events
+	headerSent    bool    // the response header has been sent
 }
 
 // minRetryAfter is the shortest Retry-After of a 503. It covers an entry without
@@ -51,10 +59,6 @@
 // start.
 const minRetryAfter = 300 * time.Millisecond
 
-// maxSends limits the sends of one request, including those that did not run.
-// It is reached only if many backend servers reject the request.
-const maxSends = 4
-
 // ServeHTTP implements [http.Handler].
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if g.stopping.Load() {
@@ -196,38 +200,57 @@
 	return q.route.Priority
 }
 
-// acquireSlot waits until the dispatcher grants a backend server or refuses the
-// request. It returns false if ctx is done first.
-func (q *request) acquireSlot(ctx context.Context) (awdispatch.Decision, bool) {
+// pendingSlot is a request for a slot that the dispatcher has not decided yet.
+type pendingSlot struct {
+	q         *request
+	ticket    *awdispatch.Ticket
+	decisions chan awdispatch.Decision
+}
+
+// requestSlot asks the dispatcher for a backend server.
+func (q *request) requestSlot() *pendingSlot {
 	g := q.g
 	maxWait, late := awdispatch.WaitLimit(q.route.LatencyObjective, q.priorWait+g.cfg.Clock.Now().Sub(q.start))
+	state := q.streamState()
 	req := awdispatch.Request{
 		Service: q.service, Model: q.model, Priority: q.priority(), MaxWait: maxWait, Deadline: q.deadline,
-		Late:   late && !q.headerSent, // a stream being resumed has precedence over new requests
-		Tokens: q.info.PromptTokens + q.info.MaxTokens, Version: q.weightVersion, Avoid: q.avoid,
+		Late:   late && !state.headerSent, // a stream being resumed has precedence over new requests
+		Tokens: q.info.PromptTokens + q.info.MaxTokens, Version: state.weightVersion, Avoid: q.avoid,
 		Allowed: func(region string) bool { return awdirectory.RegionAllowed(q.route, q.team, region) },
 	}
-	decisions := make(chan awdispatch.Decision, 1)
+	p := &pendingSlot{q: q, decisions: make(chan awdispatch.Decision, 1)}
 	g.mu.Lock()
-	ticket := g.dispatch.Submit(req, func(d awdispatch.Decision) { decisions <- d })
+	defer g.mu.Unlock()
+	p.ticket = g.dispatch.Submit(req, func(d awdispatch.Decision) { p.decisions <- d })
 	g.signalNotices()
-	g.mu.Unlock()
-	select {
-	case d := <-decisions:
-		return d, true
-	case <-ctx.Done():
-	}
-	g.mu.Lock()
-	g.dispatch.Cancel(ticket)
-	g.mu.Unlock()
+	return p
+}
+
+// cancel withdraws the request for a slot.
+func (p *pendingSlot) cancel() {
+	p.q.g.mu.Lock()
+	p.q.g.dispatch.Cancel(p.ticket)
+	p.q.g.mu.Unlock()
 	select {
-	case d := <-decisions: // decided before the cancellation
+	case d := <-p.decisions: // decided before the cancellation
 		if d.Grant != nil {
-			q.release(d.Grant, awdispatch.Abandoned)
+			p.q.release(d.Grant, awdispatch.Abandoned)
 		}
 	default:
 	}
-	return awdispatch.Decision{}, false
+}
+
+// acquireSlot waits until the dispatcher grants a backend server or refuses the
+// request. It returns false if ctx is done first.
+func (q *request) acquireSlot(ctx context.Context) (awdispatch.Decision, bool) {
+	p := q.requestSlot()
+	select {
+	case d := <-p.decisions:
+		return d, true
+	case <-ctx.Done():
+		p.cancel()
+		return awdispatch.Decision{}, false
+	}
 }
 
 func (q *request) release(grant *awdispatch.Grant, out awdispatch.Outcome) {
@@ -259,26 +282,11 @@
 			q.release(d.Grant, awdispatch.Abandoned) // blocked while it waited
 			continue
 		}
-		q.sends++
 		q.logSend(d.Grant, g.cfg.Clock.Now().Sub(waitStart))
-		sent := g.cfg.Clock.Now()
-		res := q.send(ctx, d.Grant)
-		q.release(d.Grant, res.outcome)
+		res := q.sendAndAwait(ctx, d.Grant)
 		if res.answered {
 			return
 		}
-		if res.mayHaveRun {
-			q.possibleRuns++
-		}
-		q.lastFailure = res.reason
-		q.logFailedSend(d.Grant, res)
-		if res.suspect && q.model != "" {
-			q.crashes++
-		}
-		if res.suspect || res.reason == reasonQuarantined {
-			q.recordSuspect(poolKey(&d.Grant.Server), sent, !res.suspect)
-		}
-		q.avoid[d.Grant.Server.Key()] = true
 		if ctx.Err() != nil || !q.allowRetry() {
 			q.finishUnanswered(ctx, 0, res.reason)
 			return
@@ -293,13 +301,20 @@
 	return "NoRoom"
 }
 
+// mayBeSentAgain reports whether the request may be sent once more, apart from
+// the retry budget.
+func (q *request) mayBeSentAgain() bool {
+	sends := awretry.Sends{
+		Repeatable: q.route.Repeatable(), MaxAttempts: q.route.MaxAttempts, Total: q.sends, PossibleRuns: q.possibleRuns,
+		Running: len(q.running), Crashes: q.crashes,
+	}
+	return sends.AllowAnother() && q.streamState().resumable
+}
+
 // allowRetry reports whether the request may be sent again. If so, it takes the
 // retry from the budget.
 func (q *request) allowRetry() bool {
-	if q.possibleRuns > 0 && (!q.route.Repeatable() || q.possibleRuns >= max(1, q.route.MaxAttempts)) {
-		return false
-	}
-	if q.sends >= maxSends || q.crashes >= awretry.MaxCrashes {
+	if !q.mayBeSentAgain() {
 		return false
 	}
 	q.g.mu.Lock()
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"arbutuswind/core/awclock"
 	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awdispatch"
 	"arbutuswind/core/awquarantine"
@@ -28,6 +27,7 @@
 	reason     string
 	detail     string        // error text for the log
 	silence    time.Duration // time for which the backend server had sent nothing when the send ended
+	status     int           // HTTP status of the response, if answered
 }
 
 const (
@@ -43,52 +43,34 @@
 	lowestPriority = 9
 )
 
+// reasonOvertaken is the reason of sends that were ended because another backend
+// server delivered the next event.
+const reasonOvertaken = "Overtaken"
+
 var (
-	errIdleTimeout    = errors.New("backend server sent nothing within the idle timeout")
 	errUnsigned       = errors.New("success without a signature")
 	errVersionChanged = errors.New("backend server resumed the stream with another version of the weights")
 	errCallerLeft     = errors.New("caller cannot be written to")
 	errNoEvent        = fmt.Errorf("stream without any event: %w", io.ErrUnexpectedEOF)
-	errEventOrder     = errors.New("backend server sent an event out of order")
 )
 
-// send sends the request to the granted backend server and forwards the
-// response.
-func (q *request) send(ctx context.Context, grant *awdispatch.Grant) (res sendResult) {
+// run sends the request to the granted backend server and forwards the response.
+func (s *send) run(ctx context.Context) sendResult {
+	q := s.q
 	g := q.g
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	fwd := ForwardInfo{
-		Server: grant.Server, Remaining: q.deadline.Sub(g.cfg.Clock.Now()), ResumeAfter: q.info.ResumeAfter,
-		Version: q.weightVersion, Priority: min(q.priority(), lowestPriority),
-	}
-	if q.team != nil {
-		fwd.Team = q.team.Name
-	}
-	if q.lastEventID > 0 {
-		fwd.ResumeAfter = strconv.FormatUint(q.lastEventID, 10)
-	}
-	idle := newIdleTimer(q.route, func() {
-		g.metrics.silentSends.Inc()
-		cancel(errIdleTimeout)
-	})
-	defer idle.stop()
-	endTracking := q.trackUnproven(cancel)
+	endTracking := s.trackUnproven()
 	defer endTracking()
-	sent := g.cfg.Clock.Now()
-	lastBytes := sent
-	defer func() { res.silence = g.cfg.Clock.Now().Sub(lastBytes) }()
-	resp, err := g.cfg.Pool.Do(ctx, poolKey(&grant.Server), grant.Server.Address, awbackend.Request{
-		Method: q.method, URI: q.uri, Host: q.host, Header: g.cfg.Headers.ForwardHeaders(q.header.Clone(), fwd), Body: q.body,
+	resp, err := g.cfg.Pool.Do(ctx, poolKey(&s.grant.Server), s.grant.Server.Address, awbackend.Request{
+		Method: q.method, URI: q.uri, Host: q.host, Header: g.cfg.Headers.ForwardHeaders(q.header.Clone(), s.forwardInfo()), Body: q.body,
 		IDHeader: g.cfg.Headers.IDHeader(), ID: q.info.ID,
 	})
 	if err != nil {
 		return failedResult(ctx, err)
 	}
 	defer resp.Close()
-	resp.Body = &timedReader{r: resp.Body, clock: g.cfg.Clock, last: &lastBytes}
+	resp.Body = &activeReader{r: resp.Body, s: s}
 	respInfo := g.cfg.Headers.DecodeResponse(resp.Status, resp.Header)
-	q.recordResponse(&grant.Server, respInfo, sent)
+	q.recordResponse(&s.grant.Server, respInfo, s.start)
 	switch {
 	case respInfo.Replaced:
 		return sendResult{outcome: awdispatch.Replaced, reason: "Replaced"}
@@ -98,9 +80,25 @@
 	case resp.Status < 300 && !respInfo.Signed:
 		return failedResult(ctx, errUnsigned)
 	case q.route.Kind == awdirectory.Stream && resp.Status < 300:
-		return q.forwardStream(ctx, resp, respInfo, idle, endTracking)
+		return s.forwardStream(ctx, resp, respInfo, endTracking)
+	}
+	return s.forwardWhole(ctx, resp)
+}
+
+func (s *send) forwardInfo() ForwardInfo {
+	q := s.q
+	state := q.streamState()
+	info := ForwardInfo{
+		Server: s.grant.Server, Remaining: q.deadline.Sub(q.g.cfg.Clock.Now()), ResumeAfter: q.info.ResumeAfter,
+		Version: state.weightVersion, Priority: min(q.priority(), lowestPriority),
+	}
+	if q.team != nil {
+		info.Team = q.team.Name
+	}
+	if state.lastEventID > 0 {
+		info.ResumeAfter = strconv.FormatUint(state.lastEventID, 10)
 	}
-	return q.forwardWhole(ctx, resp)
+	return info
 }
 
 // failedResult returns the result of a send that failed with err.
@@ -117,8 +115,8 @@
 		r.suspect = r.mayHaveRun && awhttp.IsClosedByServer(err)
 	case errors.Is(cause, errQuarantined):
 		r.outcome, r.reason = awdispatch.Abandoned, reasonQuarantined
-	case errors.Is(cause, errIdleTimeout):
-		r.reason = "BackendSilent"
+	case errors.Is(cause, awstream.ErrOvertaken):
+		r.outcome, r.reason = awdispatch.Abandoned, reasonOvertaken
 	case errors.Is(cause, errTimeout):
 		r.outcome, r.reason = awdispatch.Abandoned, "TimedOut"
 	default:
@@ -128,17 +126,23 @@
 }
 
 // forwardWhole forwards a response that is not an event stream.
-func (q *request) forwardWhole(ctx context.Context, resp *awbackend.Response) sendResult {
+func (s *send) forwardWhole(ctx context.Context, resp *awbackend.Response) sendResult {
+	q := s.q
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
 	if err != nil {
 		return failedResult(ctx, err)
 	}
-	if q.headerSent { // the response is an event stream, which only events can continue
+	q.forward.Lock()
+	defer q.forward.Unlock()
+	switch {
+	case !q.race.IsRunning(s.number):
+		return failedResult(ctx, awstream.ErrOvertaken)
+	case q.headerSent: // the response is an event stream, which only events can continue
 		return sendResult{mayHaveRun: true, outcome: awdispatch.Failed, reason: "NotResumed", detail: http.StatusText(resp.Status)}
-	}
-	if resp.Status >= 500 && q.route.Repeatable() && q.sends < max(1, q.route.MaxAttempts) && q.timeForRetry() {
+	case resp.Status >= 500 && (q.race.Running() > 1 || s.mayRepeat()):
 		return sendResult{mayHaveRun: true, outcome: awdispatch.Failed, reason: "ServerError"}
 	}
+	s.overtakeOthers()
 	h := q.w.Header()
 	for name, values := range endToEndHeaders(resp.Header) {
 		h[name] = values
@@ -169,24 +173,12 @@
 	} else {
 		q.recordSound()
 	}
-	q.g.recordServed(q, resp.Status)
-	return sendResult{answered: true, outcome: out}
-}
-
-// timedReader records when bytes were last read.
-type timedReader struct {
-	r     io.Reader
-	clock awclock.Clock
-	last  *time.Time
+	return sendResult{answered: true, outcome: out, status: resp.Status}
 }
 
-// Read implements [io.Reader].
-func (t *timedReader) Read(p []byte) (int, error) {
-	n, err := t.r.Read(p)
-	if n > 0 {
-		*t.last = t.clock.Now()
-	}
-	return n, err
+// mayRepeat reports whether a server error need not be the final response.
+func (s *send) mayRepeat() bool {
+	return s.q.route.Repeatable() && s.number < max(1, s.q.route.MaxAttempts) && s.q.timeForRetry()
 }
 
 // callerWriter writes to the caller and records a failure, which must not count
@@ -211,12 +203,10 @@
 
 // forwardStream forwards the events of a response as they arrive. It calls begun
 // when the first one has.
-func (q *request) forwardStream(ctx context.Context, resp *awbackend.Response, respInfo ResponseInfo, idle *idleTimer, begun func()) sendResult {
-	if q.weightVersion != 0 && respInfo.Version != 0 && respInfo.Version != q.weightVersion {
-		return failedResult(ctx, errVersionChanged)
-	}
+func (s *send) forwardStream(ctx context.Context, resp *awbackend.Response, respInfo ResponseInfo, begun func()) sendResult {
+	q := s.q
 	var proof awquarantine.Proof
-	err := q.copyStream(resp, respInfo, idle, func() {
+	err := s.copyStream(resp, respInfo, func() {
 		begun()
 		if proof.Event(q.g.cfg.Clock.Now()) {
 			q.recordSound()
@@ -227,9 +217,7 @@
 		if proof.End() {
 			q.recordSound()
 		}
-		q.writeStreamHeader(resp, respInfo)
-		q.g.recordServed(q, resp.Status)
-		return sendResult{answered: true, outcome: awdispatch.Succeeded}
+		return sendResult{answered: true, outcome: awdispatch.Succeeded, status: resp.Status}
 	case errors.Is(err, errCallerLeft):
 		return sendResult{mayHaveRun: true, outcome: awdispatch.Abandoned, reason: "CallerLeft"}
 	}
@@ -240,19 +228,18 @@
 
 // copyStream forwards events until the stream ends, and calls forwarded after
 // each group of them. It returns errCallerLeft if the caller cannot be written to.
-func (q *request) copyStream(resp *awbackend.Response, respInfo ResponseInfo, idle *idleTimer, forwarded func()) error {
-	control := http.NewResponseController(q.w)
+func (s *send) copyStream(resp *awbackend.Response, respInfo ResponseInfo, forwarded func()) error {
+	control := http.NewResponseController(s.q.w)
 	var splitter awstream.Splitter
 	buf := make([]byte, 4<<10)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			idle.reset()
 			if err := splitter.Write(buf[:n]); err != nil {
 				return err
 			}
 		}
-		wrote, writeErr := q.forwardEvents(&splitter, resp, respInfo, control)
+		wrote, writeErr := s.forwardEvents(&splitter, resp, respInfo, control)
 		if writeErr != nil {
 			return writeErr
 		}
@@ -263,45 +250,61 @@
 		case err == nil:
 		case !errors.Is(err, io.EOF) || splitter.Buffered() > 0:
 			return err
-		case resp.Unframed && !q.headerSent && q.info.ResumeAfter == "":
-			return errNoEvent
 		default:
-			return nil
+			return s.finishStream(resp, respInfo)
 		}
 	}
 }
 
 // forwardEvents writes the complete events that have arrived and reports whether
 // there were any.
-func (q *request) forwardEvents(splitter *awstream.Splitter, resp *awbackend.Response, respInfo ResponseInfo, control *http.ResponseController) (wrote bool, err error) {
-	for {
-		e, ok := splitter.Next()
-		if !ok {
-			break
-		}
-		if e.HasID {
-			if q.lastEventID > 0 && e.ID <= q.lastEventID {
-				return wrote, errEventOrder
-			}
-			q.lastEventID = e.ID
+func (s *send) forwardEvents(splitter *awstream.Splitter, resp *awbackend.Response, respInfo ResponseInfo, control *http.ResponseController) (wrote bool, err error) {
+	q := s.q
+	e, ok := splitter.Next()
+	if !ok {
+		return false, nil
+	}
+	q.forward.Lock()
+	defer q.forward.Unlock()
+	defer s.recordActivity() // the time that the caller takes is no silence of the backend server
+	if q.weightVersion != 0 && respInfo.Version != 0 && respInfo.Version != q.weightVersion {
+		return false, errVersionChanged
+	}
+	for ; ok; e, ok = splitter.Next() {
+		if err := q.race.Offer(s.number, e); err != nil {
+			return wrote, err
 		}
+		s.overtakeOthers()
 		q.writeStreamHeader(resp, respInfo)
 		if _, err := q.w.Write(e.Raw); err != nil {
 			return wrote, errCallerLeft
 		}
 		wrote = true
 	}
-	if !wrote {
-		return false, nil
-	}
 	if err := control.Flush(); err != nil {
 		return true, errCallerLeft
 	}
 	return true, nil
 }
 
+// finishStream ends the response after the last event of the send.
+func (s *send) finishStream(resp *awbackend.Response, respInfo ResponseInfo) error {
+	q := s.q
+	q.forward.Lock()
+	defer q.forward.Unlock()
+	if resp.Unframed && !q.headerSent && q.info.ResumeAfter == "" {
+		return errNoEvent
+	}
+	if err := q.race.Finish(s.number); err != nil {
+		return err
+	}
+	s.overtakeOthers()
+	q.writeStreamHeader(resp, respInfo)
+	return nil
+}
+
 // writeStreamHeader sends the response header of the first backend server. When
-// another one resumes the stream, its header is dropped.
+// another one resumes the stream, its header is dropped; forward must be held.
 func (q *request) writeStreamHeader(resp *awbackend.Response, respInfo ResponseInfo) {
 	if q.headerSent {
 		return
@@ -314,39 +317,3 @@
 	q.w.WriteHeader(resp.Status)
 	q.g.metrics.firstEvent.Update(q.g.cfg.Clock.Now().Sub(q.start).Seconds())
 }
-
-// idleTimer cancels an event stream whose backend server sends nothing for so
-// long that the caller would soon give up. It is active only if the stream can
-// be resumed.
-type idleTimer struct {
-	timer   *time.Timer
-	timeout time.Duration
-}
-
-// A resumable stream is idle for too long after this multiple of the route's
-// maximum gap between events, and at least minIdleTimeout. Callers give up after
-// eight such gaps, or after two seconds.
-const (
-	idleTimeoutGaps = 5
-	minIdleTimeout  = 1200 * time.Millisecond
-)
-
-func newIdleTimer(r *awdirectory.Route, expire func()) *idleTimer {
-	t := &idleTimer{timeout: max(minIdleTimeout, idleTimeoutGaps*r.MaxEventGap)}
-	if r.Kind == awdirectory.Stream && r.Resumable {
-		t.timer = time.AfterFunc(t.timeout, expire)
-	}
-	return t
-}
-
-func (t *idleTimer) reset() {
-	if t.timer != nil {
-		t.timer.Reset(t.timeout)
-	}
-}
-
-func (t *idleTimer) stop() {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-}
--- a/io/awgateway/send_test.go
+++ b/io/awgateway/send_test.go
@@ -42,7 +42,8 @@
 		q := &request{
 			g: g, w: &brokenCaller{ResponseRecorder: httptest.NewRecorder(), left: left}, route: &awdirectory.Route{}, start: time.Now(),
 		}
-		return q.forwardWhole(context.Background(), &awbackend.Response{Status: 200, Body: body}).outcome
+		s, ctx := q.newSend(context.Background(), &awdispatch.Grant{})
+		return s.forwardWhole(ctx, &awbackend.Response{Status: 200, Body: body}).outcome
 	}
 	long := strings.Repeat("x", 2*maxBufferedBody)
 	require.Equal(t, awdispatch.Abandoned, forward(maxBufferedBody, strings.NewReader(long)))
--- a/io/awgateway/telemetry.go
+++ b/io/awgateway/telemetry.go
@@ -81,8 +81,8 @@
 	if q.route != nil {
 		kv = append(kv, "Route", q.route.Name, "Service", q.service)
 	}
-	if q.lastEventID > 0 {
-		kv = append(kv, "LastEvent", q.lastEventID)
+	if id := q.streamState().lastEventID; id > 0 {
+		kv = append(kv, "LastEvent", id)
 	}
 	if q.lastFailure != "" {
 		kv = append(kv, "LastFailure", q.lastFailure)
