Send silent servers no new requests until they go on

Cause: since a silent send is no longer ended, the dispatcher learnt of the silence only when the caller left, as an abandoned request, and went on choosing the server.

Change: the silence of a send counts as one failure of its server at once; three in a row eject it as before, and a request that it completes ends that.

--- a/core/awdispatch/limits_test.go
+++ b/core/awdispatch/limits_test.go
@@ -1,12 +1,15 @@
 package awdispatch
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"arbutuswind/core/awclock"
 	"arbutuswind/core/awdirectory"
+	"arbutuswind/core/awmember"
 )
 
 // Guards against overload of a cold backend server. Entries that do not
@@ -175,3 +178,29 @@
 	d.Report(back.Key(), Load{At: s.clock.Now(), Versions: map[string]int64{"m": 1}})
 	require.Equal(t, usable+1, d.Availability("s", "m").Usable, "a report shows that the engine is back")
 }
+
+// Guards against a silent server that keeps getting requests, and against one
+// that stays without any after it has gone on.
+func TestSilentServerGetsNoNewRequestsUntilItGoesOn(t *testing.T) {
+	clock := awclock.NewFake(time.Unix(0, 0))
+	d := New(Config{Clock: clock, Rand: rand.New(rand.NewPCG(1, 1)), Domain: "d", Region: "r", Eject: awmember.DefaultEjectConfig()})
+	d.SetServices([]awdirectory.Service{{Name: "s"}})
+	servers := []awdirectory.Server{{ID: "near", Service: "s", Domain: "d", Region: "r", Slots: 8}}
+	for _, id := range []string{"b", "c", "e"} {
+		servers = append(servers, awdirectory.Server{ID: id, Service: "s", Domain: "far", Region: "far", Slots: 8})
+	}
+	d.SetServers(servers)
+	grant := func() (g *Grant) {
+		d.Submit(Request{Service: "s", Deadline: clock.Now().Add(time.Second)}, func(dec Decision) { g = dec.Grant })
+		require.NotNil(t, g)
+		return g
+	}
+	running := grant()
+	require.Equal(t, "near", running.Server.ID)
+	for range awmember.DefaultEjectConfig().Failures {
+		d.RecordSilence(running.Server.Key())
+	}
+	require.NotEqual(t, "near", grant().Server.ID)
+	d.Release(running, Succeeded)
+	require.Equal(t, "near", grant().Server.ID)
+}
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -179,6 +179,14 @@
 	d.assignQueued(s.info.Service)
 }
 
+// RecordSilence records that a backend server has been silent for long under a
+// request that it still runs. It counts as a failure until a request succeeds.
+func (d *Dispatcher) RecordSilence(k awdirectory.Key) {
+	if s := d.servers[k]; s != nil {
+		d.ejector.RecordFailure(ejectID(k), len(d.byService[s.info.Service]), d.cfg.Clock.Now())
+	}
+}
+
 func (d *Dispatcher) assignAllQueued() {
 	for service := range d.queues {
 		d.assignQueued(service)
--- a/io/awgateway/hedge.go
+++ b/io/awgateway/hedge.go
@@ -23,6 +23,7 @@
 	// active is when the backend server last sent bytes, or the caller last took
 	// some, since start.
 	active atomic.Int64
+	silent bool // the dispatcher knows that the backend server has been silent
 }
 
 // endedSend is the result of a send, or the panic that ended it.
@@ -134,8 +135,8 @@
 	q.racing = slices.DeleteFunc(q.racing, func(other *send) bool { return other == s })
 	q.forward.Unlock()
 	res.silence = s.silence(q.g.cfg.Clock.Now())
-	if res.reason == reasonOvertaken && res.silence >= awretry.HedgeDelay(q.route.MaxEventGap) {
-		res.outcome, res.reason = awdispatch.Failed, "BackendSilent"
+	if res.reason == reasonOvertaken && s.silent {
+		res.reason = "BackendSilent"
 	}
 	q.release(s.grant, res.outcome)
 	if res.mayHaveRun {
@@ -221,17 +222,30 @@
 	if wait := h.untilSilent(); wait > 0 {
 		return wait
 	}
+	h.recordSilence()
 	if h.pending != nil || !q.mayBeSentAgain() || q.isQuarantined() {
 		return h.delay
 	}
-	q.g.metrics.silentSends.Inc()
-	for _, s := range q.running {
-		q.avoid[s.grant.Server.Key()] = true
-	}
 	h.pending = q.requestSlot()
 	return h.delay
 }
 
+// recordSilence records that the backend servers of all sends are silent.
+func (h *hedge) recordSilence() {
+	g := h.q.g
+	for _, s := range h.q.running {
+		h.q.avoid[s.grant.Server.Key()] = true
+		if s.silent {
+			continue
+		}
+		s.silent = true
+		g.metrics.silentSends.Inc()
+		g.mu.Lock()
+		g.dispatch.RecordSilence(s.grant.Server.Key())
+		g.mu.Unlock()
+	}
+}
+
 // use sends the request to the granted backend server if all sends are still
 // silent. It returns the time until the next check.
 func (h *hedge) use(ctx context.Context, d awdispatch.Decision) time.Duration {
