Let a proxied connection that has lost bytes pass nothing more

A connection whose bytes DropToServer or DropToClient had discarded passed later bytes again when another fault took the place of the first, as the overlapping faults of the soak do, and could end with a regular close. TCP never does either. Each direction now discards everything after its first lost block, and the connection ends with a reset. A reset sets SO_LINGER on both sides before it closes one, because the relay closed the other side regularly in between.

--- a/internal/awstandin/proxy.go
+++ b/internal/awstandin/proxy.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -22,11 +23,15 @@
 	Mbit           float64 // rate of each direction, shared by all connections; 0 means unlimited
 }
 
-// Proxy is a TCP relay that injects faults into one link.
+// Proxy is a TCP relay that injects faults into one link. As in TCP, a direction
+// of a connection that has lost bytes passes nothing more, whatever the faults
+// are afterwards, and such a connection ends with a reset.
 type Proxy struct {
 	faults faultState[ProxyFault]
 	target string
 
+	discarded atomic.Int64 // bytes
+
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 	up    *rate.Limiter
@@ -73,14 +78,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
+		resetOnClose(c) // before any is closed, because the relay then closes its peer
+	}
+	for c := range p.conns {
 		_ = c.Close()
 	}
 	return len(p.conns)
 }
 
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // ListenAndServe relays connections to addr, IP:port, until accepting fails.
 func (p *Proxy) ListenAndServe(addr string) error {
 	lis, err := net.Listen("tcp", addr)
@@ -94,6 +105,9 @@
 // Set replaces the faults of the link.
 func (p *Proxy) Set(f ProxyFault) { p.faults.update(func(now *ProxyFault) { *now = f }) }
 
+// Discarded returns the number of bytes discarded so far.
+func (p *Proxy) Discarded() int64 { return p.discarded.Load() }
+
 // Reset closes every connection with a TCP reset.
 func (p *Proxy) Reset() { p.reset() }
 
@@ -142,16 +156,21 @@
 	if p.faults.get().Refuse {
 		return // Refuse was set since the first check
 	}
+	var lost atomic.Bool
 	done := make(chan struct{}, 2)
 	go func() {
-		p.pump(server, client, p.up, func(f ProxyFault) bool { return f.DropToServer })
+		p.pump(server, client, p.up, &lost, func(f ProxyFault) bool { return f.DropToServer })
 		done <- struct{}{}
 	}()
 	go func() {
-		p.pump(client, server, p.down, func(f ProxyFault) bool { return f.DropToClient })
+		p.pump(client, server, p.down, &lost, func(f ProxyFault) bool { return f.DropToClient })
 		done <- struct{}{}
 	}()
 	<-done
+	if lost.Load() {
+		resetOnClose(client)
+		resetOnClose(server)
+	}
 }
 
 func (p *Proxy) track(conns ...net.Conn) {
@@ -170,9 +189,11 @@
 	}
 }
 
-// pump copies one direction and applies the current faults to each block.
-func (p *Proxy) pump(dst io.Writer, src io.Reader, limit *rate.Limiter, drops func(ProxyFault) bool) {
+// pump copies one direction and applies the current faults to each block. It
+// sets lost when it discards a block, and discards all later ones.
+func (p *Proxy) pump(dst io.Writer, src io.Reader, limit *rate.Limiter, lost *atomic.Bool, drops func(ProxyFault) bool) {
 	buf := make([]byte, proxyBlockBytes)
+	broken := false
 	for {
 		n, err := src.Read(buf)
 		if n > 0 {
@@ -184,10 +205,11 @@
 			time.Sleep(time.Duration(f.DelayMs) * time.Millisecond)
 			time.Sleep(limit.ReserveN(time.Now(), n).Delay())
 			p.corrupt(buf[:n], f.CorruptPercent)
-			if !drops(f) {
-				if _, err := dst.Write(buf[:n]); err != nil {
-					return
-				}
+			if broken = broken || drops(f); broken {
+				lost.Store(true)
+				p.discarded.Add(int64(n))
+			} else if _, err := dst.Write(buf[:n]); err != nil {
+				return
 			}
 		}
 		if err != nil {
