Let the stand-in engine fall silent and go on

POST /fault with SilentMs stops an engine for that time: it sends no token, status or reply on any connection and then goes on where it was. The control API still answers. TestEngineFallsSilentAndGoesOn checks that a stream loses nothing and that status waits.

--- a/internal/awstandin/engine.go
+++ b/internal/awstandin/engine.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,6 +45,7 @@
 	RateLimit   string // named in all responses; empty for none
 	Leaving     bool   // all responses say that the engine is leaving
 	PauseMs     int    // completions are turned away with this Retry-After; 0 means off
+	SilentMs    int    // the engine stops, sends nothing for this long and then goes on where it was, once
 }
 
 // Engine stands in for a model engine with continuous batching.
@@ -59,6 +61,7 @@
 	maxCold   int            // most concurrent requests while cold
 	started   int            // completions since the process started, including those that broke the engine
 	runs      map[uint64]int // completion requests from the first token on, by PromptHash
+	silent    time.Time      // until then, the engine sends nothing
 	history   []awengine.Status
 	historyAt []time.Time
 }
@@ -77,6 +80,11 @@
 	r := chi.NewRouter()
 	r.Use(func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasPrefix(r.URL.Path, "/fault") || strings.HasPrefix(r.URL.Path, "/admin/") {
+				next.ServeHTTP(w, r)
+				return
+			}
+			e.waitWhileSilent()
 			f := e.faults.get()
 			if f.RateLimit != "" {
 				w.Header().Set(awengine.HeaderRateLimit, f.RateLimit)
@@ -110,7 +118,23 @@
 	} else if f.GoCold {
 		e.goCold()
 	}
-	e.faults.update(func(f *EngineFault) { f.Restart, f.GoCold = false, false })
+	if f.SilentMs > 0 {
+		e.silent = time.Now().Add(time.Duration(f.SilentMs) * time.Millisecond)
+	}
+	e.faults.update(func(f *EngineFault) { f.Restart, f.GoCold, f.SilentMs = false, false, 0 })
+}
+
+// waitWhileSilent returns when the engine is not silent.
+func (e *Engine) waitWhileSilent() {
+	for {
+		e.mu.Lock()
+		left := time.Until(e.silent)
+		e.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
 }
 
 // restart drops the model and every running request. The caller holds mu.
@@ -174,6 +198,7 @@
 		return
 	}
 	time.Sleep(e.cfg.LoadTime)
+	e.waitWhileSilent()
 
 	e.mu.Lock()
 	if e.st.BootID != boot || (e.cfg.Fencing && cmd.Fence < e.st.Fence) {
@@ -316,6 +341,7 @@
 		if !sleep(r, wait+time.Duration(f.StallMs)*time.Millisecond) {
 			return false
 		}
+		e.waitWhileSilent()
 		wait = e.cfg.TokenInterval
 		if !e.sameBoot(st.BootID) || (f.CutAfter > 0 && int(i) >= f.CutAfter) {
 			dropConnection(w)
