Keep the count of running requests of a server that leaves the list

A server whose registration lapses while it runs requests got new state when it was listed again, with no requests counted. The requests that had been running were then subtracted as they ended, and the count stayed below zero for as long as the incarnation lived: a plain service, which sends no load reports, looked emptier than it was and got more requests than it takes at once.

The dispatcher now keeps the state of an incarnation until its last request has ended. Failures of an incarnation that is no longer listed are not counted for ejection, since a later one may have its id.

TestRelistedServerKeepsItsRunningRequests failed before: with two requests running at a server that takes two, a third was sent after it had left the list and returned. TestFailuresOfEarlierIncarnationDoNotEject passed before; it covers the state that is now kept longer.

--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -194,7 +194,7 @@
 func (d *Dispatcher) SetFloors(floors map[string][]awdirectory.Floor) { d.floors = floors }
 
 // SetServers replaces the list of backend servers. It keeps the state of
-// incarnations that are still listed.
+// incarnations that are still listed or still run requests of this entry.
 func (d *Dispatcher) SetServers(list []awdirectory.Server) {
 	now := d.cfg.Clock.Now()
 	present := map[awdirectory.Key]bool{}
@@ -208,18 +208,29 @@
 			d.servers[k] = s
 		}
 		s.updateInfo(info, now)
+		s.listed = true
 		s.sharers = d.sharers[info.Address]
 		d.byService[info.Service] = append(d.byService[info.Service], s)
 	}
-	for k := range d.servers {
+	for k, s := range d.servers {
 		if !present[k] {
-			delete(d.servers, k)
-			d.ejector.Forget(ejectID(k))
+			s.listed = false
+			d.forgetUnused(k, s)
 		}
 	}
 	d.assignAllQueued()
 }
 
+// forgetUnused drops the state of an incarnation that is neither listed nor runs
+// requests of this entry.
+func (d *Dispatcher) forgetUnused(k awdirectory.Key, s *server) {
+	if s.listed || s.ownRequests > 0 {
+		return
+	}
+	delete(d.servers, k)
+	d.ejector.Forget(ejectID(k))
+}
+
 // Report records a load report. It ignores reports from unknown incarnations.
 func (d *Dispatcher) Report(k awdirectory.Key, l Load) {
 	s := d.servers[k]
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -160,6 +160,10 @@
 		return
 	}
 	s.ownRequests--
+	if !s.listed {
+		d.forgetUnused(k, s) // its id may belong to a later incarnation
+		return
+	}
 	if outcome != Unreachable && outcome != Abandoned {
 		s.refusals = 0
 	}
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -21,6 +21,7 @@
 // server holds what this entry knows about one incarnation of a backend server.
 type server struct {
 	info          awdirectory.Server
+	listed        bool    // false if it has left the list but still runs requests of this entry
 	sharers       int     // entries related to it, with this one; 0 if this entry is not related to it
 	rounding      float64 // rounds this entry's shares of its limits; see share
 	load          Load
