Keep the counts of retry budgets when their limits change

SIGHUP with other limits on retries dropped the budgets of all services. The retries of the last window were forgotten, so that twice as many as allowed could follow within one window, and the requests too, so that retries were refused to resumable streams and idempotent requests until enough new requests had been counted.

WindowBudget.SetConfig keeps the counts. If the length of the window changes, requests count from the start of their slot and retries from its end.

--- a/core/awretry/window.go
+++ b/core/awretry/window.go
@@ -50,6 +50,31 @@
 	return int(w.currentSlot % (windowSlots + 1))
 }
 
+// SetConfig changes the limits and keeps what has been counted.
+func (w *WindowBudget) SetConfig(cfg WindowConfig, now time.Time) {
+	w.advance(now)
+	old := *w
+	*w = WindowBudget{cfg: cfg}
+	w.advance(now)
+	length := int64(old.cfg.Window / windowSlots)
+	for number := old.currentSlot - windowSlots; number <= old.currentSlot; number++ {
+		index := number % (windowSlots + 1)
+		// The times within a slot are unknown. Requests count from its start and
+		// retries from its end, so that neither allows more retries.
+		w.add(&w.requests, number*length, old.requests[index])
+		w.add(&w.retries, (number+1)*length-1, old.retries[index])
+	}
+}
+
+// add adds n to the count of the slot at a time, in nanoseconds since the Unix
+// epoch, unless that slot is no longer counted.
+func (w *WindowBudget) add(counts *[windowSlots + 1]int, at int64, n int) {
+	slot := min(at/int64(w.cfg.Window/windowSlots), w.currentSlot)
+	if w.currentSlot-slot <= windowSlots {
+		counts[slot%(windowSlots+1)] += n
+	}
+}
+
 // CountRequest counts a request of a caller at the given time.
 func (w *WindowBudget) CountRequest(now time.Time) { w.requests[w.advance(now)]++ }
 
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -114,13 +114,13 @@
 	return true
 }
 
-// SetRetry changes the limits on retries. A change resets all retry budgets.
+// SetRetry changes the limits on retries. The retries so far still count.
 func (g *Gateway) SetRetry(cfg awretry.WindowConfig) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if cfg != g.cfg.Retry {
-		g.cfg.Retry = cfg
-		clear(g.budgets)
+	g.cfg.Retry = cfg
+	for _, b := range g.budgets {
+		b.SetConfig(cfg, g.cfg.Clock.Now())
 	}
 }
 
