Leave time for another server when a connection cannot be made

Connecting to a server that accepts nothing took up to a second whatever the request's deadline. With a second or less left, the caller got 504 although the request had not been sent and another server was free.

Connecting now takes at most half of the time until the deadline. A request that was not sent may go elsewhere without a repeat, whatever its kind.

--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -185,13 +185,24 @@
 		}
 		c = p.takeIdle(key) // the connection was closed before anything was sent
 	}
-	raw, err := p.cfg.Dial(ctx, addr)
+	raw, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, &Error{Err: eris.Wrapf(err, "connect to %s", addr)}
 	}
 	return p.exchange(ctx, key, newConn(raw), req)
 }
 
+// dial connects to addr. It leaves half of the time until the deadline of ctx for
+// another backend server.
+func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, deadline.Sub(p.cfg.Clock.Now())/2)
+		defer cancel()
+	}
+	return p.cfg.Dial(ctx, addr)
+}
+
 // takeIdle removes an idle connection that is still usable from the pool and
 // returns it, or returns nil. It closes those that are not usable.
 func (p *Pool) takeIdle(key string) *conn {
