--- a/io/awloader/awloader_test.go
+++ b/io/awloader/awloader_test.go
@@ -197,7 +197,7 @@
 }
 
 // startLoaders runs a loader for each engine.
-func startLoaders(t *testing.T, o *fakeOrigin, engines ...*fakeEngine) *fakeSource {
+func startLoaders[E Engine](t *testing.T, o *fakeOrigin, engines ...E) *fakeSource {
 	t.Helper()
 	r := &fakeSource{version: 1}
 	ctx, cancel := context.WithCancel(context.Background())
