Wait for the second packet of a connection if the first is lost

Linux sends the first packet of a connection again after one second, which was also the limit on connecting, so a lost packet always failed the connection, contrary to the comment. So did each connection begun while a server was silent for less than a second, even where no other server was free.

The limit is now above the time of the second packet.

TestLostFirstPacketOfConnection failed before: "i/o timeout" after 1.00 s; it now connects after 1.02 s.

--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -28,9 +28,9 @@
 )
 
 const (
-	// dialTimeout limits the time to connect. The latency of the links is a few
-	// milliseconds, so that a lost packet is sent again within this time.
-	dialTimeout = time.Second
+	// dialTimeout limits the time to connect. Linux sends the first packet of a
+	// connection again after one second.
+	dialTimeout = 1250 * time.Millisecond
 	// idleTimeout is the longest time that a connection stays idle. Backend
 	// servers also close idle connections, and may not say after what time.
 	idleTimeout = 4 * time.Second
