Prefer servers that report their load to those that have stopped

The load of an engine whose reports had stopped for 600 ms was computed from the requests of this entry alone. A silent engine therefore looked idle: the requests of other entries were not counted, nor those of this entry that had been given up for silence but still ran. It was preferred to engines that answered.

2 is now added to the load of such a server, so that the others come first. Servers that never reported, as those of plain services, are not affected, and where all reports have stopped the order stays.

TestSilentEngineIsNotPreferred failed before: the silent engine got a request while two others had 6 of 16 slots free. TestEngineThatGoesOnKeepsItsLimit passed before; an engine that is silent for 1.5 s gets no more than its slots then or when it reports again.

--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -13,7 +13,7 @@
 type Grant struct {
 	Server  awdirectory.Server
 	Version int64         // version of the model's weights that the backend server holds; 0 if unknown
-	Load    float64       // load of the backend server when it was chosen; 1 is full, to which the slowdown above 1 is added
+	Load    float64       // load of the backend server when it was chosen; 1 is full, to which the slowdown above 1 and silentLoad are added
 	LoadAge time.Duration // age of the report behind Load; 0 if there is none
 }
 
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -123,6 +123,12 @@
 	return 1
 }
 
+// silentLoad is added to the load of a backend server whose load reports have
+// stopped, so that it gets requests only if no other one that runs at its usual
+// speed has free capacity. It may be silent itself. Requests of other entries, and
+// those that were given up but still run, are not known.
+const silentLoad = 2
+
 // capacity returns how many more requests this entry may send now, and the load
 // of the backend server: 1 is full. The part of the slowdown above 1 is added to
 // the load.
@@ -140,10 +146,13 @@
 	}
 	free := share - s.ownRequests
 	load := float64(s.ownRequests) / float64(max(1, share))
-	if s.hasFreshLoad(now) {
+	switch {
+	case s.hasFreshLoad(now):
 		total := s.otherRequests + s.ownRequests
 		free = min(limit-total, s.allowance)
 		load = float64(total) / float64(limit)
+	case s.reported:
+		load += silentLoad
 	}
 	load += slowdown - 1
 	if svc.MaxConns > 0 {
