--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -13,7 +13,7 @@
 type Grant struct {
 	Server  awdirectory.Server
 	Version int64         // version of the model's weights that the backend server holds; 0 if unknown
-	Load    float64       // load of the backend server when it was chosen; 1 is full, to which the slowdown above 1 is added
+	Load    float64       // load of the backend server when it was chosen; 1 is full, to which the slowdown above 1 and silentLoad are added
 	LoadAge time.Duration // age of the report behind Load; 0 if there is none
 }
 
@@ -160,6 +160,10 @@
 		return
 	}
 	s.ownRequests--
+	if !s.listed {
+		d.forgetUnused(k, s) // its id may belong to a later incarnation
+		return
+	}
 	if outcome != Unreachable && outcome != Abandoned {
 		s.refusals = 0
 	}
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -21,6 +21,7 @@
 // server holds what this entry knows about one incarnation of a backend server.
 type server struct {
 	info          awdirectory.Server
+	listed        bool    // false if it has left the list but still runs requests of this entry
 	sharers       int     // entries related to it, with this one; 0 if this entry is not related to it
 	rounding      float64 // rounds this entry's shares of its limits; see share
 	load          Load
@@ -122,6 +123,12 @@
 	return 1
 }
 
+// silentLoad is added to the load of a backend server whose load reports have
+// stopped, so that it gets requests only if no other one that runs at its usual
+// speed has free capacity. It may be silent itself. Requests of other entries, and
+// those that were given up but still run, are not known.
+const silentLoad = 2
+
 // capacity returns how many more requests this entry may send now, and the load
 // of the backend server: 1 is full. The part of the slowdown above 1 is added to
 // the load.
@@ -139,10 +146,13 @@
 	}
 	free := share - s.ownRequests
 	load := float64(s.ownRequests) / float64(max(1, share))
-	if s.hasFreshLoad(now) {
+	switch {
+	case s.hasFreshLoad(now):
 		total := s.otherRequests + s.ownRequests
 		free = min(limit-total, s.allowance)
 		load = float64(total) / float64(limit)
+	case s.reported:
+		load += silentLoad
 	}
 	load += slowdown - 1
 	if svc.MaxConns > 0 {
--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -28,9 +28,9 @@
 )
 
 const (
-	// dialTimeout limits the time to connect. The latency of the links is a few
-	// milliseconds, so that a lost packet is sent again within this time.
-	dialTimeout = time.Second
+	// dialTimeout limits the time to connect. Linux sends the first packet of a
+	// connection again after one second.
+	dialTimeout = 1250 * time.Millisecond
 	// idleTimeout is the longest time that a connection stays idle. Backend
 	// servers also close idle connections, and may not say after what time.
 	idleTimeout = 4 * time.Second
@@ -185,13 +185,24 @@
 		}
 		c = p.takeIdle(key) // the connection was closed before anything was sent
 	}
-	raw, err := p.cfg.Dial(ctx, addr)
+	raw, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, &Error{Err: eris.Wrapf(err, "connect to %s", addr)}
 	}
 	return p.exchange(ctx, key, newConn(raw), req)
 }
 
+// dial connects to addr. It leaves half of the time until the deadline of ctx for
+// another backend server.
+func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, deadline.Sub(p.cfg.Clock.Now())/2)
+		defer cancel()
+	}
+	return p.cfg.Dial(ctx, addr)
+}
+
 // takeIdle removes an idle connection that is still usable from the pool and
 // returns it, or returns nil. It closes those that are not usable.
 func (p *Pool) takeIdle(key string) *conn {
