Send refusals before the rest of the body is read

Cause: a request is refused for its route, its key, its length or a missing configuration before its body is read. net/http then reads up to 256 KiB without any time limit before it sends the refusal, and closes the connection of a longer body. So a caller that had not sent its whole body got no refusal at all, and one that wrote a long body before reading got a write error. For the same reason the 408 of a body of known length that stalls was never sent, and the caller occupied the gateway until it left.

The connection stays usable if the body ends, and is closed otherwise, because net/http would read the rest as another request. A body above the limit no longer closes the connection either. readBody and timeout move to receive.go.

--- /dev/null
+++ b/io/awgateway/receive.go
@@ -0,0 +1,73 @@
+package awgateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"arbutuswind/io/awhttp"
+)
+
+// readBody reads the request body. On failure it returns the HTTP status and the
+// reason, and otherwise status 0.
+func (q *request) readBody(r *http.Request) (int, string) {
+	if r.ContentLength == 0 {
+		return 0, ""
+	}
+	body := io.Reader(r.Body)
+	if q.bodyLimit > 0 {
+		if r.ContentLength > q.bodyLimit {
+			return http.StatusRequestEntityTooLarge, "BodyTooLarge"
+		}
+		// Unlike http.MaxBytesReader it leaves the connection open.
+		body = io.LimitReader(body, q.bodyLimit+1)
+	}
+	control := http.NewResponseController(q.w)
+	if err := control.SetReadDeadline(q.start.Add(q.timeout())); err != nil {
+		q.g.logRequest("cannot set the read deadline", q.logFields("Error", err.Error())...)
+	}
+	data, err := io.ReadAll(body)
+	// A remaining deadline would also end net/http's background read, which
+	// detects that the caller has disconnected.
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		q.g.logRequest("cannot clear the read deadline", q.logFields("Error", err.Error())...)
+	}
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, "BodyLate"
+	case err != nil:
+		return http.StatusBadRequest, "BodyBroken"
+	case q.bodyLimit > 0 && int64(len(data)) > q.bodyLimit:
+		return http.StatusRequestEntityTooLarge, "BodyTooLarge"
+	}
+	q.body = data
+	return 0, ""
+}
+
+// defaultTimeout applies to requests for which neither the route nor the caller
+// sets a timeout.
+const defaultTimeout = time.Minute
+
+// timeout returns the time within which the caller gets the final response: the
+// shorter of the route's, if that is known, and the caller's.
+func (q *request) timeout() time.Duration {
+	var timeout time.Duration
+	if q.route != nil {
+		timeout = q.route.Timeout
+	}
+	if d := q.info.Timeout; d > 0 && (timeout <= 0 || d < timeout) {
+		timeout = d
+	}
+	if timeout <= 0 {
+		return defaultTimeout
+	}
+	return timeout
+}
+
+// refuseEarly refuses a request whose body may not have been read. The rest of
+// the body gets the time that the request had.
+func (q *request) refuseEarly(r *http.Request, status int, retryAfter time.Duration, reason string) {
+	awhttp.RespondEarly(q.w, r, q.bodyLimit, q.timeout(), func() { q.refuse(status, retryAfter, reason) })
+}
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +23,7 @@
 	host          string
 	header        http.Header
 	body          []byte
+	bodyLimit     int64 // maximum size of the body; 0 if not limited
 	route         *awdirectory.Route
 	team          *awdirectory.Team
 	service       string
@@ -61,19 +60,19 @@
 	c := g.config.Load()
 	if c == nil || !g.serversLoaded.Load() {
 		q := &request{g: g, w: w, info: g.cfg.Headers.DecodeRequest(r.Header), start: g.cfg.Clock.Now()}
-		q.refuse(http.StatusServiceUnavailable, minRetryAfter, "NoConfiguration")
+		q.refuseEarly(r, http.StatusServiceUnavailable, minRetryAfter, "NoConfiguration")
 		return
 	}
 	q := &request{
-		g: g, w: w, configVersion: c.Version, info: g.cfg.Headers.DecodeRequest(r.Header), method: r.Method, uri: r.RequestURI, host: r.Host,
+		g: g, w: w, configVersion: c.Version, bodyLimit: c.Limits.BodyBytes, info: g.cfg.Headers.DecodeRequest(r.Header), method: r.Method, uri: r.RequestURI, host: r.Host,
 		start: g.cfg.Clock.Now(), avoid: map[awdirectory.Key]bool{},
 	}
 	if status, reason := q.resolve(c); status != 0 {
-		q.refuse(status, 0, reason)
+		q.refuseEarly(r, status, 0, reason)
 		return
 	}
-	if status, reason := q.readBody(r, c.Limits.BodyBytes); status != 0 {
-		q.refuse(status, 0, reason)
+	if status, reason := q.readBody(r); status != 0 {
+		q.refuseEarly(r, status, 0, reason)
 		return
 	}
 	q.header = endToEndHeaders(r.Header)
@@ -108,56 +107,6 @@
 	return host
 }
 
-// readBody reads the request body, up to limit bytes if limit is above 0. On
-// failure it returns the HTTP status and the reason, and otherwise status 0.
-func (q *request) readBody(r *http.Request, limit int64) (int, string) {
-	if r.ContentLength == 0 {
-		return 0, ""
-	}
-	body := io.Reader(r.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(q.w, r.Body, limit)
-	}
-	control := http.NewResponseController(q.w)
-	if err := control.SetReadDeadline(q.start.Add(q.timeout())); err != nil {
-		q.g.logRequest("cannot set the read deadline", q.logFields("Error", err.Error())...)
-	}
-	data, err := io.ReadAll(body)
-	// A remaining deadline would also end net/http's background read, which
-	// detects that the caller has disconnected.
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		q.g.logRequest("cannot clear the read deadline", q.logFields("Error", err.Error())...)
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return http.StatusRequestTimeout, "BodyLate"
-	case errors.As(err, &tooLarge):
-		return http.StatusRequestEntityTooLarge, "BodyTooLarge"
-	case err != nil:
-		return http.StatusBadRequest, "BodyBroken"
-	}
-	q.body = data
-	return 0, ""
-}
-
-// defaultTimeout applies to requests for which neither the route nor the caller
-// sets a timeout.
-const defaultTimeout = time.Minute
-
-// timeout returns the time within which the caller gets the final response: the
-// shorter of the route's and the caller's.
-func (q *request) timeout() time.Duration {
-	timeout := q.route.Timeout
-	if d := q.info.Timeout; d > 0 && (timeout <= 0 || d < timeout) {
-		timeout = d
-	}
-	if timeout <= 0 {
-		return defaultTimeout
-	}
-	return timeout
-}
-
 // prepare sets the fields that are the same for all sends of the request and
 // counts the request in the retry budget.
 func (q *request) prepare(c *awdirectory.Config) {
