Send refusals of awentry before the rest of the body is read

An unknown path, an invalid header, an entry that is not ready and a body above the limit are refused before the body is read; callers that write a long body before they read got a write error.

Change: these refusals use awhttp.RespondEarly. Problem documents carry a Content-Length, so that a caller sees their end while it still writes. bodyError has no limit any more: a body above the limit is found by its length, and the test's call of it follows.

--- a/io/awentry/callers.go
+++ b/io/awentry/callers.go
@@ -19,6 +19,8 @@
 // callerHandler returns the callers' API.
 func (e *Entry) callerHandler() http.Handler {
 	r := chi.NewRouter()
+	r.NotFound(e.statusHandler(http.StatusNotFound))
+	r.MethodNotAllowed(e.statusHandler(http.StatusMethodNotAllowed))
 	r.Post("/v1/completions", e.serve(e.handleCompletion))
 	r.Post("/v1/services/{service}/*", e.serve(e.handleService))
 	return r
@@ -38,7 +40,7 @@
 		ctx, span := e.cfg.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
 		if err := e.accepting(); err != nil {
-			e.refuse(w, awoutcome.Refuse(awoutcome.NotReady, err.Error()))
+			e.refuseEarly(w, r, awoutcome.Refuse(awoutcome.NotReady, err.Error()))
 			return
 		}
 		req := e.newRequest(w)
@@ -49,7 +51,7 @@
 		}
 		if err != nil {
 			span.RecordError(err)
-			e.refuse(w, err)
+			e.refuseEarly(w, r, err)
 			return
 		}
 		ctx, end := req.withDeadline(ctx)
@@ -73,6 +75,21 @@
 	awhttp.WriteError(w, err)
 }
 
+// refuseEarly refuses a request whose body may not have been read.
+func (e *Entry) refuseEarly(w http.ResponseWriter, r *http.Request, err error) {
+	awhttp.RespondEarly(w, r, int64(e.cfg.Settings.Limits.MaxBodyBytes), bodyTimeout, func() { e.refuse(w, err) })
+}
+
+// statusHandler returns a handler that responds with a status and no body.
+func (e *Entry) statusHandler(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		awhttp.RespondEarly(w, r, int64(e.cfg.Settings.Limits.MaxBodyBytes), bodyTimeout, func() {
+			w.Header().Set("Content-Length", "0")
+			w.WriteHeader(status)
+		})
+	}
+}
+
 // completionRequest is the body of POST /v1/completions.
 type completionRequest struct {
 	Model     string `json:"model"`
--- a/io/awentry/dispatch_test.go
+++ b/io/awentry/dispatch_test.go
@@ -254,7 +254,7 @@
 		})
 	}
 	var oe *awoutcome.Error
-	require.ErrorAs(t, bodyError(os.ErrDeadlineExceeded, 1), &oe)
+	require.ErrorAs(t, bodyError(os.ErrDeadlineExceeded), &oe)
 	require.Equal(t, http.StatusRequestTimeout, awhttp.Status(oe.Reason))
 }
 
--- a/io/awentry/request.go
+++ b/io/awentry/request.go
@@ -141,8 +141,6 @@
 // and held bytes.
 func (e *Entry) parse(w http.ResponseWriter, r *http.Request, req *request) error {
 	rc := http.NewResponseController(w)
-	// The read deadline is set before the headers are checked, because the HTTP
-	// server also reads the body of a request that is refused for its headers.
 	// Fails if the writer does not support deadlines, as in tests.
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
 	if err := req.parseHeaders(r.Header, e.cfg.Settings.Limits.DefaultDeadline.Std(), e.cfg.Settings.Limits.MaxDeadline.Std()); err != nil {
@@ -150,7 +148,7 @@
 	}
 	limit := e.cfg.Settings.Limits.MaxBodyBytes
 	if r.ContentLength > int64(limit) {
-		return awoutcome.Refuse(awoutcome.BodyTooLarge, "body is larger than "+strconv.Itoa(limit)+" bytes")
+		return tooLargeError(limit)
 	}
 	size := limit // reserved for a body of unknown length
 	if r.ContentLength >= 0 {
@@ -159,22 +157,26 @@
 	if !req.reserve(size) {
 		return overloadedError("the entry has reached its limit of held bytes", defaultRetryAfterMs)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	// Unlike http.MaxBytesReader, a LimitReader leaves the connection open.
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
 	if err != nil {
-		return bodyError(err, limit)
+		return bodyError(err)
+	}
+	if len(body) > limit {
+		return tooLargeError(limit)
 	}
 	_ = rc.SetReadDeadline(time.Time{})
 	req.body = body
 	return nil
 }
 
-func bodyError(err error, limit int) error {
-	var tooLarge *http.MaxBytesError
+func tooLargeError(limit int) error {
+	return awoutcome.Refuse(awoutcome.BodyTooLarge, "body is larger than "+strconv.Itoa(limit)+" bytes")
+}
+
+func bodyError(err error) error {
 	var netErr net.Error
-	switch {
-	case errors.As(err, &tooLarge):
-		return awoutcome.Refuse(awoutcome.BodyTooLarge, "body is larger than "+strconv.Itoa(limit)+" bytes")
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &netErr) && netErr.Timeout():
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout() {
 		return awoutcome.Refuse(awoutcome.BodyTimeout, "body did not arrive within "+bodyTimeout.String())
 	}
 	return awoutcome.Refuse(awoutcome.BadRequest, "cannot read the body: "+err.Error())
--- a/io/awhttp/awhttp.go
+++ b/io/awhttp/awhttp.go
@@ -81,8 +81,10 @@
 	}
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.Header().Set(HeaderOutcome, p.Outcome)
+	body, _ := json.Marshal(p) // holds only strings and an int
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(p.Status)
-	_ = json.NewEncoder(w).Encode(p) // the caller may be gone
+	_, _ = w.Write(body) // the caller may be gone
 }
 
 // Status returns the HTTP status of a reason.
