Answer requests on open connections while a gateway stops

Cause: http.Server.Shutdown makes the server close a connection, without an answer, right after it has read a request from it, if the connection was new when the shutdown began; it also closes connections on which a part of a request has arrived, and drops a request that was read behind another one.

Change: awhttp.Listener.Drain takes the place of Shutdown in awgateway. It closes only connections that have been idle for 500 ms and from which nothing has been read or could be; the reads of a connection and the decision to close it exclude each other. Requests that still arrive are answered with Connection: close. awentry is unchanged.

--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -136,6 +136,7 @@
 	}
 	_ = level.Info(g.logger).Log("Message", "started", "Callers", g.cfg.Listen.Callers)
 	callerServer := &http.Server{Handler: g.router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	awhttp.TrackConnections(callerServer)
 	readiness := awhttp.NewServer(http.HandlerFunc(g.router.ServeReady))
 	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -155,7 +156,7 @@
 	group.Go(func() error {
 		defer cancel()
 		<-ctx.Done()
-		g.stop(callerServer)
+		g.stop(callers, callerServer)
 		return readiness.Close()
 	})
 	return group.Wait()
@@ -186,7 +187,7 @@
 
 // stop reports the entry as not ready, gives the load balancer time to notice,
 // and then waits for running requests until the grace period ends.
-func (g *gateway) stop(callerServer *http.Server) {
+func (g *gateway) stop(callers *awhttp.Listener, callerServer *http.Server) {
 	grace := g.cfg.Bounds.Grace.Std() - stopMargin
 	deadline := time.Now().Add(grace)
 	_ = level.Info(g.logger).Log("Message", "stopping", "Grace", grace.String())
@@ -199,7 +200,7 @@
 		}
 	}()
 	time.Sleep(min(balancerDetectionTime, grace/2))
-	if err := callerServer.Shutdown(ctx); err != nil {
+	if err := callers.Drain(ctx, callerServer); err != nil {
 		_ = level.Warn(g.logger).Log("Message", "requests aborted at the end of the grace period", "Error", err.Error())
 	}
 	_ = level.Info(g.logger).Log("Message", "stopped")
--- a/io/awhttp/listener.go
+++ b/io/awhttp/listener.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"net/http"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
@@ -11,22 +13,33 @@
 // response is produced long before the client reads it.
 const sendBufferBytes = 16 << 10
 
-// Listen returns a TCP listener whose connections have limited send buffers.
-func Listen(addr string) (net.Listener, error) {
+// Listener is a TCP listener whose connections have limited send buffers.
+type Listener struct {
+	net.Listener
+	conns    connSet
+	draining atomic.Bool // Drain has been called
+}
+
+// Listen returns a listener on addr.
+func Listen(addr string) (*Listener, error) {
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", addr)
 	}
-	return boundedListener{lis}, nil
+	return &Listener{Listener: lis}, nil
 }
 
-type boundedListener struct{ net.Listener }
-
-// Accept limits the send buffer of each connection.
-func (l boundedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
-		_ = tcp.SetWriteBuffer(sendBufferBytes) // a failure only costs kernel memory
+// Accept returns the next connection. It returns [http.ErrServerClosed] once
+// Drain has been called.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil && l.draining.Load() {
+		return nil, http.ErrServerClosed
+	}
+	tcp, ok := accepted.(*net.TCPConn)
+	if err != nil || !ok {
+		return accepted, err
 	}
-	return conn, err
+	_ = tcp.SetWriteBuffer(sendBufferBytes) // a failure only costs kernel memory
+	return l.conns.add(tcp)
 }
