Refuse the requests that still run at the end of the grace period

Cause: at the end of the grace period awgateway ended while requests still ran; their callers saw the connection close without an answer.

Change: the contexts of these requests are cancelled with ErrStopping, and finishUnanswered refuses them: 503 if no backend server can have run them, else 502. A response that has begun is still cut. Half of the margin that is kept for the exit of the process (350 ms) is for these refusals.

--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -51,6 +51,9 @@
 	balancerDetectionTime = 2500 * time.Millisecond
 	// stopMargin is the end of the grace period, reserved for the process to exit.
 	stopMargin = 700 * time.Millisecond
+	// refuseMargin is the part of stopMargin in which the last requests are
+	// refused.
+	refuseMargin = stopMargin / 2
 	// registerRetryDelay is the delay after a failed registration.
 	registerRetryDelay = time.Second
 	// headerTimeout limits the time to read request headers, and idleTimeout the
@@ -137,6 +140,9 @@
 	_ = level.Info(g.logger).Log("Message", "started", "Callers", g.cfg.Listen.Callers)
 	callerServer := &http.Server{Handler: g.router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	awhttp.TrackConnections(callerServer)
+	requestCtx, refuse := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer refuse(nil)
+	callerServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
 	readiness := awhttp.NewServer(http.HandlerFunc(g.router.ServeReady))
 	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -156,7 +162,7 @@
 	group.Go(func() error {
 		defer cancel()
 		<-ctx.Done()
-		g.stop(callers, callerServer)
+		g.stop(callers, callerServer, refuse)
 		return readiness.Close()
 	})
 	return group.Wait()
@@ -186,8 +192,9 @@
 }
 
 // stop reports the entry as not ready, gives the load balancer time to notice,
-// and then waits for running requests until the grace period ends.
-func (g *gateway) stop(callers *awhttp.Listener, callerServer *http.Server) {
+// and then waits for running requests until the grace period ends. It calls
+// refuse for those that still run then.
+func (g *gateway) stop(callers *awhttp.Listener, callerServer *http.Server, refuse context.CancelCauseFunc) {
 	grace := g.cfg.Bounds.Grace.Std() - stopMargin
 	deadline := time.Now().Add(grace)
 	_ = level.Info(g.logger).Log("Message", "stopping", "Grace", grace.String())
@@ -201,7 +208,11 @@
 	}()
 	time.Sleep(min(balancerDetectionTime, grace/2))
 	if err := callers.Drain(ctx, callerServer); err != nil {
-		_ = level.Warn(g.logger).Log("Message", "requests aborted at the end of the grace period", "Error", err.Error())
+		_ = level.Warn(g.logger).Log("Message", "requests refused at the end of the grace period", "Error", err.Error())
+		refuse(awgateway.ErrStopping)
+		last, cancelLast := context.WithTimeout(context.Background(), refuseMargin)
+		defer cancelLast()
+		_ = callers.Drain(last, callerServer) // the process ends in either case
 	}
 	_ = level.Info(g.logger).Log("Message", "stopped")
 }
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -84,6 +84,10 @@
 
 var errTimeout = errors.New("deadline of the caller or timeout of the route exceeded")
 
+// ErrStopping is the cause with which the contexts of requests are cancelled when
+// the gateway can't wait for their responses. They are then refused.
+var ErrStopping = errors.New("gateway stops")
+
 // resolve finds the route and the team of the request. On failure it returns
 // the HTTP status and the reason, and otherwise status 0.
 func (q *request) resolve(c *awdirectory.Config) (int, string) {
@@ -260,11 +264,15 @@
 // response.
 func (q *request) finishUnanswered(ctx context.Context, retryAfter time.Duration, reason string) {
 	timedOut := errors.Is(context.Cause(ctx), errTimeout)
+	stopping := errors.Is(context.Cause(ctx), ErrStopping)
+	if stopping {
+		reason = "Stopping"
+	}
 	switch {
 	case q.headerSent:
 		q.g.logNotServed(reason, "cut", q)
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
-	case ctx.Err() != nil && !timedOut:
+	case ctx.Err() != nil && !timedOut && !stopping:
 		q.g.metrics.callersLeft.Inc()
 		q.g.logNotServed(reason, "caller left", q)
 		panic(http.ErrAbortHandler) // the caller has disconnected
--- a/io/awhttp/drain.go
+++ b/io/awhttp/drain.go
@@ -28,10 +28,10 @@
 // read or could be. srv must have been passed to TrackConnections. The handler
 // should respond with Connection: close.
 //
-// Drain returns the error of ctx if that ends first.
+// Drain returns the error of ctx if that ends first. It may then be called again.
 func (l *Listener) Drain(ctx context.Context, srv *http.Server) error {
 	l.draining.Store(true)
-	if err := l.Close(); err != nil {
+	if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return eris.Wrap(err, "close the listener")
 	}
 	tick := time.NewTicker(drainPollInterval)
