Answer a request whose handling panics with 502

Cause: a panic in the gateway closed the caller's connection without an answer. None is known; the case is ruled out for the future.

Change: answerPanic logs it with its stack and responds with 502, which promises nothing about whether the request ran. A response that has begun is still cut.

--- a/io/awgateway/receive.go
+++ b/io/awgateway/receive.go
@@ -2,11 +2,15 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"arbutuswind/io/awhttp"
 )
 
@@ -71,3 +75,19 @@
 func (q *request) refuseEarly(r *http.Request, status int, retryAfter time.Duration, reason string) {
 	awhttp.RespondEarly(q.w, r, q.bodyLimit, q.timeout(), func() { q.refuse(status, retryAfter, reason) })
 }
+
+// answerPanic ends a request whose handling panicked. The 502 promises nothing
+// about whether it ran. q is nil if the panic came before it was made.
+func (q *request) answerPanic(g *Gateway, w http.ResponseWriter, fault any) {
+	if err, ok := fault.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(fault)
+	}
+	_ = level.Error(g.cfg.Logger).Log("Message", "panic", "Fault", fmt.Sprint(fault), "Stack", string(debug.Stack()))
+	if q != nil && q.headerSent {
+		panic(http.ErrAbortHandler) // a truncated response must not look complete
+	}
+	g.metrics.refused(http.StatusBadGateway, "Panic")
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusBadGateway)
+}
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -57,13 +57,19 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	var q *request
+	defer func() {
+		if fault := recover(); fault != nil {
+			q.answerPanic(g, w, fault)
+		}
+	}()
 	c := g.config.Load()
 	if c == nil || !g.serversLoaded.Load() {
-		q := &request{g: g, w: w, info: g.cfg.Headers.DecodeRequest(r.Header), start: g.cfg.Clock.Now()}
+		q = &request{g: g, w: w, info: g.cfg.Headers.DecodeRequest(r.Header), start: g.cfg.Clock.Now()}
 		q.refuseEarly(r, http.StatusServiceUnavailable, minRetryAfter, "NoConfiguration")
 		return
 	}
-	q := &request{
+	q = &request{
 		g: g, w: w, configVersion: c.Version, bodyLimit: c.Limits.BodyBytes, info: g.cfg.Headers.DecodeRequest(r.Header), method: r.Method, uri: r.RequestURI, host: r.Host,
 		start: g.cfg.Clock.Now(), avoid: map[awdirectory.Key]bool{},
 	}
