Keep requests on agents whose link goes on after a pause

Callers saw a gap; all repeatable requests of an entry were cancelled and sent again at once.

Cause: silence taken for failure. An entry that stands still for three heartbeat periods, less the age of the last heartbeat, finds all its links silent when it goes on. It ended their streams in the same check, and 500 ms later cancelled the requests on them, even if the agent had answered by then: the cancellation was never withdrawn.

A suspect link now gets a heartbeat at once, its stream is ended only at the next check, and the cancellation is withdrawn when the same stream goes on. A link that was opened again still moves the requests, because their connections may be broken.

--- a/io/awentry/fleet.go
+++ b/io/awentry/fleet.go
@@ -39,8 +39,10 @@
 	endStream context.CancelCauseFunc // ends the open stream; nil without one
 	report    *awproto.AgentReport    // nil while the link is not alive in both directions
 	liveness  *awmember.Liveness      // of the open stream
-	lost      context.Context         // ends when the link turns suspect
+	lost      context.Context         // ends when the link is lost
 	markLost  context.CancelFunc      // cancels lost
+	loss      *time.Timer             // calls markLost for a suspect link
+	suspected *awmember.Liveness      // of the stream that was open when the link turned suspect
 	lastSeen  time.Time
 
 	ownInFlight         int // requests of this entry running on the agent
@@ -65,6 +67,14 @@
 // resetLost creates a new context for the requests sent over the link.
 func (l *agentLink) resetLost() { l.lost, l.markLost = context.WithCancel(context.Background()) }
 
+// recover ends the suspicion of a link. Requests sent before stay on it only if its
+// stream has gone on, since after a new connection theirs may be broken.
+func (l *agentLink) recover() {
+	if l.suspected != l.liveness || !l.loss.Stop() {
+		l.resetLost()
+	}
+}
+
 // instanceListLoop polls the instance list until ctx ends.
 func (f *fleet) instanceListLoop(ctx context.Context) {
 	go f.subsetLoop(ctx)
--- a/io/awentry/fleet_beat.go
+++ b/io/awentry/fleet_beat.go
@@ -32,7 +32,8 @@
 }
 
 // checkLinks takes agents out of routing if their links are not alive, and ends
-// streams that are lost. If heartbeat is set, it also triggers the next heartbeat.
+// streams that are still lost at the next check. If heartbeat is set, it also
+// triggers the next heartbeat.
 func (f *fleet) checkLinks(heartbeat bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -43,8 +44,8 @@
 		}
 		if link.report != nil && !link.liveness.Alive(now) {
 			f.suspectLocked(link)
-		}
-		if link.liveness.Lost(now) {
+			heartbeat = true // after a pause of this process, the agent answers it at once
+		} else if link.liveness.Lost(now) {
 			link.endStream(errNoHeartbeat)
 		}
 	}
--- a/io/awentry/fleet_watch.go
+++ b/io/awentry/fleet_watch.go
@@ -78,12 +78,12 @@
 	}
 }
 
-// lostGrace is the time between the loss of a link and the cancellation of the
+// lostGrace is the time between the suspicion of a link and the cancellation of the
 // requests sent over it.
 const lostGrace = 500 * time.Millisecond
 
 // suspect takes an agent out of routing. Requests running on it that may be
-// repeated move to another agent.
+// repeated move to another agent unless the link recovers within lostGrace.
 func (f *fleet) suspect(link *agentLink) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -94,11 +94,10 @@
 	if link.report == nil {
 		return
 	}
-	link.report = nil
+	link.report, link.suspected = nil, link.liveness
 	// When a process exits, the connections of its requests fail without this,
 	// and data that it sent earlier may still be unread.
-	time.AfterFunc(lostGrace, link.markLost)
-	link.resetLost()
+	link.loss = time.AfterFunc(lostGrace, link.markLost)
 }
 
 func (f *fleet) heartbeat(link *agentLink) (*awproto.WatchUp, <-chan struct{}) {
@@ -152,7 +151,9 @@
 	if !link.liveness.Alive(now) {
 		return nil
 	}
-	if link.report != nil && link.report.Incarnation != r.Incarnation {
+	if link.report == nil {
+		link.recover()
+	} else if link.report.Incarnation != r.Incarnation {
 		link.prefixes.Reset()
 	}
 	link.report, link.ownInFlightAtReport = r, link.ownInFlight
