Count a silence of the backend server once in the first-token jump

Cause: silence taken for failure. Three consecutive slow first tokens reset the limit to the cold limit, but one silence makes all requests slow that wait then.

A slow first token now counts only if its request was granted after the previous one that counted. A backend server that stays slow still resets the limit at the third such request.

TestSilenceIsNoJump fails before: cause "first-token-jump".

--- a/core/awadmit/awadmit_test.go
+++ b/core/awadmit/awadmit_test.go
@@ -162,6 +162,34 @@
 	}
 }
 
+// Guards against a limit that is reset because of one short silence of the backend
+// server.
+func TestSilenceIsNoJump(t *testing.T) {
+	ctrl, clock := newTestController(Config{MaxInFlight: 16, ColdInFlight: 2, MemoryBytes: 1000, BytesPerToken: 1})
+	for range 100 {
+		tk, err := ctrl.Offer(request(clock, "a", 4))
+		require.NoError(t, err)
+		clock.Advance(100 * time.Millisecond)
+		ctrl.ObserveFirstToken(tk)
+		ctrl.ObserveFinish(tk)
+		ctrl.Release(tk)
+	}
+	limit := ctrl.Limit()
+	var waiting []*Ticket
+	for range 8 {
+		tk, err := ctrl.Offer(request(clock, "a", 4))
+		require.NoError(t, err)
+		waiting = append(waiting, tk)
+	}
+	clock.Advance(1500 * time.Millisecond)
+	for _, tk := range waiting {
+		_, cause := ctrl.ObserveFirstToken(tk)
+		require.Equal(t, CauseNone, cause)
+		clock.Advance(time.Millisecond)
+	}
+	require.Equal(t, limit, ctrl.Limit())
+}
+
 // Guards against a limit that rises before enough requests have finished, or that
 // is not reset after the backend server became cold.
 func TestLimit(t *testing.T) {
--- a/core/awadmit/ramp.go
+++ b/core/awadmit/ramp.go
@@ -24,7 +24,8 @@
 	jumpFactor = 3
 	jumpSlack  = 50 * time.Millisecond
 	// jumpCount is the number of consecutive slow samples that count as a jump. A
-	// single one is often caused by a long prompt or a full batch.
+	// single one is often caused by a long prompt or a full batch, and one short
+	// silence of the backend server makes all requests slow that wait then.
 	jumpCount = 3
 	// baselineSamples is the number of samples needed before samples are compared
 	// with the baseline.
@@ -51,6 +52,7 @@
 	mean            time.Duration
 	samples         int
 	consecutiveSlow int
+	slowAt          time.Time // of the last slow sample that counted
 }
 
 func newLimiter(cold, limit int) limiter {
@@ -77,11 +79,16 @@
 	l.limit = min(l.max, 2*l.limit)
 }
 
-// observeFirstToken records a time to first token and reports whether it has
-// jumped above the baseline. Slow samples are not added to the baseline.
-func (l *limiter) observeFirstToken(promptTokens uint32, firstToken time.Duration) bool {
-	b := &l.baseline[bits.Len32(promptTokens)]
+// observeFirstToken records the time from a grant to the first token and reports
+// whether it has jumped above the baseline. Slow samples are not added to the
+// baseline. Those whose waits overlap count once.
+func (l *limiter) observeFirstToken(promptTokens uint32, grantedAt, now time.Time) bool {
+	b, firstToken := &l.baseline[bits.Len32(promptTokens)], now.Sub(grantedAt)
 	if b.samples >= baselineSamples && firstToken > jumpFactor*b.mean+jumpSlack {
+		if b.consecutiveSlow > 0 && grantedAt.Before(b.slowAt) {
+			return false
+		}
+		b.slowAt = now
 		b.consecutiveSlow++
 		return b.consecutiveSlow >= jumpCount
 	}
@@ -113,8 +120,9 @@
 // ObserveFirstToken records the time from the grant of t to its first token. It
 // returns that time and, if a jump in it reset the limit, the cause.
 func (c *Controller) ObserveFirstToken(t *Ticket) (time.Duration, ColdCause) {
-	d := c.cfg.Clock.Now().Sub(t.grantedAt)
-	if t.epoch != c.limiter.epoch || !c.limiter.observeFirstToken(t.req.PromptTokens, d) {
+	now := c.cfg.Clock.Now()
+	d := now.Sub(t.grantedAt)
+	if t.epoch != c.limiter.epoch || !c.limiter.observeFirstToken(t.req.PromptTokens, t.grantedAt, now) {
 		return d, CauseNone
 	}
 	c.limiter.resetToCold()
