Keep an answer on a silent engine until another one goes on

Callers lost answers of engines that were silent for longer than a limit and went on: the request ended as 504 with unknown outcome at its deadline.

Cause: silence taken for failure. The agent ended the engine's stream after 30 s without a first token or 10 s without another one, before the entry had looked for another agent. Without one, or with the retry budget spent, the rest of the answer was lost although the engine would go on. Otherwise all requests of a silent engine were sent again at once.

The agent now only records the silence: it lowers its limit and counts against a version on trial as before. The entry seeks a standby after the same times, within the retry budget and the limit of possible runs. Of the silent attempt and its standby, the one that delivers next goes on and ends the other. A standby that is silent too is replaced.

TestSilentEngineIsNotCut fails before with the limits shortened alike (Failure ENGINE_FAILED).

--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -73,6 +73,8 @@
 	addresses addressBook
 	loadRetry loadRetry
 
+	firstTokenSilence, tokenSilence time.Duration // until the engine counts as failed
+
 	mu                 sync.Mutex
 	admission          *awadmit.Controller
 	account            awthrottle.Account // what the backend server has said since it started
@@ -117,6 +119,7 @@
 		metrics:        newMetrics(),
 		lastPauseCheck: cfg.Clock.Now(), lastFreshHeartbeat: cfg.Clock.Now(),
 		changed: make(chan struct{}), rateChanged: make(chan struct{}, 1),
+		firstTokenSilence: firstTokenSilence, tokenSilence: tokenSilence,
 	}
 	a.engine.OnSignals(cfg.Clock, a.observeSignals)
 	a.cutCtx, a.cut = context.WithCancelCause(context.Background())
--- a/io/awagent/complete.go
+++ b/io/awagent/complete.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	// firstTokenTimeout allows a cold engine to process a long prompt.
-	firstTokenTimeout = 30 * time.Second
-	// tokenTimeout is the longest time between two tokens of a response. The
-	// target is 77 ms at p95.
-	tokenTimeout = 10 * time.Second
+	// firstTokenSilence is the time without a first token after which the engine
+	// counts as failed. It allows a cold engine to process a long prompt.
+	firstTokenSilence = 30 * time.Second
+	// tokenSilence is the same for later tokens. The target between two tokens is
+	// 77 ms at p95.
+	tokenSilence = 10 * time.Second
 	// pausedTimeout ends a stream whose client has read nothing for this time.
 	// It equals the longest deadline that entries accept.
 	pausedTimeout = 10 * time.Minute
@@ -68,7 +69,8 @@
 	a.mu.Lock()
 	r.engine = a.bootID
 	a.mu.Unlock()
-	silenceTimer := time.AfterFunc(firstTokenTimeout, func() { stopEngine(errEngineSilent) })
+	// The stream goes on, since its entry may find no other engine.
+	silenceTimer := time.AfterFunc(a.firstTokenSilence, func() { r.recordSilence(ctx) })
 	defer silenceTimer.Stop()
 	events, err := a.engine.Complete(engineCtx, awengine.Completion{
 		Model: r.start.Model, Prompt: string(r.start.Body), MaxTokens: r.start.MaxTokens,
@@ -113,7 +115,7 @@
 		if paused {
 			return "", errPaused
 		}
-		silenceTimer.Reset(tokenTimeout)
+		silenceTimer.Reset(r.agent.tokenSilence)
 	}
 }
 
@@ -214,6 +216,15 @@
 	return r.engineError(err)
 }
 
+// recordSilence records a silent engine as failed.
+func (r *request) recordSilence(ctx context.Context) {
+	r.recordEngineFailure(ctx)
+	a := r.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.recordTrialFailure(r.version)
+}
+
 func (r *request) recordFirstToken() {
 	a := r.agent
 	a.mu.Lock()
--- a/io/awagent/drain.go
+++ b/io/awagent/drain.go
@@ -11,10 +11,9 @@
 )
 
 var (
-	errDeadline     = eris.New("deadline passed")
-	errEntryGone    = eris.New("entry cancelled the request")
-	errCut          = eris.New("agent stopped before the request ended")
-	errEngineSilent = eris.New("backend server sent no token before the timeout")
+	errDeadline  = eris.New("deadline passed")
+	errEntryGone = eris.New("entry cancelled the request")
+	errCut       = eris.New("agent stopped before the request ended")
 )
 
 // cutGrace is the time for reporting cut requests to their entries.
--- a/io/awagent/serve_test.go
+++ b/io/awagent/serve_test.go
@@ -313,6 +313,18 @@
 	}
 }
 
+// Guards against cutting the response of a silent engine that goes on.
+func TestSilentEngineIsNotCut(t *testing.T) {
+	a := newTestAgent(t, 4, time.Hour)
+	a.firstTokenSilence, a.tokenSilence = 20*time.Millisecond, 20*time.Millisecond
+	a.injectFault(`{"StallMs":200}`)
+	s, _ := a.startRequest(a.start())
+	_, last := s.drainStream()
+	require.NotNil(t, last.GetEnd(), "%v", last)
+	require.EqualValues(t, 5, last.GetEnd().Tokens)
+	require.NotZero(t, a.metrics.set.GetOrCreateCounter(`arbutuswind_agent_limit_lowered_total{cause="failed"}`).Get())
+}
+
 // Guards GracefulStop: requests cut by the second signal are counted, and their
 // entries are told that the outcome is unknown.
 func TestSecondSignalCuts(t *testing.T) {
--- a/io/awentry/attempt.go
+++ b/io/awentry/attempt.go
@@ -25,14 +25,14 @@
 		return overloadedError("the entry holds as many bytes as it may", defaultRetryAfterMs)
 	}
 	start.CreditBytes = uint32(window)
-	return e.serveAttempt(ctx, req, start, t, id, awstream.NewAssembler(window), out)
+	return e.serveAttempt(ctx, req, start, t, id, awstream.NewAssembler(window), out, nil)
 }
 
-// serveAttempt sends the request to one agent and passes the answer to the sink.
-// The returned error states whether the request may have run.
+// serveAttempt sends the request to one agent and passes the answer to the sink
+// during its turn. The returned error states whether the request may have run.
 func (e *Entry) serveAttempt(
 	ctx context.Context, req *request, start *awproto.ServeStart, t target, id *awproto.AttemptId,
-	asm *awstream.Assembler, out sink,
+	asm *awstream.Assembler, out sink, turn *attempt,
 ) error {
 	remaining := time.Until(req.currentDeadline())
 	if remaining <= 0 {
@@ -57,7 +57,7 @@
 	start.DeadlineMs = uint32(max(1, (remaining - min(remaining/10, refusalMargin)).Milliseconds()))
 	start.Revision = e.holder.State().Revision
 	start.TraceParent = awtelemetry.Inject(ctx)
-	r := &receiver{entry: e, req: req, stream: stream, asm: asm, out: out, window: int(start.CreditBytes)}
+	r := &receiver{entry: e, req: req, stream: stream, asm: asm, out: out, turn: turn, window: int(start.CreditBytes)}
 	if start.Service != nil {
 		// Plain services have no weights, so their agents do not send Accepted.
 		if err := r.begin(""); err != nil {
@@ -68,6 +68,7 @@
 	if err != nil {
 		err = linkLostError(err)
 	} else {
+		turn.awaitDelivery(e.firstTokenSilence)
 		err = r.receive()
 	}
 	if err != nil {
@@ -118,10 +119,11 @@
 	stream        awproto.DRPCAgent_ServeClient
 	asm           *awstream.Assembler
 	out           sink
-	responded     bool // a message from the agent was received
-	begun         bool // the digest of the answering weights is known
-	window        int  // credit granted at the start, in bytes
-	pendingCredit int  // bytes passed to the caller whose credit was not returned yet
+	turn          *attempt // nil without a standby
+	responded     bool     // a message from the agent was received
+	begun         bool     // the digest of the answering weights is known
+	window        int      // credit granted at the start, in bytes
+	pendingCredit int      // bytes passed to the caller whose credit was not returned yet
 }
 
 func (r *receiver) receive() error {
@@ -135,27 +137,38 @@
 		case *awproto.ServeDown_Refusal:
 			r.entry.sync.observeRevision(b.Refusal.Revision, nil)
 			return b.Refusal.Err()
-		case *awproto.ServeDown_Accepted:
-			if err := r.begin(b.Accepted.VersionDigest); err != nil {
-				return err
-			}
-		case *awproto.ServeDown_Frame:
-			// The first frame may arrive without a preceding Accepted.
-			if err := r.begin(b.Frame.VersionDigest); err != nil {
-				return err
-			}
-			if err := r.handleFrame(b.Frame); err != nil {
-				return err
-			}
-		case *awproto.ServeDown_End:
-			if err := r.asm.End(b.End.Frames, b.End.Tokens); err != nil {
-				return streamError(err)
-			}
-			return callerError(r.out.finish(b.End))
 		case *awproto.ServeDown_Failure:
 			return b.Failure.Err()
 		}
+		if !r.turn.beginDelivery() {
+			return errSuperseded
+		}
+		if end, err := r.handle(down); end || err != nil {
+			return err
+		}
+		r.turn.awaitDelivery(r.entry.tokenSilence)
+	}
+}
+
+// handle handles a message that is a part of the answer and reports whether it was
+// the last one.
+func (r *receiver) handle(down *awproto.ServeDown) (end bool, err error) {
+	switch b := down.Body.(type) {
+	case *awproto.ServeDown_Accepted:
+		return false, r.begin(b.Accepted.VersionDigest)
+	case *awproto.ServeDown_Frame:
+		// The first frame may arrive without a preceding Accepted.
+		if err := r.begin(b.Frame.VersionDigest); err != nil {
+			return false, err
+		}
+		return false, r.handleFrame(b.Frame)
+	case *awproto.ServeDown_End:
+		if err := r.asm.End(b.End.Frames, b.End.Tokens); err != nil {
+			return true, streamError(err)
+		}
+		return true, callerError(r.out.finish(b.End))
 	}
+	return false, nil
 }
 
 // begin sets the digest of the answering weights from the first message that
--- a/io/awentry/dispatch.go
+++ b/io/awentry/dispatch.go
@@ -22,13 +22,15 @@
 	start *awproto.ServeStart
 	out   sink
 	asm   *awstream.Assembler
-
-	prefixes     []uint64
-	suspicion    suspicion
-	exclude      map[string]bool // agents that refused or failed since the last wait
-	possibleRuns int             // number of attempts that may have run
-	backoffs     int             // number of waits since the last attempt
-	lastErr      *awoutcome.Error
+	turns turns
+
+	standbyWindow bool // the window of a standby is reserved
+	prefixes      []uint64
+	suspicion     suspicion
+	exclude       map[string]bool // agents that refused or failed since the last wait
+	possibleRuns  int             // number of attempts that may have run
+	backoffs      int             // number of waits since the last attempt
+	lastErr       *awoutcome.Error
 }
 
 // dispatch sends a request to one agent after another until the answer is
@@ -81,7 +83,7 @@
 				return err
 			}
 		}
-		err = x.tryAgent(ctx, t)
+		t, err = x.tryAgent(ctx, t)
 		if err == nil {
 			return nil
 		}
@@ -95,28 +97,24 @@
 	}
 }
 
-// tryAgent makes one attempt and reports its result to outlier ejection.
-func (x *dispatchState) tryAgent(ctx context.Context, t target) error {
+// tryAgent makes one attempt and reports its result to outlier ejection. It returns
+// the agent that ended the answer, which is another one if a standby went on.
+func (x *dispatchState) tryAgent(ctx context.Context, t target) (target, error) {
 	e := x.entry
-	id := e.newAttemptID()
 	x.start.ResumeFrom = x.asm.NextToken()
 	if x.start.ResumeFrom > 0 {
 		x.start.VersionDigest = x.asm.Digest()
-		resumes.Inc()
 	}
 	began, from := time.Now(), x.start.ResumeFrom
 	x.suspicion.begin(t.Instance, e.cfg.Clock.Now())
-	err := e.serveAttempt(ctx, x.req, x.start, t, id, x.asm, frameObserver{x.out, x.recordFrame})
+	a := x.newAttempt(t, x.start)
+	x.turns.assign(a)
+	last, err := a.run(ctx)
 	x.recordEnd(err)
 	if err == nil && from == 0 {
 		e.observeLatency(x.start, time.Since(began))
 	}
-	e.attempts.settle(id.Sequence)
-	t.release()
-	if ctx.Err() == nil {
-		e.fleet.recordAttempt(t, err)
-	}
-	return err
+	return last.target, err
 }
 
 // prepareRetry decides what follows a failed attempt. It returns nil when another
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -83,6 +83,8 @@
 	quarantined string // blocked prompt parts, as last logged
 
 	factsPending chan struct{} // signals facts to be sent to the other entries
+
+	firstTokenSilence, tokenSilence time.Duration // until a standby is sought
 }
 
 // New returns an entry that is started with [Entry.Run].
@@ -117,6 +119,7 @@
 	e.fleet = newFleet(e)
 	e.attempts.watermark = awledger.NewWatermark()
 	e.claims = newClaimStore(e.store, s.Claims)
+	e.firstTokenSilence, e.tokenSilence = firstTokenSilence, tokenSilence
 	return e
 }
 
--- a/io/awentry/quarantine.go
+++ b/io/awentry/quarantine.go
@@ -108,15 +108,21 @@
 		s.proof.End()
 		e.recordSound(s.parts)
 	case errors.As(err, &oe) && oe.Reason == awoutcome.EngineCrashed:
-		s.crashes++
-		c := awquarantine.Crash{Engine: s.agent + "|" + oe.Engine, Request: x.req.id, Parts: s.parts, Sent: s.sent, At: e.cfg.Clock.Now()}
-		e.mu.Lock()
-		e.quarantine.RecordCrash(c)
-		e.mu.Unlock()
-		e.updateQuarantine()
+		x.recordCrash(s.agent, oe.Engine, s.sent)
 	}
 }
 
+// recordCrash records that an engine crashed under an attempt.
+func (x *dispatchState) recordCrash(agent, engine string, sent time.Time) {
+	s, e := &x.suspicion, x.entry
+	s.crashes++
+	c := awquarantine.Crash{Engine: agent + "|" + engine, Request: x.req.id, Parts: s.parts, Sent: sent, At: e.cfg.Clock.Now()}
+	e.mu.Lock()
+	e.quarantine.RecordCrash(c)
+	e.mu.Unlock()
+	e.updateQuarantine()
+}
+
 func (e *Entry) recordSound(parts []string) {
 	e.mu.Lock()
 	cleared := e.quarantine.RecordSound(parts)
--- a/io/awentry/request.go
+++ b/io/awentry/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -30,8 +31,8 @@
 	key              string // Idempotency-Key
 	stream           bool
 
-	extended  bool // the deadline was extended to maxDeadline when the stream began
-	delivered bool // a part of the answer was passed to the caller
+	extended  atomic.Bool // the deadline was extended to maxDeadline when the stream began
+	delivered bool        // a part of the answer was passed to the caller
 	timer     *time.Timer
 	reserved  int // bytes counted against Limits.HeldBytes
 }
@@ -91,7 +92,7 @@
 	r.delivered = true
 	firstFrameSeconds.UpdateDuration(r.arrived)
 	if r.stream && !r.explicitDeadline {
-		r.extended = true
+		r.extended.Store(true)
 		r.timer.Reset(time.Until(r.maxDeadline()))
 	}
 }
@@ -99,7 +100,7 @@
 // currentDeadline returns the deadline that applies now: maxDeadline after an
 // extension, otherwise the initial deadline.
 func (r *request) currentDeadline() time.Time {
-	if r.extended {
+	if r.extended.Load() {
 		return r.maxDeadline()
 	}
 	return r.deadline
