Let requests wait for the configuration after a pause of the entry

Callers whose requests arrived while an entry stood still got 503 not-ready, although the entry could serve them a moment later.

Cause: lateness of the process taken for failure. After a pause of more than 2 s, measured from the last check up to 250 ms before it, the entry admits nothing until it has read the configuration, and refused every request that it read first.

Requests now wait for that read, at most 500 ms, before they are refused.

TestRequestWaitsForReadAfterPause covers it; the code before refuses at its second check without waiting.

--- a/io/awentry/callers.go
+++ b/io/awentry/callers.go
@@ -37,7 +37,7 @@
 		ctx := awtelemetry.Extract(r.Context(), r.Header.Get("Traceparent"))
 		ctx, span := e.cfg.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
-		if err := e.accepting(); err != nil {
+		if err := e.sync.awaitAdmission(ctx); err != nil {
 			e.refuse(w, awoutcome.Refuse(awoutcome.NotReady, err.Error()))
 			return
 		}
--- a/io/awentry/config.go
+++ b/io/awentry/config.go
@@ -36,6 +36,8 @@
 	// work.
 	pauseThreshold     = 2 * time.Second
 	pauseCheckInterval = 250 * time.Millisecond
+	// pausedWait is how long requests wait for that read before they are refused.
+	pausedWait = 500 * time.Millisecond
 	// instanceListTimeout is how long a starting entry waits for the instance
 	// list before it accepts the store's configuration without knowing its peers.
 	instanceListTimeout = 3 * time.Second
@@ -62,7 +64,8 @@
 	startedAt      time.Time
 	storeErr       error
 	lastPauseCheck time.Time
-	pausedAt       time.Time // zero unless the process was paused and has not read the configuration since
+	pausedAt       time.Time     // zero unless the process was paused and has not read the configuration since
+	refreshed      chan struct{} // closed and replaced after each read of the configuration
 	digestState    *awconfig.State
 	digest         string
 
@@ -89,7 +92,7 @@
 	now := e.cfg.Clock.Now()
 	return &configSync{
 		entry: e, hints: make(chan revisionHint, 1), peers: map[string]*peer{},
-		startedAt: now, lastPauseCheck: now,
+		startedAt: now, lastPauseCheck: now, refreshed: make(chan struct{}),
 	}
 }
 
@@ -204,6 +207,8 @@
 	if start.After(c.pausedAt) {
 		c.pausedAt = time.Time{}
 	}
+	close(c.refreshed)
+	c.refreshed = make(chan struct{})
 }
 
 // pullAtStartup pulls from peers before the first configuration read from the
@@ -313,6 +318,29 @@
 	return c.synced && !c.isIsolated(now, limit)
 }
 
+var errPaused = eris.New("entry was paused and has not read the configuration since")
+
+// awaitAdmission waits until this entry has read the configuration after a pause. It
+// returns the reason why the entry must not admit new work, or nil.
+func (c *configSync) awaitAdmission(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pausedWait)
+	defer cancel()
+	for {
+		c.mu.Lock()
+		refreshed := c.refreshed
+		c.mu.Unlock()
+		err := c.checkAdmission()
+		if !errors.Is(err, errPaused) {
+			return err
+		}
+		select {
+		case <-refreshed:
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
 // checkAdmission returns the reason why this entry must not admit new work, or
 // nil.
 func (c *configSync) checkAdmission() error {
@@ -323,7 +351,7 @@
 	case !c.synced:
 		return c.unsyncedError()
 	case !c.pausedAt.IsZero() || now.Sub(c.lastPauseCheck) > pauseThreshold:
-		return eris.New("entry was paused and has not read the configuration since")
+		return errPaused
 	case now.Sub(c.sourceAt) > limit && now.Sub(c.startedAt) > limit && c.isIsolated(now, limit):
 		return eris.Errorf("entry is isolated: neither the table service nor a peer beyond its region answered for %s", limit)
 	}
--- a/io/awentry/config_test.go
+++ b/io/awentry/config_test.go
@@ -321,3 +321,19 @@
 	e.sync.observeRevision(1, &awproto.ProcessIdentity{Process: "awagent", Instance: "agent", Address: "127.0.0.1:3"})
 	require.Len(t, e.sync.notifyTargets(200, 0), 2, "agents are not peers")
 }
+
+// Guards against refusing requests that arrived while the entry was paused.
+func TestRequestWaitsForReadAfterPause(t *testing.T) {
+	b, clock := newTestbed(t), awclock.NewFake(time.Unix(1_700_000_000, 0))
+	e := b.entry("entry", "north", b.url, clock)
+	e.sync.recordStoreRead(clock.Now(), nil)
+	require.NoError(t, e.sync.awaitAdmission(t.Context()))
+	clock.Advance(3 * time.Second)
+	require.ErrorIs(t, e.sync.awaitAdmission(t.Context()), errPaused, "the configuration may be out of date")
+	time.AfterFunc(pausedWait/10, func() {
+		e.sync.checkPause()
+		clock.Advance(time.Millisecond)
+		e.sync.refresh(context.Background())
+	})
+	require.NoError(t, e.sync.awaitAdmission(t.Context()))
+}
