Tell callers that come back from first attempts with short timeouts

Cause: an entry took the longest timeout seen on a route for what each caller sets out with, and the difference for time spent in earlier attempts. Callers whose first timeouts differ by more than a quarter of the latency objective then count as late from the start.

Change: an entry notes the time that each refused caller will have left when it comes back. Up to the time at which these outnumber first attempts, callers count as coming back.

Both tests failed before: 893 ms of prior wait for a first attempt while nobody had been refused; 59m54s after one timeout of an hour.

--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -343,5 +343,6 @@
 	h.Set("Content-Length", "0")
 	q.w.WriteHeader(status)
 	q.g.metrics.refused(status, reason)
+	q.expectReturn(status, retryAfter)
 	q.g.logNotServed(reason, strconv.Itoa(status), q, fields...)
 }
