Keep places from late requests where others were just refused

Cause: a late request is queued behind first attempts, but of its own entry only, and only while they wait. An entry whose first attempts had just been refused gave the next free place to a caller that had come back, and the next first attempt found none.

Change: for 100 ms after a request that could have met its objective was refused for lack of capacity, late requests of the same or a lower priority get no capacity that this one could have used. Backend servers with a rate limit are left out, as their permits are given in this order.

--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -25,7 +25,9 @@
 // later than that. Refused callers retry, and the retries are late. Under
 // overload, late requests would displace requests that can still meet their
 // objective; those would be refused, retry and be late as well. Late requests
-// are therefore queued behind the others of their priority.
+// are therefore queued behind the others of their priority. They also get nothing
+// that one of the others was refused for lack of a moment before: capacity becomes
+// free at one entry while another entry, or the same one shortly before, refuses.
 package awdispatch
 
 import (
@@ -72,6 +74,9 @@
 	// request that waited longer would take a slot from a newer one that can
 	// still meet its objective.
 	lateMaxWait = 150 * time.Millisecond
+	// keptForOthersTime is how long free capacity is kept from late requests after
+	// one that could still meet its objective was refused.
+	keptForOthersTime = 100 * time.Millisecond
 )
 
 // Config configures a [Dispatcher].
@@ -138,6 +143,7 @@
 	sharers         map[string]int                 // by address of an engine related to this entry: entries that share it
 	services        map[string]awdirectory.Service
 	queues          map[string][]*Ticket
+	lastRefused     map[string]refusedRequest // by service; see refuseNoRoom
 	assignmentRates map[string]*assignmentRate
 	ejector         *awmember.Ejector
 	submissions     uint64
@@ -151,7 +157,7 @@
 	return &Dispatcher{
 		cfg: cfg, servers: map[awdirectory.Key]*server{}, byService: map[string][]*server{}, domainsOut: map[string]bool{},
 		floors: map[string][]awdirectory.Floor{}, entryCount: 1, services: map[string]awdirectory.Service{},
-		queues: map[string][]*Ticket{}, assignmentRates: map[string]*assignmentRate{}, ejector: awmember.NewEjector(cfg.Eject),
+		queues: map[string][]*Ticket{}, lastRefused: map[string]refusedRequest{}, assignmentRates: map[string]*assignmentRate{}, ejector: awmember.NewEjector(cfg.Eject),
 	}
 }
 
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -93,7 +93,7 @@
 		position--
 	}
 	if wait := d.expectedWait(req.Service, position); now.Add(wait).After(t.waitUntil) {
-		t.finish(Decision{Refusal: NoRoom, RetryAfter: d.randomDuration(minRetryAfter, maxRetryAfter)})
+		d.refuseNoRoom(t, now)
 		return t
 	}
 	d.queues[req.Service] = slices.Insert(queue, position, t)
@@ -195,7 +195,7 @@
 		switch {
 		case t.done, d.assign(t, now):
 		case !now.Before(t.waitUntil):
-			t.finish(Decision{Refusal: NoRoom, RetryAfter: d.randomDuration(minRetryAfter, maxRetryAfter)})
+			d.refuseNoRoom(t, now)
 		default:
 			kept = append(kept, t)
 		}
@@ -217,7 +217,7 @@
 		d.cfg.Throttle.WantSpare(c.throttled.info.Key())
 	}
 	best, load := c.server, c.load
-	if best == nil {
+	if best == nil || d.keptForOthers(best, &t.req, now) {
 		return false
 	}
 	d.cfg.Throttle.Sent(best.info.Key())
@@ -235,6 +235,35 @@
 	return true
 }
 
+// refusedRequest is a request that was refused for lack of capacity.
+type refusedRequest struct {
+	req Request
+	at  time.Time
+}
+
+// refuseNoRoom refuses a request because no capacity is expected to become free in
+// time. It remembers the most urgent one of the last time that could still have met
+// its objective.
+func (d *Dispatcher) refuseNoRoom(t *Ticket, now time.Time) {
+	last, ok := d.lastRefused[t.req.Service]
+	if !t.req.Late && (!ok || t.req.Priority <= last.req.Priority || now.Sub(last.at) >= keptForOthersTime) {
+		d.lastRefused[t.req.Service] = refusedRequest{t.req, now}
+	}
+	t.finish(Decision{Refusal: NoRoom, RetryAfter: d.randomDuration(minRetryAfter, maxRetryAfter)})
+}
+
+// keptForOthers reports whether free capacity is kept from a late request because a
+// request that could have used it and met its objective was refused shortly before.
+// The next one of its kind is expected as soon. The permits of backend servers with a
+// rate limit have this order already.
+func (d *Dispatcher) keptForOthers(s *server, req *Request, now time.Time) bool {
+	if _, limited := d.cfg.Throttle.Limit(s.info.Key()); limited || !req.Late {
+		return false
+	}
+	last, ok := d.lastRefused[req.Service]
+	return ok && now.Sub(last.at) < keptForOthersTime && last.req.Priority <= req.Priority && d.usable(s, &last.req, now)
+}
+
 // choice is the result of comparing backend servers for a request.
 type choice struct {
 	server      *server // best one with free capacity that may be sent to now; nil if there is none
