--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -77,7 +77,7 @@
 		t.waitUntil = req.Deadline
 	}
 	queue := d.queues[req.Service]
-	if (len(queue) == 0 || t.before(queue[0])) && d.assign(t, now) {
+	if (len(queue) == 0 || req.before(&queue[0].req)) && d.assign(t, now) {
 		return t
 	}
 	if !d.anyUsable(&req, now) {
@@ -89,7 +89,7 @@
 		return t
 	}
 	position := len(queue)
-	for position > 0 && t.before(queue[position-1]) {
+	for position > 0 && req.before(&queue[position-1].req) {
 		position--
 	}
 	if wait := d.expectedWait(req.Service, position); now.Add(wait).After(t.waitUntil) {
@@ -108,16 +108,12 @@
 	return salt
 }
 
-// before reports whether t is queued before other, which was submitted earlier.
-func (t *Ticket) before(other *Ticket) bool {
-	r, o := &t.req, &other.req
-	switch {
-	case r.Priority != o.Priority:
-		return r.Priority < o.Priority
-	case r.Late != o.Late:
-		return o.Late
+// before reports whether r is queued before other, which was submitted earlier.
+func (r *Request) before(other *Request) bool {
+	if r.Priority != other.Priority {
+		return r.Priority < other.Priority
 	}
-	return !r.Late && t.waitUntil.Before(other.waitUntil)
+	return !r.Late && other.Late
 }
 
 func (d *Dispatcher) assignmentRate(service string) *assignmentRate {
