Keep a queued hedge from racing with the dispatcher

What callers would see: all connections of a gateway end when its process crashes with 'concurrent map read and map write'. Cause: since the search for another backend server runs beside the sends, the request adds silent and failed servers to the map of those that it avoids while the dispatcher reads that map for the queued ticket.

Change: the map is written under the gateway's lock, under which the dispatcher reads it.

--- a/io/awgateway/hedge.go
+++ b/io/awgateway/hedge.go
@@ -139,6 +139,9 @@
 		res.reason = "BackendSilent"
 	}
 	q.release(s.grant, res.outcome)
+	if !res.answered {
+		q.avoidServer(s.grant.Server.Key())
+	}
 	if res.mayHaveRun {
 		q.possibleRuns++
 	}
@@ -154,7 +157,6 @@
 	if res.suspect || res.reason == reasonQuarantined {
 		q.recordSuspect(poolKey(&s.grant.Server), s.start, !res.suspect)
 	}
-	q.avoid[s.grant.Server.Key()] = true
 	return res
 }
 
@@ -233,16 +235,16 @@
 // recordSilence records that the backend servers of all sends are silent.
 func (h *hedge) recordSilence() {
 	g := h.q.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, s := range h.q.running {
-		h.q.avoid[s.grant.Server.Key()] = true
 		if s.silent {
 			continue
 		}
 		s.silent = true
+		h.q.avoid[s.grant.Server.Key()] = true
 		g.metrics.silentSends.Inc()
-		g.mu.Lock()
 		g.dispatch.RecordSilence(s.grant.Server.Key())
-		g.mu.Unlock()
 	}
 }
 
--- /dev/null
+++ b/io/awgateway/hedge_test.go
@@ -0,0 +1,110 @@
+package awgateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"arbutuswind/core/awclock"
+	"arbutuswind/core/awdirectory"
+	"arbutuswind/core/awdispatch"
+	"arbutuswind/core/awretry"
+	"arbutuswind/io/awbackend"
+	"arbutuswind/io/awwatch"
+)
+
+// plainHeaders is a codec without any headers of callers and backend servers.
+type plainHeaders struct{}
+
+func (plainHeaders) DecodeRequest(http.Header) RequestInfo { return RequestInfo{} }
+
+func (plainHeaders) ForwardHeaders(h http.Header, _ ForwardInfo) http.Header { return h }
+
+func (plainHeaders) DecodeResponse(int, http.Header) ResponseInfo { return ResponseInfo{Signed: true} }
+
+func (plainHeaders) IDHeader() string { return "X-Id" }
+
+// startSilentStream starts a stream at server "a", which never sends anything and
+// breaks off when release is closed. The service has the given other servers.
+func startSilentStream(t *testing.T, retry awretry.WindowConfig, others ...awdirectory.Server) (g *Gateway, release chan struct{}) {
+	release = make(chan struct{})
+	arrived := make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		close(arrived)
+		select {
+		case <-release:
+		case <-req.Context().Done():
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	g = New(Config{
+		Clock: awclock.System{}, Logger: log.NewNopLogger(), Headers: plainHeaders{}, Domain: "d", Region: "r",
+		Pool: awbackend.NewPool(awbackend.Config{Clock: awclock.System{}}), Retry: retry,
+	})
+	c := &awdirectory.Config{
+		Version: 1, Services: []awdirectory.Service{{Name: "s", ColdRate: 2}},
+		Routes: []awdirectory.Route{{
+			Name: "events", Host: "h", Prefix: "/", Kind: awdirectory.Stream, Resumable: true, Public: true, MaxAttempts: 3,
+			Timeout: 20 * time.Second, LatencyObjective: 40 * time.Second, Targets: []awdirectory.Target{{Service: "s", Weight: 1}},
+		}},
+	}
+	require.True(t, g.Configure(c.Index()))
+	near := awdirectory.Server{ID: "a", Service: "s", Address: silent.Listener.Addr().String(), Slots: 1, Domain: "d", Region: "r"}
+	g.Apply(awwatch.State{Servers: append(others, near), Entries: []awdirectory.Entry{{Name: "e"}}})
+	ctx, cancel := context.WithCancel(context.Background())
+	go g.Run(ctx)
+	server := httptest.NewServer(g)
+	go func() {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, server.URL+"/x", nil)
+		if err != nil {
+			return
+		}
+		req.Host = "h"
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		server.Close()
+		silent.CloseClientConnections()
+		silent.Close()
+	})
+	<-arrived
+	return g, release
+}
+
+// submitOthers asks for a slot at any server but "a".
+func (g *Gateway) submitOthers() (dec awdispatch.Decision) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := g.dispatch.Submit(awdispatch.Request{
+		Service: "s", Deadline: g.cfg.Clock.Now().Add(time.Minute), Avoid: map[awdirectory.Key]bool{{ID: "a"}: true},
+	}, func(d awdispatch.Decision) { dec = d })
+	g.dispatch.Cancel(t)
+	return dec
+}
+
+// Guards against a crash of the process: the dispatcher reads which servers a
+// queued request avoids while the request adds one. Fails with the race detector.
+func TestQueuedHedgeRacesWithDispatcher(t *testing.T) {
+	g, release := startSilentStream(t, awretry.WindowConfig{MinRetries: 100, Window: 10 * time.Second},
+		awdirectory.Server{ID: "b", Service: "s", Address: "127.0.0.1:1", Slots: 1, Domain: "x", Region: "x"})
+	for g.submitOthers().Grant != nil {
+	}
+	require.Eventually(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.dispatch.Waiting() > 0
+	}, 5*time.Second, time.Millisecond)
+	time.Sleep(awretry.HedgeDelay(0) + 4*dispatchInterval)
+	close(release)
+	time.Sleep(4 * dispatchInterval)
+}
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -39,11 +39,11 @@
 
 	possibleRuns int // number of sends that the backend server may have run
 	sends        int
-	probe        bool // the request tests whether its prompt still crashes engines
-	crashes      int  // sends that ended with a crash of the engine and may have caused it
-	avoid        map[awdirectory.Key]bool
-	lastFailure  string  // reason of the last failed send
-	running      []*send // sends that have not ended
+	probe        bool                     // the request tests whether its prompt still crashes engines
+	crashes      int                      // sends that ended with a crash of the engine and may have caused it
+	avoid        map[awdirectory.Key]bool // protected by the gateway's mu; queued tickets read it
+	lastFailure  string                   // reason of the last failed send
+	running      []*send                  // sends that have not ended
 	ended        chan endedSend
 
 	// forward is held while a send writes to the caller. It protects the fields below.
@@ -260,6 +260,13 @@
 	q.g.signalNotices()
 }
 
+// avoidServer excludes a backend server from further sends of the request.
+func (q *request) avoidServer(k awdirectory.Key) {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	q.avoid[k] = true
+}
+
 // run sends the request until it is answered or must not be sent again.
 func (q *request) run(ctx context.Context) {
 	g := q.g
