Let a silent stream without a retry budget take no place

What callers would see: requests refused with NoRoom while the places of cold or rate-limited servers go unused. The grant counts as a request to a cold server and uses up a permit, though nothing is sent.

Change: a slot is only sought while the retry budget allows a retry.

--- a/core/awretry/window.go
+++ b/core/awretry/window.go
@@ -53,9 +53,9 @@
 // CountRequest counts a request of a caller at the given time.
 func (w *WindowBudget) CountRequest(now time.Time) { w.requests[w.advance(now)]++ }
 
-// AllowRetry reports whether a retry is within the entry's share of the budget,
-// and counts it if so. entries is the number of entries that share the budget.
-func (w *WindowBudget) AllowRetry(now time.Time, entries int) bool {
+// HasRetry reports whether a retry is within the entry's share of the budget.
+// entries is the number of entries that share the budget.
+func (w *WindowBudget) HasRetry(now time.Time, entries int) bool {
 	current := w.advance(now)
 	requests, retries := 0, 0
 	for i := range w.requests {
@@ -64,9 +64,14 @@
 			requests += w.requests[i]
 		}
 	}
-	if float64(retries+1) > usedRatioShare*w.cfg.Ratio*float64(requests)+float64(w.cfg.MinRetries)/float64(max(1, entries)) {
+	return float64(retries+1) <= usedRatioShare*w.cfg.Ratio*float64(requests)+float64(w.cfg.MinRetries)/float64(max(1, entries))
+}
+
+// AllowRetry counts a retry if [WindowBudget.HasRetry], and reports whether it did.
+func (w *WindowBudget) AllowRetry(now time.Time, entries int) bool {
+	if !w.HasRetry(now, entries) {
 		return false
 	}
-	w.retries[current]++
+	w.retries[w.advance(now)]++
 	return true
 }
--- a/io/awgateway/hedge.go
+++ b/io/awgateway/hedge.go
@@ -228,6 +228,9 @@
 	if h.pending != nil || !q.mayBeSentAgain() || q.isQuarantined() {
 		return h.delay
 	}
+	if !q.hasRetry() { // an unused grant would take a place of another request
+		return awretry.HedgeRetry
+	}
 	h.pending = q.requestSlot()
 	return h.delay
 }
--- a/io/awgateway/hedge_test.go
+++ b/io/awgateway/hedge_test.go
@@ -108,3 +108,12 @@
 	close(release)
 	time.Sleep(4 * dispatchInterval)
 }
+
+// Guards against a silent stream that uses up what other servers may be sent,
+// though the retry budget forbids to send it to them.
+func TestSilentStreamWithoutBudgetTakesNoPlace(t *testing.T) {
+	g, _ := startSilentStream(t, awretry.WindowConfig{Window: 10 * time.Second},
+		awdirectory.Server{ID: "b", Service: "s", Address: "127.0.0.1:1", Slots: 9, Domain: "x", Region: "x", ColdRemaining: time.Minute})
+	time.Sleep(awretry.HedgeDelay(0) + 4*awretry.HedgeRetry)
+	require.NotNil(t, g.submitOthers().Grant)
+}
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -318,6 +318,13 @@
 	return sends.AllowAnother() && q.streamState().resumable
 }
 
+// hasRetry reports whether the retry budget allows a retry now.
+func (q *request) hasRetry() bool {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	return q.g.retryBudget(q.service).HasRetry(q.g.cfg.Clock.Now(), q.g.entryCount)
+}
+
 // allowRetry reports whether the request may be sent again. If so, it takes the
 // retry from the budget.
 func (q *request) allowRetry() bool {
