--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -38,11 +38,11 @@
 
 	possibleRuns int // number of sends that the backend server may have run
 	sends        int
-	probe        bool // the request tests whether its prompt still crashes engines
-	crashes      int  // sends that ended with a crash of the engine and may have caused it
-	avoid        map[awdirectory.Key]bool
-	lastFailure  string  // reason of the last failed send
-	running      []*send // sends that have not ended
+	probe        bool                     // the request tests whether its prompt still crashes engines
+	crashes      int                      // sends that ended with a crash of the engine and may have caused it
+	avoid        map[awdirectory.Key]bool // protected by the gateway's mu; queued tickets read it
+	lastFailure  string                   // reason of the last failed send
+	running      []*send                  // sends that have not ended
 	ended        chan endedSend
 
 	// forward is held while a send writes to the caller. It protects the fields below.
@@ -219,6 +219,13 @@
 	q.g.signalNotices()
 }
 
+// avoidServer excludes a backend server from further sends of the request.
+func (q *request) avoidServer(k awdirectory.Key) {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	q.avoid[k] = true
+}
+
 // run sends the request until it is answered or must not be sent again.
 func (q *request) run(ctx context.Context) {
 	g := q.g
@@ -270,6 +277,13 @@
 	return sends.AllowAnother() && q.streamState().resumable
 }
 
+// hasRetry reports whether the retry budget allows a retry now.
+func (q *request) hasRetry() bool {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	return q.g.retryBudget(q.service).HasRetry(q.g.cfg.Clock.Now(), q.g.entryCount)
+}
+
 // allowRetry reports whether the request may be sent again. If so, it takes the
 // retry from the budget.
 func (q *request) allowRetry() bool {
