Keep a pause of the gateway from being taken for silence of its servers

What callers saw: streams that were whole, but ran at a second backend server too, after their gateway had stood still for longer than the delay of a hedge. Servers that had sent all the while counted as failed. Cause: lateness of this process taken for failure of others. When the process goes on, the timer of a stream expires before the events are read that have arrived meanwhile.

Change: silence counts only if a check 50 ms later still finds it.

TestPauseOfProcessIsNoSilence checks the decision with a fake clock.

--- a/core/awretry/hedge.go
+++ b/core/awretry/hedge.go
@@ -14,6 +14,10 @@
 // has room: about the time until a busy fleet frees a slot.
 const HedgeRetry = 150 * time.Millisecond
 
+// SilenceRecheck is the time after which silence is checked again before it counts.
+// After a pause of this process, it lets events be read that have arrived meanwhile.
+const SilenceRecheck = 50 * time.Millisecond
+
 // HedgeDelay returns how long the backend servers of a resumable stream may send
 // nothing before the stream is also sent to another one. maxGap is the route's
 // maximum gap between events.
--- a/io/awgateway/hedge.go
+++ b/io/awgateway/hedge.go
@@ -167,6 +167,8 @@
 	q       *request
 	delay   time.Duration // silence after which another backend server is sought
 	pending *pendingSlot  // slot that is being sought; nil if none is
+
+	seenSilent bool // all sends were silent at the last check
 }
 
 // await returns when the caller has got a response or no send is running.
@@ -222,8 +224,13 @@
 func (h *hedge) seek() time.Duration {
 	q := h.q
 	if wait := h.untilSilent(); wait > 0 {
+		h.seenSilent = false
 		return wait
 	}
+	if !h.seenSilent {
+		h.seenSilent = true
+		return awretry.SilenceRecheck
+	}
 	h.recordSilence()
 	if h.pending != nil || !q.mayBeSentAgain() || q.isQuarantined() {
 		return h.delay
--- a/io/awgateway/hedge_test.go
+++ b/io/awgateway/hedge_test.go
@@ -117,3 +117,26 @@
 	time.Sleep(awretry.HedgeDelay(0) + 4*awretry.HedgeRetry)
 	require.NotNil(t, g.submitOthers().Grant)
 }
+
+// Guards against a pause of the process being taken for silence: timers expire
+// before the events are read that have arrived meanwhile.
+func TestPauseOfProcessIsNoSilence(t *testing.T) {
+	clock := awclock.NewFake(time.Unix(0, 0))
+	q := &request{
+		g: New(Config{Clock: clock, Logger: log.NewNopLogger()}), route: &awdirectory.Route{MaxAttempts: 1}, avoid: map[awdirectory.Key]bool{},
+	}
+	s, _ := q.newSend(context.Background(), &awdispatch.Grant{})
+	h := hedge{q: q, delay: awretry.HedgeDelay(0)}
+	for range 2 {
+		clock.Advance(h.delay)
+		require.Equal(t, awretry.SilenceRecheck, h.seek())
+		require.False(t, s.silent)
+		s.recordActivity()
+		clock.Advance(awretry.SilenceRecheck)
+		require.Equal(t, h.delay-awretry.SilenceRecheck, h.seek())
+	}
+	clock.Advance(h.delay)
+	h.seek()
+	h.seek()
+	require.True(t, s.silent)
+}
