Play hung servers in the order of attempts in the test of standbys

Cause: TestHungServerIsReplaced, 'one after another', waited for ever when the standby of the first server was the third one, which answers, since the second was then never asked.

Change: the first two attempts hang, whichever agents get them, so that every run needs both replacements. Nothing else is checked less.

--- a/io/awentry/standby_test.go
+++ b/io/awentry/standby_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -115,9 +116,14 @@
 	}
 	t.Run("one after another", func(t *testing.T) {
 		never, ended := make(chan struct{}), make(chan struct{}, 9)
-		first := &scriptedAgent{serve: silentAt(1, never, ended)}
-		second := &scriptedAgent{serve: silentAt(2, never, ended)}
-		third := &scriptedAgent{serve: sendTokens(3)}
+		var attempts atomic.Int64
+		serve := func(s *scriptedAgent, stream awproto.DRPCAgent_ServeStream, start *awproto.ServeStart) error {
+			if n := attempts.Add(1); n <= 2 {
+				return silentAt(uint32(n), never, ended)(s, stream, start)
+			}
+			return sendTokens(3)(s, stream, start)
+		}
+		first, second, third := &scriptedAgent{serve: serve}, &scriptedAgent{serve: serve}, &scriptedAgent{serve: serve}
 		require.Equal(t, "abc", dispatchSilent(t, make(chan struct{}), awretry.DefaultConfig(), first, second, third))
 		<-ended
 		<-ended
