Return the grant of an overtaken send while the caller is slow

What callers would see: requests refused with NoRoom while a place is held by a send that has long ended. Cause: the end of a send took the lock under which events are written to the caller before it returned the grant. An overtaken send of a slow caller kept its place at the server until the caller read on.

Change: the grant is returned first, with the server already avoided, so that a queued ticket of the same request does not get it.

--- a/io/awgateway/hedge.go
+++ b/io/awgateway/hedge.go
@@ -129,6 +129,10 @@
 // settle records the end of a send.
 func (q *request) settle(s *send, res sendResult) sendResult {
 	s.cancel(nil)
+	if !res.answered {
+		q.avoidServer(s.grant.Server.Key())
+	}
+	q.release(s.grant, res.outcome) // before forward, which a slow caller holds up
 	q.running = slices.DeleteFunc(q.running, func(other *send) bool { return other == s })
 	q.forward.Lock()
 	q.race.Fail(s.number)
@@ -138,10 +142,6 @@
 	if res.reason == reasonOvertaken && s.silent {
 		res.reason = "BackendSilent"
 	}
-	q.release(s.grant, res.outcome)
-	if !res.answered {
-		q.avoidServer(s.grant.Server.Key())
-	}
 	if res.mayHaveRun {
 		q.possibleRuns++
 	}
--- a/io/awgateway/hedge_test.go
+++ b/io/awgateway/hedge_test.go
@@ -140,3 +140,28 @@
 	h.seek()
 	require.True(t, s.silent)
 }
+
+// Guards against an overtaken send that keeps its place at a server for as long as
+// the caller reads nothing.
+func TestOvertakenSendReturnsGrantWhileCallerIsSlow(t *testing.T) {
+	g := New(Config{
+		Clock: awclock.System{}, Logger: log.NewNopLogger(), Pool: awbackend.NewPool(awbackend.Config{Clock: awclock.System{}}),
+	})
+	server := awdirectory.Server{ID: "b", Service: "s", Slots: 1}
+	g.Apply(awwatch.State{Servers: []awdirectory.Server{server}, Entries: []awdirectory.Entry{{Name: "e"}}})
+	grant := g.submitOthers().Grant
+	require.NotNil(t, grant)
+	q := &request{g: g, route: &awdirectory.Route{}, avoid: map[awdirectory.Key]bool{}}
+	s, _ := q.newSend(context.Background(), grant)
+	for g.submitOthers().Grant != nil {
+	}
+	q.forward.Lock() // as while an event is being written
+	settled := make(chan struct{})
+	go func() {
+		q.settle(s, sendResult{outcome: awdispatch.Abandoned, reason: reasonOvertaken})
+		close(settled)
+	}()
+	require.Eventually(t, func() bool { return g.submitOthers().Grant != nil }, time.Second, time.Millisecond)
+	q.forward.Unlock()
+	<-settled
+}
