Keep comments in a stream from ending what would go on

What callers saw: a stream with a comment that broke off was cut, although another backend server could send the rest; a comment of a second server ended the send of a silent one, which would have gone on. Cause: awstream.Race takes a comment, which has neither data nor ID, for an event. It then counted the stream as impossible to resume, and its send as the one that goes on.

Change: an event without data leaves the stream resumable. While several sends run it is dropped and decides nothing.

--- a/core/awstream/events.go
+++ b/core/awstream/events.go
@@ -16,6 +16,7 @@
 type Event struct {
 	ID    uint64 // value of the id field
 	HasID bool   // the event has an id field with a number
+	Empty bool   // no data field, as in a comment; receivers ignore such an event
 	Raw   []byte // all lines and the blank line that ends the event; valid until the next call
 }
 
@@ -41,6 +42,7 @@
 	}
 	e := Event{Raw: s.buf[:end]}
 	e.ID, e.HasID = eventID(e.Raw)
+	e.Empty = !bytes.HasPrefix(e.Raw, []byte("data")) && !bytes.Contains(e.Raw, []byte("\ndata"))
 	s.buf = s.buf[end:]
 	return e, true
 }
--- a/core/awstream/race.go
+++ b/core/awstream/race.go
@@ -9,6 +9,9 @@
 	ErrOvertaken = errors.New("another backend server delivered the next event")
 	// ErrEventOrder is returned for an event that is not after the previous one.
 	ErrEventOrder = errors.New("backend server sent an event out of order")
+	// ErrNoProgress is returned for an event that is to be dropped, because it does
+	// not show that its send goes on.
+	ErrNoProgress = errors.New("event without data while several sends run")
 )
 
 // Race decides which of several sends of one event stream is forwarded. A send
@@ -18,7 +21,7 @@
 // concurrent use.
 type Race struct {
 	lastID     uint64
-	unnumbered bool // an event without an ID has been forwarded
+	unnumbered bool // an event with data but without an ID has been forwarded
 	running    map[int]bool
 	begun      int
 }
@@ -38,23 +41,25 @@
 func (r *Race) LastID() uint64 { return r.lastID }
 
 // CanResume reports whether another send can go on where the stream stands. It
-// cannot after an event without an ID.
+// cannot after an event with data but without an ID.
 func (r *Race) CanResume() bool { return !r.unnumbered }
 
 // Offer reports whether an event that a send delivers is to be forwarded, by a
 // nil error. The other sends are then overtaken. The errors are [ErrOvertaken]
-// and [ErrEventOrder].
+// and [ErrEventOrder], or [ErrNoProgress] for an empty event while other sends run.
 func (r *Race) Offer(send int, e Event) error {
 	switch {
 	case !r.running[send]:
 		return ErrOvertaken
+	case e.Empty && !e.HasID && len(r.running) > 1:
+		return ErrNoProgress
 	case e.HasID && r.lastID > 0 && e.ID <= r.lastID:
 		return ErrEventOrder
 	}
 	if e.HasID {
 		r.lastID = e.ID
 	}
-	r.unnumbered = r.unnumbered || !e.HasID
+	r.unnumbered = r.unnumbered || (!e.HasID && !e.Empty)
 	r.overtake(send)
 	return nil
 }
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -271,7 +271,9 @@
 		return false, errVersionChanged
 	}
 	for ; ok; e, ok = splitter.Next() {
-		if err := q.race.Offer(s.number, e); err != nil {
+		if err := q.race.Offer(s.number, e); errors.Is(err, awstream.ErrNoProgress) {
+			continue
+		} else if err != nil {
 			return wrote, err
 		}
 		s.overtakeOthers()
@@ -281,6 +283,9 @@
 		}
 		wrote = true
 	}
+	if !wrote {
+		return false, nil
+	}
 	if err := control.Flush(); err != nil {
 		return true, errCallerLeft
 	}
