Show that a standby is ended when the silent attempt fails

What callers would see: 504 at the deadline though an agent was about to answer. Cause: attempt.end stops the standby of an attempt that fails, also one that is running at another agent. The request then seeks a third attempt, for which the retry budget or the limit of possible runs may leave no room: what runs is ended before its replacement is certain. awgateway lets the other send go on.

--- a/io/awentry/standby_test.go
+++ b/io/awentry/standby_test.go
@@ -143,3 +143,23 @@
 		require.Equal(t, "abc", dispatchSilent(t, make(chan struct{}), awretry.DefaultConfig(), first, second))
 	})
 }
+
+// Guards against ending a standby that runs because the silent attempt fails first.
+func TestStandbyGoesOnWhenSilentAttemptFails(t *testing.T) {
+	started := make(chan struct{}, 9)
+	first := &scriptedAgent{serve: func(*scriptedAgent, awproto.DRPCAgent_ServeStream, *awproto.ServeStart) error {
+		<-started
+		return errBroken
+	}}
+	second := &scriptedAgent{serve: func(s *scriptedAgent, stream awproto.DRPCAgent_ServeStream, start *awproto.ServeStart) error {
+		started <- struct{}{}
+		select {
+		case <-time.After(40 * time.Millisecond):
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+		return sendTokens(3)(s, stream, start)
+	}}
+	require.Equal(t, "abc", dispatchSilent(t, make(chan struct{}), awretry.DefaultConfig(), first, second))
+	require.Len(t, second.starts, 1)
+}
