Refuse streams that may outlast a planned stop

What callers saw: a stream that began on an open connection 5.6 s after SIGTERM was cut at the end of the grace period, after its server had been silent twice (LOST). Cause: since a stopping gateway answers requests on open connections, the header of a stream sent before the stop keeps its connection open, and the next request on it may be a stream that cannot end in time.

Change: from the closing of the listener on, a stream whose timeout ends after the stop, or another request whose latency objective does, is refused at once with 503 and has not run.

--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -207,6 +207,7 @@
 		}
 	}()
 	time.Sleep(min(balancerDetectionTime, grace/2))
+	g.router.RefuseAfter(deadline) // callers that keep their connections still send requests
 	if err := callers.Drain(ctx, callerServer); err != nil {
 		_ = level.Warn(g.logger).Log("Message", "requests refused at the end of the grace period", "Error", err.Error())
 		refuse(awgateway.ErrStopping)
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -58,7 +58,8 @@
 	cfg           Config
 	config        atomic.Pointer[awdirectory.Config]
 	stopping      atomic.Bool
-	serversLoaded atomic.Bool // Apply has been called
+	stopBy        atomic.Pointer[time.Time] // end of a planned stop; nil before requests are refused for it
+	serversLoaded atomic.Bool               // Apply has been called
 	metrics       gatewayMetrics
 
 	mu             sync.Mutex
@@ -187,6 +188,25 @@
 	g.throttle.Stop()
 }
 
+// RefuseAfter has the gateway refuse requests that may still run at the given
+// time, at which it stops.
+func (g *Gateway) RefuseAfter(end time.Time) { g.stopBy.Store(&end) }
+
+// mayOutlastStop reports whether the request may still run when the gateway stops.
+// A stream may take until its timeout, and a whole response should take no longer
+// than the latency objective.
+func (q *request) mayOutlastStop() bool {
+	end := q.g.stopBy.Load()
+	if end == nil {
+		return false
+	}
+	needed := q.timeout()
+	if q.route.Kind != awdirectory.Stream {
+		needed = min(needed, q.route.LatencyObjective)
+	}
+	return q.start.Add(needed).After(*end)
+}
+
 // dispatchInterval is how often waiting requests are checked even if no
 // capacity was released. A request may exceed its maximum wait by up to this
 // time, so it is short compared with the waits that awdispatch allows.
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -84,6 +84,11 @@
 		q.refuseEarly(r, status, 0, reason)
 		return
 	}
+	if q.mayOutlastStop() {
+		q.unreadBody = r.ContentLength
+		q.refuseEarly(r, http.StatusServiceUnavailable, minRetryAfter, reasonStopping)
+		return
+	}
 	if status, reason := q.readBody(r); status != 0 {
 		q.refuseEarly(r, status, 0, reason)
 		return
@@ -101,6 +106,9 @@
 // the gateway can't wait for their responses. They are then refused.
 var ErrStopping = errors.New("gateway stops")
 
+// reasonStopping is the reason of requests that end because the gateway stops.
+const reasonStopping = "Stopping"
+
 // resolve finds the route and the team of the request. On failure it returns
 // the HTTP status and the reason, and otherwise status 0.
 func (q *request) resolve(c *awdirectory.Config) (int, string) {
@@ -305,7 +313,7 @@
 	timedOut := errors.Is(context.Cause(ctx), errTimeout)
 	stopping := errors.Is(context.Cause(ctx), ErrStopping)
 	if stopping {
-		reason = "Stopping"
+		reason = reasonStopping
 	}
 	switch {
 	case q.headerSent:
