Answer requests on open connections while an entry stops

Cause: awentry still stopped with http.Server.Shutdown and with SetKeepAlivesEnabled(false).

Change: the callers' listener of awentry is drained with awhttp.Listener.Drain, as that of awgateway. While the entry drains, responses carry Connection: close. TestSecondSignalCutsVisibly listens as Run does and keeps its assertions; the fake agent takes concurrent attempts.

--- a/io/awentry/callers.go
+++ b/io/awentry/callers.go
@@ -19,6 +19,7 @@
 // callerHandler returns the callers' API.
 func (e *Entry) callerHandler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(e.closeWhileDraining)
 	r.NotFound(e.statusHandler(http.StatusNotFound))
 	r.MethodNotAllowed(e.statusHandler(http.StatusMethodNotAllowed))
 	r.Post("/v1/completions", e.serve(e.handleCompletion))
--- a/io/awentry/dispatch_test.go
+++ b/io/awentry/dispatch_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,6 +31,7 @@
 	digest    string
 	serve     func(s *scriptedAgent, stream awproto.DRPCAgent_ServeStream, start *awproto.ServeStart) error
 	settle    awproto.AttemptState
+	mu        sync.Mutex // held while a start is added
 	starts    []*awproto.ServeStart
 	delivered chan struct{} // receives one element for each frame delivered to the caller
 	unroute   func()        // removes the agent from routing, as a broken Watch stream does
@@ -48,7 +50,9 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
 	s.starts = append(s.starts, up.GetStart())
+	s.mu.Unlock()
 	return s.serve(s, stream, up.GetStart())
 }
 
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -149,6 +149,7 @@
 	defer stop()
 	group, serveCtx := errgroup.WithContext(base)
 	callerServer := awhttp.NewServer(e.callerHandler())
+	awhttp.TrackConnections(callerServer)
 	operatorServer := awhttp.NewServer(e.operatorHandler())
 	server := awrpc.NewServer(mux, func(error) {})
 	group.Go(func() error { return server.Serve(serveCtx, inner) })
@@ -164,7 +165,7 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			e.drain(callerServer)
+			e.drain(callers, callerServer)
 		case <-serveCtx.Done():
 		}
 		_ = callerServer.Close()
--- a/io/awentry/stop.go
+++ b/io/awentry/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"arbutuswind/io/awhttp"
 )
 
 const (
@@ -15,10 +17,10 @@
 	cutGrace = time.Second
 )
 
-// drain shuts down the callers' listener gracefully: readiness turns false, then
-// the listener closes, then running requests finish. Requests that still run at
-// the drain deadline or when Config.Forced is closed are terminated.
-func (e *Entry) drain(callers *http.Server) {
+// drain stops serving callers gracefully: readiness turns false, then the listener
+// closes, then requests on open connections finish. Requests that still run at the
+// drain deadline or when Config.Forced is closed are terminated.
+func (e *Entry) drain(callers *awhttp.Listener, srv *http.Server) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), drainNotice+e.cfg.Settings.Timing.Drain.Std())
 	defer cancel()
@@ -37,15 +39,25 @@
 	case <-time.After(drainNotice):
 	case <-ctx.Done():
 	}
-	callers.SetKeepAlivesEnabled(false)
 	cut := int64(0)
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := callers.Drain(ctx, srv); err != nil {
 		cut = e.running.Load()
 		cutRequests.Add(int(cut))
 		e.cut(errStopped)
 		graceCtx, cancelGrace := context.WithTimeout(context.Background(), cutGrace)
 		defer cancelGrace()
-		_ = callers.Shutdown(graceCtx) // Run closes remaining connections
+		_ = callers.Drain(graceCtx, srv) // Run closes remaining connections
 	}
 	_ = e.cfg.Logger.Log("Message", "entry stopped", "CutRequests", cut, "Seconds", time.Since(began).Seconds())
 }
+
+// closeWhileDraining makes callers send their next request over a new connection,
+// which leads to another entry.
+func (e *Entry) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/io/awentry/stop_test.go
+++ b/io/awentry/stop_test.go
@@ -1,6 +1,8 @@
 package awentry
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +17,22 @@
 	"arbutuswind/io/awproto"
 )
 
+// serveCallers serves callers until stop is called, which stops the entry as
+// Run does. It returns the address.
+func serveCallers(t *testing.T, e *Entry) (addr string, stop func()) {
+	e.sync.recordStoreRead(awclock.System{}.Now(), nil)
+	require.NoError(t, e.ready())
+	lis, err := awhttp.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	srv := awhttp.NewServer(e.callerHandler())
+	awhttp.TrackConnections(srv)
+	go func() { _ = serveHTTP(srv, lis) }()
+	return lis.Addr().String(), func() {
+		e.drain(lis, srv)
+		_ = srv.Close()
+	}
+}
+
 // holdStream sends one token and then blocks until the entry ends the stream.
 func holdStream(s *scriptedAgent, stream awproto.DRPCAgent_ServeStream, _ *awproto.ServeStart) error {
 	_ = stream.Send(&awproto.ServeDown{Body: &awproto.ServeDown_Accepted{Accepted: &awproto.Accepted{VersionDigest: s.digest}}})
@@ -32,14 +50,9 @@
 	e := withAgents(t, &scriptedAgent{digest: "d", serve: holdStream})
 	forced := make(chan struct{})
 	e.cfg.Forced = forced
-	e.sync.recordStoreRead(awclock.System{}.Now(), nil)
-	require.NoError(t, e.ready())
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	srv := awhttp.NewServer(e.callerHandler())
-	go func() { _ = serveHTTP(srv, lis) }()
+	addr, stop := serveCallers(t, e)
 
-	resp, err := http.Post("http://"+lis.Addr().String()+"/v1/completions", "application/json",
+	resp, err := http.Post("http://"+addr+"/v1/completions", "application/json",
 		strings.NewReader(`{"model":"m","prompt":"p","max_tokens":3,"stream":true}`))
 	require.NoError(t, err)
 	defer resp.Body.Close()
@@ -47,7 +60,7 @@
 	before := cutRequests.Get()
 	drained := make(chan struct{})
 	go func() {
-		e.drain(srv)
+		stop()
 		close(drained)
 	}()
 	require.Eventually(t, func() bool { return e.ready() != nil }, testTimeout, time.Millisecond)
@@ -58,6 +71,104 @@
 	require.Contains(t, string(body), "event: error")
 	require.NotContains(t, string(body), "[DONE]")
 	require.Equal(t, before+1, cutRequests.Get())
-	_, err = net.Dial("tcp", lis.Addr().String())
+	_, err = net.Dial("tcp", addr)
 	require.Error(t, err, "the listener is closed")
 }
+
+// openConn is one connection of a caller.
+type openConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dialEntry(t *testing.T, addr string) *openConn {
+	conn, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	return &openConn{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+func (c *openConn) write(t *testing.T, data string) {
+	_, err := io.WriteString(c, data)
+	require.NoError(t, err)
+}
+
+func (c *openConn) read(t *testing.T, name string) (*http.Response, string) {
+	resp, err := http.ReadResponse(c.reader, nil)
+	require.NoError(t, err, name)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err, name)
+	return resp, string(body)
+}
+
+func rawRequest(path, header, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n%s", path, header, len(body), body)
+}
+
+// Guards GracefulStop: a stopping entry must answer requests that it reads from
+// connections that are open when the listener closes.
+func TestStopAnswersRequestsOnOpenConnections(t *testing.T) {
+	release := make(chan struct{})
+	e := withAgents(t, &scriptedAgent{digest: "d", serve: func(s *scriptedAgent, stream awproto.DRPCAgent_ServeStream, start *awproto.ServeStart) error {
+		if string(start.Body) == "long" {
+			_ = stream.Send(&awproto.ServeDown{Body: &awproto.ServeDown_Frame{Frame: &awproto.Frame{Tokens: 1, Data: []byte("a"), VersionDigest: s.digest}}})
+			<-release
+			return stream.Send(&awproto.ServeDown{Body: &awproto.ServeDown_End{End: &awproto.End{Frames: 1, Tokens: 1}}})
+		}
+		return sendTokens(3)(s, stream, start)
+	}})
+	addr, stop := serveCallers(t, e)
+	short := rawRequest("/v1/completions", "", `{"model":"m","prompt":"short","max_tokens":3}`)
+	long := rawRequest("/v1/completions", "", `{"model":"m","prompt":"long","max_tokens":3,"stream":true}`)
+	requireShort := func(c *openConn, name string, closes bool) {
+		resp, body := c.read(t, name)
+		require.Contains(t, body, `"text":"abc"`, name)
+		require.Equal(t, closes, resp.Close, name)
+	}
+
+	unused, kept, partial, streaming, pipelined := dialEntry(t, addr), dialEntry(t, addr), dialEntry(t, addr), dialEntry(t, addr), dialEntry(t, addr)
+	for _, c := range []*openConn{kept, partial} {
+		c.write(t, short)
+		requireShort(c, "before the stop", false)
+	}
+	streaming.write(t, long)
+	pipelined.write(t, long+short)
+	for _, c := range []*openConn{streaming, pipelined} { // their response headers are sent before the stop
+		_, err := c.reader.Peek(1)
+		require.NoError(t, err)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		stop()
+		close(stopped)
+	}()
+	require.Eventually(t, func() bool { return e.ready() != nil }, testTimeout, time.Millisecond)
+	partial.write(t, short[:20])
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", addr)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	}, testTimeout, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+
+	unused.write(t, short)
+	partial.write(t, short[20:])
+	requireShort(unused, "unused", true)
+	requireShort(partial, "partial", true)
+	_, err := kept.reader.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "an idle connection is closed")
+	close(release)
+	for name, c := range map[string]*openConn{"streaming": streaming, "pipelined": pipelined} {
+		resp, body := c.read(t, name)
+		require.Contains(t, body, "[DONE]", name)
+		require.False(t, resp.Close, name)
+		if c == streaming {
+			c.write(t, short)
+		}
+		requireShort(c, name, true)
+	}
+	<-stopped
+}
