Refuse the requests that still run when an entry stops

Cause: at the end of the drain, or on a second signal, awentry terminated only requests that dispatch had taken. Keyed calls, which go on without their callers, and requests whose bodies had not arrived ran on until the process ended; their callers saw the connection close without an answer. The time for the answers was also no longer than one settlement with an agent may take.

Change: all of them end when running requests are terminated. They are refused with 503, reason leaving, and outcome not-run only if no agent can have run them. cutGrace covers a settlement that times out.

--- a/io/awentry/callers.go
+++ b/io/awentry/callers.go
@@ -40,6 +40,8 @@
 		ctx := awtelemetry.Extract(r.Context(), r.Header.Get("Traceparent"))
 		ctx, span := e.cfg.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
+		ctx, end := e.untilStopped(ctx)
+		defer end()
 		if err := e.sync.awaitAdmission(ctx); err != nil {
 			e.refuseEarly(w, r, awoutcome.Refuse(awoutcome.NotReady, err.Error()))
 			return
@@ -55,8 +57,8 @@
 			e.refuseEarly(w, r, err)
 			return
 		}
-		ctx, end := req.withDeadline(ctx)
-		defer end()
+		ctx, endDeadline := req.withDeadline(ctx)
+		defer endDeadline()
 		if err := h(ctx, w, r, req); err != nil {
 			span.RecordError(err)
 			if !errors.Is(err, errReported) {
--- a/io/awentry/claims.go
+++ b/io/awentry/claims.go
@@ -73,14 +73,16 @@
 
 // serveClaimed runs a call with an Idempotency-Key at most once. The call
 // continues after its caller disconnects, so that the caller gets the result when
-// it repeats the request.
+// it repeats the request, but not after the entry stopped.
 func (e *Entry) serveClaimed(
 	ctx context.Context, w http.ResponseWriter, req *request, start *awproto.ServeStart, out *bufferSink,
 ) error {
 	if err := awledger.CheckTeamAndKey(req.team, req.key); err != nil {
 		return awoutcome.Refuse(awoutcome.BadRequest, err.Error())
 	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.deadline)
+	ctx, end := e.untilStopped(context.WithoutCancel(ctx))
+	defer end()
+	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	c := &keyedCall{
 		entry: e, req: req, start: start, rowKey: awledger.RowKey(req.team, req.key),
@@ -88,6 +90,9 @@
 		tried:      map[string]bool{}, out: out,
 	}
 	result, err := c.run(ctx)
+	if err != nil && errors.Is(context.Cause(ctx), errStopped) {
+		return leavingError(err)
+	}
 	if err != nil {
 		return err
 	}
--- a/io/awentry/dispatch.go
+++ b/io/awentry/dispatch.go
@@ -183,7 +183,7 @@
 	case errors.Is(cause, errDeadline):
 		c.Reason, c.Detail = awoutcome.Deadline, "deadline passed: "+oe.Error()
 	case errors.Is(cause, errStopped):
-		c.Reason, c.Detail = awoutcome.Leaving, "the entry stopped before the answer was complete"
+		c = *leavingError(oe)
 	case cause != nil:
 		c.Reason = awoutcome.Cancelled
 	}
--- a/io/awentry/dispatch_test.go
+++ b/io/awentry/dispatch_test.go
@@ -31,6 +31,7 @@
 	digest    string
 	serve     func(s *scriptedAgent, stream awproto.DRPCAgent_ServeStream, start *awproto.ServeStart) error
 	settle    awproto.AttemptState
+	hung      bool       // SettleAttempt does not answer
 	mu        sync.Mutex // held while a start is added
 	starts    []*awproto.ServeStart
 	delivered chan struct{} // receives one element for each frame delivered to the caller
@@ -41,7 +42,10 @@
 	return &awproto.HelloReply{ProtocolVersion: awrpc.ProtocolVersion, Sender: s.id}, nil
 }
 
-func (s *scriptedAgent) SettleAttempt(context.Context, *awproto.SettleRequest) (*awproto.SettleReply, error) {
+func (s *scriptedAgent) SettleAttempt(ctx context.Context, _ *awproto.SettleRequest) (*awproto.SettleReply, error) {
+	if s.hung {
+		<-ctx.Done()
+	}
 	return &awproto.SettleReply{State: s.settle, Incarnation: s.id.Incarnation}, nil
 }
 
--- a/io/awentry/request.go
+++ b/io/awentry/request.go
@@ -61,19 +61,17 @@
 	return req
 }
 
-// withDeadline returns a context that is canceled at the request's deadline or
-// when the entry stops. If the caller set no deadline, markDelivered extends the
+// withDeadline returns a context that is canceled at the request's deadline. If
+// the caller set no deadline, markDelivered extends the
 // deadline of a stream to maxDeadline, so that a slow caller still gets the
 // complete answer.
 func (r *request) withDeadline(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	r.timer = time.AfterFunc(time.Until(r.deadline), func() { cancel(errDeadline) })
-	stop := context.AfterFunc(r.entry.stopped, func() { cancel(errStopped) })
 	// Fails if the writer does not support deadlines, as in tests.
 	_ = http.NewResponseController(r.w).SetWriteDeadline(r.maxDeadline().Add(writeTimeoutMargin))
 	return ctx, func() {
 		r.timer.Stop()
-		stop()
 		cancel(nil)
 	}
 }
@@ -158,8 +156,12 @@
 	if !req.reserve(size) {
 		return overloadedError("the entry has reached its limit of held bytes", defaultRetryAfterMs)
 	}
+	stop := context.AfterFunc(e.stopped, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
 	// Unlike http.MaxBytesReader, a LimitReader leaves the connection open.
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	if !stop() {
+		return awoutcome.Refuse(awoutcome.Leaving, "the entry stopped before the body had arrived")
+	}
 	if err != nil {
 		return bodyError(err)
 	}
--- a/io/awentry/stop.go
+++ b/io/awentry/stop.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
+	"arbutuswind/core/awoutcome"
 	"arbutuswind/io/awhttp"
 )
 
@@ -13,8 +15,9 @@
 	// that the load balancer in front has time to stop sending callers here.
 	// Requests that still arrive are served.
 	drainNotice = time.Second
-	// cutGrace is the time for terminated requests to write their error events.
-	cutGrace = time.Second
+	// cutGrace is the time for terminated requests to settle their attempts and
+	// to respond.
+	cutGrace = settleTimeout + 500*time.Millisecond
 )
 
 // drain stops serving callers gracefully: readiness turns false, then the listener
@@ -61,3 +64,25 @@
 		next.ServeHTTP(w, r)
 	})
 }
+
+// untilStopped returns a context that is also canceled, with errStopped, when
+// running requests are terminated.
+func (e *Entry) untilStopped(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(e.stopped, func() { cancel(errStopped) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// leavingError returns the error of a request that the entry has terminated. It
+// keeps the outcome of err.
+func leavingError(err error) *awoutcome.Error {
+	c := awoutcome.Error{Outcome: awoutcome.Unknown}
+	if oe := (*awoutcome.Error)(nil); errors.As(err, &oe) {
+		c = *oe
+	}
+	c.Reason, c.Detail = awoutcome.Leaving, "the entry stopped before the answer was complete"
+	return &c
+}
--- a/io/awentry/stop_test.go
+++ b/io/awentry/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -13,8 +14,10 @@
 	"github.com/stretchr/testify/require"
 
 	"arbutuswind/core/awclock"
+	"arbutuswind/core/awoutcome"
 	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awproto"
+	"arbutuswind/io/awsettings"
 )
 
 // serveCallers serves callers until stop is called, which stops the entry as
@@ -172,3 +175,54 @@
 	}
 	<-stopped
 }
+
+// Guards GracefulStop: requests that still run at the end of the grace period,
+// wherever they wait, must be refused with their outcome, not cut off.
+func TestEndOfGraceRefusesRequests(t *testing.T) {
+	arrived := make(chan struct{}, 9)
+	serve := func(_ *scriptedAgent, stream awproto.DRPCAgent_ServeStream, _ *awproto.ServeStart) error {
+		arrived <- struct{}{}
+		<-stream.Context().Done()
+		return stream.Context().Err()
+	}
+	e := withAgents(t, &scriptedAgent{digest: "d", serve: serve, hung: true}, &scriptedAgent{digest: "d"})
+	busy := e.fleet.agents["B"].report
+	busy.State, busy.InFlight, busy.Models = awproto.AgentState_COLD, busy.Limit, []*awproto.ReadyModel{{Model: "busy", VersionDigest: "d"}}
+	e.cfg.Settings.Timing.Drain = awsettings.Duration(time.Millisecond)
+	go e.claims.writeLoop(t.Context())
+	addr, stop := serveCallers(t, e)
+	completion := rawRequest("/v1/completions", "", `{"model":"m","prompt":"p","max_tokens":3}`)
+	requests := map[string]struct {
+		data    string
+		outcome awoutcome.Outcome
+	}{
+		"running":        {completion, awoutcome.Unknown},
+		"keyed":          {rawRequest("/v1/services/s/x", awhttp.HeaderTeam+": t\r\n"+awhttp.HeaderKey+": k\r\n", "b"), awoutcome.Unknown},
+		"waiting":        {rawRequest("/v1/completions", "", `{"model":"busy","prompt":"p"}`), awoutcome.NotRun},
+		"body arrives":   {completion[:len(completion)-1], awoutcome.NotRun},
+		"header arrives": {completion[:20], awoutcome.NotRun},
+	}
+	conns := map[string]*openConn{}
+	for name, r := range requests {
+		conns[name] = dialEntry(t, addr)
+		conns[name].write(t, r.data)
+	}
+	<-arrived
+	<-arrived
+	stopped := make(chan struct{})
+	go func() {
+		stop()
+		close(stopped)
+	}()
+	<-e.stopped.Done()
+	conns["header arrives"].write(t, completion[20:])
+	for name, c := range conns {
+		resp, body := c.read(t, name)
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, name+body)
+		var p awhttp.Problem
+		require.NoError(t, json.Unmarshal([]byte(body), &p), name)
+		require.Equal(t, string(awoutcome.Leaving), p.Reason, name+body)
+		require.Equal(t, requests[name].outcome.String(), p.Outcome, name+body)
+	}
+	<-stopped
+}
