--- a/io/awentry/callers.go
+++ b/io/awentry/callers.go
@@ -16,6 +16,14 @@
 	"arbutuswind/io/awtelemetry"
 )
 
+// newCallerServer returns the server for callers. Its listener must be an
+// [awhttp.Listener].
+func (e *Entry) newCallerServer() *http.Server {
+	srv := awhttp.NewServer(e.callerHandler())
+	awhttp.TrackConnections(srv)
+	return srv
+}
+
 // callerHandler returns the callers' API.
 func (e *Entry) callerHandler() http.Handler {
 	r := chi.NewRouter()
--- a/io/awentry/stop_test.go
+++ b/io/awentry/stop_test.go
@@ -25,10 +25,10 @@
 func serveCallers(t *testing.T, e *Entry) (addr string, stop func()) {
 	e.sync.recordStoreRead(awclock.System{}.Now(), nil)
 	require.NoError(t, e.ready())
+	go e.sync.pauseCheckLoop(t.Context())
 	lis, err := awhttp.Listen("127.0.0.1:0")
 	require.NoError(t, err)
-	srv := awhttp.NewServer(e.callerHandler())
-	awhttp.TrackConnections(srv)
+	srv := e.newCallerServer()
 	go func() { _ = serveHTTP(srv, lis) }()
 	return lis.Addr().String(), func() {
 		e.drain(lis, srv)
