Give terminated requests of an entry 5 s to be answered

Cause: beside load, a keyed call whose agent did not settle within 1 s was cut off without an answer when 1.5 s had passed after the termination.

Change: cutGrace is the time limit for headers, so that it also covers requests whose headers are arriving when running requests are terminated. The entry stops earlier if all requests are answered earlier.

--- a/io/awentry/stop.go
+++ b/io/awentry/stop.go
@@ -16,8 +16,8 @@
 	// Requests that still arrive are served.
 	drainNotice = time.Second
 	// cutGrace is the time for terminated requests to settle their attempts and
-	// to respond.
-	cutGrace = settleTimeout + 500*time.Millisecond
+	// to respond, and for requests whose headers are still arriving to be refused.
+	cutGrace = awhttp.ReadHeaderTimeout
 )
 
 // drain stops serving callers gracefully: readiness turns false, then the listener
