--- a/io/awentry/callers.go
+++ b/io/awentry/callers.go
@@ -16,9 +16,18 @@
 	"arbutuswind/io/awtelemetry"
 )
 
+// newCallerServer returns the server for callers. Its listener must be an
+// [awhttp.Listener].
+func (e *Entry) newCallerServer() *http.Server {
+	srv := awhttp.NewServer(e.callerHandler())
+	awhttp.TrackConnections(srv)
+	return srv
+}
+
 // callerHandler returns the callers' API.
 func (e *Entry) callerHandler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(e.closeWhileDraining)
 	r.NotFound(e.statusHandler(http.StatusNotFound))
 	r.MethodNotAllowed(e.statusHandler(http.StatusMethodNotAllowed))
 	r.Post("/v1/completions", e.serve(e.handleCompletion))
@@ -39,6 +48,8 @@
 		ctx := awtelemetry.Extract(r.Context(), r.Header.Get("Traceparent"))
 		ctx, span := e.cfg.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
+		ctx, end := e.untilStopped(ctx)
+		defer end()
 		if err := e.sync.awaitAdmission(ctx); err != nil {
 			e.refuseEarly(w, r, awoutcome.Refuse(awoutcome.NotReady, err.Error()))
 			return
@@ -54,8 +65,8 @@
 			e.refuseEarly(w, r, err)
 			return
 		}
-		ctx, end := req.withDeadline(ctx)
-		defer end()
+		ctx, endDeadline := req.withDeadline(ctx)
+		defer endDeadline()
 		if err := h(ctx, w, r, req); err != nil {
 			span.RecordError(err)
 			if !errors.Is(err, errReported) {
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -148,7 +148,7 @@
 	base, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, serveCtx := errgroup.WithContext(base)
-	callerServer := awhttp.NewServer(e.callerHandler())
+	callerServer := e.newCallerServer()
 	operatorServer := awhttp.NewServer(e.operatorHandler())
 	server := awrpc.NewServer(mux, func(error) {})
 	group.Go(func() error { return server.Serve(serveCtx, inner) })
@@ -164,7 +164,7 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
-			e.drain(callerServer)
+			e.drain(callers, callerServer)
 		case <-serveCtx.Done():
 		}
 		_ = callerServer.Close()
--- a/io/awentry/stop.go
+++ b/io/awentry/stop.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
+
+	"arbutuswind/core/awoutcome"
+	"arbutuswind/io/awhttp"
 )
 
 const (
@@ -11,14 +15,15 @@
 	// that the load balancer in front has time to stop sending callers here.
 	// Requests that still arrive are served.
 	drainNotice = time.Second
-	// cutGrace is the time for terminated requests to write their error events.
-	cutGrace = time.Second
+	// cutGrace is the time for terminated requests to settle their attempts and
+	// to respond, and for requests whose headers are still arriving to be refused.
+	cutGrace = awhttp.ReadHeaderTimeout
 )
 
-// drain shuts down the callers' listener gracefully: readiness turns false, then
-// the listener closes, then running requests finish. Requests that still run at
-// the drain deadline or when Config.Forced is closed are terminated.
-func (e *Entry) drain(callers *http.Server) {
+// drain stops serving callers gracefully: readiness turns false, then the listener
+// closes, then requests on open connections finish. Requests that still run at the
+// drain deadline or when Config.Forced is closed are terminated.
+func (e *Entry) drain(callers *awhttp.Listener, srv *http.Server) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), drainNotice+e.cfg.Settings.Timing.Drain.Std())
 	defer cancel()
@@ -37,15 +42,47 @@
 	case <-time.After(drainNotice):
 	case <-ctx.Done():
 	}
-	callers.SetKeepAlivesEnabled(false)
 	cut := int64(0)
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := callers.Drain(ctx, srv); err != nil {
 		cut = e.running.Load()
 		cutRequests.Add(int(cut))
 		e.cut(errStopped)
 		graceCtx, cancelGrace := context.WithTimeout(context.Background(), cutGrace)
 		defer cancelGrace()
-		_ = callers.Shutdown(graceCtx) // Run closes remaining connections
+		_ = callers.Drain(graceCtx, srv) // Run closes remaining connections
 	}
 	_ = e.cfg.Logger.Log("Message", "entry stopped", "CutRequests", cut, "Seconds", time.Since(began).Seconds())
 }
+
+// closeWhileDraining makes callers send their next request over a new connection,
+// which leads to another entry.
+func (e *Entry) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// untilStopped returns a context that is also canceled, with errStopped, when
+// running requests are terminated.
+func (e *Entry) untilStopped(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(e.stopped, func() { cancel(errStopped) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// leavingError returns the error of a request that the entry has terminated. It
+// keeps the outcome of err.
+func leavingError(err error) *awoutcome.Error {
+	c := awoutcome.Error{Outcome: awoutcome.Unknown}
+	if oe := (*awoutcome.Error)(nil); errors.As(err, &oe) {
+		c = *oe
+	}
+	c.Reason, c.Detail = awoutcome.Leaving, "the entry stopped before the answer was complete"
+	return &c
+}
