Run the check for pauses in the test of early refusals

Cause: TestRefusalReachesCallerThatStillWrites failed once beside load, 503 in place of 400 and 413. Its entry ran no check for pauses of the process, so it took itself for paused two seconds after its start. With 3 s of sleep at its beginning the test failed in the same two cases each time, and passes with the check running.

Change: the test runs the check, as the program does. Nothing is checked less.

--- a/io/awentry/callers_test.go
+++ b/io/awentry/callers_test.go
@@ -23,6 +23,7 @@
 	e := withAgents(t)
 	notReady := withAgents(t)
 	e.sync.recordStoreRead(awclock.System{}.Now(), nil)
+	go e.sync.pauseCheckLoop(t.Context()) // otherwise the entry takes itself for paused after two seconds
 	require.NoError(t, e.accepting())
 	require.Error(t, notReady.accepting())
 	for _, tc := range []struct {
