Let a running standby go on when the silent attempt fails

What callers saw: when the agent of a silent attempt failed while its standby ran at another one, the standby was ended and the request sent anew; with the retry budget spent it ended without an answer at its deadline.

Change: if the standby has an attempt under way, that attempt gets the turn and goes on; the failed one is recorded with its own failure. A search without an attempt still ends, and a normal retry follows.

--- a/io/awentry/standby.go
+++ b/io/awentry/standby.go
@@ -52,6 +52,7 @@
 	digest     string // of the weights to resume with; empty for any
 	sound      bool   // the prompt is known to crash no engine
 	cancel     context.CancelFunc
+	next       *attempt // attempt that runs, guarded by dispatchState.turns; nil between attempts
 	done       chan struct{}
 	last       *attempt // set with err before done is closed
 	err        error
@@ -89,10 +90,12 @@
 	a.silence.Stop()
 	x.entry.attempts.settle(a.id.Sequence)
 	a.target.release()
-	if s := a.end(); s != nil {
-		x.possibleRuns++
+	if s, failure := a.end(err); s != nil {
+		if failure.Outcome != awoutcome.NotRun {
+			x.possibleRuns++
+		}
 		x.exclude[a.target.Instance] = true
-		x.entry.fleet.recordAttempt(a.target, errSilent)
+		x.entry.fleet.recordAttempt(a.target, failure)
 		return s.last, s.err
 	}
 	if ctx.Err() == nil {
@@ -139,23 +142,41 @@
 	a.silence.Reset(limit)
 }
 
-// end ends the attempt's part in the answer. It returns the standby that went on, once
-// that has ended, or nil.
-func (a *attempt) end() *standby {
-	x := a.x
+// end ends the attempt's part in the answer, with its error. It returns the standby
+// that went on, once that has ended, and why this attempt did not; or nil.
+func (a *attempt) end(err error) (*standby, *awoutcome.Error) {
+	x, failure := a.x, errSilent
 	x.turns.Lock()
 	a.busy = true // the timer may have fired already
-	superseded, s := a.superseded, a.standby
-	if !superseded && s != nil {
+	s := a.standby
+	var oe *awoutcome.Error
+	switch {
+	case a.superseded || s == nil:
+	case s.next != nil && errors.As(err, &oe):
+		failure = oe
+		a.handOver(s, oe)
+	default:
 		x.turns.owner = a // no standby may go on any more
 	}
+	superseded := a.superseded
 	x.turns.Unlock()
 	if superseded {
 		<-s.done
-		return s
+		return s, failure
 	}
 	s.stop()
-	return nil
+	return nil, nil
+}
+
+// handOver lets the attempt of the standby go on in place of this one, which has
+// failed; turns must be held.
+func (a *attempt) handOver(s *standby, failure *awoutcome.Error) {
+	x := a.x
+	if failure.Reason == awoutcome.EngineCrashed && !s.sound {
+		x.recordCrash(a.target.Instance, failure.Engine, x.suspicion.sent)
+	}
+	a.superseded, x.turns.owner = true, s.next
+	x.suspicion.begin(s.next.target.Instance, x.entry.cfg.Clock.Now())
 }
 
 // stop ends the search and its attempt. s may be nil.
@@ -222,8 +243,12 @@
 	start.ResumeFrom, start.VersionDigest = s.resumeFrom, s.digest
 	next := x.newAttempt(t, start)
 	next.replaces = s.silent
+	x.turns.Lock()
+	s.next = next
+	x.turns.Unlock()
 	s.last, s.err = next.run(ctx)
 	x.turns.Lock()
+	s.next = nil
 	superseded := s.silent.superseded
 	x.turns.Unlock()
 	var oe *awoutcome.Error
