awloader: bound the age of the comparison that a load relies on

Cause: the last round of comparisons counted without a limit in time, and the engine's start was read only after it. The comparison now carries the time at which it began (core/awevidence), by a clock that also counts the time for which the machine is suspended. A round older than 2 s, or one during which the engine started again, is repeated. 2 s are the 3 s for which a bad chunk is excused, less the second that an order may take.

Ruled out: awagent, whose engine is confirmed by the digest of what it loaded.

--- a/io/awcommand/loader.go
+++ b/io/awcommand/loader.go
@@ -37,12 +37,11 @@
 }
 
 func runLoader(ctx context.Context, cfg awsettings.Fleet, env environment) error {
-	clock := awclock.System{}
 	inner, err := awrpc.Listen(innerAddress(cfg), nil)
 	if err != nil {
 		return err
 	}
-	socket, err := awload.Listen(innerAddress(cfg), clock)
+	socket, err := awload.Listen(innerAddress(cfg), awclock.System{})
 	if err != nil {
 		return err
 	}
@@ -54,7 +53,7 @@
 	}()
 	_ = level.Info(env.logger).Log("Message", "started", "Backend", cfg.Backend.Address, "Service", cfg.Backend.Service)
 	return awloader.New(awloader.Config{
-		Clock: clock, Logger: env.logger, Engine: platform.NewEngine(cfg.Backend.Address), Origin: platform.NewOrigin(),
+		Clock: awclock.Boot{}, Logger: env.logger, Engine: platform.NewEngine(cfg.Backend.Address), Origin: platform.NewOrigin(),
 		Source: &platform.LoaderSource{StoreSource: &platform.StoreSource{Store: platform.NewStore(cfg.Store.Address), Regions: cfg.Regions}},
 		Socket: socket,
 		Identity: &awproto.ProcessIdentity{
--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -98,7 +98,7 @@
 
 // Config configures a [Loader].
 type Config struct {
-	Clock     awclock.Clock
+	Clock     awclock.Clock // counts the time for which the machine is suspended
 	Logger    log.Logger
 	Engine    Engine
 	Origin    Origin
--- a/io/awloader/awloader_test.go
+++ b/io/awloader/awloader_test.go
@@ -198,6 +198,11 @@
 
 // startLoaders runs a loader for each engine.
 func startLoaders[E Engine](t *testing.T, o *fakeOrigin, engines ...E) *fakeSource {
+	t.Helper()
+	return startLoadersWithClock(t, awclock.System{}, o, engines...)
+}
+
+func startLoadersWithClock[E Engine](t *testing.T, clock awclock.Clock, o *fakeOrigin, engines ...E) *fakeSource {
 	t.Helper()
 	r := &fakeSource{version: 1}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -217,7 +222,7 @@
 		socket, err := awload.Listen(inner.Addr().String(), awclock.System{})
 		require.NoError(t, err)
 		l := New(Config{
-			Clock: awclock.System{}, Logger: log.NewNopLogger(), Engine: engines[i], Origin: o, Source: r, Socket: socket,
+			Clock: clock, Logger: log.NewNopLogger(), Engine: engines[i], Origin: o, Source: r, Socket: socket,
 			Identity: &awproto.ProcessIdentity{Process: "awloader", Instance: fmt.Sprint(i), Domain: "d", Region: "r"},
 			Backend:  r.servers[i].Address, Service: "s", InnerPort: port, MaxStaleness: time.Second, Regions: map[string]string{"d": "r"}, Seed: uint64(i),
 		})
--- a/io/awloader/reconcile.go
+++ b/io/awloader/reconcile.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"arbutuswind/core/awdirectory"
+	"arbutuswind/core/awevidence"
 	"arbutuswind/core/awweights"
 	"arbutuswind/io/awtransfer"
 	"arbutuswind/io/awwatch"
@@ -283,12 +284,9 @@
 	return until
 }
 
-// load stages the chunks, checks them at the engine and orders the load.
+// load stages the chunks and orders the engine to load them.
 func (l *Loader) load(ctx context.Context, t target, m Manifest, digest string) error {
-	if err := l.stage(ctx, m, digest); err != nil {
-		return err
-	}
-	status, err := l.cfg.Engine.Status(ctx)
+	status, err := l.stage(ctx, m, digest)
 	if err != nil {
 		return err
 	}
@@ -314,26 +312,51 @@
 	return eris.New("engine did not load the version in time")
 }
 
-// stage uploads the chunks to the engine and reads them back until all match.
-func (l *Loader) stage(ctx context.Context, m Manifest, digest string) error {
+// stage uploads the chunks to the engine and compares them there until all match
+// in one round that is recent enough for a load order. It returns the engine's
+// status at that time. The order must follow at once.
+func (l *Loader) stage(ctx context.Context, m Manifest, digest string) (Status, error) {
 	for range maxStageRounds {
-		mismatched := 0
-		for i := range m.Digests {
-			want, _ := l.store.Chunk(digest, i)
-			staged, err := l.cfg.Engine.ReadStaged(ctx, m.Model, i)
-			if err == nil && bytes.Equal(staged, want) {
-				continue
-			}
-			mismatched++
-			if err := l.cfg.Engine.Stage(ctx, m.Model, i, want); err != nil {
-				return err
-			}
+		before, err := l.cfg.Engine.Status(ctx)
+		if err != nil {
+			return before, err
 		}
-		if mismatched == 0 {
-			return nil
+		compared := awevidence.Observation{Began: l.cfg.Clock.Now()}
+		mismatched, err := l.stageMismatched(ctx, m, digest)
+		if err != nil {
+			return before, err
+		}
+		if mismatched > 0 {
+			continue
+		}
+		after, err := l.cfg.Engine.Status(ctx)
+		if err != nil {
+			return after, err
+		}
+		if after.StartUnixMs == before.StartUnixMs && compared.Supports(l.cfg.Clock.Now(), awweights.MaxComparisonAge) {
+			return after, nil
+		}
+		l.log("staged chunks are compared again", "Version", m.Version, "Seconds", l.cfg.Clock.Now().Sub(compared.Began).Seconds())
+	}
+	return Status{}, eris.Errorf("staged chunks differ, or were compared too slowly, in %d rounds", maxStageRounds)
+}
+
+// stageMismatched compares all staged chunks and uploads those that differ. It
+// returns their number.
+func (l *Loader) stageMismatched(ctx context.Context, m Manifest, digest string) (int, error) {
+	mismatched := 0
+	for i := range m.Digests {
+		want, _ := l.store.Chunk(digest, i)
+		staged, err := l.cfg.Engine.ReadStaged(ctx, m.Model, i)
+		if err == nil && bytes.Equal(staged, want) {
+			continue
+		}
+		mismatched++
+		if err := l.cfg.Engine.Stage(ctx, m.Model, i, want); err != nil {
+			return mismatched, err
 		}
 	}
-	return eris.Errorf("staged chunks still differ after %d rounds", maxStageRounds)
+	return mismatched, nil
 }
 
 // transferHost implements [awtransfer.Host] for the transfer of one version.
