Fence registrations of entries by their start

Cause: a gateway's removal of its registration was not answered and performed 6 s later, when the row was already that of its next start. The removal had no precondition, nobody looked whether its own row was still there, and a gateway that is not listed counted itself among the issuers. A registration now names the start that wrote it. Writes and removals take effect only on the row that was read; a start removes only its own. A gateway that misses its own start in the list registers again, and declines to issue permits for as long as after a start.

--- a/core/awdirectory/awdirectory.go
+++ b/core/awdirectory/awdirectory.go
@@ -180,6 +180,15 @@
 	// Address is where other entries reach it, IP:port. Empty if it has not
 	// registered one.
 	Address string
+	// Incarnation identifies the start of the entry that has registered. 0 if it
+	// has not said.
+	Incarnation uint64
+}
+
+// IsListed reports whether this start of an entry is among the registered ones.
+// Another start of it may have replaced or removed its registration.
+func (e Entry) IsListed(list []Entry) bool {
+	return slices.ContainsFunc(list, func(other Entry) bool { return other.Name == e.Name && other.Incarnation == e.Incarnation })
 }
 
 // EntryNames returns the names of entries.
--- a/core/awthrottle/awthrottle.go
+++ b/core/awthrottle/awthrottle.go
@@ -163,6 +163,10 @@
 	t.listLimited()
 }
 
+// Resettle makes this entry decline to issue permits for as long as after its start,
+// because the others do not know it and may ask another issuer.
+func (t *Throttle) Resettle() { t.started = t.cfg.Clock.Now() }
+
 // Stop makes this entry decline to issue permits.
 func (t *Throttle) Stop() { t.stopping = true }
 
--- a/core/awthrottle/awthrottle_test.go
+++ b/core/awthrottle/awthrottle_test.go
@@ -55,3 +55,16 @@
 	}
 	t.Error("the entry may never send again")
 }
+
+// Guards rule LIMIT: an entry whose registration is gone must not issue permits,
+// because the others ask another one.
+func TestForgottenEntryDeclines(t *testing.T) {
+	clock := awclock.NewFake(time.Unix(1000, 0))
+	e := New(Config{Clock: clock, Rand: rand.New(rand.NewPCG(1, 1)), Self: "a", Settling: 7 * time.Second})
+	clock.Advance(8 * time.Second)
+	require.True(t, e.issues(clock.Now()))
+	e.Resettle()
+	require.False(t, e.issues(clock.Now()))
+	clock.Advance(7 * time.Second)
+	require.True(t, e.issues(clock.Now()))
+}
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -84,24 +84,29 @@
 // gateway holds the components of an awgateway process.
 type gateway struct {
 	cfg     awsettings.Fleet
+	self    awdirectory.Entry
 	logger  log.Logger
 	source  *platform.StoreSource
 	router  *awgateway.Gateway
 	watcher *awwatch.Watcher
+	// unlisted signals that the list of entries lacks this start of the entry.
+	unlisted chan struct{}
 }
 
 func newGateway(cfg awsettings.Fleet, logger log.Logger) *gateway {
 	clock := awclock.System{}
-	g := &gateway{cfg: cfg, logger: logger, source: &platform.StoreSource{Store: platform.NewStore(cfg.Store.Address), Regions: cfg.Regions}}
+	self := awdirectory.Entry{Name: cfg.Process.Instance, Address: innerAddress(cfg), Incarnation: incarnation()}
+	g := &gateway{cfg: cfg, self: self, logger: logger, unlisted: make(chan struct{}, 1), source: &platform.StoreSource{Store: platform.NewStore(cfg.Store.Address), Regions: cfg.Regions}}
 	g.router = awgateway.New(awgateway.Config{
 		Clock: clock, Logger: logger, Headers: platform.HeaderCodec{}, Pool: awbackend.NewPool(awbackend.Config{Clock: clock}),
-		Instance: cfg.Process.Instance, Domain: cfg.Process.Domain, Region: cfg.Process.Region, Seed: incarnation(),
+		Instance: cfg.Process.Instance, Domain: cfg.Process.Domain, Region: cfg.Process.Region, Incarnation: self.Incarnation,
 		Retry: retryWindow(cfg.Bounds), Settling: entrySettling,
 	})
 	g.watcher = awwatch.New(awwatch.Config{
 		Clock: clock, Logger: logger, Source: g.source, MaxStaleness: cfg.Bounds.Version.Std(),
 		OnConfig:        g.router.Configure,
 		OnState:         g.router.Apply,
+		OnEntries:       g.checkListed,
 		ServersInterval: time.Duration(serversIntervalShare * float64(cfg.Bounds.DrainNotice)), EntriesInterval: entriesInterval, LongPollTimeout: awwatch.HoldTime(cfg.Bounds.Stable.Std()),
 		MaxRetryDelay: maxRetryDelay, RecordFirstSeen: true,
 	})
@@ -155,7 +160,7 @@
 	})
 	group.Go(func() error { g.router.ShareFacts(serveCtx, socket); return nil })
 	group.Go(func() error { g.router.ShareLimits(serveCtx, socket); return nil })
-	group.Go(func() error { g.register(ctx); return nil })
+	group.Go(func() error { g.keepRegistered(ctx); return nil })
 	group.Go(func() error {
 		defer cancel()
 		<-ctx.Done()
@@ -172,19 +177,33 @@
 	return nil
 }
 
-// register adds this entry to the store's table of entries, retrying until it
-// succeeds or ctx ends. Entries divide shared limits by the number of entries.
-func (g *gateway) register(ctx context.Context) {
+// checkListed has this entry register again if a list of entries lacks it.
+func (g *gateway) checkListed(entries []awdirectory.Entry) {
+	if g.self.IsListed(entries) {
+		return
+	}
+	select {
+	case g.unlisted <- struct{}{}:
+	default: // a signal is already pending
+	}
+}
+
+// keepRegistered keeps this entry in the store's table of entries until ctx ends.
+// Entries divide shared limits by the number of entries.
+func (g *gateway) keepRegistered(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := g.source.Register(ctx, awdirectory.Entry{Name: g.cfg.Process.Instance, Address: innerAddress(g.cfg)})
+		wait := registerRetryDelay
+		err := g.source.Register(ctx, g.self)
 		if err == nil {
-			return
-		}
-		_ = level.Warn(g.logger).Log("Message", "registration failed", "Error", err.Error())
-		select {
-		case <-time.After(registerRetryDelay):
-		case <-ctx.Done():
+			select {
+			case <-g.unlisted:
+				wait = 0
+			case <-ctx.Done():
+			}
+		} else {
+			_ = level.Warn(g.logger).Log("Message", "registration failed", "Error", err.Error())
 		}
+		awwatch.Sleep(ctx, wait)
 	}
 }
 
@@ -199,7 +218,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	go func() {
-		if err := g.source.Unregister(ctx, g.cfg.Process.Instance); err != nil {
+		if err := g.source.Unregister(ctx, g.self); err != nil {
 			_ = level.Warn(g.logger).Log("Message", "failed to remove the registration", "Error", err.Error())
 		}
 	}()
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -48,7 +48,8 @@
 	Domain   string
 	Region   string
 	Retry    awretry.WindowConfig
-	Seed     uint64
+	// Incarnation identifies this start of the entry.
+	Incarnation uint64
 	// Settling is the time from the start of an entry until all others know it.
 	Settling time.Duration
 }
@@ -82,7 +83,7 @@
 
 // New returns a gateway without a configuration.
 func New(cfg Config) *Gateway {
-	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Clock.Now().UnixNano())))
+	rng := rand.New(rand.NewPCG(cfg.Incarnation, uint64(cfg.Clock.Now().UnixNano())))
 	throttle := awthrottle.New(awthrottle.Config{
 		Clock: cfg.Clock, Rand: rng, Self: cfg.Instance, Settling: cfg.Settling,
 		OnSilence: func(entry string, silent bool) {
--- a/io/awgateway/throttle.go
+++ b/io/awgateway/throttle.go
@@ -62,6 +62,9 @@
 // setNoticeTargets replaces the entries that share rate limits; mu must be held.
 func (g *Gateway) setNoticeTargets(entries []awdirectory.Entry) {
 	g.throttle.SetEntries(awdirectory.EntryNames(entries))
+	if self := (awdirectory.Entry{Name: g.cfg.Instance, Incarnation: g.cfg.Incarnation}); !self.IsListed(entries) {
+		g.throttle.Resettle()
+	}
 	alone := len(g.noticeTargets) == 0
 	g.noticeTargets = make(map[string]netip.AddrPort, len(entries))
 	for _, e := range entries {
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -103,6 +103,7 @@
 	MaxStaleness time.Duration                  // from when a version is desired until no request may begin on an older one
 	OnConfig     func(*awdirectory.Config) bool // returns whether the configuration was put in force
 	OnState      func(State)                    // called after each read of the operators' or the backend servers' rows
+	OnEntries    func([]awdirectory.Entry)      // called after each read of the list of entries; may be nil
 	// ServersInterval is the time between reads of the list of backend servers.
 	// The store holds such a read open for a third of it while nothing changes. If
 	// it is 0, the list is not read.
@@ -483,6 +484,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if w.cfg.OnEntries != nil {
+		w.cfg.OnEntries(entries)
+	}
 	w.update(ctx, func() {
 		slices.SortFunc(entries, func(a, b awdirectory.Entry) int { return strings.Compare(a.Name, b.Name) })
 		if w.loaded.entries && slices.Equal(entries, w.entries) {
