awbackend: reset the connection of a request that is given up

Cause: a request that was given up closed its connection, and the kernel kept the bytes that were not acknowledged and delivered them after the partition. The connection is now reset, which takes them back: when the context of the request ends, when no response comes, and when a response is not read to its end. Connections whose response is complete are pooled or closed as before.

--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -126,6 +126,16 @@
 	return &conn{Conn: raw, br: bufio.NewReaderSize(header, bufferBytes), header: header}
 }
 
+// abort resets the connection. An ordinary close leaves the bytes of a request that
+// have not been acknowledged with the kernel, which delivers them after the end of
+// a partition.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed already
+	}
+	_ = c.Close()
+}
+
 var errHeaderTooLong = errors.New("response header exceeds the size limit")
 
 // headerLimit is a reader that fails while a header is read and more than
@@ -249,7 +259,7 @@
 
 func (p *Pool) exchange(ctx context.Context, key string, c *conn, req Request) (*Response, error) {
 	// On cancellation, closing the connection unblocks reads and writes.
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.abort)
 	r := &Response{pool: p, key: key, conn: c, stopCancel: stop}
 	sent, err := r.sendRequest(req)
 	if err == nil {
@@ -257,7 +267,7 @@
 	}
 	if err != nil {
 		stop()
-		_ = c.Close()
+		c.abort()
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
@@ -346,9 +356,15 @@
 
 // Close returns the connection to the pool if the request was written and the
 // response read completely, and the server keeps the connection open. Otherwise
-// it closes the connection.
+// it closes the connection. A request whose response was not read to its end is
+// given up.
 func (r *Response) Close() {
-	if !r.stopCancel() || !r.reusable() {
+	stopped := r.stopCancel()
+	if !r.bodyComplete {
+		r.conn.abort()
+		return
+	}
+	if !stopped || !r.reusable() {
 		_ = r.conn.Close()
 		return
 	}
@@ -359,7 +375,7 @@
 }
 
 func (r *Response) reusable() bool {
-	if !r.bodyComplete || r.resp.Close || r.conn.br.Buffered() > 0 {
+	if r.resp.Close || r.conn.br.Buffered() > 0 {
 		return false
 	}
 	if r.bodyWritten == nil {
