Withdraw streams that wait in an engine when its version runs out

Cause, shown with an engine of our own that lets requests wait: a request that was sent just before the limit, less startMargin of one second, stayed with its engine however long it waited there. On busy machines engines let requests wait for longer. A stream whose engine has not begun it 300 ms before the limit is now withdrawn, by resetting its connection, and sent to an engine with the newer version, within the retry budget.

Not withdrawn: responses that are no streams, whose begin the gateway cannot see. Ruled out: resumed streams, which are sent to allowed versions only.

--- a/core/awdirectory/versions.go
+++ b/core/awdirectory/versions.go
@@ -6,11 +6,19 @@
 	"time"
 )
 
-// Floor is a version of a model's weights together with the time from which no
-// request may start on an older version.
+// Floor is a version of a model's weights together with the limits for requests on
+// older versions.
 type Floor struct {
 	Version int64
-	From    time.Time
+	From    time.Time // from when no request is sent to an older version
+	BeginBy time.Time // when a request that an older version has not begun is withdrawn
+}
+
+// newFloor returns the floor of a version that became the desired one at a time.
+func newFloor(version int64, since time.Time, maxStaleness time.Duration) Floor {
+	return Floor{
+		Version: version, From: since.Add(max(0, maxStaleness-startMargin)), BeginBy: since.Add(max(0, maxStaleness-withdrawMargin)),
+	}
 }
 
 // VersionTracker tracks the desired version of each model's weights and how long
@@ -23,10 +31,13 @@
 }
 
 const (
-	// startMargin is subtracted from MaxStaleness. It covers the time for which a
-	// request waits inside an engine before it starts, and the delay until this
-	// process learns of the version.
+	// startMargin is subtracted from MaxStaleness for new requests. It covers the
+	// time for which most requests wait inside an engine before they start.
 	startMargin = time.Second
+	// withdrawMargin is subtracted from MaxStaleness for requests that wait inside an
+	// engine. It covers the delay until this process learns of the version, and that
+	// until the engine learns that a request is withdrawn.
+	withdrawMargin = 300 * time.Millisecond
 	// maxFloors is the maximum number of versions kept per model.
 	maxFloors = 4
 )
@@ -41,7 +52,7 @@
 	if v.models == nil {
 		v.models = map[string][]Floor{}
 	}
-	list := append(v.models[model], Floor{Version: version, From: now.Add(max(0, v.MaxStaleness-startMargin))})
+	list := append(v.models[model], newFloor(version, now, v.MaxStaleness))
 	v.models[model] = list[max(0, len(list)-maxFloors):]
 	return true
 }
@@ -57,9 +68,9 @@
 	list := v.models[model]
 	i, known := slices.BinarySearchFunc(list, version, func(f Floor, version int64) int { return cmp.Compare(f.Version, version) })
 	if !known {
-		list = slices.Insert(list, i, Floor{Version: version})
+		list = slices.Insert(list, i, Floor{})
 	}
-	list[i].From = at.Add(max(0, v.MaxStaleness-startMargin))
+	list[i] = newFloor(version, at, v.MaxStaleness)
 	v.models[model] = list[max(0, len(list)-maxFloors):]
 }
 
@@ -81,14 +92,26 @@
 	return list[len(list)-1].Version
 }
 
-// FloorAt returns the oldest version on which a request may start at the given
+// FloorAt returns the oldest version to which a request may be sent at the given
 // time, or 0 if all versions are allowed. list must be sorted by version.
 func FloorAt(list []Floor, now time.Time) int64 {
-	floor := int64(0)
+	return newest(list, func(f Floor) bool { return !now.Before(f.From) })
+}
+
+// BeginFloorAt returns the oldest version on which a request that was sent earlier
+// may still begin at the given time, or 0 if all versions are allowed. list must be
+// sorted by version.
+func BeginFloorAt(list []Floor, now time.Time) int64 {
+	return newest(list, func(f Floor) bool { return !now.Before(f.BeginBy) })
+}
+
+// newest returns the newest version that is in force, or 0 if none is.
+func newest(list []Floor, inForce func(Floor) bool) int64 {
+	version := int64(0)
 	for _, f := range list {
-		if !now.Before(f.From) {
-			floor = f.Version
+		if inForce(f) {
+			version = f.Version
 		}
 	}
-	return floor
+	return version
 }
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -74,6 +74,17 @@
 	return s.info.Versions
 }
 
+// MayBegin reports whether a request that was sent with a grant may still begin. If
+// not, it must be withdrawn: the version of the weights that the backend server
+// holds has run out while the request waited there.
+func (d *Dispatcher) MayBegin(grant *Grant, model string) bool {
+	now, version := d.cfg.Clock.Now(), grant.Version
+	if s := d.servers[grant.Server.Key()]; s != nil {
+		version = max(version, s.versions(now)[model]) // it only rises, and may be unknown now
+	}
+	return version >= awdirectory.BeginFloorAt(d.floors[model], now)
+}
+
 func (s *server) hasFreshLoad(now time.Time) bool {
 	return s.reported && now.Sub(s.load.At) < reportMaxAge
 }
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -233,6 +233,7 @@
 			}
 			last = now
 			g.mu.Lock()
+			g.withdrawOutdated()
 			if g.dispatch.Waiting() > 0 {
 				g.dispatch.Tick()
 			}
--- a/io/awgateway/quarantine.go
+++ b/io/awgateway/quarantine.go
@@ -36,11 +36,18 @@
 // errQuarantined ends a send whose request turns out to crash engines.
 var errQuarantined = errors.New("a part of the prompt crashes engines")
 
+// reasonOutdated is the reason of sends that are ended because the engine has not
+// begun them before its version of the weights ran out.
+const reasonOutdated = "Outdated"
+
+// errOutdated ends a send that its engine must not begin any more.
+var errOutdated = errors.New("version of the weights ran out before the answer began")
+
 // exchange is the part of a [Gateway] that finds requests which crash engines,
 // together with the other entries. All fields are protected by the gateway's mu.
 type exchange struct {
 	quarantine *awquarantine.Quarantine
-	unproven   map[*send]bool // sends whose answer has not begun
+	unproven   map[*send]bool // sends to engines whose answer has not begun
 	peers      []netip.AddrPort
 	logged     map[string]bool // blocked parts that have been logged
 	changed    chan struct{}   // signals pending facts
@@ -80,6 +87,9 @@
 func (g *Gateway) updateExchange() {
 	x := &g.exchange
 	for s := range x.unproven {
+		if s.q.probe {
+			continue
+		}
 		if _, blocked := x.quarantine.Blocked(s.q.info.SharedParts); blocked {
 			s.cancel(errQuarantined)
 		}
@@ -129,10 +139,11 @@
 	return blocked
 }
 
-// trackUnproven lets the quarantine end the send. The returned function ends that;
+// trackUnproven lets the gateway end the send because its prompt is quarantined or
+// the engine's version of the weights has run out. The returned function ends that;
 // it must be called when the answer has begun or the send has ended.
 func (s *send) trackUnproven() func() {
-	if len(s.q.info.SharedParts) == 0 || s.q.probe {
+	if s.q.model == "" {
 		return func() {}
 	}
 	g := s.q.g
@@ -146,6 +157,17 @@
 	}
 }
 
+// withdrawOutdated ends the streams that wait inside an engine whose version of the
+// weights may no longer begin a request; mu must be held. Whether the engine has
+// begun the response to another request is not known.
+func (g *Gateway) withdrawOutdated() {
+	for s := range g.exchange.unproven {
+		if s.q.route.Kind == awdirectory.Stream && !g.dispatch.MayBegin(s.grant, s.q.model) {
+			s.cancel(errOutdated)
+		}
+	}
+}
+
 // recordSound records that the parts of the prompt do not crash engines.
 func (q *request) recordSound() {
 	if len(q.info.SharedParts) == 0 {
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -115,6 +115,8 @@
 		r.suspect = r.mayHaveRun && awhttp.IsClosedByServer(err)
 	case errors.Is(cause, errQuarantined):
 		r.outcome, r.reason = awdispatch.Abandoned, reasonQuarantined
+	case errors.Is(cause, errOutdated):
+		r.outcome, r.reason = awdispatch.Abandoned, reasonOutdated
 	case errors.Is(cause, awstream.ErrOvertaken):
 		r.outcome, r.reason = awdispatch.Abandoned, reasonOvertaken
 	case errors.Is(cause, errTimeout):
