awgateway: let all requests end before the hedge test counts places

TestHedgedStreamsUnderRandomFaults failed once in a fresh clone and once here beside load ("expected 60, actual 59"): a place seemed not to be returned.

Trace: with a count of the requests inside the gateway, 58 of 60 runs, twelve at a time, counted places when none was left, and passed; 2 runs counted when the request of a caller who had left was still ending, and these two failed. The wait before the check looked at sends to engines only, and the test's service is none. The test now closes the gateway's server first, which returns when every request has ended; the check and its bound are the same.

--- a/io/awgateway/hedgefaults_test.go
+++ b/io/awgateway/hedgefaults_test.go
@@ -134,6 +134,7 @@
 		})
 	}
 	callers.Wait()
+	front.Close() // waits for the requests of callers who have left
 	t.Logf("%d whole, %d cut or refused, %d hedged", whole.Load(), cut.Load(), g.metrics.silentSends.Get())
 	require.Positive(t, g.metrics.silentSends.Get())
 	mu.Lock()
