awquarantine: block a request that crashes engines itself

Cause, from the log of failed sends, which now names the request's own part of the prompt: one own part stood under 28 crashes, in attempts with new ids at all gateways. Only parts that requests share were blamed, and a part in the suspects of a single request is not. The own part is what the attempts of a request have in common. It is now blamed after three crashes with no sound answer between them, told to the other gateways like a part, and probed after five minutes. Where it explains as many crashes as a shared part, the shared part is not blamed.

awentry had the whole prompt among the shared parts and blamed it only beside a second request id; it now names the prompt as the request.

--- a/core/awquarantine/awquarantine.go
+++ b/core/awquarantine/awquarantine.go
@@ -14,6 +14,9 @@
 //   - another part explains the same crashes, or
 //   - all suspects with the part are the same request, sent several times.
 //
+// Such a request is blamed itself, since its caller may send it again and again,
+// each time to another entry.
+//
 // A part that always came together with others is only quarantined together with
 // them, because sound requests share the other parts.
 //
@@ -25,6 +28,7 @@
 package awquarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -47,7 +51,8 @@
 	// a part must have, else it is blamed as late as one known to be sound. Where
 	// engines crash for another reason, many parts have a few crashes.
 	minCrashShare = 0.4
-	// requestsToBlame is the number of different requests in these crashes.
+	// requestsToBlame is the number of different requests in these crashes. It does
+	// not apply to the request itself.
 	requestsToBlame = 2
 	// eventGap is the time within which several crashes count as one, unless the
 	// request was sent after the crash before: a failure domain that loses power
@@ -70,6 +75,9 @@
 	weakProbeInterval = 3 * time.Second
 	strongCrashShare  = 0.5
 	maxProbeInterval  = 5 * time.Minute
+	// requestProbeInterval is the time until a blocked request is probed. It may be
+	// a session, to which later requests belong.
+	requestProbeInterval = 5 * time.Minute
 	// probeStagger is the time between the moments at which two entries may send
 	// the probe. An entry that gets no request with the part cannot.
 	probeStagger = 2 * time.Second
@@ -86,21 +94,26 @@
 // Crash is a request that was sent to an engine which crashed before it had
 // begun the answer or soon after.
 type Crash struct {
-	Engine  string // incarnation of the engine
-	Request string // the same for all sends of a request and its repetitions by the caller
-	Parts   []string
+	Engine string // incarnation of the engine
+	// Request identifies the part of the prompt that only the request or its session
+	// has. It is the same for all sends of a request and its repetitions by the caller.
+	Request string
+	Parts   []string  // the other parts of the prompt
 	Sent    time.Time // to the engine
 	At      time.Time // of the crash
 	// Cancelled marks a send that its entry ended because the request was blocked.
 	// It is a suspect only if the engine crashes then all the same.
 	Cancelled bool
+	// requestSound records that an answer to the request has shown it to be sound
+	// since.
+	requestSound bool
 }
 
 type crashKey struct{ engine, request string }
 
 // Block is a combination of parts whose requests are refused.
 type Block struct {
-	Part string
+	Part string // or the identity of one request
 	// With lists the parts that were in all suspects with Part. Only requests
 	// that have all of them are refused.
 	With    []string
@@ -138,7 +151,7 @@
 
 // RecordCrash records a suspect. The quarantine keeps c.Parts.
 func (q *Quarantine) RecordCrash(c Crash) {
-	if len(c.Parts) == 0 || !q.addCrash(c) {
+	if !q.addCrash(c) {
 		return
 	}
 	q.pending.Crashes = append(q.pending.Crashes, c)
@@ -161,7 +174,9 @@
 		at, ok := q.soundAt(p)
 		return ok && at.After(c.At)
 	})
-	if len(c.Parts) == 0 {
+	at, known := q.soundAt(c.Request)
+	c.requestSound = c.Request == "" || (known && at.After(c.At))
+	if c.cleared() {
 		return false
 	}
 	if len(q.crashes) >= maxCrashes {
@@ -171,15 +186,25 @@
 	return true
 }
 
+// cleared reports whether nothing of the suspect is under suspicion.
+func (c *Crash) cleared() bool { return len(c.Parts) == 0 && c.requestSound }
+
+// dropOldestCrash makes room for a suspect. Those of which only the request is under
+// suspicion are dropped first.
 func (q *Quarantine) dropOldestCrash() {
-	oldest := slices.MinFunc(slices.Collect(maps.Values(q.crashes)), func(a, b *Crash) int { return a.At.Compare(b.At) })
+	oldest := slices.MinFunc(slices.Collect(maps.Values(q.crashes)), func(a, b *Crash) int {
+		return cmp.Or(cmp.Compare(min(1, len(a.Parts)), min(1, len(b.Parts))), a.At.Compare(b.At))
+	})
 	delete(q.crashes, crashKey{oldest.Engine, oldest.Request})
 }
 
 // RecordSound records that an answer to a request with these parts has ended, or
 // has gone on for ProvenAfter. It reports whether that clears any of suspicion.
-func (q *Quarantine) RecordSound(parts []string) bool {
+func (q *Quarantine) RecordSound(request string, parts []string) bool {
 	now, cleared := q.clock.Now(), false
+	if q.isSuspect(request) { // others are not remembered, because there are too many
+		parts = append(slices.Clone(parts), request)
+	}
 	for _, p := range parts {
 		if q.markSound(p, now) {
 			q.pending.Sound = append(q.pending.Sound, Sound{Part: p, At: now})
@@ -192,8 +217,17 @@
 	return cleared
 }
 
-// markSound records that a part was sound at the given time and removes it from
-// earlier crashes. It reports whether there were any.
+func (q *Quarantine) isSuspect(request string) bool {
+	for k, c := range q.crashes {
+		if k.request == request && !c.requestSound {
+			return true
+		}
+	}
+	return false
+}
+
+// markSound records that a part or request was sound at the given time and removes
+// it from earlier crashes. It reports whether there were any.
 func (q *Quarantine) markSound(part string, at time.Time) bool {
 	if old, ok := q.sound[part]; !ok || old.Before(at) {
 		if !ok && len(q.sound) >= soundCapacity {
@@ -203,12 +237,17 @@
 	}
 	cleared := false
 	for k, c := range q.crashes {
-		i := slices.Index(c.Parts, part)
-		if i < 0 || !c.At.Before(at) {
+		if !c.At.Before(at) {
 			continue
 		}
-		cleared = true
-		if c.Parts = slices.Delete(c.Parts, i, i+1); len(c.Parts) == 0 {
+		if i := slices.Index(c.Parts, part); i >= 0 {
+			cleared = true
+			c.Parts = slices.Delete(c.Parts, i, i+1)
+		}
+		if c.Request == part && !c.requestSound {
+			cleared, c.requestSound = true, true
+		}
+		if c.cleared() {
 			delete(q.crashes, k)
 		}
 	}
@@ -247,6 +286,7 @@
 }
 
 // Blocked reports whether requests with these parts are refused, and until when.
+// parts also holds the identity of the request, as in [Crash].
 func (q *Quarantine) Blocked(parts []string) (time.Time, bool) {
 	b := q.blockOf(parts)
 	if b == nil {
@@ -284,7 +324,10 @@
 // other, in an order that differs from part to part.
 func (q *Quarantine) probeTime(s *suspicion) time.Time {
 	interval := probeInterval
-	if s.share < strongCrashShare {
+	switch {
+	case s.isRequest:
+		interval = requestProbeInterval
+	case s.share < strongCrashShare:
 		interval = weakProbeInterval
 	}
 	interval = min(maxProbeInterval, interval<<min(max(0, s.events-crashesToBlame), 16))
--- a/core/awquarantine/awquarantine_test.go
+++ b/core/awquarantine/awquarantine_test.go
@@ -56,13 +56,13 @@
 func TestPartsOfSoundRequestsAreNotBlocked(t *testing.T) {
 	for name, play := range map[string]func(f *fixture){
 		"known to be sound": func(f *fixture) {
-			f.RecordSound([]string{"a"})
+			f.RecordSound("sound", []string{"a"})
 			f.crashes(3, "a", "dead")
 		},
 		"sound after the crashes": func(f *fixture) {
 			f.crashes(3, "a", "dead")
 			f.clock.Advance(time.Second)
-			f.RecordSound([]string{"a"})
+			f.RecordSound("sound", []string{"a"})
 		},
 		"not known": func(f *fixture) { f.crashes(3, "a", "dead") },
 		"beside the cause on each engine": func(f *fixture) {
@@ -121,10 +121,10 @@
 // Guards against a part that has become deadly, for example with new weights.
 func TestPartThatWasSoundCanBeBlocked(t *testing.T) {
 	f := newFixture()
-	f.RecordSound([]string{"a", "dead"})
+	f.RecordSound("sound", []string{"a", "dead"})
 	f.crashes(7, "a", "dead")
 	require.False(t, f.blocked("a", "dead"))
-	f.RecordSound([]string{"a"})
+	f.RecordSound("sound", []string{"a"})
 	f.crashes(1, "a", "dead")
 	require.True(t, f.blocked("b", "dead"))
 	require.False(t, f.blocked("a"))
@@ -132,7 +132,7 @@
 
 func TestTwoDeadlyParts(t *testing.T) {
 	f := newFixture()
-	f.RecordSound([]string{"a"})
+	f.RecordSound("sound", []string{"a"})
 	for range 3 {
 		f.crashes(1, "a", "dead1")
 		f.crashes(1, "a", "dead2")
@@ -163,7 +163,7 @@
 	at, _ := f.Blocked([]string{"dead"})
 	f.clock.Advance(at.Sub(f.clock.Now()))
 	require.True(t, f.StartProbe([]string{"dead"}))
-	f.RecordSound([]string{"dead"})
+	f.RecordSound("sound", []string{"dead"})
 	require.False(t, f.blocked("dead"))
 }
 
@@ -191,7 +191,7 @@
 func TestDigestTellsAnotherEntry(t *testing.T) {
 	f := newFixture()
 	f.crashes(3, "a", "dead")
-	f.RecordSound([]string{"a"})
+	f.RecordSound("sound", []string{"a"})
 	other := New(f.clock, "other")
 	other.Merge(f.Digest())
 	other.Merge(f.Digest()) // twice does no harm
@@ -208,7 +208,7 @@
 	f.crashes(3, "a", "dead")
 	digest := f.Digest()
 	f.clock.Advance(time.Second)
-	f.RecordSound([]string{"a"})
+	f.RecordSound("sound", []string{"a"})
 	for _, c := range digest.Crashes {
 		require.Equal(t, []string{"a", "dead"}, c.Parts)
 	}
@@ -220,7 +220,7 @@
 	other := New(f.clock, "other")
 	f.crashes(3, "a")
 	f.clock.Advance(time.Second)
-	other.RecordSound([]string{"a"})
+	other.RecordSound("sound", []string{"a"})
 	require.True(t, f.blocked("a"))
 	other.Merge(f.TakePending())
 	f.Merge(other.TakePending())
@@ -230,7 +230,7 @@
 func TestMemoryIsBounded(t *testing.T) {
 	f := newFixture()
 	for n := range 3 * soundCapacity {
-		f.RecordSound([]string{fmt.Sprint(n)})
+		f.RecordSound("sound", []string{fmt.Sprint(n)})
 	}
 	f.crashes(3*maxCrashes, "dead")
 	require.LessOrEqual(t, len(f.sound)+len(f.soundBefore), 2*soundCapacity)
--- a/core/awquarantine/evaluate.go
+++ b/core/awquarantine/evaluate.go
@@ -8,9 +8,11 @@
 	"time"
 )
 
-// suspicion is what the crashes that no other part explains say about one part.
+// suspicion is what the crashes that no other part explains say about one part, or
+// about one request.
 type suspicion struct {
 	part       string
+	isRequest  bool
 	knownSound bool              // the part was sound before these crashes
 	engines    map[string]*Crash // last suspect with the part that was sent to each engine
 	requests   map[string]bool
@@ -21,6 +23,19 @@
 	share      float64 // of all engines that crashed from first to last
 }
 
+func newSuspicion(part string, with []string) *suspicion {
+	return &suspicion{part: part, requests: map[string]bool{}, engines: map[string]*Crash{}, with: slices.Clone(with)}
+}
+
+// add counts a suspect.
+func (s *suspicion) add(c *Crash) {
+	s.with = slices.DeleteFunc(s.with, func(other string) bool { return !slices.Contains(c.Parts, other) })
+	s.requests[c.Request] = true
+	if first := s.engines[c.Engine]; first == nil || c.Sent.After(first.Sent) {
+		s.engines[c.Engine] = c
+	}
+}
+
 // count sets the fields that follow from the times of the crashes.
 func (s *suspicion) count() {
 	var begin time.Time // of the current event
@@ -39,6 +54,9 @@
 
 // sufficient reports whether the part is to be blamed.
 func (s *suspicion) sufficient() bool {
+	if s.isRequest {
+		return s.events >= crashesToBlame
+	}
 	required := crashesToBlame
 	if s.knownSound || s.share < minCrashShare {
 		required = soundCrashesToBlame
@@ -54,7 +72,16 @@
 		}
 		return -1
 	}
-	return cmp.Or(cmp.Compare(s.events, other.events), cmp.Compare(len(s.requests), len(other.requests)), strings.Compare(s.part, other.part))
+	if c := cmp.Compare(s.events, other.events); c != 0 {
+		return c
+	}
+	if s.isRequest != other.isRequest { // the other requests with the part ran on the same engines by chance
+		if s.isRequest {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(len(s.requests), len(other.requests)), strings.Compare(s.part, other.part))
 }
 
 // evaluate derives the blocks from the crashes. It begins with the part that
@@ -102,8 +129,8 @@
 	return best
 }
 
-// suspicions returns the suspicions against all parts in the crashes of engines
-// that are not explained.
+// suspicions returns the suspicions against all parts, and against the requests that
+// are close to being blamed, in the crashes of engines that are not explained.
 func (q *Quarantine) suspicions(explained map[string]bool) map[string]*suspicion {
 	all := map[string]*suspicion{}
 	crashed := q.crashTimes(explained)
@@ -114,15 +141,11 @@
 		for _, p := range c.Parts {
 			s := all[p]
 			if s == nil {
-				s = &suspicion{part: p, requests: map[string]bool{}, engines: map[string]*Crash{}, with: slices.Clone(c.Parts)}
+				s = newSuspicion(p, c.Parts)
 				_, s.knownSound = q.soundAt(p)
 				all[p] = s
 			}
-			s.with = slices.DeleteFunc(s.with, func(other string) bool { return !slices.Contains(c.Parts, other) })
-			s.requests[c.Request] = true
-			if first := s.engines[c.Engine]; first == nil || c.Sent.After(first.Sent) {
-				s.engines[c.Engine] = c
-			}
+			s.add(c)
 		}
 	}
 	for p, s := range all {
@@ -133,14 +156,43 @@
 			return other == p || (otherSound && !s.knownSound)
 		})
 	}
+	q.addRequestSuspicions(all, explained)
 	return all
 }
 
+// addRequestSuspicions adds the suspicions against the requests under which almost as
+// many engines crashed as are needed to blame them.
+func (q *Quarantine) addRequestSuspicions(all map[string]*suspicion, explained map[string]bool) {
+	suspects := make(map[string]int, len(q.crashes))
+	for _, c := range q.crashes {
+		if !c.requestSound && !c.Cancelled && !explained[c.Engine] {
+			suspects[c.Request]++
+		}
+	}
+	for _, c := range q.crashes {
+		if c.requestSound || c.Cancelled || explained[c.Engine] || suspects[c.Request] < crashesToBlame-1 {
+			continue
+		}
+		s := all[c.Request]
+		if s == nil {
+			s = newSuspicion(c.Request, nil)
+			s.isRequest = true
+			all[c.Request] = s
+		}
+		s.add(c)
+	}
+	for _, s := range all {
+		if s.isRequest {
+			s.count()
+		}
+	}
+}
+
 // crashTimes returns when engines crashed, without those that are explained.
 func (q *Quarantine) crashTimes(explained map[string]bool) map[string]time.Time {
 	times := map[string]time.Time{}
 	for _, c := range q.crashes {
-		if !c.Cancelled && !explained[c.Engine] {
+		if len(c.Parts) > 0 && !c.Cancelled && !explained[c.Engine] {
 			times[c.Engine] = c.At
 		}
 	}
--- a/core/awquarantine/load_test.go
+++ b/core/awquarantine/load_test.go
@@ -27,12 +27,16 @@
 // entries that start anew.
 type load struct {
 	rng     *rand.Rand
+	losses  *rand.Rand // apart, so that what entries exchange does not change the requests
 	clock   *awclock.Fake
 	names   []string
 	entries []*Quarantine
 	engines []*loadEngine
 	deadly  []string // parts that crash engines
 	share   float64  // of the requests that hold one of them
+	// deadlyRequest is a request that crashes engines itself and that its callers send
+	// again and again, in place of the requests with a deadly part.
+	deadlyRequest string
 	perStep float64  // requests
 
 	running      []*loadRequest
@@ -57,7 +61,7 @@
 
 func newLoad(seed uint64, entries, engines int, perSecond, share float64, deadly ...string) *load {
 	l := &load{
-		rng: rand.New(rand.NewPCG(seed, 0)), clock: awclock.NewFake(time.Unix(1000, 0)), deadly: deadly, share: share,
+		rng: rand.New(rand.NewPCG(seed, 0)), losses: rand.New(rand.NewPCG(seed, 1)), clock: awclock.NewFake(time.Unix(1000, 0)), deadly: deadly, share: share,
 		perStep: perSecond * loadStep.Seconds(), crashes: map[string][]time.Time{}, late: map[string]int{},
 	}
 	for n := range entries {
@@ -82,7 +86,7 @@
 func (l *load) restart(n int) {
 	q := l.newEntry(n)
 	for i, other := range l.entries {
-		if i != n && l.rng.Float64() > lossRate {
+		if i != n && l.losses.Float64() > lossRate {
 			q.Merge(other.Digest())
 		}
 	}
@@ -112,13 +116,17 @@
 	if deadlyToo && len(l.deadly) > 0 && l.rng.Float64() < l.share {
 		r.dead, r.parts = true, []string{"subject0", l.deadly[l.rng.IntN(len(l.deadly))]}
 	}
+	if deadlyToo && l.deadlyRequest != "" && l.rng.Float64() < l.share {
+		r.dead, r.id, r.parts = true, l.deadlyRequest, []string{"subject0"}
+	}
 	l.send(r)
 }
 
 func (l *load) send(r *loadRequest) {
 	now := l.clock.Now()
 	q := l.entries[r.entry]
-	if _, blocked := q.Blocked(r.parts); blocked && !q.StartProbe(r.parts) {
+	parts := append(slices.Clip(r.parts), r.id)
+	if _, blocked := q.Blocked(parts); blocked && !q.StartProbe(parts) {
 		if !r.dead {
 			l.soundRefused++
 		}
@@ -147,6 +155,9 @@
 		}
 		if r.dead {
 			part := r.parts[len(r.parts)-1]
+			if l.deadlyRequest != "" {
+				part = l.deadlyRequest
+			}
 			if list := l.crashes[part]; len(list) >= 5 && r.sent.Sub(list[4]) > settle {
 				l.late[part]++
 			}
@@ -160,7 +171,7 @@
 		}
 		if !r.proven && (now.Sub(r.begin) >= ProvenAfter || !now.Before(r.end)) {
 			r.proven = true
-			l.entries[r.entry].RecordSound(r.parts)
+			l.entries[r.entry].RecordSound(r.id, r.parts)
 		}
 	}
 	l.running = slices.DeleteFunc(l.running, func(r *loadRequest) bool {
@@ -202,12 +213,12 @@
 	for i, q := range l.entries {
 		facts := q.TakePending()
 		for j, other := range l.entries {
-			if i != j && !facts.Empty() && l.rng.Float64() > lossRate {
+			if i != j && !facts.Empty() && l.losses.Float64() > lossRate {
 				other.Merge(facts)
 			}
 		}
 		if since%time.Second == 0 {
-			l.entries[l.rng.IntN(len(l.entries))].Merge(q.Digest())
+			l.entries[l.losses.IntN(len(l.entries))].Merge(q.Digest())
 		}
 	}
 }
--- a/core/awquarantine/share.go
+++ b/core/awquarantine/share.go
@@ -38,7 +38,8 @@
 // maxDigestCrashes limits the crashes in a digest for each part.
 const maxDigestCrashes = 2 * soundCrashesToBlame
 
-// Digest returns the facts about the parts that are blocked or close to it. It is
+// Digest returns the facts about the parts and requests that are blocked or close to
+// it. It is
 // sent to some entries from time to time, so that those which were started or
 // could not be reached learn them too.
 func (q *Quarantine) Digest() Facts {
@@ -72,7 +73,7 @@
 func (q *Quarantine) newestCrashes(part string) []*Crash {
 	var list []*Crash
 	for _, c := range q.crashes {
-		if slices.Contains(c.Parts, part) {
+		if slices.Contains(c.Parts, part) || (c.Request == part && !c.requestSound) {
 			list = append(list, c)
 		}
 	}
@@ -108,7 +109,7 @@
 	}
 	suspicions := q.suspicions(nil)
 	for _, c := range crashes {
-		for _, p := range c.Parts {
+		for _, p := range append(slices.Clip(c.Parts), c.Request) {
 			at, ok := q.soundAt(p)
 			before, known := told[p]
 			clears := at.After(c.At) && !before.After(c.At)
--- a/io/awentry/quarantine.go
+++ b/io/awentry/quarantine.go
@@ -32,14 +32,20 @@
 
 // suspicion is the state of one request as far as it may crash engines.
 type suspicion struct {
-	parts   []string
-	crashes int // attempts under which an engine crashed early
+	parts   []string // with the whole prompt, which identifies the request, as the last one
+	crashes int      // attempts under which an engine crashed early
 	probe   bool
 	proof   awquarantine.Proof // of the current attempt
 	agent   string             // of the current attempt
 	sent    time.Time
 }
 
+// request identifies the request together with its repetitions by the caller.
+func (s *suspicion) request() string { return s.parts[len(s.parts)-1] }
+
+// shared returns the parts of the prompt that other requests may have.
+func (s *suspicion) shared() []string { return s.parts[:len(s.parts)-1] }
+
 // newSuspicion returns the state of a completion. Its parts are the prefixes of the
 // prompt and the whole of it.
 func newSuspicion(prefixes []uint64, prompt []byte) suspicion {
@@ -94,7 +100,7 @@
 		return
 	}
 	if s.proof.Event(e.cfg.Clock.Now()) {
-		e.recordSound(s.parts)
+		e.recordSound(s)
 	}
 }
 
@@ -106,7 +112,7 @@
 	case len(s.parts) == 0 || s.proof.Done:
 	case err == nil:
 		s.proof.End()
-		e.recordSound(s.parts)
+		e.recordSound(s)
 	case errors.As(err, &oe) && oe.Reason == awoutcome.EngineCrashed:
 		x.recordCrash(s.agent, oe.Engine, s.sent)
 	}
@@ -116,16 +122,19 @@
 func (x *dispatchState) recordCrash(agent, engine string, sent time.Time) {
 	s, e := &x.suspicion, x.entry
 	s.crashes++
-	c := awquarantine.Crash{Engine: agent + "|" + engine, Request: x.req.id, Parts: s.parts, Sent: sent, At: e.cfg.Clock.Now()}
+	if len(s.parts) == 0 {
+		return
+	}
+	c := awquarantine.Crash{Engine: agent + "|" + engine, Request: s.request(), Parts: s.shared(), Sent: sent, At: e.cfg.Clock.Now()}
 	e.mu.Lock()
 	e.quarantine.RecordCrash(c)
 	e.mu.Unlock()
 	e.updateQuarantine()
 }
 
-func (e *Entry) recordSound(parts []string) {
+func (e *Entry) recordSound(s *suspicion) {
 	e.mu.Lock()
-	cleared := e.quarantine.RecordSound(parts)
+	cleared := e.quarantine.RecordSound(s.request(), s.shared())
 	e.mu.Unlock()
 	if cleared {
 		e.updateQuarantine()
--- a/io/awgateway/quarantine.go
+++ b/io/awgateway/quarantine.go
@@ -1,10 +1,12 @@
 package awgateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -30,7 +32,7 @@
 )
 
 // reasonQuarantined is the reason of requests that are refused, and of sends that
-// are ended, because a part of the prompt crashes engines.
+// are ended, because they or a part of their prompt crash engines.
 const reasonQuarantined = "Quarantined"
 
 // errQuarantined ends a send whose request turns out to crash engines.
@@ -90,7 +92,7 @@
 		if s.q.probe {
 			continue
 		}
-		if _, blocked := x.quarantine.Blocked(s.q.info.SharedParts); blocked {
+		if _, blocked := x.quarantine.Blocked(s.q.parts()); blocked {
 			s.cancel(errQuarantined)
 		}
 	}
@@ -111,17 +113,24 @@
 	g.metrics.quarantined.Set(float64(len(blocked)))
 }
 
-// quarantinedUntil reports whether the request is refused because a part of its
-// prompt crashes engines, and until when. It lets a probe pass, once.
+// ownPart identifies the request together with its repetitions by the caller.
+func (q *request) ownPart() string { return cmp.Or(q.info.OwnPart, q.info.ID) }
+
+// parts returns all parts of the prompt.
+func (q *request) parts() []string { return append(slices.Clip(q.info.SharedParts), q.ownPart()) }
+
+// quarantinedUntil reports whether the request is refused because it, or a part of
+// its prompt, crashes engines, and until when. It lets a probe pass, once.
 func (q *request) quarantinedUntil() (time.Time, bool) {
-	if len(q.info.SharedParts) == 0 {
+	if q.model == "" {
 		return time.Time{}, false
 	}
+	parts := q.parts()
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
 	quarantine := q.g.exchange.quarantine
-	until, blocked := quarantine.Blocked(q.info.SharedParts)
-	if blocked && !q.probe && quarantine.StartProbe(q.info.SharedParts) {
+	until, blocked := quarantine.Blocked(parts)
+	if blocked && !q.probe && quarantine.StartProbe(parts) {
 		q.probe = true
 		return time.Time{}, false
 	}
@@ -130,12 +139,12 @@
 
 // isQuarantined reports whether the request is refused and is no probe.
 func (q *request) isQuarantined() bool {
-	if len(q.info.SharedParts) == 0 || q.probe {
+	if q.model == "" || q.probe {
 		return false
 	}
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	_, blocked := q.g.exchange.quarantine.Blocked(q.info.SharedParts)
+	_, blocked := q.g.exchange.quarantine.Blocked(q.parts())
 	return blocked
 }
 
@@ -170,12 +179,12 @@
 
 // recordSound records that the parts of the prompt do not crash engines.
 func (q *request) recordSound() {
-	if len(q.info.SharedParts) == 0 {
+	if q.model == "" {
 		return
 	}
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	if q.g.exchange.quarantine.RecordSound(q.info.SharedParts) {
+	if q.g.exchange.quarantine.RecordSound(q.ownPart(), q.info.SharedParts) {
 		q.g.updateExchange()
 	}
 }
@@ -184,17 +193,13 @@
 // time, closed the connection before its answer had shown the prompt to be sound,
 // or that the send was cancelled because of the prompt.
 func (q *request) recordSuspect(engine string, sent time.Time, cancelled bool) {
-	if len(q.info.SharedParts) == 0 {
+	if q.model == "" {
 		return
 	}
-	own := q.info.OwnPart
-	if own == "" {
-		own = q.info.ID
-	}
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
 	q.g.exchange.quarantine.RecordCrash(awquarantine.Crash{
-		Engine: engine, Request: own, Parts: q.info.SharedParts, Sent: sent, At: q.g.cfg.Clock.Now(), Cancelled: cancelled,
+		Engine: engine, Request: q.ownPart(), Parts: q.info.SharedParts, Sent: sent, At: q.g.cfg.Clock.Now(), Cancelled: cancelled,
 	})
 	q.g.updateExchange()
 }
--- a/io/awgateway/telemetry.go
+++ b/io/awgateway/telemetry.go
@@ -105,7 +105,7 @@
 // logFailedSend logs a send that did not produce the final response.
 func (q *request) logFailedSend(grant *awdispatch.Grant, res sendResult) {
 	q.g.logRequest("send failed", q.logFields("Server", grant.Server.ID, "Reason", res.reason, "RanMaybe", res.mayHaveRun, "Error", res.detail, "SilentMs", res.silence.Milliseconds(),
-		"Parts", strings.Join(q.info.SharedParts, ","))...)
+		"Parts", strings.Join(q.info.SharedParts, ","), "OwnPart", q.info.OwnPart)...)
 }
 
 // recordPause records that the process did not run for a time, during which it
