Count versions that were named while no gateway ran as old

Cause: the limit of a version counted from when a gateway first read it, 3.5 s late, and that time was recorded for the others. A version that a gateway finds at its start and that nobody has recorded may have been named at any time before. Its limit now holds Bounds.Stable after the start, from when on a gateway must keep to limits at all; that is the age which is recorded. A recorded age is used as it is, so a restart of some gateways changes nothing.

Loaders still count from when they learn of a version, so some engines load later than they could.

--- a/core/awdirectory/versions.go
+++ b/core/awdirectory/versions.go
@@ -42,6 +42,14 @@
 	maxFloors = 4
 )
 
+// UnknownSince returns since when a version counts as the desired one that a process
+// finds at its start. If no other process has recorded it, it may have been set at
+// any time while none ran. Its limit must hold as soon as the process must keep to
+// any, a time stable after its start.
+func UnknownSince(start time.Time, maxStaleness, stable time.Duration) time.Time {
+	return start.Add(min(0, stable-maxStaleness))
+}
+
 // SetDesired sets the desired version of a model. It returns false, and changes
 // nothing, if the version is not newer than the current one. Each version has
 // its own deadline; a later version does not extend that of an earlier one.
--- a/core/awquarantine/load_test.go
+++ b/core/awquarantine/load_test.go
@@ -37,7 +37,7 @@
 	// deadlyRequest is a request that crashes engines itself and that its callers send
 	// again and again, in place of the requests with a deadly part.
 	deadlyRequest string
-	perStep float64  // requests
+	perStep       float64 // requests
 
 	running      []*loadRequest
 	sent         int
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -103,7 +103,7 @@
 		Retry: retryWindow(cfg.Bounds), Settling: entrySettling,
 	})
 	g.watcher = awwatch.New(awwatch.Config{
-		Clock: clock, Logger: logger, Source: g.source, MaxStaleness: cfg.Bounds.Version.Std(),
+		Clock: clock, Logger: logger, Source: g.source, MaxStaleness: cfg.Bounds.Version.Std(), Stable: cfg.Bounds.Stable.Std(),
 		OnConfig:        g.router.Configure,
 		OnState:         g.router.Apply,
 		OnEntries:       g.checkListed,
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -100,10 +100,13 @@
 	Clock        awclock.Clock
 	Logger       log.Logger
 	Source       Source
-	MaxStaleness time.Duration                  // from when a version is desired until no request may begin on an older one
-	OnConfig     func(*awdirectory.Config) bool // returns whether the configuration was put in force
-	OnState      func(State)                    // called after each read of the operators' or the backend servers' rows
-	OnEntries    func([]awdirectory.Entry)      // called after each read of the list of entries; may be nil
+	MaxStaleness time.Duration // from when a version is desired until no request may begin on an older one
+	// Stable is the time after the start of this process from which it must keep to
+	// MaxStaleness also for versions that were desired before.
+	Stable    time.Duration
+	OnConfig  func(*awdirectory.Config) bool // returns whether the configuration was put in force
+	OnState   func(State)                    // called after each read of the operators' or the backend servers' rows
+	OnEntries func([]awdirectory.Entry)      // called after each read of the list of entries; may be nil
 	// ServersInterval is the time between reads of the list of backend servers.
 	// The store holds such a read open for a third of it while nothing changes. If
 	// it is 0, the list is not read.
@@ -395,11 +398,15 @@
 			delete(w.domainsOut, domain)
 		}
 	}
+	since, found := now, w.cfg.RecordFirstSeen && !w.loaded.operator
+	if found {
+		since = awdirectory.UnknownSince(now, w.versions.MaxStaleness, w.cfg.Stable)
+	}
 	for model, version := range rows.DesiredVersions {
-		if w.versions.SetDesired(model, version, now) {
-			w.log("version named", "Model", model, "Version", version, "Revision", rows.Revision)
+		if w.versions.SetDesired(model, version, since) {
+			w.log("version named", "Model", model, "Version", version, "Revision", rows.Revision, "AgeMs", now.Sub(since).Milliseconds())
 			if w.cfg.RecordFirstSeen {
-				go w.recordFirstSeen(ctx, model, version, now)
+				go w.recordFirstSeen(ctx, model, version, since, found)
 			}
 		}
 	}
@@ -414,20 +421,20 @@
 	w.publish()
 }
 
-// recordFirstSeen records when a version was first seen, unless another entry has
-// done so. It replaces the time known here by the recorded one if that is
-// earlier, and also adds the recorded earlier versions.
-func (w *Watcher) recordFirstSeen(ctx context.Context, model string, version int64, seenAt time.Time) {
+// recordFirstSeen records since when a version has been desired, unless another entry
+// has done so. It replaces the time known here by the recorded one, if that is earlier
+// or the version was found at the start, and also adds the recorded earlier versions.
+func (w *Watcher) recordFirstSeen(ctx context.Context, model string, version int64, since time.Time, found bool) {
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		ages, err := w.cfg.Source.VersionAges(callCtx, model, version, w.cfg.Clock.Now().Sub(seenAt))
+		ages, err := w.cfg.Source.VersionAges(callCtx, model, version, w.cfg.Clock.Now().Sub(since))
 		cancel()
 		if err == nil {
 			now := w.cfg.Clock.Now()
 			w.update(ctx, func() {
 				for v, age := range ages {
-					if at := now.Add(-age); at.Before(seenAt) {
-						w.log("version named earlier", "Model", model, "Version", v, "AgeMs", age.Milliseconds())
+					if at := now.Add(-age); found || at.Before(since) {
+						w.log("age of version known", "Model", model, "Version", v, "AgeMs", age.Milliseconds())
 						w.versions.SetDesiredSince(model, v, at)
 					}
 				}
--- a/io/awwatch/awwatch_test.go
+++ b/io/awwatch/awwatch_test.go
@@ -81,7 +81,7 @@
 	configs, states = make(chan uint64, 64), make(chan State, 4096)
 	s.longPolls = make(chan struct{}, 64)
 	w = New(Config{
-		Clock: awclock.System{}, Logger: log.NewNopLogger(), Source: s, MaxStaleness: time.Hour, RecordFirstSeen: true,
+		Clock: awclock.System{}, Logger: log.NewNopLogger(), Source: s, MaxStaleness: time.Hour, Stable: 3 * time.Second, RecordFirstSeen: true,
 		OnConfig: func(c *awdirectory.Config) bool { configs <- c.Version; return true },
 		OnState:  func(st State) { states <- st }, ServersInterval: time.Millisecond, EntriesInterval: time.Millisecond, LongPollTimeout: time.Hour,
 		MaxRetryDelay: time.Millisecond,
@@ -217,6 +217,29 @@
 	}
 }
 
+// Guards rule VERSION: the limit of a version that was named while no entry ran must
+// hold as soon as the entries must keep to limits, not only MaxStaleness after their
+// start. One that an entry has recorded keeps its recorded age.
+func TestVersionNamedWhileNobodyRan(t *testing.T) {
+	const stable = 3 * time.Second // startWatcher sets MaxStaleness to an hour
+	for recorded, ages := range map[bool]map[int64]time.Duration{false: nil, true: {2: time.Minute}} {
+		s := &fakeStore{config: 1, modelVersions: map[string]int64{"m": 2}, ages: ages}
+		_, _, states := startWatcher(t, s)
+		for st := range states {
+			f := st.Floors["m"]
+			if len(f) == 0 || len(st.Entries) < 2 {
+				continue
+			}
+			atOnce := awdirectory.FloorAt(f, time.Now()) == 2
+			require.False(t, atOnce, "the entry has just started")
+			soon := awdirectory.BeginFloorAt(f, time.Now().Add(stable)) == 2
+			if soon != recorded {
+				break // before the recorded age is known, it is not used
+			}
+		}
+	}
+}
+
 // Guards rule VERSION: a staleness limit must not start anew when all processes
 // restart; it must count from when the version was first seen.
 func TestFirstSeenTimeSurvivesRestart(t *testing.T) {
