Reset the connections of calls that are given up

Writes to the store that have arrived are fenced by preconditions, not by this. Left: calls from awentry to awagent, which are cancelled by a message that follows the request on the same connection.

--- a/io/awengine/awengine.go
+++ b/io/awengine/awengine.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -20,6 +21,7 @@
 
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awthrottle"
+	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awtelemetry"
 )
 
@@ -122,7 +124,8 @@
 
 // New returns a client of the backend server at the URL base.
 func New(base string) *Client {
-	tr := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, ReadBufferSize: 4 << 10}
+	d := &net.Dialer{Control: awhttp.ResetOnClose}
+	tr := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdleConns, ReadBufferSize: 4 << 10}
 	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: tr}, clock: awclock.System{}}
 }
 
