--- a/io/awgateway/hedge.go
+++ b/io/awgateway/hedge.go
@@ -20,6 +20,9 @@
 	grant  *awdispatch.Grant
 	start  time.Time
 	cancel context.CancelCauseFunc
+	// version is the version of the weights that the backend server must have; 0
+	// accepts any.
+	version int64
 	// active is when the backend server last sent bytes, or the caller last took
 	// some, since start.
 	active atomic.Int64
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -47,6 +47,10 @@
 // server delivered the next event.
 const reasonOvertaken = "Overtaken"
 
+// reasonOtherVersion is the reason of sends that resume a stream and are turned away,
+// most likely because the backend server has got another version of the weights.
+const reasonOtherVersion = "OtherVersion"
+
 var (
 	errUnsigned       = errors.New("success without a signature")
 	errVersionChanged = errors.New("backend server resumed the stream with another version of the weights")
@@ -60,8 +64,10 @@
 	g := q.g
 	endTracking := s.trackUnproven()
 	defer endTracking()
+	info := s.forwardInfo()
+	s.version = info.Version
 	resp, err := g.cfg.Pool.Do(ctx, poolKey(&s.grant.Server), s.grant.Server.Address, awbackend.Request{
-		Method: q.method, URI: q.uri, Host: q.host, Header: g.cfg.Headers.ForwardHeaders(q.header.Clone(), s.forwardInfo()), Body: q.body,
+		Method: q.method, URI: q.uri, Host: q.host, Header: g.cfg.Headers.ForwardHeaders(q.header.Clone(), info), Body: q.body,
 		IDHeader: g.cfg.Headers.IDHeader(), ID: q.info.ID,
 	})
 	if err != nil {
@@ -72,6 +78,9 @@
 	respInfo := g.cfg.Headers.DecodeResponse(resp.Status, resp.Header)
 	q.recordResponse(&s.grant.Server, respInfo, s.start)
 	switch {
+	case respInfo.Replaced && s.version != 0:
+		// Another version of the weights is answered like another server.
+		return sendResult{outcome: awdispatch.Abandoned, reason: reasonOtherVersion}
 	case respInfo.Replaced:
 		return sendResult{outcome: awdispatch.Replaced, reason: "Replaced"}
 	case respInfo.NotRun:
