--- a/core/awquarantine/share.go
+++ b/core/awquarantine/share.go
@@ -39,9 +39,8 @@
 const maxDigestCrashes = 2 * soundCrashesToBlame
 
 // Digest returns the facts about the parts and requests that are blocked or close to
-// it. It is
-// sent to some entries from time to time, so that those which were started or
-// could not be reached learn them too.
+// it. It is sent to some entries from time to time, so that those which were started
+// or could not be reached learn them too.
 func (q *Quarantine) Digest() Facts {
 	var f Facts
 	included := map[crashKey]bool{}
