awgateway: tell how a request ends after its caller has left

The logs could not tell the hypotheses on GONE apart: CallerLeft has neither the time of the close nor the end of the work.

The gateway counts sends that begin after the close has arrived, measures how late it noticed the close (TCP_INFO) and for how long sends went on. No decision depends on these yet.

--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -86,6 +86,9 @@
 	// IDHeader is the name of the header that the backend server echoes, and ID
 	// its value. With an empty ID, every response is accepted.
 	IDHeader, ID string
+	// BeforeSend is called when the request is about to be written, if not nil. If
+	// it fails, nothing is sent.
+	BeforeSend func() error
 }
 
 // Config configures a [Pool].
@@ -279,6 +282,11 @@
 // sendRequest writes the request, a long body concurrently. It reports whether
 // any bytes may have been sent.
 func (r *Response) sendRequest(req Request) (bool, error) {
+	if req.BeforeSend != nil {
+		if err := req.BeforeSend(); err != nil {
+			return false, err
+		}
+	}
 	head := appendHead(make([]byte, 0, bufferBytes), req)
 	if len(req.Body) <= maxInlineBodyBytes {
 		n, err := r.conn.Write(append(head, req.Body...))
--- a/io/awgateway/hedge.go
+++ b/io/awgateway/hedge.go
@@ -136,6 +136,7 @@
 		q.avoidServer(s.grant.Server.Key())
 	}
 	q.release(s.grant, res.outcome) // before forward, which a slow caller holds up
+	q.departure.lastSendEnd = q.g.cfg.Clock.Now()
 	q.running = slices.DeleteFunc(q.running, func(other *send) bool { return other == s })
 	q.forward.Lock()
 	q.race.Fail(s.number)
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -44,6 +44,7 @@
 	lastFailure  string                   // reason of the last failed send
 	running      []*send                  // sends that have not ended
 	ended        chan endedSend
+	departure    departure
 
 	// forward is held while a send writes to the caller. It protects the fields below.
 	forward       sync.Mutex
@@ -97,6 +98,8 @@
 	q.prepare(c)
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errTimeout)
 	defer cancel()
+	defer q.departure.watch(r.Context(), g.cfg.Clock.Now)()
+	defer q.recordDeparture()
 	q.run(ctx)
 }
 
--- a/io/awgateway/telemetry.go
+++ b/io/awgateway/telemetry.go
@@ -23,6 +23,9 @@
 type gatewayMetrics struct {
 	firstEvent, answer, queueWait *metrics.Histogram
 	sends, retries, callersLeft   *metrics.Counter
+	lateSends                     *metrics.Counter // sends that began after the caller had closed its connection
+	closeNoticed                  *metrics.Histogram
+	workAfterLeaving              *metrics.Histogram
 	logLinesDropped, badFacts     *metrics.Counter
 	badSignals, badNotices        *metrics.Counter
 	silentSends                   *metrics.Counter
@@ -39,17 +42,20 @@
 		firstEvent: histogram("arbutuswind_gateway_first_event_seconds"), answer: histogram("arbutuswind_gateway_answer_seconds"),
 		queueWait: histogram("arbutuswind_gateway_wait_seconds"), sends: counter("arbutuswind_gateway_sends_total"),
 		retries: counter("arbutuswind_gateway_repeats_total"), callersLeft: counter("arbutuswind_gateway_callers_left_total"),
-		logLinesDropped: counter("arbutuswind_gateway_log_lines_left_out_total"),
-		badFacts:        counter("arbutuswind_gateway_bad_facts_total"),
-		silentSends:     counter("arbutuswind_gateway_silent_sends_total"),
-		pauseTime:       histogram("arbutuswind_gateway_pause_seconds"),
-		badSignals:      counter("arbutuswind_gateway_bad_signals_total"),
-		badNotices:      counter("arbutuswind_gateway_bad_notices_total"),
-		serversLeaving:  counter("arbutuswind_gateway_servers_leaving_total"),
-		pauses:          counter("arbutuswind_gateway_server_pauses_total"),
-		quarantined:     metrics.GetOrCreateGauge("arbutuswind_gateway_quarantined_parts", nil),
-		rateLimits:      metrics.GetOrCreateGauge("arbutuswind_gateway_rate_limits", nil),
-		logLimiter:      rate.NewLimiter(logLinesPerSecond, logLineBurst),
+		lateSends:        counter("arbutuswind_gateway_sends_after_close_total"),
+		closeNoticed:     histogram("arbutuswind_gateway_close_noticed_seconds"),
+		workAfterLeaving: histogram("arbutuswind_gateway_work_after_leaving_seconds"),
+		logLinesDropped:  counter("arbutuswind_gateway_log_lines_left_out_total"),
+		badFacts:         counter("arbutuswind_gateway_bad_facts_total"),
+		silentSends:      counter("arbutuswind_gateway_silent_sends_total"),
+		pauseTime:        histogram("arbutuswind_gateway_pause_seconds"),
+		badSignals:       counter("arbutuswind_gateway_bad_signals_total"),
+		badNotices:       counter("arbutuswind_gateway_bad_notices_total"),
+		serversLeaving:   counter("arbutuswind_gateway_servers_leaving_total"),
+		pauses:           counter("arbutuswind_gateway_server_pauses_total"),
+		quarantined:      metrics.GetOrCreateGauge("arbutuswind_gateway_quarantined_parts", nil),
+		rateLimits:       metrics.GetOrCreateGauge("arbutuswind_gateway_rate_limits", nil),
+		logLimiter:       rate.NewLimiter(logLinesPerSecond, logLineBurst),
 	}
 }
 
@@ -128,6 +134,9 @@
 // logNotServed logs how a request without a complete response of a backend
 // server ended.
 func (g *Gateway) logNotServed(reason, end string, q *request, kv ...any) {
+	if q != nil {
+		kv = append(kv, q.departure.logFields(q.start)...)
+	}
 	g.logRequest("request not served", append(q.logFields("Reason", reason, "End", end), kv...)...)
 }
 
--- a/io/awhttp/drain.go
+++ b/io/awhttp/drain.go
@@ -47,16 +47,6 @@
 	return nil
 }
 
-// TrackConnections makes srv report the state of its connections to their
-// [Listener].
-func TrackConnections(srv *http.Server) {
-	srv.ConnState = func(conn net.Conn, state http.ConnState) {
-		if c, ok := conn.(*trackedConn); ok {
-			c.setState(state)
-		}
-	}
-}
-
 // connSet holds the open connections of a listener.
 type connSet struct {
 	mu    sync.Mutex
