Send no request whose caller has left

Callers saw nothing; backend servers got requests of callers that had closed their connection before the gateway or entry read the request.

Cause: net/http learns of a close by a read beside the handler, and the handler asks for a slot and writes the request meanwhile. With an idle connection to the backend server it does not wait even once. A belief (the caller waits) was used without asking for its evidence at the act.

Now awbackend asks BeforeSend and the context directly before the first byte of each send (first, retry, resumption, hedge), and the gateway asks the caller's socket there; awentry does so before it sends a request to an agent. Keyed calls of awentry go on without their caller, as before. The connection to the backend server goes back to the pool.

--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -62,7 +62,10 @@
 	// Sent reports whether any bytes of the request may have reached the backend
 	// server. If none did, the request has not run and never will.
 	Sent bool
-	Err  error
+	// Withheld reports that the request was not sent because its context had ended
+	// or BeforeSend failed. The backend server has no part in it.
+	Withheld bool
+	Err      error
 }
 
 // Error implements the error interface.
@@ -189,14 +192,13 @@
 // ctx closes the connection, which makes the backend server abort the request.
 // Its errors are of type [Error].
 func (p *Pool) Do(ctx context.Context, key, addr string, req Request) (*Response, error) {
-	c := p.takeIdle(key)
-	for c != nil {
+	for c := p.takeIdle(key); c != nil; c = p.takeIdle(key) {
 		resp, err := p.exchange(ctx, key, c, req)
 		var e *Error
-		if err == nil || !errors.As(err, &e) || e.Sent {
+		if err == nil || !errors.As(err, &e) || e.Sent || e.Withheld {
 			return resp, err
 		}
-		c = p.takeIdle(key) // the connection was closed before anything was sent
+		// The connection was closed before anything was sent.
 	}
 	raw, err := p.dial(ctx, addr)
 	if err != nil {
@@ -261,6 +263,10 @@
 }
 
 func (p *Pool) exchange(ctx context.Context, key string, c *conn, req Request) (*Response, error) {
+	if err := req.confirm(ctx); err != nil {
+		p.keep(key, c)
+		return nil, &Error{Withheld: true, Err: err}
+	}
 	// On cancellation, closing the connection unblocks reads and writes.
 	stop := context.AfterFunc(ctx, c.abort)
 	r := &Response{pool: p, key: key, conn: c, stopCancel: stop}
@@ -279,14 +285,30 @@
 	return r, nil
 }
 
+// confirm returns an error if the request must not be sent any more.
+func (r *Request) confirm(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	if r.BeforeSend == nil {
+		return nil
+	}
+	return r.BeforeSend()
+}
+
+// keep adds a connection to the pool on which no request is running.
+func (p *Pool) keep(key string, c *conn) {
+	if c.expires.IsZero() {
+		c.expires = p.cfg.Clock.Now().Add(idleTimeout)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[key] = append(p.idle[key], c)
+}
+
 // sendRequest writes the request, a long body concurrently. It reports whether
 // any bytes may have been sent.
 func (r *Response) sendRequest(req Request) (bool, error) {
-	if req.BeforeSend != nil {
-		if err := req.BeforeSend(); err != nil {
-			return false, err
-		}
-	}
 	head := appendHead(make([]byte, 0, bufferBytes), req)
 	if len(req.Body) <= maxInlineBodyBytes {
 		n, err := r.conn.Write(append(head, req.Body...))
@@ -377,9 +399,7 @@
 		return
 	}
 	r.conn.expires = r.pool.cfg.Clock.Now().Add(idleTimeoutFor(r.Header))
-	r.pool.mu.Lock()
-	defer r.pool.mu.Unlock()
-	r.pool.idle[r.key] = append(r.pool.idle[r.key], r.conn)
+	r.pool.keep(r.key, r.conn)
 }
 
 func (r *Response) reusable() bool {
--- a/io/awentry/attempt.go
+++ b/io/awentry/attempt.go
@@ -11,6 +11,7 @@
 
 	"arbutuswind/core/awoutcome"
 	"arbutuswind/core/awstream"
+	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awproto"
 	"arbutuswind/io/awtelemetry"
 )
@@ -64,6 +65,9 @@
 			return err
 		}
 	}
+	if turn != nil && awhttp.HasLeft(ctx) { // a keyed call goes on without its caller
+		return awoutcome.Refuse(awoutcome.Cancelled, "the caller has left")
+	}
 	err = stream.Send(&awproto.ServeUp{Body: &awproto.ServeUp_Start{Start: start}})
 	if err != nil {
 		err = linkLostError(err)
--- a/io/awgateway/departure.go
+++ b/io/awgateway/departure.go
@@ -13,14 +13,13 @@
 type departure struct {
 	noticed     atomic.Pointer[time.Time]
 	closeAge    atomic.Int64 // time from the close to when it was noticed; -1 if not known
-	lateSends   atomic.Int64 // sends that began after the caller had closed its connection
 	lastSendEnd time.Time    // of the goroutine of the request
 }
 
-// watch records when the caller of ctx leaves. The returned function ends that.
+// watch records when ctx ends because the caller has left. The returned function ends that.
 func (d *departure) watch(ctx context.Context, now func() time.Time) func() bool {
 	return context.AfterFunc(ctx, func() {
-		if errors.Is(context.Cause(ctx), ErrStopping) {
+		if cause := context.Cause(ctx); errors.Is(cause, ErrStopping) || errors.Is(cause, errTimeout) {
 			return
 		}
 		d.closeAge.Store(-1)
@@ -49,15 +48,11 @@
 
 // logFields returns log fields with the times since start.
 func (d *departure) logFields(start time.Time) []any {
-	var fields []any
-	if n := d.lateSends.Load(); n > 0 {
-		fields = append(fields, "SendsAfterClose", n)
-	}
 	noticed := d.noticed.Load()
 	if noticed == nil {
-		return fields
+		return nil
 	}
-	fields = append(fields, "LeftMs", noticed.Sub(start).Milliseconds())
+	fields := []any{"LeftMs", noticed.Sub(start).Milliseconds()}
 	if age := d.closeAge.Load(); age >= 0 {
 		fields = append(fields, "CloseAgeMs", time.Duration(age).Milliseconds())
 	}
--- a/io/awgateway/departure_test.go
+++ b/io/awgateway/departure_test.go
@@ -19,6 +19,7 @@
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awretry"
+	"arbutuswind/internal/awgate"
 	"arbutuswind/io/awbackend"
 	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awwatch"
@@ -36,26 +37,12 @@
 	t.Cleanup(func() { runtime.GOMAXPROCS(old) })
 }
 
-// gatedListener accepts no connection while it is closed, like a gateway that does
-// not run.
-type gatedListener struct {
-	net.Listener
-	mu sync.Mutex
-}
-
-func (l *gatedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return c, err
-}
-
 // departures is a gateway before one backend server that works on each request until
 // its connection closes. It answers those whose path begins with /warm as soon as as
 // many have arrived as there are callers.
 type departures struct {
 	address string
-	gate    *gatedListener
+	gate    *awgate.Listener
 	handled atomic.Int64  // requests that the gateway has dealt with
 	begun   atomic.Int64  // requests that the backend server has begun
 	ended   chan struct{} // one element for each request that the backend server has given up
@@ -103,7 +90,7 @@
 	go g.Run(ctx)
 	lis, err := awhttp.Listen("127.0.0.1:0")
 	require.NoError(t, err)
-	d.address, d.gate = lis.Addr().String(), &gatedListener{Listener: lis}
+	d.address, d.gate = lis.Addr().String(), &awgate.Listener{Listener: lis}
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer d.handled.Add(1)
 		g.ServeHTTP(w, r)
@@ -160,12 +147,12 @@
 							d.warm(t)
 						}
 						before := d.handled.Load()
-						d.gate.mu.Lock()
+						d.gate.Hold()
 						for range leavingCallers {
 							_ = d.write(t, method, path).Close()
 						}
 						time.Sleep(50 * time.Millisecond) // the last close arrives
-						d.gate.mu.Unlock()
+						d.gate.Release()
 						require.Eventually(t, func() bool { return d.handled.Load() == before+leavingCallers }, 10*time.Second, time.Millisecond)
 						require.Zero(t, d.begun.Load(), "requests reached the backend server")
 					})
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -45,6 +45,7 @@
 	running      []*send                  // sends that have not ended
 	ended        chan endedSend
 	departure    departure
+	cancel       context.CancelFunc // ends the request as if its caller had left
 
 	// forward is held while a send writes to the caller. It protects the fields below.
 	forward       sync.Mutex
@@ -98,7 +99,8 @@
 	q.prepare(c)
 	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errTimeout)
 	defer cancel()
-	defer q.departure.watch(r.Context(), g.cfg.Clock.Now)()
+	q.cancel = cancel
+	defer q.departure.watch(ctx, g.cfg.Clock.Now)()
 	defer q.recordDeparture()
 	q.run(ctx)
 }
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -68,7 +68,7 @@
 	s.version = info.Version
 	resp, err := g.cfg.Pool.Do(ctx, poolKey(&s.grant.Server), s.grant.Server.Address, awbackend.Request{
 		Method: q.method, URI: q.uri, Host: q.host, Header: g.cfg.Headers.ForwardHeaders(q.header.Clone(), info), Body: q.body,
-		IDHeader: g.cfg.Headers.IDHeader(), ID: q.info.ID, BeforeSend: func() error { return s.checkCaller(ctx) },
+		IDHeader: g.cfg.Headers.IDHeader(), ID: q.info.ID, BeforeSend: func() error { return s.confirmCaller(ctx) },
 	})
 	if err != nil {
 		return failedResult(ctx, err)
@@ -94,14 +94,15 @@
 	return s.forwardWhole(ctx, resp)
 }
 
-// checkCaller is called when the request is about to be written to the backend
-// server.
-func (s *send) checkCaller(ctx context.Context) error {
-	if awhttp.HasLeft(ctx) {
-		s.q.departure.lateSends.Add(1)
-		s.q.g.metrics.lateSends.Inc()
+// confirmCaller ends the request if its caller has left. It is called when the
+// request is about to be written to the backend server.
+func (s *send) confirmCaller(ctx context.Context) error {
+	if !awhttp.HasLeft(ctx) {
+		return nil
 	}
-	return nil
+	s.q.g.metrics.withheldSends.Inc()
+	s.q.cancel()
+	return errCallerLeft
 }
 
 func (s *send) forwardInfo() ForwardInfo {
--- a/io/awgateway/telemetry.go
+++ b/io/awgateway/telemetry.go
@@ -23,7 +23,7 @@
 type gatewayMetrics struct {
 	firstEvent, answer, queueWait *metrics.Histogram
 	sends, retries, callersLeft   *metrics.Counter
-	lateSends                     *metrics.Counter // sends that began after the caller had closed its connection
+	withheldSends                 *metrics.Counter
 	closeNoticed                  *metrics.Histogram
 	workAfterLeaving              *metrics.Histogram
 	logLinesDropped, badFacts     *metrics.Counter
@@ -42,7 +42,7 @@
 		firstEvent: histogram("arbutuswind_gateway_first_event_seconds"), answer: histogram("arbutuswind_gateway_answer_seconds"),
 		queueWait: histogram("arbutuswind_gateway_wait_seconds"), sends: counter("arbutuswind_gateway_sends_total"),
 		retries: counter("arbutuswind_gateway_repeats_total"), callersLeft: counter("arbutuswind_gateway_callers_left_total"),
-		lateSends:        counter("arbutuswind_gateway_sends_after_close_total"),
+		withheldSends:    counter("arbutuswind_gateway_sends_withheld_total"),
 		closeNoticed:     histogram("arbutuswind_gateway_close_noticed_seconds"),
 		workAfterLeaving: histogram("arbutuswind_gateway_work_after_leaving_seconds"),
 		logLinesDropped:  counter("arbutuswind_gateway_log_lines_left_out_total"),
