End work for callers that leave behind further bytes

A caller that sent further bytes after its request, such as a line end or the next request, and then left: its request ran on to the end or the deadline.

Cause: net/http reads one byte after a request and then stops, so it does not see a close behind it. awhttp.WatchClient asks the socket each 200 ms, for awgateway and awentry.

--- a/io/awentry/callers.go
+++ b/io/awentry/callers.go
@@ -48,6 +48,8 @@
 		ctx := awtelemetry.Extract(r.Context(), r.Header.Get("Traceparent"))
 		ctx, span := e.cfg.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
+		ctx, stopWatch := awhttp.WatchClient(ctx)
+		defer stopWatch()
 		ctx, end := e.untilStopped(ctx)
 		defer end()
 		if err := e.sync.awaitAdmission(ctx); err != nil {
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -13,6 +13,7 @@
 	"arbutuswind/core/awdispatch"
 	"arbutuswind/core/awretry"
 	"arbutuswind/core/awstream"
+	"arbutuswind/io/awhttp"
 )
 
 // request is the state of one request of a caller.
@@ -97,7 +98,9 @@
 	}
 	q.header = endToEndHeaders(r.Header)
 	q.prepare(c)
-	ctx, cancel := context.WithDeadlineCause(r.Context(), q.deadline, errTimeout)
+	callerCtx, stopWatch := awhttp.WatchClient(r.Context())
+	defer stopWatch()
+	ctx, cancel := context.WithDeadlineCause(callerCtx, q.deadline, errTimeout)
 	defer cancel()
 	q.cancel = cancel
 	defer q.departure.watch(ctx, g.cfg.Clock.Now)()
--- a/io/awhttp/left.go
+++ b/io/awhttp/left.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -29,6 +30,56 @@
 	return ok && c.peerClosed()
 }
 
+// watchInterval is the time between two checks whether a client has left. Work for
+// it must end within half a second.
+const watchInterval = 200 * time.Millisecond
+
+// WatchClient returns a context that also ends when the client has closed its
+// connection behind further bytes: net/http reads only one byte after a request. The
+// returned function must be called at the end of the request.
+func WatchClient(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Value(connKey{}).(*trackedConn); !ok {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	w := &clientWatch{ctx: ctx, cancel: cancel}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(watchInterval, w.check)
+	return ctx, w.stop
+}
+
+// clientWatch checks again and again whether a client has left.
+type clientWatch struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+func (w *clientWatch) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.stopped:
+	case HasLeft(w.ctx):
+		w.cancel()
+	default:
+		w.timer.Reset(watchInterval)
+	}
+}
+
+// stop ends the watch. The connection may serve the next request afterwards.
+func (w *clientWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+	w.cancel()
+}
+
 // CloseAge returns the time since the client's last packet arrived. Once the client
 // has left, that is about the time for which it has been gone. It returns false if
 // the kernel doesn't tell, or if the server was not passed to [TrackConnections].
