awgateway: keep streams away from frozen instances

A server that is frozen hears neither a close nor a reset, so what is there when the caller leaves is worked on.

Cause: a belief without its evidence. A server whose load reports had stopped was one with free places, and when the others were full it got requests, also second sends of streams that had fallen silent at another frozen one. Another server was sought after five gaps of a route (2 s), then behind new requests, whereas callers leave after eight gaps (3.2 s). awentry has no such fault: it takes an agent without heartbeats out of routing.

Now the dispatcher knows when anything last arrived from a server. One that has been silent for 0.6 s gets one request at a time and no second sends, its streams are sent elsewhere at once, and they wait there before new requests.

--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -106,6 +106,7 @@
 	Allowed  func(region string) bool // nil allows every region
 	Version  int64                    // required version of the weights; 0 accepts any current one
 	Avoid    map[awdirectory.Key]bool // backend servers that failed this request before
+	Proven   bool                     // the request needs a backend server that is not silent
 }
 
 // Outcome is the result of an attempt, as far as it concerns the backend
@@ -247,6 +248,20 @@
 	d.assignQueued(s.info.Service)
 }
 
+// Heard records that bytes of a response have arrived from a backend server.
+func (d *Dispatcher) Heard(k awdirectory.Key) {
+	if s := d.servers[k]; s != nil {
+		s.heardAt = d.cfg.Clock.Now()
+	}
+}
+
+// Silent reports whether nothing arrives any more from a backend server that used to
+// send load reports: neither those nor bytes of a response.
+func (d *Dispatcher) Silent(k awdirectory.Key) bool {
+	s := d.servers[k]
+	return s != nil && s.silent(d.cfg.Clock.Now())
+}
+
 // Tick assigns queued requests for which there is free capacity and refuses
 // those that have waited too long. The caller calls it every few milliseconds
 // while requests are queued.
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -356,7 +356,7 @@
 func (d *Dispatcher) usable(s *server, req *Request, now time.Time) bool {
 	k := s.info.Key()
 	if now.Before(s.reachableFrom) || s.info.Draining || d.cfg.Throttle.Leaving(k) || d.domainsOut[s.info.Domain] || req.Avoid[k] || s.replaced ||
-		(req.Allowed != nil && !req.Allowed(s.info.Region)) || d.ejector.IsEjected(ejectID(k), now) {
+		(req.Allowed != nil && !req.Allowed(s.info.Region)) || (req.Proven && s.silent(now)) || d.ejector.IsEjected(ejectID(k), now) {
 		return false
 	}
 	if req.Model == "" {
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -26,9 +26,10 @@
 	rounding      float64 // rounds this entry's shares of its limits; see share
 	load          Load
 	reported      bool
-	otherRequests int // requests of other entries, from the last report
-	allowance     int // requests that this entry may still send before the next report
-	ownRequests   int // requests of this entry in flight
+	heardAt       time.Time // when anything last arrived from it: a load report or bytes of a response
+	otherRequests int       // requests of other entries, from the last report
+	allowance     int       // requests that this entry may still send before the next report
+	ownRequests   int       // requests of this entry in flight
 	coldUntil     time.Time
 	rejectedUntil time.Time
 	refusals      int         // connections refused in a row
@@ -53,6 +54,7 @@
 // use the same last slot.
 func (s *server) updateLoad(l Load, entries int, roundUpChance float64) {
 	s.load, s.reported = l, true
+	s.heardAt = later(s.heardAt, l.At)
 	s.refusals, s.reachableFrom = 0, time.Time{}
 	s.otherRequests = max(0, l.Active+l.Queued-s.ownRequests)
 	free := max(0, s.info.Slots-l.Active-l.Queued)
@@ -89,6 +91,13 @@
 	return s.reported && now.Sub(s.load.At) < reportMaxAge
 }
 
+// silent reports whether the backend server's load reports have stopped and nothing
+// else has arrived from it for as long. Its instance may be frozen or unreachable,
+// and what was sent there may neither run nor be withdrawn.
+func (s *server) silent(now time.Time) bool {
+	return s.reported && !s.hasFreshLoad(now) && now.Sub(s.heardAt) >= reportMaxAge
+}
+
 func (s *server) cold(now time.Time) bool { return now.Before(s.coldUntil) }
 
 // entries returns the number of entries that share the backend server. all is
@@ -165,6 +174,9 @@
 	case s.reported:
 		load += silentLoad
 	}
+	if s.silent(now) {
+		free = min(free, 1-s.ownRequests) // one request tests whether it answers
+	}
 	load += slowdown - 1
 	if svc.MaxConns > 0 {
 		free = min(free, max(1, svc.MaxConns/allEntries)-s.ownRequests)
--- a/core/awdispatch/silent_test.go
+++ b/core/awdispatch/silent_test.go
@@ -64,3 +64,29 @@
 		require.LessOrEqual(t, len(running)-i-1, simSlots)
 	}
 }
+
+// Guards against GONE: what is sent to a frozen instance can't be withdrawn, and runs
+// when the instance goes on.
+func TestSilentEngineGetsOneRequestAtATime(t *testing.T) {
+	s := newSimulation(1, 2, 0)
+	d := s.entries[0]
+	frozen, full := s.engines[0].info.Key(), s.engines[1].info.Key()
+	versions := map[string]int64{"m": 1}
+	submit := func(proven bool) *Grant {
+		var got Decision
+		ticket := d.Submit(Request{Service: "s", Model: "m", Proven: proven, MaxWait: time.Second, Deadline: s.clock.Now().Add(time.Second)}, func(dec Decision) { got = dec })
+		d.Cancel(ticket)
+		return got.Grant
+	}
+	d.Report(frozen, Load{At: s.clock.Now(), Versions: versions})
+	s.clock.Advance(reportMaxAge)
+	d.Report(full, Load{At: s.clock.Now(), Active: simSlots, Versions: versions})
+	require.True(t, d.Silent(frozen))
+	require.Nil(t, submit(true), "a request that is at a silent server already")
+	require.NotNil(t, submit(false))
+	require.Nil(t, submit(false), "the first one tests the server")
+
+	d.Heard(frozen)
+	require.False(t, d.Silent(frozen))
+	require.NotNil(t, submit(true), "bytes of a response show that it runs")
+}
--- a/core/awretry/hedge.go
+++ b/core/awretry/hedge.go
@@ -10,6 +10,17 @@
 	minHedgeDelay = 1200 * time.Millisecond
 )
 
+// LostInstanceDelay is how long the backend server of a resumable stream may send
+// nothing if nothing else arrives from its instance either.
+const LostInstanceDelay = 600 * time.Millisecond
+
+// SilenceCheck is the longest time between two checks for silence.
+const SilenceCheck = 250 * time.Millisecond
+
+// HedgeWait is how long a stream whose backend servers are silent waits for room at
+// another one.
+const HedgeWait = time.Second
+
 // HedgeRetry is the time until another backend server is sought again if none
 // has room: about the time until a busy fleet frees a slot.
 const HedgeRetry = 150 * time.Millisecond
--- a/io/awgateway/hedge.go
+++ b/io/awgateway/hedge.go
@@ -26,7 +26,8 @@
 	// active is when the backend server last sent bytes, or the caller last took
 	// some, since start.
 	active atomic.Int64
-	silent bool // the dispatcher knows that the backend server has been silent
+	heard  atomic.Int64 // when the dispatcher was last told that bytes arrive, since start
+	silent bool         // the dispatcher knows that the backend server has been silent
 }
 
 // endedSend is the result of a send, or the panic that ended it.
@@ -41,6 +42,24 @@
 	s.active.Store(int64(s.q.g.cfg.Clock.Now().Sub(s.start)))
 }
 
+// heardInterval is the shortest time between two records of the dispatcher that bytes
+// of a send arrive.
+const heardInterval = 100 * time.Millisecond
+
+// recordHeard records that bytes have arrived from the backend server.
+func (s *send) recordHeard() {
+	s.recordActivity()
+	now := s.active.Load()
+	if last := s.heard.Load(); last > 0 && now-last < int64(heardInterval) {
+		return
+	}
+	s.heard.Store(now)
+	g := s.q.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatch.Heard(s.grant.Server.Key())
+}
+
 // silence returns the time since the backend server last sent bytes.
 func (s *send) silence(now time.Time) time.Duration {
 	return now.Sub(s.start) - time.Duration(s.active.Load())
@@ -56,7 +75,7 @@
 func (a *activeReader) Read(p []byte) (int, error) {
 	n, err := a.r.Read(p)
 	if n > 0 {
-		a.s.recordActivity()
+		a.s.recordHeard()
 	}
 	return n, err
 }
@@ -179,7 +198,7 @@
 func (h *hedge) await(ctx context.Context) sendResult {
 	q := h.q
 	defer h.stop()
-	timer := time.NewTimer(h.delay)
+	timer := time.NewTimer(min(h.delay, awretry.SilenceCheck))
 	defer timer.Stop()
 	for {
 		var decisions chan awdispatch.Decision
@@ -193,10 +212,10 @@
 				return res
 			}
 		case <-timer.C:
-			timer.Reset(h.seek())
+			timer.Reset(min(h.seek(), awretry.SilenceCheck))
 		case d := <-decisions:
 			h.pending = nil
-			timer.Reset(h.use(ctx, d))
+			timer.Reset(min(h.use(ctx, d), awretry.SilenceCheck))
 		}
 	}
 }
@@ -282,14 +301,24 @@
 // untilSilent returns the time after which all running sends will have been
 // silent for the delay, if they stay so.
 func (h *hedge) untilSilent() time.Duration {
-	if !h.q.forward.TryLock() {
+	q := h.q
+	limits := make([]time.Duration, len(q.running))
+	q.g.mu.Lock()
+	for i, s := range q.running {
+		limits[i] = h.delay
+		if q.g.dispatch.Silent(s.grant.Server.Key()) {
+			limits[i] = min(h.delay, awretry.LostInstanceDelay)
+		}
+	}
+	q.g.mu.Unlock()
+	if !q.forward.TryLock() {
 		return h.delay // an event is being written to the caller
 	}
-	defer h.q.forward.Unlock()
-	now := h.q.g.cfg.Clock.Now()
+	defer q.forward.Unlock()
+	now := q.g.cfg.Clock.Now()
 	var wait time.Duration
-	for _, s := range h.q.running {
-		wait = max(wait, h.delay-s.silence(now))
+	for i, s := range q.running {
+		wait = max(wait, limits[i]-s.silence(now))
 	}
 	return wait
 }
--- a/io/awgateway/hedge_test.go
+++ b/io/awgateway/hedge_test.go
@@ -165,3 +165,20 @@
 	q.forward.Unlock()
 	<-settled
 }
+
+// Guards against GONE: callers leave while their streams wait at a frozen instance,
+// which works on them later.
+func TestStreamAtLostInstanceIsHedgedEarly(t *testing.T) {
+	clock := awclock.NewFake(time.Unix(1000, 0))
+	g := New(Config{Clock: clock, Logger: log.NewNopLogger(), Pool: awbackend.NewPool(awbackend.Config{Clock: clock})})
+	server := awdirectory.Server{ID: "b", Service: "s", Slots: 1}
+	g.Apply(awwatch.State{Servers: []awdirectory.Server{server}, Entries: []awdirectory.Entry{{Name: "e"}}})
+	g.dispatch.Report(server.Key(), awdispatch.Load{At: clock.Now()})
+	q := &request{g: g, route: &awdirectory.Route{MaxAttempts: 2}, avoid: map[awdirectory.Key]bool{}}
+	s, _ := q.newSend(context.Background(), &awdispatch.Grant{Server: server})
+	h := hedge{q: q, delay: awretry.HedgeDelay(0)}
+	clock.Advance(awretry.LostInstanceDelay)
+	require.Zero(t, h.untilSilent(), "neither reports nor events")
+	s.recordHeard()
+	require.Equal(t, h.delay, h.untilSilent(), "events without reports")
+}
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -193,6 +193,9 @@
 		Tokens: q.info.PromptTokens + q.info.MaxTokens, Version: state.weightVersion, Avoid: q.avoid,
 		Allowed: func(region string) bool { return awdirectory.RegionAllowed(q.route, q.team, region) },
 	}
+	if len(q.running) > 0 {
+		req.Late, req.Proven, req.MaxWait = false, true, awretry.HedgeWait // what was begun has precedence
+	}
 	p := &pendingSlot{q: q, decisions: make(chan awdispatch.Decision, 1)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -74,6 +74,7 @@
 		return failedResult(ctx, err)
 	}
 	defer resp.Close()
+	s.recordHeard()
 	resp.Body = &activeReader{r: resp.Body, s: s}
 	respInfo := g.cfg.Headers.DecodeResponse(resp.Status, resp.Header)
 	q.recordResponse(&s.grant.Server, respInfo, s.start)
