awbackend: close the connection of a delivered request that is given up

A backend server that never hears of a reset works on for a caller that has left. Since requests that are given up reset their connection; the kernel sends a reset once, but repeats a close until it is acknowledged.

Now the connection is reset if the request was not written completely or some of it is not acknowledged, and closed otherwise.

--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -20,6 +20,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -125,6 +126,7 @@
 	br      *bufio.Reader
 	header  *headerLimit
 	expires time.Time
+	written atomic.Bool // the current request has been written completely
 }
 
 func newConn(raw net.Conn) *conn {
@@ -132,11 +134,13 @@
 	return &conn{Conn: raw, br: bufio.NewReaderSize(header, bufferBytes), header: header}
 }
 
-// abort resets the connection. An ordinary close leaves the bytes of a request that
-// have not been acknowledged with the kernel, which delivers them after the end of
-// a partition.
+// abort withdraws the request on the connection. If the backend server may not have
+// got all of it, the connection is reset: after an ordinary close the kernel still
+// delivers the rest, which may be after the end of a partition. Otherwise the
+// connection is closed, because the kernel repeats a close that is lost, but not a
+// reset.
 func (c *conn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && !(c.written.Load() && isAcknowledged(tcp)) {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed already
 	}
 	_ = c.Close()
@@ -267,6 +271,7 @@
 		p.keep(key, c)
 		return nil, &Error{Withheld: true, Err: err}
 	}
+	c.written.Store(false)
 	// On cancellation, closing the connection unblocks reads and writes.
 	stop := context.AfterFunc(ctx, c.abort)
 	r := &Response{pool: p, key: key, conn: c, stopCancel: stop}
@@ -312,6 +317,7 @@
 	head := appendHead(make([]byte, 0, bufferBytes), req)
 	if len(req.Body) <= maxInlineBodyBytes {
 		n, err := r.conn.Write(append(head, req.Body...))
+		r.conn.written.Store(err == nil)
 		return n > 0, err
 	}
 	n, err := r.conn.Write(head)
@@ -322,6 +328,7 @@
 	r.bodyWritten = written
 	go func() {
 		_, err := r.conn.Write(req.Body)
+		r.conn.written.Store(err == nil)
 		written <- err
 	}()
 	return true, nil
