--- a/io/awbackend/abort_test.go
+++ b/io/awbackend/abort_test.go
@@ -149,9 +149,5 @@
 	}()
 	_, err = NewPool(Config{Clock: awclock.System{}}).Do(ctx, "a", lis.Addr().String(), Request{Method: "GET", URI: "/"})
 	require.ErrorIs(t, err, context.Canceled)
-	select {
-	case <-ended:
-	case <-time.After(5 * time.Second):
-		t.Fatal("the backend server is still at work")
-	}
+	require.Eventually(t, func() bool { return len(ended) == 1 }, 5*time.Second, time.Millisecond, "the backend server is still at work")
 }
--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -140,7 +140,7 @@
 // connection is closed, because the kernel repeats a close that is lost, but not a
 // reset.
 func (c *conn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && !(c.written.Load() && isAcknowledged(tcp)) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && (!c.written.Load() || !isAcknowledged(tcp)) {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed already
 	}
 	_ = c.Close()
