Withdraw delivered requests by a close also before they are acknowledged

The request had been sent within the last 40 ms and was not acknowledged yet, so its connection was reset, and the reset was lost.

Now a connection whose request was written completely waits for up to 100 ms for the acknowledgement before it is reset; its reads and writes end at once.

TestUndeliveredRequestIsReset lets its partition last for longer than the wait.

--- a/io/awbackend/abort_test.go
+++ b/io/awbackend/abort_test.go
@@ -115,6 +115,7 @@
 			time.Sleep(50 * time.Millisecond) // the receive buffer is full
 			cancel()
 			<-done
+			time.Sleep(2 * acknowledgementChecks * acknowledgementInterval) // a partition that lasts
 			_, err = io.Copy(io.Discard, conn)
 			require.ErrorIs(t, err, syscall.ECONNRESET)
 		})
--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -51,6 +51,9 @@
 	// send bytes without end.
 	maxHeaderBytes  = 64 << 10
 	maxSkippedBytes = 1 << 20
+	// Kernels acknowledge within 40 ms what they have received.
+	acknowledgementInterval = 20 * time.Millisecond
+	acknowledgementChecks   = 5
 	// TCP keep-alive probes detect a dead connection within 2.5 seconds, also
 	// while the backend server is processing a request.
 	keepAliveIdle     = time.Second
@@ -127,6 +130,7 @@
 	header  *headerLimit
 	expires time.Time
 	written atomic.Bool // the current request has been written completely
+	aborted atomic.Bool
 }
 
 func newConn(raw net.Conn) *conn {
@@ -134,15 +138,43 @@
 	return &conn{Conn: raw, br: bufio.NewReaderSize(header, bufferBytes), header: header}
 }
 
-// abort withdraws the request on the connection. If the backend server may not have
-// got all of it, the connection is reset: after an ordinary close the kernel still
+// abort withdraws the request on the connection. If the backend server may not get
+// all of it, the connection is reset: after an ordinary close the kernel still
 // delivers the rest, which may be after the end of a partition. Otherwise the
 // connection is closed, because the kernel repeats a close that is lost, but not a
 // reset.
 func (c *conn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && (!c.written.Load() || !isAcknowledged(tcp)) {
-		_ = tcp.SetLinger(0) // fails only if the connection is closed already
+	if !c.aborted.CompareAndSwap(false, true) {
+		return
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		_ = c.Close()
+		return
 	}
+	_ = tcp.SetDeadline(time.Unix(1, 0)) // ends reads and writes; fails only if the connection is closed
+	if !c.written.Load() {
+		reset(tcp)
+		return
+	}
+	closeDelivered(tcp, acknowledgementChecks)
+}
+
+// closeDelivered closes a connection when all bytes are acknowledged, or resets it
+// after the given number of checks.
+func closeDelivered(c *net.TCPConn, checks int) {
+	switch {
+	case isAcknowledged(c):
+		_ = c.Close()
+	case checks == 0:
+		reset(c)
+	default:
+		time.AfterFunc(acknowledgementInterval, func() { closeDelivered(c, checks-1) })
+	}
+}
+
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0) // fails only if the connection is closed already
 	_ = c.Close()
 }
 
