awdispatch: send first requests to silent engines as before

Load reports also stop while weights fill the engines' links, and such engines got one request at a time from each gateway.

A silent engine now gets first sends as before, after all others. What mends GONE remains: streams are sent elsewhere after 0.6 s, before new requests, and to no silent engine.

--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -174,9 +174,6 @@
 	case s.reported:
 		load += silentLoad
 	}
-	if s.silent(now) {
-		free = min(free, 1-s.ownRequests) // one request tests whether it answers
-	}
 	load += slowdown - 1
 	if svc.MaxConns > 0 {
 		free = min(free, max(1, svc.MaxConns/allEntries)-s.ownRequests)
--- a/io/awgateway/departure.go
+++ b/io/awgateway/departure.go
@@ -16,7 +16,8 @@
 	lastSendEnd time.Time    // of the goroutine of the request
 }
 
-// watch records when ctx ends because the caller has left. The returned function ends that.
+// watch records when ctx ends because the caller has left, until the returned
+// function is called.
 func (d *departure) watch(ctx context.Context, now func() time.Time) func() bool {
 	return context.AfterFunc(ctx, func() {
 		if cause := context.Cause(ctx); errors.Is(cause, ErrStopping) || errors.Is(cause, errTimeout) {
