--- a/core/awdirectory/awdirectory.go
+++ b/core/awdirectory/awdirectory.go
@@ -99,6 +99,7 @@
 	byHost    map[string][]*Route // longest prefix first
 	byAPIKey  map[string]*Team
 	byService map[string]*Service
+	contended map[string]bool // services whose stream routes differ in priority or latency objective
 }
 
 // Index prepares a configuration for lookups and returns it. The configuration
@@ -121,9 +122,34 @@
 	for i := range c.Services {
 		c.byService[c.Services[i].Name] = &c.Services[i]
 	}
+	c.contended = contendedServices(c.Routes)
 	return c
 }
 
+// contendedServices returns the services whose stream routes differ in priority or
+// latency objective.
+func contendedServices(routes []Route) map[string]bool {
+	type terms struct {
+		priority  int
+		objective time.Duration
+	}
+	first, contended := map[string]terms{}, map[string]bool{}
+	for i := range routes {
+		r := &routes[i]
+		if r.Kind != Stream {
+			continue
+		}
+		for _, t := range r.Targets {
+			own := terms{r.Priority, r.LatencyObjective}
+			if other, ok := first[t.Service]; ok && other != own {
+				contended[t.Service] = true
+			}
+			first[t.Service] = own
+		}
+	}
+	return contended
+}
+
 // Route returns the route of host with the longest prefix that matches path, or
 // nil if there is none.
 func (c *Config) Route(host, path string) *Route {
@@ -145,6 +171,11 @@
 // Service returns the service with the given name, or nil.
 func (c *Config) Service(name string) *Service { return c.byService[name] }
 
+// Contended reports whether the stream routes of a service differ in priority or
+// latency objective, so that their callers compete for its capacity on unequal
+// terms.
+func (c *Config) Contended(service string) bool { return c.contended[service] }
+
 // PickService chooses the service for a request of the route according to the
 // weights of the targets. point is a random number in [0, 1). It returns "" for
 // a route without targets.
