Share the free slots of engines by demand

Cause: each gateway used an equal share of the free slots in every report. A gateway of a quiet domain kept slots while gateways of a busy one refused. Change: gateways send their recent demand with the subscription to load reports, loaders answer with the receiver's share of the free slots, and awdispatch uses it while the report is fresh. On for engines of contended services, and for all services with Balance.Enabled; other subscriptions and reports are unchanged. The shares of silent gateways lapse after 2.2 s, and slots are kept for gateways that have sent no demand yet.

--- /dev/null
+++ b/core/awbalance/awbalance.go
@@ -0,0 +1,109 @@
+// Package awbalance divides the free slots of a backend server among the entries
+// that send to it, by their recent demand.
+//
+// Each entry measures its demand with a [Meter] and sends it with its subscription
+// to load reports. The process beside the server divides the free slots with [Split]
+// and sends each entry its share with the report that it gets anyway. The shares of
+// one report add up to no more than the free slots in it.
+//
+// Nothing here reads a clock or draws random numbers; callers pass both.
+package awbalance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// ClaimTTL is the age from which the demand of a claim counts as 0. Claims are
+	// renewed every second, so one may be lost without effect.
+	ClaimTTL = 2200 * time.Millisecond
+	// SettlingTime is how long after the first claim the entries that have not sent
+	// one are still expected. All of them subscribe every second.
+	SettlingTime = 3 * time.Second
+	// floorShare is the weight that each entry has in addition to its demand, as a
+	// share of the mean demand. Without it, an entry whose first request has just
+	// arrived would get no slots for up to a second.
+	floorShare = 0.1
+	// minWeight is the least weight of an entry, in requests a second. It makes the
+	// shares equal while no entry has any demand.
+	minWeight = 0.05
+)
+
+// Claim is what an entry tells the process beside a backend server about its need
+// for slots. The zero value is that of an entry that takes an equal share of the
+// free slots by itself.
+type Claim struct {
+	Demand  float64   // requests a second; see [Meter.Demand]
+	Slots   int       // requests that the backend server runs at once; 0 for an entry that sends no claims
+	Sharers int       // entries that share the backend server
+	At      time.Time // when the claim was received
+}
+
+// Valid reports whether the entry has sent a claim.
+func (c *Claim) Valid() bool { return c.Slots > 0 }
+
+// Server is what is known of the backend server beside the process.
+type Server struct {
+	Active, Queued int       // requests
+	Slowdown       float64   // how many times slower than usual; up to 1 if not slow
+	Busy           bool      // accepts no requests
+	FirstClaim     time.Time // when the process received its first claim
+}
+
+// free returns the free slots of a server with the given number of slots.
+func (s *Server) free(slots int) int {
+	if s.Busy {
+		return 0
+	}
+	return max(0, int(float64(slots)/max(1, s.Slowdown))-s.Active-s.Queued)
+}
+
+// Split writes the share of each claim in the free slots of a server to shares, which
+// must be as long as claims. Those of claims that are not valid are 0: their entries
+// take an equal share by themselves, which is kept for them. Draw is uniform in [0, 1)
+// and decides who gets the slots that cannot be divided, each entry with a probability
+// that makes its mean share exact.
+func Split(s Server, claims []Claim, shares []int, now time.Time, draw float64) {
+	slots, sharers, valid := 0, 0, 0
+	sum := 0.0
+	for i := range claims {
+		c := &claims[i]
+		if c.Valid() {
+			slots, sharers, valid = max(slots, c.Slots), max(sharers, c.Sharers), valid+1
+			sum += demand(c, now)
+		}
+	}
+	if valid == 0 {
+		return
+	}
+	all := len(claims)
+	if now.Sub(s.FirstClaim) < SettlingTime {
+		all = max(all, sharers)
+	}
+	divided := float64(s.free(slots)) * float64(valid) / float64(all)
+	extra := floorShare*sum/float64(valid) + minWeight
+	total := sum + extra*float64(valid)
+	before, point := 0, draw
+	for i := range claims {
+		if !claims[i].Valid() {
+			shares[i] = 0
+			continue
+		}
+		// Rounding the running total instead of each share keeps the sum exact.
+		point += divided * (demand(&claims[i], now) + extra) / total
+		after := min(int(math.Floor(point+roundingError)), s.free(slots))
+		shares[i], before = after-before, after
+	}
+}
+
+// roundingError is above the error of a sum of shares, which would else be rounded
+// down where it should be a whole number.
+const roundingError = 1e-9
+
+func demand(c *Claim, now time.Time) float64 {
+	if now.Sub(c.At) >= ClaimTTL {
+		return 0
+	}
+	return c.Demand
+}
--- a/core/awdispatch/load_test.go
+++ b/core/awdispatch/load_test.go
@@ -30,6 +30,7 @@
 	refusalWaits       []time.Duration // from submission to refusal
 	retriesOnce        bool            // refused callers retry once, after RetryAfter
 	retries            []retry
+	shares             shareSimulation
 }
 
 // retry is a pending retry of a refused request.
@@ -132,6 +133,8 @@
 			lastReport = s.clock.Now()
 			s.sendReports()
 		}
+		s.sendClaims()
+		s.sample()
 		for i := range s.entries {
 			for range s.arrivals(rate(i) * simStep.Seconds()) {
 				s.submit(i)
@@ -157,12 +160,14 @@
 
 func (s *simulation) sendReports() {
 	for _, e := range s.engines {
-		for _, d := range s.entries {
-			if d.sharers != nil && d.sharers[e.info.Address] == 0 {
+		shares := s.divide(e)
+		for i, d := range s.entries {
+			if d.sharers != nil && d.sharers[e.info.Address] == 0 || s.shares.frozen[i] || s.shares.mute == e {
 				continue
 			}
+			share, shared := shares[i]
 			d.Report(e.info.Key(), Load{
-				At: s.clock.Now(), Active: len(e.running), Queued: len(e.queued), Versions: e.info.Versions,
+				At: s.clock.Now(), Active: len(e.running), Queued: len(e.queued), Versions: e.info.Versions, Share: share, Shared: shared,
 			})
 		}
 	}
@@ -198,6 +203,7 @@
 	s.entries[entry].Submit(Request{
 		Service: "s", Model: "m", MaxWait: maxWait, Late: late, Deadline: now.Add(6 * time.Second),
 	}, func(dec Decision) {
+		s.decided(entry, dec)
 		if dec.Grant == nil {
 			s.refusals[entry]++
 			s.refusalWaits = append(s.refusalWaits, s.clock.Now().Sub(now))
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -16,6 +16,8 @@
 	CacheTotal int              // in tokens; 0 if unknown
 	Slowdown   float64          // how many times slower than usual; over 1 if slow
 	Versions   map[string]int64 // loaded version of the weights, by model
+	Shared     bool             // the report holds this entry's share of the free slots
+	Share      int              // if Shared: slots that this entry may use until the next report
 }
 
 // server holds what this entry knows about one incarnation of a backend server.
@@ -48,7 +50,7 @@
 }
 
 // updateLoad records a load report and computes this entry's share of the free
-// slots in it. All entries see the same report, so they divide the slots among
+// slots in it, unless the report holds one. All entries see the same report, so they divide the slots among
 // themselves. The fraction that remains is rounded up at random; roundUpChance
 // is drawn uniformly from 0 to 1. If every entry rounded up, many entries would
 // use the same last slot.
@@ -59,6 +61,9 @@
 	s.otherRequests = max(0, l.Active+l.Queued-s.ownRequests)
 	free := max(0, s.info.Slots-l.Active-l.Queued)
 	s.allowance = int(float64(free)/float64(entries) + roundUpChance)
+	if l.Shared {
+		s.allowance = l.Share
+	}
 }
 
 // refusedConnection records a refused connection.
--- /dev/null
+++ b/core/awdispatch/share.go
@@ -0,0 +1,36 @@
+package awdispatch
+
+import (
+	"time"
+
+	"arbutuswind/core/awdirectory"
+)
+
+// FreeSlots returns the free slots of a service's backend servers that sent a load
+// report lately and are in service, whether or not this entry may use them.
+func (d *Dispatcher) FreeSlots(service string) int {
+	now := d.cfg.Clock.Now()
+	free := 0
+	for _, s := range d.byService[service] {
+		if s.hasFreshLoad(now) && !s.load.Busy && !s.info.Draining && !d.domainsOut[s.info.Domain] {
+			free += max(0, s.freeNow(now))
+		}
+	}
+	return free
+}
+
+// freeNow returns the free slots of an engine according to its last report and what
+// this entry has sent since. It is negative if the engine has more requests than slots.
+func (s *server) freeNow(now time.Time) int {
+	return max(1, int(float64(s.info.Slots)/s.slowdown(now))) - s.otherRequests - s.ownRequests
+}
+
+// HasShare reports whether the last load report of a backend server, if it is recent,
+// held this entry's share of the free slots.
+func (d *Dispatcher) HasShare(k awdirectory.Key) bool {
+	s := d.servers[k]
+	return s != nil && s.load.Shared && s.hasFreshLoad(d.cfg.Clock.Now())
+}
+
+// WaitingFor returns the number of queued requests for a service.
+func (d *Dispatcher) WaitingFor(service string) int { return len(d.queues[service]) }
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -100,7 +100,7 @@
 	g.router = awgateway.New(awgateway.Config{
 		Clock: clock, Logger: logger, Headers: platform.HeaderCodec{}, Pool: awbackend.NewPool(awbackend.Config{Clock: clock}),
 		Instance: cfg.Process.Instance, Domain: cfg.Process.Domain, Region: cfg.Process.Region, Incarnation: self.Incarnation,
-		Retry: retryWindow(cfg.Bounds), Settling: entrySettling,
+		Retry: retryWindow(cfg.Bounds), Settling: entrySettling, BalanceAll: cfg.Balance.Enabled,
 	})
 	g.watcher = awwatch.New(awwatch.Config{
 		Clock: clock, Logger: logger, Source: g.source, MaxStaleness: cfg.Bounds.Version.Std(), Stable: cfg.Bounds.Stable.Std(),
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -52,6 +52,9 @@
 	Incarnation uint64
 	// Settling is the time from the start of an entry until all others know it.
 	Settling time.Duration
+	// BalanceAll has the load of all services balanced by demand, not only that of
+	// the engines of contended services.
+	BalanceAll bool
 }
 
 // Gateway serves callers. It is safe for concurrent use.
@@ -71,6 +74,7 @@
 	callerTimeouts *awdispatch.CallerTimeouts
 	exchange       exchange
 	throttle       *awthrottle.Throttle
+	balance        balance
 	noticeTargets  map[string]netip.AddrPort // addresses of other entries by name
 	noticesWanted  bool                      // other entries are to be asked for their notices
 
@@ -94,6 +98,7 @@
 		cfg: cfg, metrics: newMetrics(), budgets: map[string]*awretry.WindowBudget{}, entryCount: 1, rng: rng,
 		exchange:       newExchange(awquarantine.New(cfg.Clock, cfg.Instance)),
 		throttle:       throttle,
+		balance:        balance{all: cfg.BalanceAll},
 		callerTimeouts: awdispatch.NewCallerTimeouts(), byAddress: map[string]awdirectory.Server{}, resubscribe: make(chan struct{}, 1),
 		noticesDue: make(chan struct{}, 1),
 		dispatch: awdispatch.New(awdispatch.Config{
@@ -153,6 +158,7 @@
 	}
 	g.mu.Lock()
 	g.throttle.SetServers(func(k awdirectory.Key) bool { return keys[k] })
+	g.retainMeters(keys)
 	g.mu.Unlock()
 	g.cfg.Pool.Prune(func(key string) bool { return present[key] })
 }
--- /dev/null
+++ b/io/awgateway/balance_test.go
@@ -0,0 +1,79 @@
+package awgateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"arbutuswind/core/awclock"
+	"arbutuswind/core/awdirectory"
+	"arbutuswind/core/awdispatch"
+	"arbutuswind/io/awbackend"
+	"arbutuswind/io/awload"
+	"arbutuswind/io/awwatch"
+)
+
+// newBalanceGateway returns a gateway before two engines of service s, whose stream
+// routes have the given priorities, and its clock.
+func newBalanceGateway(t *testing.T, all bool, priorities ...int) (*Gateway, *awclock.Fake) {
+	t.Helper()
+	clock := awclock.NewFake(time.Unix(1000, 0))
+	g := New(Config{Clock: clock, Logger: log.NewNopLogger(), Pool: awbackend.NewPool(awbackend.Config{Clock: clock}), Instance: "g", BalanceAll: all})
+	c := &awdirectory.Config{Version: 1, Services: []awdirectory.Service{{Name: "s", Engine: true, Model: awdirectory.Model{Name: "m"}}}}
+	for _, p := range priorities {
+		c.Routes = append(c.Routes, awdirectory.Route{Kind: awdirectory.Stream, Priority: p, Targets: []awdirectory.Target{{Service: "s", Weight: 1}}})
+	}
+	require.True(t, g.Configure(c.Index()))
+	g.Apply(awwatch.State{Entries: []awdirectory.Entry{{Name: "g"}}, Servers: []awdirectory.Server{
+		{ID: "a", Service: "s", Address: "127.0.0.1:1", Slots: 8}, {ID: "b", Service: "s", Address: "127.0.0.1:2", Slots: 8},
+	}})
+	return g, clock
+}
+
+// Guards against services that are not contended paying for the balance: nothing may
+// be measured, and their subscriptions must stay as they were.
+func TestOnlyContendedServicesAreBalanced(t *testing.T) {
+	g, _ := newBalanceGateway(t, false, 0, 0)
+	g.recordDecision("s", awdispatch.Decision{Refusal: awdispatch.NoRoom})
+	require.Empty(t, g.balance.meters)
+	for _, target := range g.loaderTargets(9)["s"] {
+		require.False(t, target.claim.Valid())
+	}
+	g, _ = newBalanceGateway(t, true, 0, 0)
+	require.True(t, g.loaderTargets(9)["s"][0].claim.Valid())
+	require.False(t, g.balanced("unknown"))
+}
+
+// Guards against claims that leave out what was sent or refused, and against a share
+// that does not reach the dispatcher.
+func TestClaimsAndSharesOfContendedServices(t *testing.T) {
+	g, clock := newBalanceGateway(t, false, 0, 1)
+	a := awdirectory.Server{ID: "a", Service: "s"}
+	for range 100 {
+		clock.Advance(100 * time.Millisecond)
+		g.recordDecision("s", awdispatch.Decision{Grant: &awdispatch.Grant{Server: a}})
+		g.recordDecision("s", awdispatch.Decision{Refusal: awdispatch.NoRoom})
+	}
+	demand := map[string]float64{}
+	for _, target := range g.loaderTargets(9)["s"] {
+		require.Equal(t, 8, target.claim.Slots)
+		require.Equal(t, 1, target.claim.Sharers)
+		demand[target.key.ID] = target.claim.Demand
+	}
+	require.InDelta(t, 15, demand["a"], 1)
+	require.InDelta(t, 5, demand["b"], 1)
+
+	g.handleLoadReport(awload.Report{Address: "127.0.0.1:1", Versions: map[string]int64{"m": 1}, Shared: true, Share: 1})
+	granted := 0
+	for range 3 {
+		g.dispatch.Submit(awdispatch.Request{Service: "s", Model: "m", Deadline: clock.Now().Add(time.Second)}, func(d awdispatch.Decision) {
+			if d.Grant != nil {
+				granted++
+			}
+		})
+	}
+	require.Equal(t, 1, granted)
+	require.Equal(t, 7, g.dispatch.FreeSlots("s"))
+}
--- a/io/awgateway/load.go
+++ b/io/awgateway/load.go
@@ -23,14 +23,14 @@
 	tick := time.NewTicker(subscribeInterval)
 	defer tick.Stop()
 	for {
-		for service, addresses := range g.loaderAddresses(port) {
+		for service, targets := range g.loaderTargets(port) {
 			var fleet *awload.Fleet
 			if connected() {
 				fleet = g.fleet(service)
 			}
 			subscription := awload.Subscription(fleet)
-			for _, addr := range addresses {
-				socket.Subscribe(addr, subscription)
+			for i := range targets {
+				targets[i].subscribe(socket, subscription)
 			}
 		}
 		select {
@@ -73,17 +73,22 @@
 	return versions
 }
 
-// loaderAddresses returns the addresses of the loaders of the engines that this
-// entry is related to, by service.
-func (g *Gateway) loaderAddresses(port int) map[string][]netip.AddrPort {
+// loaderTargets returns the loaders of the engines that this entry is related to, by
+// service.
+func (g *Gateway) loaderTargets(port int) map[string][]loaderTarget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	byService := map[string][]netip.AddrPort{}
+	byService := map[string][]loaderTarget{}
 	for _, s := range g.related() {
 		if addr, err := netip.ParseAddrPort(s.Address); err == nil { // addresses are validated when the list is read
-			byService[s.Service] = append(byService[s.Service], netip.AddrPortFrom(addr.Addr(), uint16(port)))
+			byService[s.Service] = append(byService[s.Service], loaderTarget{
+				addr: netip.AddrPortFrom(addr.Addr(), uint16(port)), key: s.Key(), slots: s.Slots, sharers: g.relations.sharers[s.Address],
+			})
 		}
 	}
+	for service, targets := range byService {
+		g.setClaims(service, targets)
+	}
 	return byService
 }
 
@@ -98,8 +103,9 @@
 	}
 	// A report of a later incarnation than the listed one is used too: the list
 	// still shows the weights of the earlier one.
+	g.balance.recordShare(&r)
 	g.dispatch.Report(awdirectory.Key{ID: s.ID, StartUnixMs: s.StartUnixMs}, awdispatch.Load{
 		At: g.cfg.Clock.Now(), Active: r.Active, Queued: r.Queued, Busy: r.Busy, CacheUsed: r.CacheUsed,
-		CacheTotal: r.CacheTotal, Slowdown: r.Slowdown, Versions: r.Versions,
+		CacheTotal: r.CacheTotal, Slowdown: r.Slowdown, Versions: r.Versions, Shared: r.Shared, Share: r.Share,
 	})
 }
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -199,7 +199,10 @@
 	p := &pendingSlot{q: q, decisions: make(chan awdispatch.Decision, 1)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p.ticket = g.dispatch.Submit(req, func(d awdispatch.Decision) { p.decisions <- d })
+	p.ticket = g.dispatch.Submit(req, func(d awdispatch.Decision) {
+		g.recordDecision(q.service, d)
+		p.decisions <- d
+	})
 	g.signalNotices()
 	return p
 }
--- a/io/awload/awload.go
+++ b/io/awload/awload.go
@@ -19,6 +19,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"arbutuswind/core/awbalance"
 	"arbutuswind/core/awclock"
 )
 
@@ -61,6 +62,11 @@
 	CacheTotal  int              // capacity of the KV cache, tokens
 	Slowdown    float64          // over 1 when the backend server runs slower than usual
 	Versions    map[string]int64 // loaded version of each model
+	// Shared is whether the report holds the receiver's share of the free slots. The
+	// loader sets it for subscribers that send a [Claim].
+	Shared bool
+	Share  int
+	Draw   float64 // uniform in [0, 1); rounds the shares and is not sent
 }
 
 // encode returns the datagram of a report.
@@ -105,6 +111,7 @@
 	report    Report
 	subscribe uint64
 	fleet     Fleet
+	claim     awbalance.Claim
 	facts     []byte // nil unless the datagram is one between entries
 	notices   []byte // likewise
 }
@@ -169,6 +176,12 @@
 		d.fleet.Chunks = int(v)
 	case fieldChunkBytes:
 		d.fleet.ChunkBytes = int(v)
+	case fieldDemand:
+		d.claim.Demand = float64(v) / demandUnit
+	case fieldSlots:
+		d.claim.Slots = int(v)
+	case fieldSharers:
+		d.claim.Sharers = int(v)
 	default:
 		d.report.set(f, int64(v), d.fleet.Model)
 	}
@@ -177,6 +190,8 @@
 // set sets the integer field f. model is the model to which a version belongs.
 func (r *Report) set(f protowire.Number, v int64, model string) {
 	switch f {
+	case fieldShare:
+		r.Shared, r.Share = true, int(v)
 	case fieldStartUnixMs:
 		r.StartUnixMs = v
 	case fieldActive:
@@ -206,7 +221,8 @@
 	badDatagrams *metrics.Counter
 
 	mu          sync.Mutex
-	subscribers map[netip.AddrPort]time.Time // time of the last request for reports
+	subscribers map[netip.AddrPort]subscriber
+	firstClaim  time.Time // zero until a subscriber has sent a claim
 }
 
 // Listen opens a UDP socket at addr, IP:port.
@@ -219,7 +235,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", addr)
 	}
-	return &Socket{clock: clock, conn: conn, subscribers: map[netip.AddrPort]time.Time{}, badDatagrams: metrics.GetOrCreateCounter("arbutuswind_load_bad_datagrams_total")}, nil
+	return &Socket{clock: clock, conn: conn, subscribers: map[netip.AddrPort]subscriber{}, badDatagrams: metrics.GetOrCreateCounter("arbutuswind_load_bad_datagrams_total")}, nil
 }
 
 // Handlers handle the content of datagrams. Each may be nil.
@@ -249,9 +265,7 @@
 		case err != nil:
 			s.badDatagrams.Inc()
 		case d.subscribe != 0:
-			s.mu.Lock()
-			s.subscribers[from] = s.clock.Now()
-			s.mu.Unlock()
+			s.subscribe(from, d.claim)
 			if d.subscribe == subscribeConnected && h.Fleet != nil {
 				h.Fleet(d.fleet)
 			}
@@ -331,23 +345,3 @@
 	b := protowire.AppendTag(nil, field, protowire.BytesType)
 	_, _ = s.conn.WriteToUDPAddrPort(protowire.AppendBytes(b, payload), addr)
 }
-
-// Send sends a report to all subscribers and returns their number.
-func (s *Socket) Send(r Report) int {
-	now := s.clock.Now()
-	s.mu.Lock()
-	subscribers := make([]netip.AddrPort, 0, len(s.subscribers))
-	for addr, at := range s.subscribers {
-		if now.Sub(at) > subscriptionTTL {
-			delete(s.subscribers, addr)
-			continue
-		}
-		subscribers = append(subscribers, addr)
-	}
-	s.mu.Unlock()
-	b := r.encode()
-	for _, addr := range subscribers {
-		_, _ = s.conn.WriteToUDPAddrPort(b, addr) // the next report replaces a lost one
-	}
-	return len(subscribers)
-}
--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -150,6 +150,8 @@
 	source  *relayedSource
 	servers serverList
 	rng     *rand.Rand
+	// reportRand rounds the shares of entries in the free slots. Only reportLoop uses it.
+	reportRand *rand.Rand
 	// manifests holds manifests by version, and corruptManifests the versions
 	// whose manifest had a wrong digest. Only reconcileLoop uses them.
 	manifests        map[int64]Manifest
@@ -174,7 +176,8 @@
 	l := &Loader{
 		cfg: cfg, source: newRelayedSource(cfg.Source, cfg.Clock, cfg.Logger, cfg.Service), servers: serverList{table: awdirectory.NewTable()},
 		store: awtransfer.NewStore(Digest), rng: rand.New(rand.NewPCG(cfg.Seed, awweights.Score("loader", cfg.Backend))),
-		manifests: map[int64]Manifest{}, corruptManifests: map[int64]bool{}, manifestWait: manifestWait, offeredManifests: map[string][]byte{}, changed: make(chan struct{}, 1), dialer: awrpc.NewDialer(awrpc.DialerConfig{Identity: cfg.Identity}),
+		reportRand: rand.New(rand.NewPCG(cfg.Seed, awweights.Score("shares", cfg.Backend))),
+		manifests:  map[int64]Manifest{}, corruptManifests: map[int64]bool{}, manifestWait: manifestWait, offeredManifests: map[string][]byte{}, changed: make(chan struct{}, 1), dialer: awrpc.NewDialer(awrpc.DialerConfig{Identity: cfg.Identity}),
 	}
 	l.uploads = awtransfer.NewUploads(awtransfer.UploadConfig{
 		Clock: cfg.Clock, Holder: l.store, Region: cfg.Identity.Region, Slots: uploadSlots, Rate: l.linkRate() * chunkLinkShare,
@@ -313,6 +316,7 @@
 	sent := l.cfg.Socket.Send(awload.Report{
 		Address: l.cfg.Backend, StartUnixMs: s.StartUnixMs, Active: s.Active, Queued: s.Queued, Busy: s.Busy,
 		CacheUsed: s.CacheUsed, CacheTotal: s.CacheTotal, Slowdown: s.Slowdown, Versions: s.Versions,
+		Draw: l.reportRand.Float64(),
 	})
 	if sent == 0 {
 		return idleReportPeriod
--- a/io/awsettings/document.go
+++ b/io/awsettings/document.go
@@ -120,6 +120,7 @@
 	"Bounds.DrainNotice": {unitDuration, above0s, "Time from the notice that a backend server is leaving until it gets no more requests; the server list is read at intervals of 0.37 times this."},
 	"Bounds.Stable":      {unitDuration, above0s, "Time after an outage of the store, or of the path to it, within which a lost notification must be noticed; reads that the store holds open last 1.8 s less than this."},
 	"Limits.MemoryMiB":   {"MiB", above0, "Memory above which the process is killed."},
+	"Balance.Enabled":    {"true or false", "true or false; awgateway", "Balance the load of all services by demand; that of engines of services whose stream routes differ in priority or objective always is."},
 	"Limits.LinkMbit":    {"Mbit/s", "0 or more", "Bandwidth of the instance's link; 0 means unlimited."},
 }
 
--- a/io/awsettings/fleet.go
+++ b/io/awsettings/fleet.go
@@ -15,6 +15,7 @@
 	Backend FleetBackend
 	Bounds  FleetBounds
 	Limits  FleetLimits
+	Balance FleetBalance
 }
 
 // FleetListen holds the listen addresses and ports of a process.
@@ -57,6 +58,13 @@
 	LinkMbit  float64 // bandwidth of the instance's link; 0 means unlimited
 }
 
+// FleetBalance holds how awgateway spreads load over backend servers.
+type FleetBalance struct {
+	// Enabled has the load of all services balanced by demand. That of engines of
+	// services whose stream routes differ in priority or objective always is.
+	Enabled bool
+}
+
 // DefaultFleet returns the default settings of awgateway and awloader. Keys
 // without a default are zero.
 func DefaultFleet() Fleet {
