Use slots again that this gateway's requests leave

Cause: with shares by demand most refusals still came while slots were free: a slot was used only after the next report. Change: a share allows for a number of requests in flight until the next report instead of a number of sends. The experiment delays reports by 20 ms.

--- a/core/awdispatch/load_test.go
+++ b/core/awdispatch/load_test.go
@@ -134,6 +134,7 @@
 			s.sendReports()
 		}
 		s.sendClaims()
+		s.deliverDue()
 		s.sample()
 		for i := range s.entries {
 			for range s.arrivals(rate(i) * simStep.Seconds()) {
@@ -166,7 +167,7 @@
 				continue
 			}
 			share, shared := shares[i]
-			d.Report(e.info.Key(), Load{
+			s.deliver(d, e.info.Key(), Load{
 				At: s.clock.Now(), Active: len(e.running), Queued: len(e.queued), Versions: e.info.Versions, Share: share, Shared: shared,
 			})
 		}
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -31,6 +31,7 @@
 	heardAt       time.Time // when anything last arrived from it: a load report or bytes of a response
 	otherRequests int       // requests of other entries, from the last report
 	allowance     int       // requests that this entry may still send before the next report
+	quota         int       // if load.Shared: requests of this entry that may be in flight until the next report
 	ownRequests   int       // requests of this entry in flight
 	coldUntil     time.Time
 	rejectedUntil time.Time
@@ -61,9 +62,7 @@
 	s.otherRequests = max(0, l.Active+l.Queued-s.ownRequests)
 	free := max(0, s.info.Slots-l.Active-l.Queued)
 	s.allowance = int(float64(free)/float64(entries) + roundUpChance)
-	if l.Shared {
-		s.allowance = l.Share
-	}
+	s.quota = s.ownRequests + l.Share
 }
 
 // refusedConnection records a refused connection.
@@ -174,7 +173,7 @@
 	switch {
 	case s.hasFreshLoad(now):
 		total := s.otherRequests + s.ownRequests
-		free = min(limit-total, s.allowance)
+		free = min(limit-total, s.unsent())
 		load = float64(total) / float64(limit)
 	case s.reported:
 		load += silentLoad
--- a/core/awdispatch/share.go
+++ b/core/awdispatch/share.go
@@ -25,6 +25,18 @@
 	return max(1, int(float64(s.info.Slots)/s.slowdown(now))) - s.otherRequests - s.ownRequests
 }
 
+// unsent returns how many more requests this entry may send before the next report. A
+// share allows for a number of requests in flight, so a slot that a request of this
+// entry leaves is used again at once. No other entry can know of it before the next
+// report. With equal shares it is not: an entry that has many slots would keep them
+// whatever the others need.
+func (s *server) unsent() int {
+	if s.load.Shared {
+		return s.quota - s.ownRequests
+	}
+	return s.allowance
+}
+
 // HasShare reports whether the last load report of a backend server, if it is recent,
 // held this entry's share of the free slots.
 func (d *Dispatcher) HasShare(k awdirectory.Key) bool {
--- a/core/awdispatch/share_test.go
+++ b/core/awdispatch/share_test.go
@@ -26,7 +26,9 @@
 	peakOverMean float64 // sum over samples, of the requests at each engine
 	maxOverLimit int     // most requests beyond the slots of an engine
 	sampledAt    time.Time
-	mute         *engine // whose load reports are lost
+	mute         *engine       // whose load reports are lost
+	delay        time.Duration // from the status of an engine to the receipt of the report
+	underway     []delayedReport
 }
 
 func (s *simulation) freeSlots() (free, all int) {
@@ -107,6 +109,36 @@
 	return byEntry
 }
 
+// delayedReport is a load report on its way to an entry.
+type delayedReport struct {
+	to   *Dispatcher
+	key  awdirectory.Key
+	load Load
+}
+
+// deliver passes a load report to an entry after the delay of the simulation.
+func (s *simulation) deliver(d *Dispatcher, k awdirectory.Key, l Load) {
+	if s.shares.delay == 0 {
+		d.Report(k, l)
+		return
+	}
+	l.At = l.At.Add(s.shares.delay)
+	s.shares.underway = append(s.shares.underway, delayedReport{d, k, l})
+}
+
+// deliverDue delivers the reports whose delay has passed.
+func (s *simulation) deliverDue() {
+	due := 0
+	for _, r := range s.shares.underway {
+		if r.load.At.After(s.clock.Now()) {
+			break
+		}
+		r.to.Report(r.key, r.load)
+		due++
+	}
+	s.shares.underway = s.shares.underway[due:]
+}
+
 // sample records the requests at each engine ten times a second.
 func (s *simulation) sample() {
 	h, now := &s.shares, s.clock.Now()
@@ -151,6 +183,7 @@
 		if enabled {
 			s.enableShares()
 		}
+		s.shares.delay = 20 * time.Millisecond
 		s.run(30*time.Second, demand)
 		requests := 0
 		for _, n := range s.requests {
