Account for expected work and recent answers in the choice of a server

Cause: requests differ widely in work, and servers of plain services run slower in spans, but the choice counted requests only. Change: gateways estimate the remaining work of their requests from X-Token-Usage and X-Length-Hint, correct it as events arrive, and add half of its difference to as many mean requests to the load of an engine; servers without load reports that have answered slowly lately get a penalty that falls to 0 within 1.2 s. Both only for services whose load is balanced. Gauges show the peak and the mean load.

--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -148,6 +148,8 @@
 	assignmentRates map[string]*assignmentRate
 	ejector         *awmember.Ejector
 	submissions     uint64
+	evidence        map[string]*serviceEvidence // by service; see Began
+	running         map[*Grant]*runningWork
 }
 
 // New returns a dispatcher without backend servers.
--- a/core/awdispatch/load_test.go
+++ b/core/awdispatch/load_test.go
@@ -31,6 +31,8 @@
 	retriesOnce        bool            // refused callers retry once, after RetryAfter
 	retries            []retry
 	shares             shareSimulation
+	uneven             bool // lengths have a heavy tail, and prompts differ tenfold
+	estimated          bool // entries estimate the work of requests
 }
 
 // retry is a pending retry of a refused request.
@@ -58,6 +60,8 @@
 	prompt         int
 	tokens         int
 	started        bool
+	hint           int // estimate of tokens
+	events         int
 }
 
 const (
@@ -201,6 +205,9 @@
 	maxWait, late := WaitLimit(objective, now.Sub(firstSubmitted))
 	size := 0.3 + 1.4*s.rng.Float64()
 	j := &job{entry: entry, firstSubmitted: firstSubmitted, prompt: int(meanPromptTokens * size), tokens: int(meanAnswerTokens * size)}
+	if s.uneven {
+		s.drawUneven(j)
+	}
 	s.entries[entry].Submit(Request{
 		Service: "s", Model: "m", MaxWait: maxWait, Late: late, Deadline: now.Add(6 * time.Second),
 	}, func(dec Decision) {
@@ -214,6 +221,7 @@
 			return
 		}
 		j.grant = dec.Grant
+		s.began(j)
 		for _, e := range s.engines {
 			if e.info.ID == dec.Grant.Server.ID {
 				e.queued = append(e.queued, j)
@@ -254,10 +262,12 @@
 				j.started = true
 				s.firstTokens = append(s.firstTokens, e.busyUntil.Sub(j.firstSubmitted))
 			}
+			s.progressed(j)
 			if j.tokens -= stride; j.tokens > 0 {
 				kept = append(kept, j)
 				continue
 			}
+			s.entries[j.entry].Ended(j.grant, Succeeded)
 			s.entries[j.entry].Release(j.grant, Succeeded)
 		}
 		e.running = kept
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -298,7 +298,7 @@
 		if !ok {
 			continue
 		}
-		score := load + distancePenalty*d.distance(&s.info) + tieBreakWeight*d.cfg.Rand.Float64()
+		score := load + d.evidenceLoad(s, now) + distancePenalty*d.distance(&s.info) + tieBreakWeight*d.cfg.Rand.Float64()
 		switch {
 		case !d.cfg.Throttle.MaySend(s.info.Key()):
 			if c.throttled == nil || score < throttledScore {
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -38,6 +38,7 @@
 	refusals      int         // connections refused in a row
 	reachableFrom time.Time   // after a refused connection
 	replaced      bool        // another backend server answers at its address
+	evidence      *evidence   // nil unless the work of its requests is estimated
 	coldSends     []time.Time // requests sent while the backend server is cold, within coldWindow
 }
 
--- a/core/awdispatch/share.go
+++ b/core/awdispatch/share.go
@@ -46,3 +46,25 @@
 
 // WaitingFor returns the number of queued requests for a service.
 func (d *Dispatcher) WaitingFor(service string) int { return len(d.queues[service]) }
+
+// Spread is how unevenly the load of a service's backend servers is distributed, from
+// their recent load reports.
+type Spread struct {
+	Servers    int     // with a recent report
+	Peak, Mean float64 // requests at a server per slot
+}
+
+// Spread returns the spread of the load of a service's backend servers.
+func (d *Dispatcher) Spread(service string) Spread {
+	now := d.cfg.Clock.Now()
+	var sp Spread
+	for _, s := range d.byService[service] {
+		if !s.hasFreshLoad(now) {
+			continue
+		}
+		load := float64(s.otherRequests+s.ownRequests) / float64(max(1, s.info.Slots))
+		sp.Servers, sp.Peak, sp.Mean = sp.Servers+1, max(sp.Peak, load), sp.Mean+load
+	}
+	sp.Mean /= float64(max(1, sp.Servers))
+	return sp
+}
--- a/core/awdispatch/share_test.go
+++ b/core/awdispatch/share_test.go
@@ -28,7 +28,9 @@
 	sampledAt    time.Time
 	mute         *engine       // whose load reports are lost
 	delay        time.Duration // from the status of an engine to the receipt of the report
-	underway     []delayedReport
+	// sums over samples, of the remaining work at each engine
+	workPeak, workDeviation float64
+	underway                []delayedReport
 }
 
 func (s *simulation) freeSlots() (free, all int) {
@@ -153,6 +155,7 @@
 		h.maxOverLimit = max(h.maxOverLimit, n-e.info.Slots)
 	}
 	if sum > 0 {
+		s.sampleWork()
 		h.samples++
 		h.peakOverMean += float64(peak) * float64(len(s.engines)) / float64(sum)
 	}
--- a/io/awgateway/balance.go
+++ b/io/awgateway/balance.go
@@ -1,6 +1,7 @@
 package awgateway
 
 import (
+	"fmt"
 	"net/netip"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -63,20 +64,22 @@
 }
 
 // recordDecision counts the outcome of a request for a slot in this entry's demand;
-// mu must be held. It does not change the dispatcher, which may be calling it.
-func (g *Gateway) recordDecision(service string, d awdispatch.Decision) {
-	m := g.meter(service)
+// mu must be held. The dispatcher may be calling it.
+func (g *Gateway) recordDecision(q *request, d awdispatch.Decision) {
+	m := g.meter(q.service)
 	now := g.cfg.Clock.Now()
 	switch {
 	case m == nil:
 	case d.Grant != nil:
 		m.Sent(d.Grant.Server.Key(), now)
+		expected := awbalance.Expected{Prompt: q.info.PromptTokens, Output: q.info.LengthHint, MaxOutput: q.info.MaxTokens}
+		g.dispatch.Began(d.Grant, expected, q.route.Name)
 		if g.dispatch.HasShare(d.Grant.Server.Key()) {
 			g.balance.metrics.shareUsed.Inc()
 		}
 	case d.Refusal == awdispatch.NoRoom:
 		m.Refused(now)
-		if g.dispatch.FreeSlots(service) > 0 {
+		if g.dispatch.FreeSlots(q.service) > 0 {
 			g.balance.metrics.refusedWithRoom.Inc()
 		}
 	}
@@ -97,6 +100,9 @@
 	if m == nil {
 		return
 	}
+	spread := g.dispatch.Spread(service)
+	metrics.GetOrCreateGauge(fmt.Sprintf(`arbutuswind_gateway_server_load_peak{Service=%q}`, service), nil).Set(spread.Peak)
+	metrics.GetOrCreateGauge(fmt.Sprintf(`arbutuswind_gateway_server_load_mean{Service=%q}`, service), nil).Set(spread.Mean)
 	now, waiting := g.cfg.Clock.Now(), g.dispatch.WaitingFor(service)
 	for i := range targets {
 		t := &targets[i]
--- a/io/awgateway/balance_test.go
+++ b/io/awgateway/balance_test.go
@@ -36,7 +36,8 @@
 // be measured, and their subscriptions must stay as they were.
 func TestOnlyContendedServicesAreBalanced(t *testing.T) {
 	g, _ := newBalanceGateway(t, false, 0, 0)
-	g.recordDecision("s", awdispatch.Decision{Refusal: awdispatch.NoRoom})
+	q := &request{g: g, service: "s", route: &awdirectory.Route{Name: "r"}}
+	g.recordDecision(q, awdispatch.Decision{Refusal: awdispatch.NoRoom})
 	require.Empty(t, g.balance.meters)
 	for _, target := range g.loaderTargets(9)["s"] {
 		require.False(t, target.claim.Valid())
@@ -51,10 +52,11 @@
 func TestClaimsAndSharesOfContendedServices(t *testing.T) {
 	g, clock := newBalanceGateway(t, false, 0, 1)
 	a := awdirectory.Server{ID: "a", Service: "s"}
+	q := &request{g: g, service: "s", route: &awdirectory.Route{Name: "r"}}
 	for range 100 {
 		clock.Advance(100 * time.Millisecond)
-		g.recordDecision("s", awdispatch.Decision{Grant: &awdispatch.Grant{Server: a}})
-		g.recordDecision("s", awdispatch.Decision{Refusal: awdispatch.NoRoom})
+		g.recordDecision(q, awdispatch.Decision{Grant: &awdispatch.Grant{Server: a}})
+		g.recordDecision(q, awdispatch.Decision{Refusal: awdispatch.NoRoom})
 	}
 	demand := map[string]float64{}
 	for _, target := range g.loaderTargets(9)["s"] {
@@ -76,4 +78,5 @@
 	}
 	require.Equal(t, 1, granted)
 	require.Equal(t, 7, g.dispatch.FreeSlots("s"))
+	require.Equal(t, awdispatch.Spread{Servers: 1, Peak: 0.125, Mean: 0.125}, g.dispatch.Spread("s"))
 }
--- a/io/awgateway/dialect.go
+++ b/io/awgateway/dialect.go
@@ -17,6 +17,7 @@
 	Model        string
 	PromptTokens int
 	MaxTokens    int    // maximum number of generated tokens
+	LengthHint   int    // estimate of the generated tokens; 0 if not set
 	ResumeAfter  string // ID of the last event that the caller has
 	// SharedParts identifies the parts of the prompt that other requests may have
 	// too, in order.
--- a/io/awgateway/hedge.go
+++ b/io/awgateway/hedge.go
@@ -26,6 +26,7 @@
 	// active is when the backend server last sent bytes, or the caller last took
 	// some, since start.
 	active atomic.Int64
+	events atomic.Int64 // that have arrived
 	heard  atomic.Int64 // when the dispatcher was last told that bytes arrive, since start
 	silent bool         // the dispatcher knows that the backend server has been silent
 }
@@ -58,6 +59,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.dispatch.Heard(s.grant.Server.Key())
+	g.dispatch.Progress(s.grant, int(s.events.Load()))
 }
 
 // silence returns the time since the backend server last sent bytes.
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -200,7 +200,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p.ticket = g.dispatch.Submit(req, func(d awdispatch.Decision) {
-		g.recordDecision(q.service, d)
+		g.recordDecision(q, d)
 		p.decisions <- d
 	})
 	g.signalNotices()
@@ -237,6 +237,7 @@
 func (q *request) release(grant *awdispatch.Grant, out awdispatch.Outcome) {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
+	q.g.dispatch.Ended(grant, out)
 	q.g.dispatch.Release(grant, out)
 	q.g.signalNotices()
 }
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -294,6 +294,7 @@
 		return false, errVersionChanged
 	}
 	for ; ok; e, ok = splitter.Next() {
+		s.events.Add(1)
 		if err := q.race.Offer(s.number, e); errors.Is(err, awstream.ErrNoProgress) {
 			continue
 		} else if err != nil {
