Divide half of the free slots evenly, and use the whole difference of work

Change: the mean demand is added to the weight of each gateway; an old claim counts a tenth of it. The difference of work counts whole.

--- a/core/awbalance/awbalance.go
+++ b/core/awbalance/awbalance.go
@@ -15,16 +15,20 @@
 )
 
 const (
-	// ClaimTTL is the age from which the demand of a claim counts as 0. Claims are
-	// renewed every second, so one may be lost without effect.
+	// ClaimTTL is the age from which the entry of a claim gets only staleShare. Claims
+	// are renewed every second, so one may be lost without effect.
 	ClaimTTL = 2200 * time.Millisecond
 	// SettlingTime is how long after the first claim the entries that have not sent
 	// one are still expected. All of them subscribe every second.
 	SettlingTime = 3 * time.Second
-	// floorShare is the weight that each entry has in addition to its demand, as a
-	// share of the mean demand. Without it, an entry whose first request has just
-	// arrived would get no slots for up to a second.
-	floorShare = 0.1
+	// evenShare is the weight that each entry has in addition to its demand, as a
+	// multiple of the mean demand. An entry keeps the slots that its own requests
+	// leave, so the free slots serve what its demand varies by, which falls with the
+	// demand more slowly than in proportion. With 0.1 instead of 1, entries with
+	// little demand refused more (experiment in core/awdispatch).
+	evenShare = 1
+	// staleShare replaces evenShare if the entry's claim is older than ClaimTTL.
+	staleShare = 0.1
 	// minWeight is the least weight of an entry, in requests a second. It makes the
 	// shares equal while no entry has any demand.
 	minWeight = 0.05
@@ -65,13 +69,17 @@
 // and decides who gets the slots that cannot be divided, each entry with a probability
 // that makes its mean share exact.
 func Split(s Server, claims []Claim, shares []int, now time.Time, draw float64) {
-	slots, sharers, valid := 0, 0, 0
+	slots, sharers, valid, stale := 0, 0, 0, 0
 	sum := 0.0
 	for i := range claims {
 		c := &claims[i]
 		if c.Valid() {
 			slots, sharers, valid = max(slots, c.Slots), max(sharers, c.Sharers), valid+1
-			sum += demand(c, now)
+			if c.stale(now) {
+				stale++
+			} else {
+				sum += c.Demand
+			}
 		}
 	}
 	if valid == 0 {
@@ -82,8 +90,8 @@
 		all = max(all, sharers)
 	}
 	divided := float64(s.free(slots)) * float64(valid) / float64(all)
-	extra := floorShare*sum/float64(valid) + minWeight
-	total := sum + extra*float64(valid)
+	even := sum/float64(valid) + minWeight
+	total := sum + even*(evenShare*float64(valid-stale)+staleShare*float64(stale))
 	before, point := 0, draw
 	for i := range claims {
 		if !claims[i].Valid() {
@@ -91,7 +99,7 @@
 			continue
 		}
 		// Rounding the running total instead of each share keeps the sum exact.
-		point += divided * (demand(&claims[i], now) + extra) / total
+		point += divided * claims[i].weight(even, now) / total
 		after := min(int(math.Floor(point+roundingError)), s.free(slots))
 		shares[i], before = after-before, after
 	}
@@ -101,9 +109,12 @@
 // down where it should be a whole number.
 const roundingError = 1e-9
 
-func demand(c *Claim, now time.Time) float64 {
-	if now.Sub(c.At) >= ClaimTTL {
-		return 0
+func (c *Claim) stale(now time.Time) bool { return now.Sub(c.At) >= ClaimTTL }
+
+// weight returns the weight of the entry in the division of the free slots.
+func (c *Claim) weight(even float64, now time.Time) float64 {
+	if c.stale(now) {
+		return staleShare * even
 	}
-	return c.Demand
+	return c.Demand + evenShare*even
 }
--- a/core/awdispatch/evidence.go
+++ b/core/awdispatch/evidence.go
@@ -105,9 +105,5 @@
 		return 0
 	}
 	extra := e.service.estimator.Relative(e.work) - float64(e.running)
-	return extra*workWeight/float64(max(1, s.info.Slots)) + e.answers.Penalty(now)
+	return extra/float64(max(1, s.info.Slots)) + e.answers.Penalty(now)
 }
-
-// workWeight scales the difference between work and number of requests. The work of
-// other entries' requests is not known, and estimates are often far off.
-const workWeight = 0.5
