--- a/core/awdispatch/load_test.go
+++ b/core/awdispatch/load_test.go
@@ -31,8 +31,10 @@
 	retriesOnce        bool            // refused callers retry once, after RetryAfter
 	retries            []retry
 	shares             shareSimulation
-	uneven             bool // lengths have a heavy tail, and prompts differ tenfold
-	estimated          bool // entries estimate the work of requests
+	uneven             bool                     // lengths have a heavy tail, and prompts differ tenfold
+	allowed            func(region string) bool // of all requests; nil allows every region
+	sentTo             map[string]int           // requests by failure domain; not counted if nil
+	estimated          bool                     // entries estimate the work of requests
 }
 
 // retry is a pending retry of a refused request.
@@ -209,7 +211,7 @@
 		s.drawUneven(j)
 	}
 	s.entries[entry].Submit(Request{
-		Service: "s", Model: "m", MaxWait: maxWait, Late: late, Deadline: now.Add(6 * time.Second),
+		Service: "s", Model: "m", MaxWait: maxWait, Late: late, Deadline: now.Add(6 * time.Second), Allowed: s.allowed,
 	}, func(dec Decision) {
 		s.decided(entry, dec)
 		if dec.Grant == nil {
@@ -222,6 +224,9 @@
 		}
 		j.grant = dec.Grant
 		s.began(j)
+		if s.sentTo != nil {
+			s.sentTo[dec.Grant.Server.Domain]++
+		}
 		for _, e := range s.engines {
 			if e.info.ID == dec.Grant.Server.ID {
 				e.queued = append(e.queued, j)
--- a/core/awdispatch/share_test.go
+++ b/core/awdispatch/share_test.go
@@ -207,6 +207,49 @@
 	require.Greater(t, onTimeAfter, onTimeBefore)
 }
 
+// Guards against callers of a full failure domain that are refused while the others
+// have room: of a demand of 85% of the capacity of all, 63% comes to one domain. Work
+// must not leave for a region that is not allowed or a domain out of service.
+func TestWorkLeavesAFullDomain(t *testing.T) {
+	run := func(enabled bool, change func(*simulation), load float64) *simulation {
+		s, demand := unevenFleet(load)
+		if enabled {
+			s.enableShares()
+			s.estimated = true
+		}
+		s.shares.delay, s.sentTo = 20*time.Millisecond, map[string]int{}
+		change(s)
+		s.run(25*time.Second, func(entry int) float64 {
+			factor := []float64{1.9, 0.55, 0.55}[entry%3] * 608 / 3 / []float64{171, 207, 230}[entry%3]
+			return demand(entry) * factor
+		})
+		return s
+	}
+	refusedShare := func(s *simulation) float64 {
+		refused, requests := 0, 0
+		for i := 0; i < len(s.entries); i += 3 {
+			refused, requests = refused+s.refusals[i], requests+s.requests[i]
+		}
+		return float64(refused) / float64(requests)
+	}
+	none := func(*simulation) {}
+	before, after := refusedShare(run(false, none, 0.85)), refusedShare(run(true, none, 0.85))
+	t.Logf("refused in the full domain: %.4f with equal shares, %.4f by demand", before, after)
+	require.Less(t, after, 0.01)
+	require.Less(t, after, before)
+
+	s := run(true, func(s *simulation) { s.allowed = func(region string) bool { return region != "d2" } }, 0.5)
+	require.Zero(t, s.sentTo["d2"])
+	require.Less(t, refusedShare(s), 0.01)
+	s = run(true, func(s *simulation) {
+		for _, d := range s.entries {
+			d.SetDomainsOut(map[string]bool{"d1": true})
+		}
+	}, 0.5)
+	require.Zero(t, s.sentTo["d1"])
+	require.Less(t, refusedShare(s), 0.01)
+}
+
 // rates returns the demand of entries of which some are frozen. The callers of those
 // go to the others.
 func (s *simulation) rates(demand func(int) float64) func(int) float64 {
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -200,7 +200,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p.ticket = g.dispatch.Submit(req, func(d awdispatch.Decision) {
-		g.recordDecision(q, d)
+		p.q.g.recordDecision(p.q, d)
 		p.decisions <- d
 	})
 	g.signalNotices()
--- a/io/awload/awload_test.go
+++ b/io/awload/awload_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"arbutuswind/core/awbalance"
 	"arbutuswind/core/awclock"
 )
 
@@ -42,6 +43,7 @@
 func FuzzDatagram(f *testing.F) {
 	r := Report{Address: "a", Versions: map[string]int64{"m": 1}}
 	f.Add(r.encode())
+	f.Add(AppendClaim(Subscription(nil), awbalance.Claim{Demand: 1, Slots: 8, Sharers: 4}))
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		_, _ = decode(b)
 	})
