Test that events take work off an engine

Cause: with the correction by events removed for a trial, all tests passed. Change: a test of the estimate after events and after the end of requests. Result: it fails in that trial and passes here.

--- a/core/awdispatch/evidence_test.go
+++ b/core/awdispatch/evidence_test.go
@@ -181,3 +181,38 @@
 	require.Less(t, after, 0.8*before)
 	require.LessOrEqual(t, burstAfter, 1.5*burstBefore)
 }
+
+// Guards against work that stays with an engine after events or the end of a request
+// have taken it off: the engine with less work left must get the next request.
+func TestEventsCorrectTheWork(t *testing.T) {
+	s := newSimulation(1, 2, 0)
+	d := s.entries[0]
+	for _, e := range s.engines {
+		e.info.Domain, e.info.Region = "d0", "d0"
+	}
+	s.setSlots(simSlots)
+	for _, e := range s.engines {
+		d.Report(e.info.Key(), Load{At: s.clock.Now(), Versions: e.info.Versions})
+	}
+	submit := func() *Grant {
+		var got Decision
+		d.Submit(Request{Service: "s", Model: "m", Deadline: s.clock.Now().Add(time.Second)}, func(dec Decision) {
+			got = dec
+			d.Began(dec.Grant, awbalance.Expected{Prompt: 300, Output: 400}, "k")
+		})
+		return got.Grant
+	}
+	a, b := submit(), submit()
+	require.NotEqual(t, a.Server.ID, b.Server.ID)
+	d.Progress(b, 300)
+	require.Equal(t, b.Server.ID, submit().Server.ID)
+	// Half of the 300 tokens so far, and the prompt and the output of the new request.
+	require.InDelta(t, 150+10+400, d.servers[b.Server.Key()].evidence.work, 0.01)
+	for g := range d.running {
+		d.Ended(g, Succeeded)
+		d.Release(g, Succeeded)
+	}
+	require.Empty(t, d.running)
+	require.Zero(t, d.servers[a.Server.Key()].evidence.work)
+	require.Zero(t, d.servers[b.Server.Key()].evidence.work)
+}
