--- a/core/awdispatch/load_test.go
+++ b/core/awdispatch/load_test.go
@@ -30,6 +30,11 @@
 	refusalWaits       []time.Duration // from submission to refusal
 	retriesOnce        bool            // refused callers retry once, after RetryAfter
 	retries            []retry
+	shares             shareSimulation
+	uneven             bool                     // lengths have a heavy tail, and prompts differ tenfold
+	allowed            func(region string) bool // of all requests; nil allows every region
+	sentTo             map[string]int           // requests by failure domain; not counted if nil
+	estimated          bool                     // entries estimate the work of requests
 }
 
 // retry is a pending retry of a refused request.
@@ -57,6 +62,8 @@
 	prompt         int
 	tokens         int
 	started        bool
+	hint           int // estimate of tokens
+	events         int
 }
 
 const (
@@ -132,6 +139,9 @@
 			lastReport = s.clock.Now()
 			s.sendReports()
 		}
+		s.sendClaims()
+		s.deliverDue()
+		s.sample()
 		for i := range s.entries {
 			for range s.arrivals(rate(i) * simStep.Seconds()) {
 				s.submit(i)
@@ -157,12 +167,14 @@
 
 func (s *simulation) sendReports() {
 	for _, e := range s.engines {
-		for _, d := range s.entries {
-			if d.sharers != nil && d.sharers[e.info.Address] == 0 {
+		shares := s.divide(e)
+		for i, d := range s.entries {
+			if d.sharers != nil && d.sharers[e.info.Address] == 0 || s.shares.frozen[i] || s.shares.mute == e {
 				continue
 			}
-			d.Report(e.info.Key(), Load{
-				At: s.clock.Now(), Active: len(e.running), Queued: len(e.queued), Versions: e.info.Versions,
+			share, shared := shares[i]
+			s.deliver(d, e.info.Key(), Load{
+				At: s.clock.Now(), Active: len(e.running), Queued: len(e.queued), Versions: e.info.Versions, Share: share, Shared: shared,
 			})
 		}
 	}
@@ -195,9 +207,13 @@
 	maxWait, late := WaitLimit(objective, now.Sub(firstSubmitted))
 	size := 0.3 + 1.4*s.rng.Float64()
 	j := &job{entry: entry, firstSubmitted: firstSubmitted, prompt: int(meanPromptTokens * size), tokens: int(meanAnswerTokens * size)}
+	if s.uneven {
+		s.drawUneven(j)
+	}
 	s.entries[entry].Submit(Request{
-		Service: "s", Model: "m", MaxWait: maxWait, Late: late, Deadline: now.Add(6 * time.Second),
+		Service: "s", Model: "m", MaxWait: maxWait, Late: late, Deadline: now.Add(6 * time.Second), Allowed: s.allowed,
 	}, func(dec Decision) {
+		s.decided(entry, dec)
 		if dec.Grant == nil {
 			s.refusals[entry]++
 			s.refusalWaits = append(s.refusalWaits, s.clock.Now().Sub(now))
@@ -207,6 +223,10 @@
 			return
 		}
 		j.grant = dec.Grant
+		s.began(j)
+		if s.sentTo != nil {
+			s.sentTo[dec.Grant.Server.Domain]++
+		}
 		for _, e := range s.engines {
 			if e.info.ID == dec.Grant.Server.ID {
 				e.queued = append(e.queued, j)
@@ -247,10 +267,12 @@
 				j.started = true
 				s.firstTokens = append(s.firstTokens, e.busyUntil.Sub(j.firstSubmitted))
 			}
+			s.progressed(j)
 			if j.tokens -= stride; j.tokens > 0 {
 				kept = append(kept, j)
 				continue
 			}
+			s.entries[j.entry].Ended(j.grant, Succeeded)
 			s.entries[j.entry].Release(j.grant, Succeeded)
 		}
 		e.running = kept
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -16,6 +16,8 @@
 	CacheTotal int              // in tokens; 0 if unknown
 	Slowdown   float64          // how many times slower than usual; over 1 if slow
 	Versions   map[string]int64 // loaded version of the weights, by model
+	Shared     bool             // the report holds this entry's share of the free slots
+	Share      int              // if Shared: slots that this entry may use until the next report
 }
 
 // server holds what this entry knows about one incarnation of a backend server.
@@ -29,12 +31,14 @@
 	heardAt       time.Time // when anything last arrived from it: a load report or bytes of a response
 	otherRequests int       // requests of other entries, from the last report
 	allowance     int       // requests that this entry may still send before the next report
+	quota         int       // if load.Shared: requests of this entry that may be in flight until the next report
 	ownRequests   int       // requests of this entry in flight
 	coldUntil     time.Time
 	rejectedUntil time.Time
 	refusals      int         // connections refused in a row
 	reachableFrom time.Time   // after a refused connection
 	replaced      bool        // another backend server answers at its address
+	evidence      *evidence   // nil unless the work of its requests is estimated
 	coldSends     []time.Time // requests sent while the backend server is cold, within coldWindow
 }
 
@@ -48,7 +52,7 @@
 }
 
 // updateLoad records a load report and computes this entry's share of the free
-// slots in it. All entries see the same report, so they divide the slots among
+// slots in it, unless the report holds one. All entries see the same report, so they divide the slots among
 // themselves. The fraction that remains is rounded up at random; roundUpChance
 // is drawn uniformly from 0 to 1. If every entry rounded up, many entries would
 // use the same last slot.
@@ -59,6 +63,7 @@
 	s.otherRequests = max(0, l.Active+l.Queued-s.ownRequests)
 	free := max(0, s.info.Slots-l.Active-l.Queued)
 	s.allowance = int(float64(free)/float64(entries) + roundUpChance)
+	s.quota = s.ownRequests + l.Share
 }
 
 // refusedConnection records a refused connection.
@@ -169,7 +174,7 @@
 	switch {
 	case s.hasFreshLoad(now):
 		total := s.otherRequests + s.ownRequests
-		free = min(limit-total, s.allowance)
+		free = min(limit-total, s.unsent())
 		load = float64(total) / float64(limit)
 	case s.reported:
 		load += silentLoad
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -199,7 +199,10 @@
 	p := &pendingSlot{q: q, decisions: make(chan awdispatch.Decision, 1)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	p.ticket = g.dispatch.Submit(req, func(d awdispatch.Decision) { p.decisions <- d })
+	p.ticket = g.dispatch.Submit(req, func(d awdispatch.Decision) {
+		p.q.g.recordDecision(p.q, d)
+		p.decisions <- d
+	})
 	g.signalNotices()
 	return p
 }
@@ -234,6 +237,7 @@
 func (q *request) release(grant *awdispatch.Grant, out awdispatch.Outcome) {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
+	q.g.dispatch.Ended(grant, out)
 	q.g.dispatch.Release(grant, out)
 	q.g.signalNotices()
 }
