awduty: one gateway at a time reports usage to the platform

Cause: the platform bills by reports of one holder, which needs an election that survives pauses, lost store responses and stepped clocks. Change: core/awduty (lease, token, committed windows, counting, clock), io/awduties (caller), platform rows and calls, a datagram field, settings.

--- a/core/awdirectory/awdirectory.go
+++ b/core/awdirectory/awdirectory.go
@@ -214,6 +214,8 @@
 	// Incarnation identifies the start of the entry that has registered. 0 if it
 	// has not said.
 	Incarnation uint64
+	// Domain is its failure domain. Empty if it has not said.
+	Domain string
 }
 
 // IsListed reports whether this start of an entry is among the registered ones.
--- /dev/null
+++ b/core/awduty/awduty_test.go
@@ -0,0 +1,233 @@
+package awduty_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutuswind/core/awduty"
+)
+
+var simNames = []string{"a1", "a2", "b1", "b2", "c1"}
+
+// Guards against windows that are missed or off in a healthy fleet, its first one
+// included, and against more than one write and one call for each.
+func TestHealthyFleet(t *testing.T) {
+	s := newSim(t, 1, simNames...)
+	start := s.now
+	s.runFor(2 * time.Minute)
+	s.check()
+	s.checkCounts(start, s.now-4*simWindow)
+	windows := int((s.now - start) / simWindow)
+	require.LessOrEqual(t, s.writes, windows+2)
+	require.LessOrEqual(t, len(s.platform.calls), windows)
+	require.LessOrEqual(t, s.reads, len(simNames)+2)
+}
+
+// Guards against windows that are lost with a killed holder, and counts of the other
+// instances that are.
+func TestHolderIsKilled(t *testing.T) {
+	for _, at := range []time.Duration{0, 1500, 2100, 2500, 4000} {
+		s := newSim(t, uint64(at)+1, simNames...)
+		s.runFor(30*time.Second + at*time.Millisecond)
+		killed := s.now
+		s.holder().dead = true
+		s.runFor(40 * time.Second)
+		s.check()
+		s.accepted(simStart, s.now-4*simWindow)
+		s.checkCounts(simStart, killed-simWindow)
+		s.checkCounts(killed+simWindow, s.now-4*simWindow)
+		for _, c := range s.platform.calls {
+			require.Less(t, c.at, time.Duration(c.window+1)*simWindow+simLate, "window %d is late", c.window)
+		}
+	}
+}
+
+// Guards against calls of a holder that was paused between deciding on a call and
+// sending it, while another one has taken over.
+func TestPauseBetweenCheckAndAct(t *testing.T) {
+	s := newSim(t, 3, simNames...)
+	s.runFor(20 * time.Second)
+	for _, n := range s.nodes {
+		n.mayPause = true
+	}
+	s.runFor(3 * time.Minute)
+	s.check()
+	for _, n := range s.nodes {
+		n.mayPause = false
+	}
+	s.runFor(30 * time.Second)
+	s.accepted(simStart, s.now-4*simWindow)
+}
+
+// Guards against a second set of counts for a window whose commit got no response,
+// and against a holder that gives up although its commit was performed.
+func TestLostStoreResponse(t *testing.T) {
+	for _, perform := range []bool{true, false} {
+		s := newSim(t, 4, simNames...)
+		s.runFor(20 * time.Second)
+		token := s.row.Token
+		first := true
+		s.fate = func(*simNode) writeFate {
+			lost := first
+			first = false
+			return writeFate{lost: lost, perform: !lost || perform}
+		}
+		s.runFor(40 * time.Second)
+		s.check()
+		s.checkCounts(simStart, s.now-4*simWindow)
+		require.LessOrEqual(t, s.row.Token, token+1)
+	}
+}
+
+// Guards against counting into wrong windows while the wall clock of an instance is
+// stepped, also of the holder and of one that starts with a wrong clock.
+func TestClockIsStepped(t *testing.T) {
+	for _, step := range []time.Duration{-7 * time.Second, 7 * time.Second} {
+		s := newSim(t, 5, simNames...)
+		s.runFor(20 * time.Second)
+		s.holder().step = step
+		s.nodes[4].step = -step
+		s.runFor(20 * time.Second)
+		s.nodes[4].step = 0
+		late := s.add("c2")
+		late.step = step
+		s.registered()
+		s.runFor(40 * time.Second)
+		s.check()
+		s.checkCounts(simStart, s.now-4*simWindow)
+	}
+}
+
+// Guards against reports that are lost or changed while the platform refuses calls
+// for longer than a window, or asks to be called less often.
+func TestPlatformRefuses(t *testing.T) {
+	s := newSim(t, 6, simNames...)
+	s.runFor(20 * time.Second)
+	from, to := s.now, s.now+3*simWindow
+	s.platform.answer = func(at time.Duration) awduty.Answer {
+		if at >= from && at < to {
+			return awduty.Again // 429, 503 or no answer
+		}
+		return awduty.Accepted
+	}
+	s.runFor(60 * time.Second)
+	s.check()
+	s.checkCounts(simStart, s.now-4*simWindow)
+	during := 0
+	for _, c := range s.platform.calls {
+		if c.at >= from && c.at < to {
+			during++
+		}
+	}
+	require.LessOrEqual(t, during, 15, "calls must back off")
+}
+
+// Guards against windows that are lost while the store is unavailable.
+func TestStoreIsDown(t *testing.T) {
+	s := newSim(t, 7, simNames...)
+	s.runFor(22 * time.Second)
+	s.down = true
+	s.runFor(25 * time.Second)
+	s.down = false
+	s.runFor(40 * time.Second)
+	s.check()
+	s.checkCounts(simStart, s.now-4*simWindow)
+}
+
+// Guards against a holder that reports its own counts alone because it does not hear
+// the others, while it still reaches the store.
+func TestHolderIsCutOff(t *testing.T) {
+	s := newSim(t, 8, simNames...)
+	s.runFor(20 * time.Second)
+	s.holder().cut = true // from the store
+	s.runFor(40 * time.Second)
+	s.check()
+	s.checkCounts(simStart, s.now-4*simWindow)
+}
+
+// Guards against a fleet that reports nothing after it has lost power, and against
+// two sets of counts for a window from before.
+func TestPowerLoss(t *testing.T) {
+	s := newSim(t, 9, simNames...)
+	s.runFor(31 * time.Second)
+	for _, n := range s.nodes {
+		n.dead = true
+	}
+	s.nodes = nil
+	s.runFor(2 * time.Second)
+	back := s.now
+	for _, name := range simNames {
+		s.add(name)
+	}
+	s.registered()
+	s.runFor(60 * time.Second)
+	s.check()
+	s.checkCounts(back+simWindow, s.now-4*simWindow)
+}
+
+// Guards against two sets of counts for a window, a falling token and holders that
+// change and change back, in any interleaving of pauses, crashes, restarts, steps
+// of clocks, and a store and a platform in trouble.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(60) {
+		s := newSim(t, 100+seed, simNames...)
+		s.runFor(15 * time.Second)
+		s.fate = func(*simNode) writeFate {
+			switch s.rng.IntN(5) {
+			case 0:
+				return writeFate{lost: true, perform: true}
+			case 1:
+				return writeFate{lost: true, perform: true, delay: time.Duration(s.rng.Int64N(int64(8 * time.Second)))}
+			case 2:
+				return writeFate{lost: true}
+			}
+			return writeFate{perform: true}
+		}
+		s.platform.answer = func(time.Duration) awduty.Answer {
+			if s.rng.IntN(3) == 0 {
+				return awduty.Again
+			}
+			return awduty.Accepted
+		}
+		for range 40 {
+			s.disturb()
+			s.runFor(time.Duration(s.rng.Int64N(int64(3 * time.Second))))
+		}
+		s.check()
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+// disturb injects a fault at a random instance, more often at the holder.
+func (s *sim) disturb() {
+	i := s.rng.IntN(len(s.nodes))
+	if h := s.holder(); h != nil && s.rng.IntN(2) == 0 {
+		for j, n := range s.nodes {
+			if n == h {
+				i = j
+			}
+		}
+	}
+	n := s.nodes[i]
+	switch s.rng.IntN(6) {
+	case 0:
+		n.frozenUntil = s.now + time.Duration(s.rng.Int64N(int64(12*time.Second)))
+	case 1: // restarted in place; what it has asked of the store may still happen
+		n.dead = true
+		s.nodes = append(s.nodes[:i:i], s.nodes[i+1:]...)
+		s.add(n.name)
+		s.registered()
+	case 2:
+		n.step = time.Duration(s.rng.Int64N(int64(20*time.Second))) - 10*time.Second
+	case 3:
+		n.step = 0
+	case 4:
+		n.cut = !n.cut
+	case 5:
+		n.mayPause = !n.mayPause
+	}
+}
--- /dev/null
+++ b/core/awduty/candidate.go
@@ -0,0 +1,344 @@
+package awduty
+
+import (
+	"slices"
+	"time"
+)
+
+// Config configures a [Candidate].
+type Config struct {
+	Self        string // name of the instance
+	Incarnation uint64 // of its process
+	// Lease is how long a holder acts after it has begun a write, and Margin how
+	// much longer a challenger waits after it has first seen that write.
+	Lease, Margin time.Duration
+	MaxPending    int           // orders that are kept for sending; older ones are dropped
+	CallGap       time.Duration // shortest time between two calls
+}
+
+const (
+	minStoreDelay = 250 * time.Millisecond // after a failed call of the store, doubling
+	maxStoreDelay = 4 * time.Second
+	minCallDelay  = 250 * time.Millisecond // after a call without success, doubling
+	maxCallDelay  = 2 * time.Second
+	// maxUnresolved limits the writes whose send times are kept.
+	maxUnresolved = 8
+)
+
+// Candidate is the part of one instance in the duty for one subject. It is not
+// safe for concurrent use.
+type Candidate struct {
+	cfg     Config
+	stopped bool
+
+	known      Claim         // newest state that was heard of or read
+	knownSince time.Duration // when this instance first learned of it
+
+	row      Row // content of version, as read or written by this instance
+	version  uint64
+	rowKnown bool
+	rowSince time.Duration // when this instance first learned of version
+	// outdated is the newest state that was heard of before a read showed an older
+	// one, because the store was set back.
+	outdated  Claim
+	readSince time.Duration // when the last read began
+
+	holding   bool
+	heldSince time.Duration
+	leaseEnd  time.Duration
+
+	storeBusy  bool
+	unresolved bool // the row must be read before anything is written
+	inFlight   Row
+	writes     uint64
+	sentAt     map[uint64]time.Duration // of writes that may be performed, by number
+	storeAt    time.Duration            // earliest time of the next call of the store
+	storeDelay time.Duration
+
+	calling   bool
+	done      map[int64]bool // orders in row.Pending that need no further call
+	called    map[int64]bool // orders that were sent at least once
+	callAt    time.Duration
+	callDelay time.Duration
+
+	dropped []int64 // orders that were dropped for lack of room
+}
+
+// NewCandidate returns a candidate that knows nothing of the row.
+func NewCandidate(cfg Config) *Candidate {
+	return &Candidate{cfg: cfg, sentAt: map[uint64]time.Duration{}, done: map[int64]bool{}, called: map[int64]bool{}}
+}
+
+// Need is what a duty asks of its candidate at present.
+type Need struct {
+	// Orders returns the orders to be committed after the highest committed one.
+	// committed is false if no order has ever been.
+	Orders func(through int64, committed bool) []Order
+	// Overdue is set if the holder should have committed an order by now and this
+	// instance is the one to challenge it.
+	Overdue bool
+	// Learn has the row read if nothing is known of it.
+	Learn bool
+}
+
+// Hear records what another instance knows of the row.
+func (c *Candidate) Hear(now time.Duration, claim Claim) {
+	if claim.Token == 0 || !claim.newerThan(c.known) {
+		return
+	}
+	own := claim.Holder == c.cfg.Self && claim.Incarnation == c.cfg.Incarnation
+	if claim.Token != c.known.Token || claim.Version != c.known.Version {
+		c.knownSince = now
+	}
+	claim.Through = max(claim.Through, c.known.Through)
+	c.known = claim
+	if c.holding && !own {
+		c.holding = false // superseded
+	}
+}
+
+// Claim returns what the candidate knows of the row.
+func (c *Candidate) Claim() Claim { return c.known }
+
+// Holding reports whether the instance holds the duty, since when, and its token.
+// The lease may have run out nevertheless.
+func (c *Candidate) Holding() (bool, time.Duration, uint64) {
+	return c.holding, c.heldSince, c.row.Token
+}
+
+// Sure reports whether the instance holds the duty and nobody else can.
+func (c *Candidate) Sure(now time.Duration) bool { return c.holding && now < c.leaseEnd }
+
+// Release ends the part of the instance in the duty. It makes no call after that,
+// so that another instance need not wait for the end of the lease.
+func (c *Candidate) Release() {
+	c.stopped = true
+	// A write that may still be performed would make the holder's last version
+	// unknown to the others.
+	if c.holding && !c.storeBusy && !c.unresolved && !c.calling {
+		c.known.Released = true
+	}
+	c.holding = false
+}
+
+// TakeDropped returns the orders that were dropped since the last call.
+func (c *Candidate) TakeDropped() []int64 {
+	dropped := c.dropped
+	c.dropped = nil
+	return dropped
+}
+
+// through returns the highest committed order that the instance knows of.
+func (c *Candidate) through() (int64, bool) {
+	return max(c.row.Through, c.known.Through), c.row.Token > 0 || c.known.Token > 0
+}
+
+// NextStoreCall returns the call of the store to make now, if any. Its result must
+// be passed to ReadDone or WriteDone.
+func (c *Candidate) NextStoreCall(now time.Duration, need Need) (StoreCall, bool) {
+	if c.storeBusy || c.stopped || now < c.storeAt {
+		return StoreCall{}, false
+	}
+	if c.unresolved {
+		return c.read(now)
+	}
+	if c.holding {
+		orders := need.Orders(c.through())
+		if len(orders) == 0 && (len(c.open()) == 0 || now < c.leaseEnd) {
+			return StoreCall{}, false
+		}
+		return c.write(now, c.row.Token, orders)
+	}
+	current := c.rowKnown && (c.known == c.outdated || !c.known.newerThan(c.rowClaim()))
+	switch {
+	case !need.Overdue && !(need.Learn && !c.rowKnown && c.known.Token == 0):
+		return StoreCall{}, false
+	case !current:
+		return c.read(now)
+	case !need.Overdue || now < c.challengeAt():
+		return StoreCall{}, false
+	}
+	orders := need.Orders(c.through())
+	if len(orders) == 0 {
+		return StoreCall{}, false
+	}
+	return c.write(now, max(c.row.Token, c.known.Token)+1, orders)
+}
+
+// rowClaim returns the claim that corresponds to the known row.
+func (c *Candidate) rowClaim() Claim {
+	released := c.known.Released && c.known.Version == c.version && c.known.Token == c.row.Token
+	return Claim{
+		Holder: c.row.Holder, Incarnation: c.row.Incarnation, Token: c.row.Token, Version: c.version, Through: c.row.Through, Released: released,
+	}
+}
+
+// challengeAt returns the time from which the holder of the known row cannot be
+// sure of its lease.
+func (c *Candidate) challengeAt() time.Duration {
+	if c.rowClaim().Released || (c.version == 0 && c.known.Token == 0) {
+		return 0
+	}
+	return c.rowSince + c.cfg.Lease + c.cfg.Margin
+}
+
+func (c *Candidate) read(now time.Duration) (StoreCall, bool) {
+	c.storeBusy, c.readSince = true, now
+	return StoreCall{}, true
+}
+
+// open returns the pending orders that still have to be sent.
+func (c *Candidate) open() []Order {
+	return slices.DeleteFunc(slices.Clone(c.row.Pending), func(o Order) bool { return c.done[o.ID] })
+}
+
+func (c *Candidate) write(now time.Duration, token uint64, orders []Order) (StoreCall, bool) {
+	pending := append(c.open(), orders...)
+	if n := len(pending) - c.cfg.MaxPending; n > 0 {
+		for _, o := range pending[:n] {
+			c.dropped = append(c.dropped, o.ID)
+		}
+		pending = pending[n:]
+	}
+	c.writes++
+	through, _ := c.through()
+	if len(orders) > 0 {
+		through = max(through, orders[len(orders)-1].ID)
+	}
+	c.inFlight = Row{
+		Holder: c.cfg.Self, Incarnation: c.cfg.Incarnation, Token: token, Write: c.writes, Through: through, Pending: pending,
+	}
+	c.sentAt[c.writes] = now
+	if old := c.writes - maxUnresolved; c.writes > maxUnresolved {
+		delete(c.sentAt, old)
+	}
+	c.storeBusy = true
+	return StoreCall{Write: true, Row: c.inFlight, Precondition: c.version, TakeOver: !c.holding}, true
+}
+
+// ReadDone records the row and its version, 0 if there is none.
+func (c *Candidate) ReadDone(now time.Duration, row Row, version uint64, err error) {
+	c.storeBusy = false
+	if err != nil {
+		c.delayStore(now)
+		return
+	}
+	c.storeDelay, c.unresolved = 0, false
+	c.storeAt = now + minStoreDelay // bounds reads of a store that lags behind
+	sameRow := c.rowKnown && c.version == version
+	c.row, c.version, c.rowKnown = row, version, true
+	switch claim := c.rowClaim(); {
+	case sameRow:
+	case claim.Token == c.known.Token && claim.Version == c.known.Version:
+		c.rowSince = c.knownSince
+	default:
+		c.rowSince = now
+		c.Hear(now, claim)
+	}
+	if c.known.newerThan(c.rowClaim()) {
+		if c.knownSince <= c.readSince {
+			c.outdated = c.known
+		}
+		c.holding = false // its token may have been exceeded
+		return
+	}
+	if row.Token == 0 || row.Holder != c.cfg.Self || row.Incarnation != c.cfg.Incarnation {
+		c.holding = false
+		return
+	}
+	sent, ok := c.sentAt[row.Write]
+	if !ok {
+		sent = now - c.cfg.Lease // an unknown time; the next write renews the lease
+	}
+	c.hold(now, sent)
+}
+
+// hold records that the known row is that of this instance and was written by a
+// write sent at the given time.
+func (c *Candidate) hold(now, sent time.Duration) {
+	if c.stopped {
+		return
+	}
+	if !c.holding {
+		c.heldSince = now
+	}
+	c.holding, c.leaseEnd = true, sent+c.cfg.Lease
+	present := func(id int64) bool {
+		return slices.ContainsFunc(c.row.Pending, func(o Order) bool { return o.ID == id })
+	}
+	for id := range c.done {
+		if !present(id) {
+			delete(c.done, id)
+		}
+	}
+	for id := range c.called {
+		if !present(id) {
+			delete(c.called, id)
+		}
+	}
+}
+
+// WriteDone records the result of the last write, and the version of the row that
+// it has written.
+func (c *Candidate) WriteDone(now time.Duration, result WriteResult, version uint64) {
+	c.storeBusy = false
+	switch result {
+	case WriteDone:
+		sent := c.sentAt[c.inFlight.Write]
+		clear(c.sentAt) // all writes before it fail by their precondition
+		c.storeDelay = 0
+		c.row, c.version, c.rowKnown, c.rowSince = c.inFlight, version, true, sent
+		c.Hear(now, c.rowClaim())
+		if c.known.newerThan(c.rowClaim()) {
+			c.holding = false // superseded meanwhile
+			return
+		}
+		c.hold(now, sent)
+	case WriteConflict:
+		c.holding, c.unresolved = false, true // another write was performed; it may be a lost one of this instance
+	case WriteUnknown:
+		c.unresolved = true
+		c.delayStore(now)
+	}
+}
+
+func (c *Candidate) delayStore(now time.Duration) {
+	c.storeDelay = min(max(2*c.storeDelay, minStoreDelay), maxStoreDelay)
+	c.storeAt = now + c.storeDelay
+}
+
+// NextCall returns the call of the platform to make now, if any. Its answer must be
+// passed to Answered.
+func (c *Candidate) NextCall(now time.Duration) (Call, bool) {
+	if c.calling || c.stopped || now < c.callAt || !c.Sure(now) {
+		return Call{}, false
+	}
+	open := c.open()
+	if len(open) == 0 {
+		return Call{}, false
+	}
+	c.calling = true
+	call := Call{Token: c.row.Token, Order: open[0], Until: c.leaseEnd, Repeated: c.called[open[0].ID]}
+	c.called[open[0].ID] = true
+	return call, true
+}
+
+// MayCall reports whether a call may still be sent. The sender asks right before it
+// writes the bytes, since it may have been paused after the call was decided.
+func (c *Candidate) MayCall(now time.Duration, call Call) bool {
+	return c.Sure(now) && now < call.Until && call.Token == c.row.Token
+}
+
+// Answered records the answer to the last call. wait is how long the platform asks
+// to wait.
+func (c *Candidate) Answered(now time.Duration, id int64, answer Answer, wait time.Duration) {
+	c.calling = false
+	if answer == Again {
+		c.callDelay = min(max(2*c.callDelay, minCallDelay), maxCallDelay)
+		c.callAt = now + max(c.callDelay, wait, c.cfg.CallGap)
+		return
+	}
+	c.done[id] = true
+	c.callDelay = 0
+	c.callAt = now + c.cfg.CallGap
+}
--- /dev/null
+++ b/core/awduty/counter.go
@@ -0,0 +1,109 @@
+package awduty
+
+import (
+	"maps"
+	"time"
+)
+
+// countedWindows is the number of windows, with the present one, of which an
+// instance keeps and sends its counts.
+const countedWindows = 4
+
+// maxEarly limits the requests that wait for the clock to be confirmed.
+const maxEarly = 8192
+
+// Counts holds numbers of requests by team.
+type Counts map[string]int64
+
+// Total returns the number of requests of all teams.
+func (c Counts) Total() int64 {
+	var n int64
+	for _, v := range c {
+		n += v
+	}
+	return n
+}
+
+// WindowCounts is what one instance has counted in a window, or a part of that.
+type WindowCounts struct {
+	Window int64
+	Final  bool  // the window has ended
+	Total  int64 // over all teams, also those that are in other parts
+	Counts Counts
+}
+
+// counter counts the requests of one instance by window.
+type counter struct {
+	window  time.Duration
+	first   int64 // window in which counting began; valid once started
+	started bool
+	begun   time.Duration
+	windows map[int64]Counts
+	early   []earlyCount // counted before the clock was confirmed
+}
+
+type earlyCount struct {
+	at   time.Duration
+	team string
+}
+
+func newCounter(window, now time.Duration) *counter {
+	return &counter{window: window, begun: now, windows: map[int64]Counts{}}
+}
+
+// add counts a request of a team.
+func (c *counter) add(clock *Clock, now time.Duration, team string) {
+	if !c.started && len(c.early) < maxEarly {
+		c.early = append(c.early, earlyCount{now, team})
+		return
+	}
+	c.count(windowAt(clock.Now(now), c.window), team)
+}
+
+func (c *counter) count(window int64, team string) {
+	counts := c.windows[window]
+	if counts == nil {
+		counts = Counts{}
+		c.windows[window] = counts
+	}
+	counts[team]++
+}
+
+// start assigns the requests that were counted before the clock was confirmed. It
+// reports whether counting by window has begun now.
+func (c *counter) start(clock *Clock) bool {
+	if c.started || !clock.Confirmed() {
+		return false
+	}
+	c.started, c.first = true, windowAt(clock.Now(c.begun), c.window)
+	for _, e := range c.early {
+		c.count(windowAt(clock.Now(e.at), c.window), e.team)
+	}
+	c.early = nil
+	return true
+}
+
+// recent returns the counts of the last windows, the present one included.
+func (c *counter) recent(clock *Clock, now time.Duration) []WindowCounts {
+	if !c.started {
+		return nil
+	}
+	current := windowAt(clock.Now(now), c.window)
+	for id := range c.windows {
+		if id <= current-countedWindows {
+			delete(c.windows, id)
+		}
+	}
+	var out []WindowCounts
+	for id := max(c.first, current-countedWindows+1); id <= current; id++ {
+		counts := maps.Clone(c.windows[id])
+		out = append(out, WindowCounts{Window: id, Final: id < current, Total: counts.Total(), Counts: counts})
+	}
+	return out
+}
+
+// windowAt returns the window of a time since 1970.
+func windowAt(wall, window time.Duration) int64 { return int64(wall / window) }
+
+// windowEnd returns the end of a window, since 1970.
+func windowEnd(id int64, window time.Duration) time.Duration { return time.Duration(id+1) * window }
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -18,6 +18,7 @@
 	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awretry"
 	"arbutuswind/io/awbackend"
+	"arbutuswind/io/awduties"
 	"arbutuswind/io/awgateway"
 	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awload"
@@ -91,17 +92,23 @@
 	watcher *awwatch.Watcher
 	// unlisted signals that the list of entries lacks this start of the entry.
 	unlisted chan struct{}
+	duties   *awduties.Runner // nil if the deployment has no duties
 }
 
 func newGateway(cfg awsettings.Fleet, logger log.Logger) *gateway {
 	clock := awclock.System{}
 	self := awdirectory.Entry{Name: cfg.Process.Instance, Address: innerAddress(cfg), Incarnation: incarnation()}
 	g := &gateway{cfg: cfg, self: self, logger: logger, unlisted: make(chan struct{}, 1), source: &platform.StoreSource{Store: platform.NewStore(cfg.Store.Address), Regions: cfg.Regions}}
-	g.router = awgateway.New(awgateway.Config{
+	routerConfig := awgateway.Config{
 		Clock: clock, Logger: logger, Headers: platform.HeaderCodec{}, Pool: awbackend.NewPool(awbackend.Config{Clock: clock}),
 		Instance: cfg.Process.Instance, Domain: cfg.Process.Domain, Region: cfg.Process.Region, Incarnation: self.Incarnation,
 		Retry: retryWindow(cfg.Bounds), Settling: entrySettling,
-	})
+	}
+	if g.duties = newDuties(cfg, self, g.source.Store, logger); g.duties != nil {
+		g.self.Domain = cfg.Process.Domain
+		routerConfig.CountRun, routerConfig.OnDuties = g.duties.Count, g.duties.HandleMessage
+	}
+	g.router = awgateway.New(routerConfig)
 	g.watcher = awwatch.New(awwatch.Config{
 		Clock: clock, Logger: logger, Source: g.source, MaxStaleness: cfg.Bounds.Version.Std(), Stable: cfg.Bounds.Stable.Std(),
 		OnConfig:        g.router.Configure,
@@ -160,6 +167,9 @@
 	})
 	group.Go(func() error { g.router.ShareFacts(serveCtx, socket); return nil })
 	group.Go(func() error { g.router.ShareLimits(serveCtx, socket); return nil })
+	if g.duties != nil {
+		group.Go(func() error { g.duties.Run(serveCtx, socket); return nil })
+	}
 	group.Go(func() error { g.keepRegistered(ctx); return nil })
 	group.Go(func() error {
 		defer cancel()
@@ -179,6 +189,9 @@
 
 // checkListed has this entry register again if a list of entries lacks it.
 func (g *gateway) checkListed(entries []awdirectory.Entry) {
+	if g.duties != nil {
+		g.duties.SetEntries(entries)
+	}
 	if g.self.IsListed(entries) {
 		return
 	}
@@ -231,6 +244,9 @@
 		defer cancelLast()
 		_ = callers.Drain(last, callerServer) // the process ends in either case
 	}
+	if g.duties != nil {
+		g.duties.Stop()
+	}
 	_ = level.Info(g.logger).Log("Message", "stopped")
 }
 
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -52,6 +52,11 @@
 	Incarnation uint64
 	// Settling is the time from the start of an entry until all others know it.
 	Settling time.Duration
+	// CountRun is called when a backend server has begun to run a request of a
+	// team, once for each request. Nil if nobody counts.
+	CountRun func(team string)
+	// OnDuties handles messages of other entries about duties. It may be nil.
+	OnDuties func(from netip.AddrPort, payload []byte)
 }
 
 // Gateway serves callers. It is safe for concurrent use.
--- a/io/awgateway/load.go
+++ b/io/awgateway/load.go
@@ -19,7 +19,7 @@
 // on port. While connected returns true, they learn what they need to know of the
 // store with the subscription.
 func (g *Gateway) CollectLoadReports(ctx context.Context, socket *awload.Socket, port int, connected func() bool) {
-	go socket.Run(ctx, awload.Handlers{Report: g.handleLoadReport, Facts: g.HandleFacts, Notices: g.handleNotices})
+	go socket.Run(ctx, awload.Handlers{Report: g.handleLoadReport, Facts: g.HandleFacts, Notices: g.handleNotices, Duties: g.cfg.OnDuties})
 	tick := time.NewTicker(subscribeInterval)
 	defer tick.Stop()
 	for {
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -95,6 +95,15 @@
 	return s.forwardWhole(ctx, resp)
 }
 
+// countRun counts the request for its team when a backend server has begun to run
+// it. A request that runs again elsewhere counts where it first ran.
+func (q *request) countRun() {
+	if q.g.cfg.CountRun == nil || q.team == nil {
+		return
+	}
+	q.counted.Do(func() { q.g.cfg.CountRun(q.team.Name) })
+}
+
 // confirmCaller ends the request if its caller has left. It is called when the
 // request is about to be written to the backend server.
 func (s *send) confirmCaller(ctx context.Context) error {
@@ -151,6 +160,9 @@
 // forwardWhole forwards a response that is not an event stream.
 func (s *send) forwardWhole(ctx context.Context, resp *awbackend.Response) sendResult {
 	q := s.q
+	if q.route.Kind != awdirectory.Stream {
+		q.countRun() // a stream that is answered otherwise has not begun
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
 	if err != nil {
 		return failedResult(ctx, err)
@@ -287,6 +299,7 @@
 	if !ok {
 		return false, nil
 	}
+	q.countRun()
 	q.forward.Lock()
 	defer q.forward.Unlock()
 	defer s.recordActivity() // the time that the caller takes is no silence of the backend server
--- a/io/awload/awload.go
+++ b/io/awload/awload.go
@@ -48,6 +48,7 @@
 	fieldOriginDomain
 	fieldFacts
 	fieldNotices
+	fieldDuties
 )
 
 // Report is the load of a backend server as reported by itself.
@@ -107,6 +108,7 @@
 	fleet     Fleet
 	facts     []byte // nil unless the datagram is one between entries
 	notices   []byte // likewise
+	duties    []byte // likewise
 }
 
 // decode decodes a datagram.
@@ -158,6 +160,8 @@
 		d.facts = []byte(v)
 	case fieldNotices:
 		d.notices = []byte(v)
+	case fieldDuties:
+		d.duties = []byte(v)
 	}
 }
 
@@ -231,6 +235,8 @@
 	Facts func(payload []byte) [][]byte
 	// Notices handles what another entry has sent with [Socket.SendNotices].
 	Notices func(from netip.AddrPort, payload []byte)
+	// Duties handles what another entry has sent with [Socket.SendDuties].
+	Duties func(from netip.AddrPort, payload []byte)
 }
 
 // Run receives datagrams until ctx ends and then closes the socket. It records
@@ -265,6 +271,10 @@
 			if h.Notices != nil {
 				h.Notices(from, d.notices)
 			}
+		case d.duties != nil:
+			if h.Duties != nil {
+				h.Duties(from, d.duties)
+			}
 		case h.Report != nil:
 			h.Report(d.report)
 		}
@@ -327,6 +337,11 @@
 	s.sendPayload(addr, fieldNotices, payload) // asks are repeated
 }
 
+// SendDuties sends a message about duties between entries, as SendFacts does.
+func (s *Socket) SendDuties(addr netip.AddrPort, payload []byte) {
+	s.sendPayload(addr, fieldDuties, payload) // sent again every second
+}
+
 func (s *Socket) sendPayload(addr netip.AddrPort, field protowire.Number, payload []byte) {
 	b := protowire.AppendTag(nil, field, protowire.BytesType)
 	_, _ = s.conn.WriteToUDPAddrPort(protowire.AppendBytes(b, payload), addr)
--- a/io/awsettings/document.go
+++ b/io/awsettings/document.go
@@ -121,6 +121,13 @@
 	"Bounds.Stable":      {unitDuration, above0s, "Time after an outage of the store, or of the path to it, within which a lost notification must be noticed; reads that the store holds open last 1.8 s less than this."},
 	"Limits.MemoryMiB":   {"MiB", above0, "Memory above which the process is killed."},
 	"Limits.LinkMbit":    {"Mbit/s", "0 or more", "Bandwidth of the instance's link; 0 means unlimited."},
+	"Duties.Address":     {"address", "IP:port or empty; awgateway", "Where the platform takes the calls that are the duty of one gateway at a time; empty if there are none."},
+	"Duties.Names":       {unitText, "list; awgateway", "Names of the duties."},
+	"Duties.PerSecond":   {"1/s", "0 or more", "Limit on these calls, for all gateways together; 0 means unlimited."},
+	"Duties.Lease":       {unitDuration, above0s, "Time within which the holder of a duty must not change and change back."},
+	"Duties.Window":      {unitDuration, above0s, "Length of the windows of usage reports."},
+	"Duties.UsageLate":   {unitDuration, above0s, "Time from the end of a window until its report is due."},
+	"Duties.Tolerance":   {"share", "0 to 1", "Fraction by which a count may be off; windows above it are logged."},
 }
 
 // FleetKeys describes every key of the settings of awgateway and awloader.
--- a/io/awsettings/fleet.go
+++ b/io/awsettings/fleet.go
@@ -15,6 +15,7 @@
 	Backend FleetBackend
 	Bounds  FleetBounds
 	Limits  FleetLimits
+	Duties  FleetDuties
 }
 
 // FleetListen holds the listen addresses and ports of a process.
@@ -57,6 +58,17 @@
 	LinkMbit  float64 // bandwidth of the instance's link; 0 means unlimited
 }
 
+// FleetDuties describes the calls that one gateway at a time makes to the platform.
+type FleetDuties struct {
+	Address   string   // IP:port that takes the calls; empty if there are no duties
+	Names     []string // of the duties
+	PerSecond float64  // calls of all instances together; 0 means unlimited
+	Lease     Duration // within which the holder must not change and change back
+	Window    Duration // of usage reports
+	UsageLate Duration // from the end of a window until its report is due
+	Tolerance float64  // fraction by which a count may be off
+}
+
 // DefaultFleet returns the default settings of awgateway and awloader. Keys
 // without a default are zero.
 func DefaultFleet() Fleet {
@@ -67,6 +79,7 @@
 			Grace: Duration(8 * time.Second), DrainNotice: Duration(2 * time.Second), Stable: Duration(3 * time.Second),
 		},
 		Limits: FleetLimits{MemoryMiB: 128},
+		Duties: FleetDuties{Lease: Duration(3 * time.Second), Window: Duration(5 * time.Second), UsageLate: Duration(10 * time.Second), Tolerance: 0.05},
 	}
 }
 
@@ -121,9 +134,22 @@
 	ps.duration("Bounds.DrainNotice", c.Bounds.DrainNotice)
 	ps.duration("Bounds.Stable", c.Bounds.Stable)
 	ps.positive("Limits.MemoryMiB", float64(c.Limits.MemoryMiB))
+	c.Duties.check(&ps)
 	return ps
 }
 
+func (d *FleetDuties) check(ps *problemList) {
+	if d.Address == "" {
+		return
+	}
+	ps.address("Duties.Address", d.Address)
+	ps.require(d.PerSecond >= 0, "Duties.PerSecond", "%v is not allowed; want 0 or more", d.PerSecond)
+	ps.duration("Duties.Lease", d.Lease)
+	ps.duration("Duties.Window", d.Window)
+	ps.duration("Duties.UsageLate", d.UsageLate)
+	ps.require(d.Tolerance >= 0 && d.Tolerance <= 1, "Duties.Tolerance", "%v is not allowed; want 0 to 1", d.Tolerance)
+}
+
 func (ps *problemList) port(key string, port, minPort int) {
 	const maxPort = 1<<16 - 1
 	ps.require(port >= minPort && port <= maxPort, key, "%d is not allowed; want %d to %d", port, minPort, maxPort)
