awduty: order challengers and pass on the age of the lease

Cause: instances that had not got the counts of others took over first. Change: ranks count every candidate that is not known to be silent, claims carry the age of the holder's write, and an instance that has just begun to collect counts waits.

--- a/core/awduty/awduty.go
+++ b/core/awduty/awduty.go
@@ -54,6 +54,9 @@
 	Version     uint64 // of the row
 	Through     int64
 	Released    bool // the holder has ended and does not act on this version any more
+	// Age is the time since the write of this version began, as far as the instance
+	// knows. It is never longer than it really is.
+	Age time.Duration
 }
 
 // newerThan reports whether c describes a later state than other. Tokens are
--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -32,12 +32,12 @@
 	stopped bool
 
 	known      Claim         // newest state that was heard of or read
-	knownSince time.Duration // when this instance first learned of it
+	knownSince time.Duration // when its write may have begun at the latest
 
 	row      Row // content of version, as read or written by this instance
 	version  uint64
 	rowKnown bool
-	rowSince time.Duration // when this instance first learned of version
+	rowSince time.Duration // when the write of version may have begun at the latest
 	// outdated is the newest state that was heard of before a read showed an older
 	// one, because the store was set back.
 	outdated  Claim
@@ -74,21 +74,39 @@
 	// Orders returns the orders to be committed after the highest committed one.
 	// committed is false if no order has ever been.
 	Orders func(through int64, committed bool) []Order
+	// Suspect is set if the row should be read because no progress was heard of.
+	Suspect bool
+	// SuspectSince is when the progress was due. An earlier read does not count.
+	SuspectSince time.Duration
 	// Overdue is set if the holder should have committed an order by now and this
 	// instance is the one to challenge it.
 	Overdue bool
+	// Stagger is added to the time for which a challenger waits, so that the first
+	// candidate comes before the others.
+	Stagger time.Duration
 	// Learn has the row read if nothing is known of it.
 	Learn bool
 }
 
 // Hear records what another instance knows of the row.
 func (c *Candidate) Hear(now time.Duration, claim Claim) {
-	if claim.Token == 0 || !claim.newerThan(c.known) {
+	since := now - claim.Age
+	claim.Age = 0
+	if claim.Token == 0 {
+		return
+	}
+	if claim.Token == c.known.Token && claim.Version == c.known.Version {
+		c.knownSince = min(c.knownSince, since)
+		if c.rowKnown && c.version == claim.Version {
+			c.rowSince = min(c.rowSince, since)
+		}
+	}
+	if !claim.newerThan(c.known) {
 		return
 	}
 	own := claim.Holder == c.cfg.Self && claim.Incarnation == c.cfg.Incarnation
 	if claim.Token != c.known.Token || claim.Version != c.known.Version {
-		c.knownSince = now
+		c.knownSince = since
 	}
 	claim.Through = max(claim.Through, c.known.Through)
 	c.known = claim
@@ -98,7 +116,13 @@
 }
 
 // Claim returns what the candidate knows of the row.
-func (c *Candidate) Claim() Claim { return c.known }
+func (c *Candidate) Claim(now time.Duration) Claim {
+	claim := c.known
+	if claim.Token > 0 {
+		claim.Age = max(0, now-c.knownSince)
+	}
+	return claim
+}
 
 // Holding reports whether the instance holds the duty, since when, and its token.
 // The lease may have run out nevertheless.
@@ -149,13 +173,13 @@
 		}
 		return c.write(now, c.row.Token, orders)
 	}
-	current := c.rowKnown && (c.known == c.outdated || !c.known.newerThan(c.rowClaim()))
+	current := c.rowKnown && (c.known == c.outdated || !c.known.newerThan(c.rowClaim())) && !(need.Suspect && c.readSince < need.SuspectSince)
 	switch {
-	case !need.Overdue && !(need.Learn && !c.rowKnown && c.known.Token == 0):
+	case !need.Suspect && !need.Overdue && !(need.Learn && !c.rowKnown && c.known.Token == 0):
 		return StoreCall{}, false
 	case !current:
 		return c.read(now)
-	case !need.Overdue || now < c.challengeAt():
+	case !need.Overdue || now < c.challengeAt()+need.Stagger:
 		return StoreCall{}, false
 	}
 	orders := need.Orders(c.through())
@@ -288,7 +312,9 @@
 		clear(c.sentAt) // all writes before it fail by their precondition
 		c.storeDelay = 0
 		c.row, c.version, c.rowKnown, c.rowSince = c.inFlight, version, true, sent
-		c.Hear(now, c.rowClaim())
+		written := c.rowClaim()
+		written.Age = now - sent
+		c.Hear(now, written)
 		if c.known.newerThan(c.rowClaim()) {
 			c.holding = false // superseded meanwhile
 			return
--- a/core/awduty/ledger.go
+++ b/core/awduty/ledger.go
@@ -28,7 +28,11 @@
 type ledger struct {
 	window  time.Duration
 	sources map[Source]*sourceState
-	floor   int64 // windows up to this one are not kept any more
+	// collecting is when the counts of others began to come without a gap, and
+	// collected when the last ones came.
+	collecting, collected time.Duration
+
+	floor int64 // windows up to this one are not kept any more
 }
 
 type sourceState struct {
@@ -52,6 +56,20 @@
 	return &ledger{window: window, sources: map[Source]*sourceState{}}
 }
 
+// noteOthers records that counts of another instance have come.
+func (l *ledger) noteOthers(now time.Duration) {
+	if l.collected == 0 || now-l.collected > silentAfter {
+		l.collecting = now
+	}
+	l.collected = now
+}
+
+// gathers reports whether the instance has had the counts of others for as long as
+// all of them need to send theirs.
+func (l *ledger) gathers(now time.Duration) bool {
+	return l.collected > 0 && now-l.collected <= silentAfter && now-l.collecting >= silentAfter
+}
+
 // hear records a message of a source.
 func (l *ledger) hear(now, wall time.Duration, m *Message) {
 	key := Source{m.Sender, m.Incarnation}
--- a/core/awduty/peers.go
+++ b/core/awduty/peers.go
@@ -48,8 +48,7 @@
 // contact is what an instance knows of another one.
 type contact struct {
 	peer       Peer
-	listed     bool // it is registered
-	since      time.Duration
+	listed     bool          // it is registered
 	heard      time.Duration // 0 if never
 	askedSince time.Duration // first message without any from it since; 0 if there is none
 	probed     time.Duration
@@ -63,12 +62,6 @@
 	return c.askedSince == 0 || now-c.askedSince <= silentAfter
 }
 
-// alive reports whether the instance was heard from lately or has just become
-// known.
-func (c *contact) alive(now time.Duration) bool {
-	return now-c.since <= silentAfter || (c.heard > 0 && now-c.heard <= silentAfter)
-}
-
 // peers holds the other instances in the order of candidates.
 type peers struct {
 	self     Peer
@@ -101,7 +94,7 @@
 		}
 		c := p.contacts[peer.Name]
 		if c == nil {
-			c = &contact{since: now}
+			c = &contact{}
 			p.contacts[peer.Name] = c
 		}
 		c.peer, c.listed = peer, true
@@ -118,7 +111,7 @@
 func (p *peers) hear(now time.Duration, peer Peer) {
 	c := p.contacts[peer.Name]
 	if c == nil {
-		c = &contact{peer: peer, since: now}
+		c = &contact{peer: peer}
 		p.contacts[peer.Name] = c
 		p.sort()
 	}
@@ -153,14 +146,25 @@
 	return out
 }
 
-// rank returns the number of live instances that are candidates before this one.
+// others reports whether there is another instance that is not known to be silent.
+func (p *peers) others(now time.Duration) bool {
+	for _, c := range p.contacts {
+		if c.answers(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// rank returns the number of instances that are candidates before this one and are
+// not known to be silent.
 func (p *peers) rank(now time.Duration) int {
 	n := 0
 	for _, peer := range p.order {
 		if peer.Name == p.self.Name {
 			break
 		}
-		if p.contacts[peer.Name].alive(now) {
+		if p.contacts[peer.Name].answers(now) {
 			n++
 		}
 	}
--- a/core/awduty/sim_test.go
+++ b/core/awduty/sim_test.go
@@ -100,7 +100,7 @@
 	}
 	n.usage = awduty.NewUsage(awduty.UsageConfig{
 		Candidate: awduty.Config{
-			Self: name, Incarnation: n.incarnation, Lease: simWindow + time.Second, Margin: 500 * time.Millisecond, MaxPending: 30,
+			Self: name, Incarnation: n.incarnation, Lease: simWindow + 500*time.Millisecond, Margin: 500 * time.Millisecond, MaxPending: 30,
 			CallGap: 100 * time.Millisecond,
 		},
 		Domain: name[:1], Window: simWindow, Late: simLate, Settling: 6500 * time.Millisecond,
@@ -218,7 +218,9 @@
 	}
 }
 
-func (s *sim) latency() time.Duration { return time.Duration(s.rng.Int64N(int64(20 * time.Millisecond))) }
+func (s *sim) latency() time.Duration {
+	return time.Duration(s.rng.Int64N(int64(20 * time.Millisecond)))
+}
 
 var errStore = errors.New("store unavailable")
 
@@ -266,7 +268,9 @@
 		if fate.lost {
 			result = awduty.WriteUnknown
 		}
-		n.usage.WriteDone(n.local(), result, version)
+		if n.usage.WriteDone(n.local(), result, version) {
+			n.send()
+		}
 	})
 }
 
--- a/core/awduty/usage.go
+++ b/core/awduty/usage.go
@@ -69,7 +69,10 @@
 	// challengeShare is when the first candidate challenges a holder that has not
 	// committed, and staggerShare is how much later each next one does.
 	challengeShare = 0.35
-	staggerShare   = 0.03
+	staggerShare   = 0.05
+	// suspectShare is when a candidate reads the row if it has not heard of a commit.
+	// The lease of a holder that has committed and said nothing counts from then.
+	suspectShare = 0.28
 	// waitingShare is until when an instance that was heard from lately is waited
 	// for, and startingShare one that has just started.
 	waitingShare  = 0.4
@@ -155,7 +158,7 @@
 
 func (u *Usage) message(now, wall time.Duration) *Message {
 	m := &Message{
-		Sender: u.cfg.Candidate.Self, Incarnation: u.cfg.Candidate.Incarnation, Domain: u.cfg.Domain, Wall: wall, Claim: u.candidate.Claim(),
+		Sender: u.cfg.Candidate.Self, Incarnation: u.cfg.Candidate.Incarnation, Domain: u.cfg.Domain, Wall: wall, Claim: u.candidate.Claim(now),
 		Counting: u.counter.started, Since: u.counter.first, Windows: u.counter.recent(u.clock, now), Last: u.closed,
 	}
 	for i := range m.Windows {
@@ -169,7 +172,7 @@
 func (u *Usage) Messages(now, wall time.Duration) (*Message, []Peer) {
 	m := u.message(now, wall)
 	m.Ask = !u.closed
-	return m, u.peers.targets(now, u.candidate.Claim().Holder)
+	return m, u.peers.targets(now, m.Claim.Holder)
 }
 
 // Receive handles a message of another instance and returns the reply, or nil.
@@ -185,13 +188,14 @@
 		u.clock.ObserveMedian(m.Sender, now, m.Median, m.Sources)
 		return nil
 	}
+	u.ledger.noteOthers(now)
 	u.ledger.hear(now, u.clock.Now(now), m)
 	if !m.Ask {
 		return nil
 	}
 	median, sources := u.clock.Median(now)
 	return &Message{
-		Sender: u.cfg.Candidate.Self, Incarnation: u.cfg.Candidate.Incarnation, Domain: u.cfg.Domain, Wall: wall, Claim: u.candidate.Claim(),
+		Sender: u.cfg.Candidate.Self, Incarnation: u.cfg.Candidate.Incarnation, Domain: u.cfg.Domain, Wall: wall, Claim: u.candidate.Claim(now),
 		Median: median, Sources: sources, Reply: true,
 	}
 }
@@ -232,6 +236,9 @@
 		return false
 	}
 	c := u.ledger.coverage(now, id)
+	if !u.ledger.gathers(now) && u.peers.others(now) {
+		c.isolated = true
+	}
 	return !(c.waiting && passed < u.share(waitingShare)) && !(c.starting && passed < u.share(startingShare)) &&
 		!(c.isolated && passed < u.share(isolatedShare))
 }
@@ -254,15 +261,19 @@
 	through, committed := u.candidate.through()
 	next := u.next(now, through, committed)
 	rank := u.peers.rank(now)
-	delay := u.share(challengeShare + staggerShare*float64(rank))
+	suspect, challenge, stagger := u.share(suspectShare), u.share(challengeShare), u.share(staggerShare*float64(rank))
 	if rank >= maxCandidates {
-		delay = u.share(outsiderShare)
+		suspect, challenge, stagger = u.share(outsiderShare), u.share(outsiderShare), 0
 	}
 	settled := now-u.started >= u.cfg.Settling
+	passed := u.clock.Now(now) - windowEnd(next, u.cfg.Window)
 	return u.candidate.NextStoreCall(now, Need{
-		Orders:  func(through int64, committed bool) []Order { return u.orders(now, through, committed) },
-		Overdue: settled && u.ready(now, next) && u.clock.Now(now)-windowEnd(next, u.cfg.Window) >= delay,
-		Learn:   rank < maxCandidates && now-u.started >= learnAfter,
+		Orders:       func(through int64, committed bool) []Order { return u.orders(now, through, committed) },
+		Suspect:      settled && passed >= suspect+stagger,
+		SuspectSince: now - passed,
+		Overdue:      settled && passed >= challenge+stagger && u.ready(now, next),
+		Stagger:      stagger,
+		Learn:        rank < maxCandidates && now-u.started >= learnAfter,
 	})
 }
 
--- a/io/awduties/awduties.go
+++ b/io/awduties/awduties.go
@@ -88,7 +88,7 @@
 	leaseMargin = 500 * time.Millisecond
 	// leaseRenewal is the time by which the lease exceeds a window, so that one write
 	// for each window keeps it.
-	leaseRenewal = time.Second
+	leaseRenewal = 500 * time.Millisecond
 	// maxPending is the number of reports that wait for an unavailable platform.
 	maxPending = 120
 	// callShare is the fraction of the platform's limit on calls that is used.
--- a/io/awduties/message.go
+++ b/io/awduties/message.go
@@ -28,6 +28,7 @@
 	fieldToken
 	fieldVersion
 	fieldThrough
+	fieldAgeMicros
 	fieldWindow
 )
 
@@ -97,6 +98,7 @@
 		b = appendInt(b, fieldToken, m.Claim.Token)
 		b = appendInt(b, fieldVersion, m.Claim.Version)
 		b = appendInt(b, fieldThrough, uint64(m.Claim.Through))
+		b = appendInt(b, fieldAgeMicros, uint64(m.Claim.Age.Microseconds()))
 	}
 	return b
 }
@@ -216,6 +218,8 @@
 		m.Claim.Version = n
 	case fieldThrough:
 		m.Claim.Through = int64(n)
+	case fieldAgeMicros:
+		m.Claim.Age = time.Duration(n) * time.Microsecond
 	case fieldFlags:
 		m.Reply, m.Counting, m.Last = n&flagReply != 0, n&flagCounting != 0, n&flagLast != 0
 		m.Ask, m.Claim.Released = n&flagAsk != 0, n&flagReleased != 0
--- a/io/awduties/telemetry.go
+++ b/io/awduties/telemetry.go
@@ -50,7 +50,7 @@
 		return metrics.GetOrCreateGauge(fmt.Sprintf(`%s{Duty=%q}`, name, usageSubject.Key()), nil)
 	}
 	gauge("arbutuswind_duty_held_seconds").Set(held)
-	gauge("arbutuswind_duty_token").Set(float64(c.Claim().Token))
+	gauge("arbutuswind_duty_token").Set(float64(c.Claim(now).Token))
 }
 
 func (r *Runner) logStoreError(call string, err error) {
