--- a/core/awduty/awduty_test.go
+++ b/core/awduty/awduty_test.go
@@ -25,6 +25,28 @@
 	require.LessOrEqual(t, s.reads, len(simNames)+2)
 }
 
+// Guards against a first window that is missed because instances do not know each
+// other yet, wherever in the window they start.
+func TestFirstWindow(t *testing.T) {
+	for phase := range 10 {
+		s := newSim(t, uint64(phase))
+		s.now += time.Duration(phase) * 500 * time.Millisecond
+		start := s.now
+		for _, name := range simNames {
+			s.add(name)
+			s.runFor(300 * time.Millisecond)
+		}
+		s.runFor(4 * time.Second)
+		s.registered()
+		s.runFor(30 * time.Second)
+		s.check()
+		s.checkCounts(start, s.now-4*simWindow)
+		for _, c := range s.platform.calls {
+			require.Less(t, c.at, time.Duration(c.window+1)*simWindow+simLate, "window %d is late", c.window)
+		}
+	}
+}
+
 // Guards against windows that are lost with a killed holder, and counts of the other
 // instances that are.
 func TestHolderIsKilled(t *testing.T) {
@@ -136,15 +158,42 @@
 	s.checkCounts(simStart, s.now-4*simWindow)
 }
 
-// Guards against a holder that reports its own counts alone because it does not hear
-// the others, while it still reaches the store.
+// Guards against windows that are lost while the holder does not reach the store,
+// and against a holder that reports its own counts alone while it does not hear the
+// others.
 func TestHolderIsCutOff(t *testing.T) {
 	s := newSim(t, 8, simNames...)
 	s.runFor(20 * time.Second)
-	s.holder().cut = true // from the store
+	s.holder().cut = true
+	s.runFor(40 * time.Second)
+	s.check()
+	s.checkCounts(simStart, s.now-4*simWindow)
+
+	s = newSim(t, 8, simNames...)
+	s.runFor(20 * time.Second)
+	alone := s.holder()
+	alone.lone, alone.rate = true, 1
+	cut := s.now
+	s.runFor(40 * time.Second)
+	s.check()
+	s.checkCounts(simStart, cut-simWindow)
+	s.checkCounts(cut+simWindow, s.now-4*simWindow)
+	require.NotEqual(t, alone, s.holder())
+}
+
+// Guards against a planned stop of the holder that loses counts or windows, and
+// against one that stays silent until its lease has run out.
+func TestHolderStops(t *testing.T) {
+	s := newSim(t, 10, simNames...)
+	s.runFor(23 * time.Second)
+	stopped := s.holder()
+	stopped.usage.Close()
+	stopped.send()
+	stopped.dead = true
 	s.runFor(40 * time.Second)
 	s.check()
 	s.checkCounts(simStart, s.now-4*simWindow)
+	require.False(t, s.doubtful[int64((simStart+23*time.Second)/simWindow)])
 }
 
 // Guards against a fleet that reports nothing after it has lost power, and against
@@ -213,7 +262,7 @@
 		}
 	}
 	n := s.nodes[i]
-	switch s.rng.IntN(6) {
+	switch s.rng.IntN(7) {
 	case 0:
 		n.frozenUntil = s.now + time.Duration(s.rng.Int64N(int64(12*time.Second)))
 	case 1: // restarted in place; what it has asked of the store may still happen
@@ -228,6 +277,8 @@
 	case 4:
 		n.cut = !n.cut
 	case 5:
+		n.lone = !n.lone
+	case 6:
 		n.mayPause = !n.mayPause
 	}
 }
--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -19,8 +19,11 @@
 const (
 	minStoreDelay = 250 * time.Millisecond // after a failed call of the store, doubling
 	maxStoreDelay = 4 * time.Second
-	minCallDelay  = 250 * time.Millisecond // after a call without success, doubling
-	maxCallDelay  = 2 * time.Second
+	// maxPatientDelay is the longest such delay of an instance that is not among the
+	// candidates.
+	maxPatientDelay = 30 * time.Second
+	minCallDelay    = 250 * time.Millisecond // after a call without success, doubling
+	maxCallDelay    = 2 * time.Second
 	// maxUnresolved limits the writes whose send times are kept.
 	maxUnresolved = 8
 )
@@ -54,6 +57,7 @@
 	sentAt     map[uint64]time.Duration // of writes that may be performed, by number
 	storeAt    time.Duration            // earliest time of the next call of the store
 	storeDelay time.Duration
+	maxDelay   time.Duration
 
 	calling   bool
 	done      map[int64]bool // orders in row.Pending that need no further call
@@ -84,6 +88,9 @@
 	// Stagger is added to the time for which a challenger waits, so that the first
 	// candidate comes before the others.
 	Stagger time.Duration
+	// Patient is set if others are more likely to act, so that an unavailable store
+	// is asked less often.
+	Patient bool
 	// Learn has the row read if nothing is known of it.
 	Learn bool
 }
@@ -163,6 +170,10 @@
 	if c.storeBusy || c.stopped || now < c.storeAt {
 		return StoreCall{}, false
 	}
+	c.maxDelay = maxStoreDelay
+	if need.Patient {
+		c.maxDelay = maxPatientDelay
+	}
 	if c.unresolved {
 		return c.read(now)
 	}
@@ -329,7 +340,7 @@
 }
 
 func (c *Candidate) delayStore(now time.Duration) {
-	c.storeDelay = min(max(2*c.storeDelay, minStoreDelay), maxStoreDelay)
+	c.storeDelay = min(max(2*c.storeDelay, minStoreDelay), c.maxDelay)
 	c.storeAt = now + c.storeDelay
 }
 
--- a/core/awduty/clock.go
+++ b/core/awduty/clock.go
@@ -8,12 +8,24 @@
 const (
 	// clockAge is the age up to which the clock of another instance is used.
 	clockAge = 5 * time.Second
-	// clockTolerance is the deviation below which the offset is kept. Messages
-	// take up to a few milliseconds, and windows do not need more.
-	clockTolerance = 30 * time.Millisecond
+	// clockTolerance is the deviation up to which the estimate is kept. Messages
+	// between regions take tens of milliseconds, and a window that is shifted by this
+	// much has the same requests within 2%.
+	clockTolerance = 100 * time.Millisecond
 	// minClocks is the number of clocks of which the median counts. Two that
 	// disagree do not tell which is right.
 	minClocks = 3
+	// correctionAfter is how long the other clocks must differ from the estimate
+	// until it follows. A step of the own wall clock does not change the estimate, so
+	// there is no hurry, and messages may be held up for some time.
+	correctionAfter = 5 * time.Second
+	// pauseGap is the time between two updates from which the process counts as
+	// paused. Messages that waited meanwhile show clocks of the past.
+	pauseGap = time.Second
+	// pauseSettling is the time in which those messages are read.
+	pauseSettling = 500 * time.Millisecond
+	// maxRoundTrip is the longest round trip of a reply whose clock is used.
+	maxRoundTrip = 250 * time.Millisecond
 )
 
 // Clock estimates true time on the clock of the machine. The wall clock of any
@@ -25,6 +37,9 @@
 	started   time.Duration
 	settling  time.Duration // after the start, in which others are waited for
 	confirmed bool
+	updated   time.Duration          // last update
+	usableAt  time.Duration          // from when clocks of others are used
+	offSince  time.Duration          // since when they have differed from the estimate; 0 if they do not
 	raw       map[string]clockSample // wall clocks of other instances
 	medians   map[string]clockSample // medians that other instances have found
 }
@@ -37,7 +52,7 @@
 
 // NewClock returns a clock that begins with the wall time, since 1970.
 func NewClock(now, wall, settling time.Duration) *Clock {
-	return &Clock{offset: wall - now, own: wall - now, started: now, settling: settling, raw: map[string]clockSample{}, medians: map[string]clockSample{}}
+	return &Clock{offset: wall - now, own: wall - now, started: now, updated: now, settling: settling, raw: map[string]clockSample{}, medians: map[string]clockSample{}}
 }
 
 // Now returns the estimate of true time since 1970.
@@ -49,17 +64,25 @@
 
 // ObserveWall records the wall clock of another instance.
 func (c *Clock) ObserveWall(peer string, now, wall time.Duration) {
+	if c.paused(now) {
+		return
+	}
 	c.raw[peer] = clockSample{at: now, offset: wall - now, sources: 1}
 }
 
 // ObserveMedian records the median that another instance has found from the wall
 // clocks of a number of instances.
 func (c *Clock) ObserveMedian(peer string, now, median time.Duration, sources int) {
-	if sources >= minClocks {
+	if sources >= minClocks && !c.paused(now) {
 		c.medians[peer] = clockSample{at: now, offset: median - now, sources: sources}
 	}
 }
 
+// paused reports whether what arrives may have waited while the process was paused.
+func (c *Clock) paused(now time.Duration) bool {
+	return now-c.updated > pauseGap || now < c.usableAt
+}
+
 // Median returns the median of the wall clocks that are known and their number.
 func (c *Clock) Median(now time.Duration) (wall time.Duration, sources int) {
 	offsets := c.fresh(now, c.raw)
@@ -71,6 +94,12 @@
 // the correction, 0 if there is none.
 func (c *Clock) Update(now, wall time.Duration) time.Duration {
 	c.own = wall - now
+	if now-c.updated > pauseGap {
+		c.usableAt = now + pauseSettling
+		clear(c.raw)
+		clear(c.medians)
+	}
+	c.updated = now
 	median, sources := c.Median(now)
 	estimate, ok := median-now, sources >= minClocks
 	best := 0
@@ -82,14 +111,21 @@
 	}
 	if !ok {
 		c.confirmed = c.confirmed || now-c.started >= c.settling
+		c.offSince = 0
 		return 0
 	}
-	c.confirmed = true
 	correction := estimate - c.offset
-	if correction.Abs() <= clockTolerance {
+	switch {
+	case correction.Abs() <= clockTolerance:
+		c.confirmed, c.offSince = true, 0
+		return 0
+	case c.confirmed && c.offSince == 0:
+		c.offSince = now
+		return 0
+	case c.confirmed && now-c.offSince < correctionAfter:
 		return 0
 	}
-	c.offset = estimate
+	c.confirmed, c.offSince, c.offset = true, 0, estimate
 	return correction
 }
 
--- a/core/awduty/sim_test.go
+++ b/core/awduty/sim_test.go
@@ -65,6 +65,7 @@
 	cut         bool // from the store
 	rate        float64
 	nextSend    time.Duration
+	lone        bool // cut off from the other instances
 	mayPause    bool // it is paused at times between deciding on a call and sending it
 }
 
@@ -171,9 +172,11 @@
 			if len(s.events) == 0 || s.events[0].at > s.now {
 				break
 			}
-			e := s.events[0]
+			e, step := s.events[0], s.now
 			s.events = s.events[1:]
+			s.now = e.at
 			e.run()
+			s.now = step
 		}
 		for _, n := range s.nodes {
 			if n.running() {
@@ -206,7 +209,7 @@
 	m, targets := n.usage.Messages(n.local(), n.wall())
 	for _, p := range targets {
 		for _, to := range s.nodes {
-			if to.name != p.Address || s.rng.IntN(50) == 0 {
+			if to.name != p.Address || s.rng.IntN(50) == 0 || n.lone || to.lone {
 				continue
 			}
 			s.onNode(s.latency(), to, func() {
--- a/core/awduty/usage.go
+++ b/core/awduty/usage.go
@@ -26,6 +26,10 @@
 	Windows  []WindowCounts
 	Last     bool // the sender counts no more
 	Ask      bool // a reply is wanted
+
+	// Sent is when the sender sent the message, by the clock of its machine. Echo is
+	// that of the message to which this is the reply.
+	Sent, Echo time.Duration
 }
 
 // EventKind is the kind of an [Event].
@@ -171,7 +175,7 @@
 // every second.
 func (u *Usage) Messages(now, wall time.Duration) (*Message, []Peer) {
 	m := u.message(now, wall)
-	m.Ask = !u.closed
+	m.Ask, m.Sent = !u.closed, now
 	return m, u.peers.targets(now, m.Claim.Holder)
 }
 
@@ -182,12 +186,15 @@
 		return nil
 	}
 	u.peers.hear(now, Peer{Name: m.Sender, Domain: m.Domain, Address: address})
-	u.clock.ObserveWall(m.Sender, now, m.Wall)
 	u.hearClaim(now, m.Claim)
 	if m.Reply {
-		u.clock.ObserveMedian(m.Sender, now, m.Median, m.Sources)
+		if trip := now - m.Echo; trip >= 0 && trip <= maxRoundTrip {
+			u.clock.ObserveWall(m.Sender, now, m.Wall+trip/2)
+			u.clock.ObserveMedian(m.Sender, now, m.Median+trip/2, m.Sources)
+		}
 		return nil
 	}
+	u.clock.ObserveWall(m.Sender, now, m.Wall)
 	u.ledger.noteOthers(now)
 	u.ledger.hear(now, u.clock.Now(now), m)
 	if !m.Ask {
@@ -196,7 +203,7 @@
 	median, sources := u.clock.Median(now)
 	return &Message{
 		Sender: u.cfg.Candidate.Self, Incarnation: u.cfg.Candidate.Incarnation, Domain: u.cfg.Domain, Wall: wall, Claim: u.candidate.Claim(now),
-		Median: median, Sources: sources, Reply: true,
+		Median: median, Sources: sources, Reply: true, Echo: m.Sent,
 	}
 }
 
@@ -272,6 +279,7 @@
 		Suspect:      settled && passed >= suspect+stagger,
 		SuspectSince: now - passed,
 		Overdue:      settled && passed >= challenge+stagger && u.ready(now, next),
+		Patient:      rank >= maxCandidates,
 		Stagger:      stagger,
 		Learn:        rank < maxCandidates && now-u.started >= learnAfter,
 	})
--- a/io/awduties/awduties.go
+++ b/io/awduties/awduties.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -27,7 +28,7 @@
 	// storeTimeout limits a call of the store. Its result is unknown after that.
 	storeTimeout = 2 * time.Second
 	// callTimeout limits a call of the platform, which is repeated after that.
-	callTimeout = 1500 * time.Millisecond
+	callTimeout = 2500 * time.Millisecond
 	// lastMessages is the number of times that the last counts are sent at a planned
 	// stop, since a datagram may be lost, and lastMessageGap the time between two.
 	lastMessages   = 3
@@ -105,10 +106,12 @@
 	sender   Sender // nil before Run
 	lastSend time.Time
 	ended    bool
+	known    awduty.Claim // as last logged
 	calls    sync.WaitGroup
 
 	badMessages *metrics.Counter
 	repeats     *metrics.Counter
+	held, token *metrics.Gauge
 }
 
 // New returns a runner. It counts at once and exchanges messages and acts once it
@@ -118,6 +121,9 @@
 		cfg: cfg, sends: make(chan struct{}, 1), badMessages: metrics.GetOrCreateCounter("arbutuswind_duty_bad_messages_total"),
 		repeats: metrics.GetOrCreateCounter("arbutuswind_duty_windows_repeated_total"),
 	}
+	label := fmt.Sprintf(`{Duty=%q}`, usageSubject.Key())
+	r.held = metrics.GetOrCreateGauge("arbutuswind_duty_held_seconds"+label, nil)
+	r.token = metrics.GetOrCreateGauge("arbutuswind_duty_token"+label, nil)
 	var gap time.Duration
 	if cfg.PerSecond > 0 {
 		gap = time.Duration(float64(time.Second) / (callShare * cfg.PerSecond))
--- a/io/awduties/message.go
+++ b/io/awduties/message.go
@@ -30,6 +30,8 @@
 	fieldThrough
 	fieldAgeMicros
 	fieldWindow
+	fieldSent
+	fieldEcho
 )
 
 const (
@@ -91,6 +93,8 @@
 	b = appendInt(b, fieldWallMicros, uint64(m.Wall.Microseconds()))
 	b = appendInt(b, fieldMedianMicros, uint64(m.Median.Microseconds()))
 	b = appendInt(b, fieldSources, uint64(m.Sources))
+	b = appendInt(b, fieldSent, uint64(m.Sent))
+	b = appendInt(b, fieldEcho, uint64(m.Echo))
 	b = appendInt(b, fieldSince, uint64(m.Since))
 	if m.Claim.Token > 0 {
 		b = appendBytes(b, fieldHolder, []byte(m.Claim.Holder))
@@ -218,6 +222,10 @@
 		m.Claim.Version = n
 	case fieldThrough:
 		m.Claim.Through = int64(n)
+	case fieldSent:
+		m.Sent = time.Duration(n)
+	case fieldEcho:
+		m.Echo = time.Duration(n)
 	case fieldAgeMicros:
 		m.Claim.Age = time.Duration(n) * time.Microsecond
 	case fieldFlags:
--- a/io/awduties/telemetry.go
+++ b/io/awduties/telemetry.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// showHolder updates the metrics of who holds the duty; mu must be held.
+// showHolder shows who holds the duty; mu must be held.
 func (r *Runner) showHolder(now time.Duration) {
 	c := r.usage.Candidate()
 	holding, since, _ := c.Holding()
@@ -46,11 +46,13 @@
 	if holding {
 		held = max((now - since).Seconds(), 0.001) // 0 means that another gateway holds it
 	}
-	gauge := func(name string) *metrics.Gauge {
-		return metrics.GetOrCreateGauge(fmt.Sprintf(`%s{Duty=%q}`, name, usageSubject.Key()), nil)
+	r.held.Set(held)
+	claim := c.Claim(now)
+	if claim.Token != r.known.Token {
+		r.token.Set(float64(claim.Token))
+		_ = level.Info(r.cfg.Logger).Log("Message", "duty holder changed", "Duty", usageSubject.Key(), "Holder", claim.Holder, "Token", claim.Token)
 	}
-	gauge("arbutuswind_duty_held_seconds").Set(held)
-	gauge("arbutuswind_duty_token").Set(float64(c.Claim(now).Token))
+	r.known = claim
 }
 
 func (r *Runner) logStoreError(call string, err error) {
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -46,7 +46,7 @@
 	running      []*send                  // sends that have not ended
 	ended        chan endedSend
 	departure    departure
-	counted      sync.Once // for CountRun
+	counted      sync.Once          // for CountRun
 	cancel       context.CancelFunc // ends the request as if its caller had left
 
 	// forward is held while a send writes to the caller. It protects the fields below.
