--- /dev/null
+++ b/io/awduties/awduties_test.go
@@ -0,0 +1,132 @@
+package awduties
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+
+	"arbutuswind/core/awclock"
+	"arbutuswind/core/awduty"
+)
+
+// Guards against messages that lose counts or do not fit into one datagram, however
+// many teams there are.
+func TestMessageKeepsItsFields(t *testing.T) {
+	want := &awduty.Message{
+		Sender: "e1", Incarnation: 9, Domain: "z0", Wall: 1800000000123456 * time.Microsecond, Median: time.Second, Sources: 5,
+		Counting: true, Since: 4, Last: true, Ask: true, Sent: 77, Echo: 78,
+		Claim: awduty.Claim{Holder: "e2", Incarnation: 8, Token: 3, Version: 99, Through: 5, Released: true, Age: time.Second},
+	}
+	for id := range int64(4) {
+		counts := awduty.Counts{}
+		for n := range 150 {
+			counts[fmt.Sprintf("team-with-a-name-%d", n)] = int64(n + 1)
+		}
+		want.Windows = append(want.Windows, awduty.WindowCounts{Window: id + 4, Final: id < 3, Total: counts.Total(), Counts: counts})
+	}
+	merged := map[int64]awduty.WindowCounts{}
+	payloads := encode(want)
+	require.Greater(t, len(payloads), 4)
+	for i, payload := range payloads {
+		require.LessOrEqual(t, len(payload), 1150)
+		got, err := decode(payload)
+		require.NoError(t, err)
+		require.Equal(t, i == len(payloads)-1, got.Ask)
+		for _, w := range got.Windows {
+			if before, ok := merged[w.Window]; ok {
+				for team, n := range before.Counts {
+					w.Counts[team] = n
+				}
+			}
+			merged[w.Window] = w
+		}
+		got.Windows, got.Ask = want.Windows, true
+		require.Equal(t, want, got)
+	}
+	for _, w := range want.Windows {
+		require.Equal(t, w, merged[w.Window])
+	}
+	_, err := decode([]byte{0xff})
+	require.Error(t, err)
+}
+
+// world is a store, a platform and a clock for one runner.
+type world struct {
+	*awclock.Fake
+	mu      sync.Mutex
+	row     awduty.Row
+	version uint64
+	calls   int
+	sent    int
+	pause   time.Duration // between the decision on a call and its bytes
+}
+
+func (w *world) ReadDuty(context.Context, awduty.Subject) (awduty.Row, uint64, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.row, w.version, nil
+}
+
+func (w *world) WriteDuty(_ context.Context, _ awduty.Subject, row awduty.Row, version uint64) (uint64, awduty.WriteResult, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if version != w.version {
+		return 0, awduty.WriteConflict, nil
+	}
+	w.row = row
+	w.version++
+	return w.version, awduty.WriteDone, nil
+}
+
+func (w *world) Encode(window int64, _ awduty.Counts) []byte { return fmt.Append(nil, window) }
+
+func (w *world) Call(_ context.Context, _ awduty.Subject, _ awduty.Call, allowed func() bool) (awduty.Answer, time.Duration, error) {
+	w.mu.Lock()
+	pause := w.pause
+	w.mu.Unlock()
+	w.Advance(pause)
+	ok := allowed()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls++
+	if !ok {
+		return awduty.Again, 0, nil
+	}
+	w.sent++
+	return awduty.Accepted, 0, nil
+}
+
+func (w *world) SendDuties(netip.AddrPort, []byte) {}
+
+// Guards against a call that is sent after a pause in which the lease has run out.
+func TestNoCallAfterPause(t *testing.T) {
+	for _, tc := range []struct {
+		pause time.Duration
+		sent  bool
+	}{{time.Second, true}, {6 * time.Second, false}} {
+		w := &world{Fake: awclock.NewFake(time.Unix(1_800_000_000, 0)), pause: tc.pause}
+		r := New(Config{
+			Logger: log.NewNopLogger(), Wall: w, Boot: w, Store: w, Platform: w, Instance: "e1", Incarnation: 1, Lease: 3 * time.Second,
+			Window: 5 * time.Second, Late: 10 * time.Second, Tolerance: 0.05, Settling: time.Second,
+		})
+		for range 150 {
+			w.Advance(tickInterval)
+			r.step(context.Background())
+			r.calls.Wait()
+			w.mu.Lock()
+			calls := w.calls
+			w.mu.Unlock()
+			if calls > 0 {
+				break
+			}
+		}
+		require.Equal(t, 1, w.calls)
+		require.Equal(t, tc.sent, w.sent == 1)
+	}
+}
