--- a/core/awduty/awduty_test.go
+++ b/core/awduty/awduty_test.go
@@ -113,8 +113,7 @@
 		s.nodes[4].step = -step
 		s.runFor(20 * time.Second)
 		s.nodes[4].step = 0
-		late := s.add("c2")
-		late.step = step
+		s.addStepped("c2", step)
 		s.registered()
 		s.runFor(40 * time.Second)
 		s.check()
@@ -216,21 +215,41 @@
 	s.checkCounts(back+simWindow, s.now-4*simWindow)
 }
 
+// Guards against a falling token, and against windows that are reported again with
+// other counts, after the store was set back to an older copy.
+func TestStoreIsSetBack(t *testing.T) {
+	s := newSim(t, 11, simNames...)
+	s.runFor(18 * time.Second)
+	row, version := s.row, s.version
+	s.runFor(5 * time.Second)
+	s.holder().dead = true
+	s.runFor(20 * time.Second)
+	s.holder().frozenUntil = s.now + 15*time.Second
+	s.runFor(20 * time.Second)
+	s.row, s.version = row, version
+	s.runFor(40 * time.Second)
+	s.check()
+	s.accepted(s.now-6*simWindow, s.now-4*simWindow)
+}
+
 // Guards against two sets of counts for a window, a falling token and holders that
 // change and change back, in any interleaving of pauses, crashes, restarts, steps
 // of clocks, and a store and a platform in trouble.
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(60) {
 		s := newSim(t, 100+seed, simNames...)
+		s.callLatency = 250 * time.Millisecond
 		s.runFor(15 * time.Second)
 		s.fate = func(*simNode) writeFate {
-			switch s.rng.IntN(5) {
+			switch s.rng.IntN(6) {
 			case 0:
 				return writeFate{lost: true, perform: true}
 			case 1:
 				return writeFate{lost: true, perform: true, delay: time.Duration(s.rng.Int64N(int64(8 * time.Second)))}
 			case 2:
 				return writeFate{lost: true}
+			case 3:
+				return writeFate{perform: true, slow: time.Duration(s.rng.Int64N(int64(1900 * time.Millisecond)))}
 			}
 			return writeFate{perform: true}
 		}
--- a/core/awduty/sim_test.go
+++ b/core/awduty/sim_test.go
@@ -37,6 +37,8 @@
 	fate     func(n *simNode) writeFate
 	down     bool // the store is unavailable
 	platform simPlatform
+	// callLatency is how long a call of the platform is on its way.
+	callLatency time.Duration
 	truth    map[int64]int64 // requests by window
 	skipped  map[int64]string
 	doubtful map[int64]bool
@@ -49,6 +51,7 @@
 
 type writeFate struct {
 	lost    bool          // no response
+	slow    time.Duration // before the response
 	perform bool          // it is performed at all
 	delay   time.Duration // before it is performed
 }
@@ -95,9 +98,12 @@
 }
 
 // add starts an instance.
-func (s *sim) add(name string) *simNode {
+func (s *sim) add(name string) *simNode { return s.addStepped(name, 0) }
+
+// addStepped starts an instance whose wall clock is wrong.
+func (s *sim) addStepped(name string, step time.Duration) *simNode {
 	n := &simNode{
-		sim: s, name: name, incarnation: uint64(s.now), boot: s.now - time.Duration(s.rng.Int64N(int64(time.Hour))) - time.Second, rate: 40,
+		sim: s, name: name, incarnation: uint64(s.now), boot: s.now - time.Duration(s.rng.Int64N(int64(time.Hour))) - time.Second, rate: 40, step: step,
 	}
 	n.usage = awduty.NewUsage(awduty.UsageConfig{
 		Candidate: awduty.Config{
@@ -122,7 +128,7 @@
 				s.doubtful[e.Window] = true
 			}
 		},
-	}, n.local(), s.now)
+	}, n.local(), n.wall())
 	s.nodes = append(s.nodes, n)
 	return n
 }
@@ -263,7 +269,7 @@
 		s.row = call.Row
 		result, version = awduty.WriteDone, s.version
 	})
-	wait := 40 * time.Millisecond
+	wait := 40*time.Millisecond + fate.slow
 	if fate.lost {
 		wait = 2 * time.Second
 	}
@@ -289,12 +295,14 @@
 			n.usage.Answered(n.local(), call.Order.ID, awduty.Again, 0)
 			return
 		}
-		answer := awduty.Accepted
-		if s.platform.answer != nil {
-			answer = s.platform.answer(s.now)
-		}
-		s.platform.calls = append(s.platform.calls, received{s.now, fmt.Sprint(n.name, n.incarnation), call.Token, call.Order.ID, string(call.Order.Body), answer})
-		s.onNode(s.latency(), n, func() { n.usage.Answered(n.local(), call.Order.ID, answer, 0) })
+		s.after(s.latency()+s.callLatency, func() {
+			answer := awduty.Accepted
+			if s.platform.answer != nil {
+				answer = s.platform.answer(s.now)
+			}
+			s.platform.calls = append(s.platform.calls, received{s.now, fmt.Sprint(n.name, n.incarnation), call.Token, call.Order.ID, string(call.Order.Body), answer})
+			s.onNode(s.latency(), n, func() { n.usage.Answered(n.local(), call.Order.ID, answer, 0) })
+		})
 	})
 }
 
