awduty: tests of the lease itself; tell when a lost write was sent

Cause: mutations of where the lease begins and of the margin were not caught. Change: deterministic tests of two candidates; a holder that finds its own lost write passes on when it was sent, so that challengers wait no longer. Result: these mutations are caught.

--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -282,7 +282,11 @@
 		return
 	}
 	sent, ok := c.sentAt[row.Write]
-	if !ok {
+	if ok {
+		found := c.rowClaim()
+		found.Age = now - sent
+		c.Hear(now, found)
+	} else {
 		sent = now - c.cfg.Lease // an unknown time; the next write renews the lease
 	}
 	c.hold(now, sent)
--- /dev/null
+++ b/core/awduty/lease_test.go
@@ -0,0 +1,93 @@
+package awduty_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"arbutuswind/core/awduty"
+)
+
+const testLease, testMargin = 5500 * time.Millisecond, 500 * time.Millisecond
+
+func newCandidate(name string) *awduty.Candidate {
+	return awduty.NewCandidate(awduty.Config{Self: name, Incarnation: 1, Lease: testLease, Margin: testMargin, MaxPending: 10})
+}
+
+// orderOfReplicas is what a duty with orders of its own would ask for.
+func orderOfReplicas(through int64, _ bool) []awduty.Order {
+	return []awduty.Order{{ID: through + 1, Body: []byte(`{"desired":3}`)}}
+}
+
+// Guards against two instances that are sure of the lease at once: it counts from
+// before the write, however late the response is or the write is found, and a
+// challenger waits for the margin too, but not longer than it must.
+func TestLeaseDoesNotOverlap(t *testing.T) {
+	need := awduty.Need{Orders: orderOfReplicas, Overdue: true}
+	for _, lost := range []bool{false, true} {
+		a, b := newCandidate("a"), newCandidate("b")
+		begin := time.Hour
+		_, ok := a.NextStoreCall(begin, need)
+		require.True(t, ok)
+		a.ReadDone(begin, awduty.Row{}, 0, nil)
+		begin += time.Second
+		write, ok := a.NextStoreCall(begin, need)
+		require.True(t, ok && write.Write && write.Precondition == 0 && write.Row.Token == 1)
+		answered := begin + 1900*time.Millisecond
+		if lost {
+			a.WriteDone(answered, awduty.WriteUnknown, 0)
+			answered += time.Second
+			read, ok := a.NextStoreCall(answered, need)
+			require.True(t, ok && !read.Write)
+			a.ReadDone(answered, write.Row, 1, nil)
+		} else {
+			a.WriteDone(answered, awduty.WriteDone, 1)
+		}
+		require.True(t, a.Sure(answered))
+		require.True(t, a.Sure(begin+testLease-1))
+		require.False(t, a.Sure(begin+testLease))
+
+		// The other one reads the row, and is told later when it was written.
+		_, ok = b.NextStoreCall(begin+time.Second, need)
+		require.True(t, ok)
+		b.ReadDone(begin+time.Second, write.Row, 1, nil)
+		_, ok = b.NextStoreCall(begin+testLease+testMargin, need)
+		require.False(t, ok, "first seen less than the lease and the margin ago")
+		b.Hear(answered, a.Claim(answered))
+		_, ok = b.NextStoreCall(begin+testLease+testMargin-1, need)
+		require.False(t, ok)
+		takeOver, ok := b.NextStoreCall(begin+testLease+testMargin, need)
+		require.True(t, ok && takeOver.Write && takeOver.TakeOver)
+		require.Equal(t, uint64(1), takeOver.Precondition)
+		require.Equal(t, uint64(2), takeOver.Row.Token)
+		require.Equal(t, write.Row.Pending[0], takeOver.Row.Pending[0], "committed orders are kept")
+		b.WriteDone(begin+testLease+testMargin, awduty.WriteDone, 2)
+		a.Hear(begin+testLease+testMargin, b.Claim(begin+testLease+testMargin))
+		_, held := a.NextCall(begin)
+		require.False(t, held, "the first holder knows of the second")
+	}
+}
+
+// Guards against a holder that ends and is still waited for, or that acts again.
+func TestReleasedLease(t *testing.T) {
+	need := awduty.Need{Orders: orderOfReplicas, Overdue: true}
+	a, b := newCandidate("a"), newCandidate("b")
+	now := time.Hour
+	_, _ = a.NextStoreCall(now, need)
+	a.ReadDone(now, awduty.Row{}, 0, nil)
+	now += time.Second
+	write, _ := a.NextStoreCall(now, need)
+	a.WriteDone(now, awduty.WriteDone, 1)
+	a.Release()
+	_, acts := a.NextCall(now)
+	require.False(t, acts)
+	_, acts = a.NextStoreCall(now+time.Minute, need)
+	require.False(t, acts)
+	b.Hear(now, a.Claim(now))
+	_, _ = b.NextStoreCall(now, need)
+	b.ReadDone(now, write.Row, 1, nil)
+	takeOver, ok := b.NextStoreCall(now+time.Second, need)
+	require.True(t, ok && takeOver.Write)
+	require.Equal(t, "scale/s/z0", awduty.Subject{Duty: "scale", Name: "s/z0"}.Key())
+}
--- a/core/awduty/sim_test.go
+++ b/core/awduty/sim_test.go
@@ -39,9 +39,9 @@
 	platform simPlatform
 	// callLatency is how long a call of the platform is on its way.
 	callLatency time.Duration
-	truth    map[int64]int64 // requests by window
-	skipped  map[int64]string
-	doubtful map[int64]bool
+	truth       map[int64]int64 // requests by window
+	skipped     map[int64]string
+	doubtful    map[int64]bool
 }
 
 type simEvent struct {
