--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -184,13 +184,19 @@
 		}
 		return c.write(now, c.row.Token, orders)
 	}
-	current := c.rowKnown && (c.known == c.outdated || !c.known.newerThan(c.rowClaim())) && !(need.Suspect && c.readSince < need.SuspectSince)
-	switch {
-	case !need.Suspect && !need.Overdue && !(need.Learn && !c.rowKnown && c.known.Token == 0):
+	return c.challenge(now, need)
+}
+
+// challenge returns the next call of an instance that does not hold the duty.
+func (c *Candidate) challenge(now time.Duration, need Need) (StoreCall, bool) {
+	learn := need.Learn && !c.rowKnown && c.known.Token == 0
+	if !need.Suspect && !need.Overdue && !learn {
 		return StoreCall{}, false
-	case !current:
+	}
+	if !c.isCurrent(need) {
 		return c.read(now)
-	case !need.Overdue || now < c.challengeAt()+need.Stagger:
+	}
+	if !need.Overdue || now < c.challengeAt()+need.Stagger {
 		return StoreCall{}, false
 	}
 	orders := need.Orders(c.through())
@@ -200,6 +206,14 @@
 	return c.write(now, max(c.row.Token, c.known.Token)+1, orders)
 }
 
+// isCurrent reports whether the row need not be read again.
+func (c *Candidate) isCurrent(need Need) bool {
+	if !c.rowKnown || (need.Suspect && c.readSince < need.SuspectSince) {
+		return false
+	}
+	return c.known == c.outdated || !c.known.newerThan(c.rowClaim())
+}
+
 // rowClaim returns the claim that corresponds to the known row.
 func (c *Candidate) rowClaim() Claim {
 	released := c.known.Released && c.known.Version == c.version && c.known.Token == c.row.Token
--- a/core/awduty/clock.go
+++ b/core/awduty/clock.go
@@ -17,13 +17,9 @@
 	minClocks = 3
 	// correctionAfter is how long the other clocks must differ from the estimate
 	// until it follows. A step of the own wall clock does not change the estimate, so
-	// there is no hurry, and messages may be held up for some time.
+	// there is no hurry, and messages may be held up for some time, also while this
+	// process is paused.
 	correctionAfter = 5 * time.Second
-	// pauseGap is the time between two updates from which the process counts as
-	// paused. Messages that waited meanwhile show clocks of the past.
-	pauseGap = time.Second
-	// pauseSettling is the time in which those messages are read.
-	pauseSettling = 500 * time.Millisecond
 	// maxRoundTrip is the longest round trip of a reply whose clock is used.
 	maxRoundTrip = 250 * time.Millisecond
 )
@@ -37,8 +33,6 @@
 	started   time.Duration
 	settling  time.Duration // after the start, in which others are waited for
 	confirmed bool
-	updated   time.Duration          // last update
-	usableAt  time.Duration          // from when clocks of others are used
 	offSince  time.Duration          // since when they have differed from the estimate; 0 if they do not
 	raw       map[string]clockSample // wall clocks of other instances
 	medians   map[string]clockSample // medians that other instances have found
@@ -52,7 +46,7 @@
 
 // NewClock returns a clock that begins with the wall time, since 1970.
 func NewClock(now, wall, settling time.Duration) *Clock {
-	return &Clock{offset: wall - now, own: wall - now, started: now, updated: now, settling: settling, raw: map[string]clockSample{}, medians: map[string]clockSample{}}
+	return &Clock{offset: wall - now, own: wall - now, started: now, settling: settling, raw: map[string]clockSample{}, medians: map[string]clockSample{}}
 }
 
 // Now returns the estimate of true time since 1970.
@@ -64,25 +58,17 @@
 
 // ObserveWall records the wall clock of another instance.
 func (c *Clock) ObserveWall(peer string, now, wall time.Duration) {
-	if c.paused(now) {
-		return
-	}
 	c.raw[peer] = clockSample{at: now, offset: wall - now, sources: 1}
 }
 
 // ObserveMedian records the median that another instance has found from the wall
 // clocks of a number of instances.
 func (c *Clock) ObserveMedian(peer string, now, median time.Duration, sources int) {
-	if sources >= minClocks && !c.paused(now) {
+	if sources >= minClocks {
 		c.medians[peer] = clockSample{at: now, offset: median - now, sources: sources}
 	}
 }
 
-// paused reports whether what arrives may have waited while the process was paused.
-func (c *Clock) paused(now time.Duration) bool {
-	return now-c.updated > pauseGap || now < c.usableAt
-}
-
 // Median returns the median of the wall clocks that are known and their number.
 func (c *Clock) Median(now time.Duration) (wall time.Duration, sources int) {
 	offsets := c.fresh(now, c.raw)
@@ -94,12 +80,6 @@
 // the correction, 0 if there is none.
 func (c *Clock) Update(now, wall time.Duration) time.Duration {
 	c.own = wall - now
-	if now-c.updated > pauseGap {
-		c.usableAt = now + pauseSettling
-		clear(c.raw)
-		clear(c.medians)
-	}
-	c.updated = now
 	median, sources := c.Median(now)
 	estimate, ok := median-now, sources >= minClocks
 	best := 0
