--- a/core/awduty/counter.go
+++ b/core/awduty/counter.go
@@ -83,8 +83,9 @@
 	return true
 }
 
-// recent returns the counts of the last windows, the present one included.
-func (c *counter) recent(clock *Clock, now time.Duration) []WindowCounts {
+// recent returns the counts of the last windows after the given one, the present one
+// included.
+func (c *counter) recent(clock *Clock, now time.Duration, after int64) []WindowCounts {
 	if !c.started {
 		return nil
 	}
@@ -95,7 +96,7 @@
 		}
 	}
 	var out []WindowCounts
-	for id := max(c.first, current-countedWindows+1); id <= current; id++ {
+	for id := max(c.first, after+1, current-countedWindows+1); id <= current; id++ {
 		counts := maps.Clone(c.windows[id])
 		out = append(out, WindowCounts{Window: id, Final: id < current, Total: counts.Total(), Counts: counts})
 	}
--- a/core/awduty/usage.go
+++ b/core/awduty/usage.go
@@ -161,9 +161,10 @@
 }
 
 func (u *Usage) message(now, wall time.Duration) *Message {
+	through, _ := u.candidate.through()
 	m := &Message{
 		Sender: u.cfg.Candidate.Self, Incarnation: u.cfg.Candidate.Incarnation, Domain: u.cfg.Domain, Wall: wall, Claim: u.candidate.Claim(now),
-		Counting: u.counter.started, Since: u.counter.first, Windows: u.counter.recent(u.clock, now), Last: u.closed,
+		Counting: u.counter.started, Since: u.counter.first, Windows: u.counter.recent(u.clock, now, through), Last: u.closed,
 	}
 	for i := range m.Windows {
 		m.Windows[i].Final = m.Windows[i].Final || u.closed
