--- a/core/awduty/usage.go
+++ b/core/awduty/usage.go
@@ -120,6 +120,7 @@
 	candidate *Candidate
 	planned   map[int64]Event // windows in the write that is running
 	skippedTo int64           // windows below this are skipped by the write
+	leaving   bool
 	closed    bool
 }
 
@@ -273,7 +274,7 @@
 	if rank >= maxCandidates {
 		suspect, challenge, stagger = u.share(outsiderShare), u.share(outsiderShare), 0
 	}
-	settled := now-u.started >= u.cfg.Settling
+	settled := now-u.started >= u.cfg.Settling && !u.leaving
 	passed := u.clock.Now(now) - windowEnd(next, u.cfg.Window)
 	return u.candidate.NextStoreCall(now, Need{
 		Orders:       func(through int64, committed bool) []Order { return u.orders(now, through, committed) },
@@ -340,6 +341,9 @@
 	}
 }
 
+// Leave has the instance challenge no holder any more, because it will end soon.
+func (u *Usage) Leave() { u.leaving = true }
+
 // Close ends the instance's part. After it, Messages returns the last counts.
 func (u *Usage) Close() {
 	u.closed = true
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -228,6 +228,9 @@
 	deadline := time.Now().Add(grace)
 	_ = level.Info(g.logger).Log("Message", "stopping", "Grace", grace.String())
 	g.router.Stop()
+	if g.duties != nil {
+		g.duties.Leave()
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	go func() {
--- a/io/awduties/awduties.go
+++ b/io/awduties/awduties.go
@@ -298,6 +298,14 @@
 	return r.usage.Candidate().MayCall(r.now(), call)
 }
 
+// Leave has the gateway challenge no holder any more. It is called when a planned
+// stop begins; a holder goes on until Stop.
+func (r *Runner) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.usage.Leave()
+}
+
 // Stop sends the last counts and ends the gateway's part in the duties. It is called
 // once no request runs any more.
 func (r *Runner) Stop() {
