--- a/core/awduty/awduty_test.go
+++ b/core/awduty/awduty_test.go
@@ -233,7 +233,7 @@
 }
 
 // Guards against two sets of counts for a window, a falling token and holders that
-// change and change back, in any interleaving of pauses, crashes, restarts, steps
+// change and change back, and against a fleet that does not recover, in any interleaving of pauses, crashes, restarts, steps
 // of clocks, and a store and a platform in trouble.
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(60) {
@@ -263,13 +263,26 @@
 			s.disturb()
 			s.runFor(time.Duration(s.rng.Int64N(int64(3 * time.Second))))
 		}
+		s.heal()
+		healed := s.now
+		s.runFor(50 * time.Second)
 		s.check()
+		s.checkCounts(healed+4*simWindow, s.now-4*simWindow)
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
 		}
 	}
 }
 
+// heal ends all faults.
+func (s *sim) heal() {
+	s.fate, s.platform.answer = nil, nil
+	for _, n := range s.nodes {
+		n.frozenUntil, n.step, n.cut, n.lone, n.mayPause = min(n.frozenUntil, s.now), 0, false, false, false
+	}
+	s.registered()
+}
+
 // disturb injects a fault at a random instance, more often at the holder.
 func (s *sim) disturb() {
 	i := s.rng.IntN(len(s.nodes))
--- a/core/awduty/peers.go
+++ b/core/awduty/peers.go
@@ -129,18 +129,18 @@
 			continue
 		}
 		c := p.contacts[peer.Name]
-		switch {
-		case !c.answers(now):
-			if picked < maxCandidates && now-c.probed >= probeInterval {
-				c.probed = now
-				out = append(out, c.peer)
-			}
-		case picked < maxCandidates || peer.Name == holder:
+		answers, isHolder := c.answers(now), peer.Name == holder
+		due := picked < maxCandidates && (answers || now-c.probed >= probeInterval)
+		if !due && !isHolder { // a holder that does not answer may be back and needs the counts
+			continue
+		}
+		out = append(out, c.peer)
+		c.probed = now
+		if answers {
 			picked++
-			out = append(out, c.peer)
-			if c.askedSince == 0 {
-				c.askedSince = now
-			}
+		}
+		if c.askedSince == 0 {
+			c.askedSince = now
 		}
 	}
 	return out
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arbutuswind/core/awdirectory"
@@ -46,7 +47,7 @@
 	running      []*send                  // sends that have not ended
 	ended        chan endedSend
 	departure    departure
-	counted      sync.Once          // for CountRun
+	counted      atomic.Bool        // CountRun has been called
 	cancel       context.CancelFunc // ends the request as if its caller had left
 
 	// forward is held while a send writes to the caller. It protects the fields below.
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -98,10 +98,9 @@
 // countRun counts the request for its team when a backend server has begun to run
 // it. A request that runs again elsewhere counts where it first ran.
 func (q *request) countRun() {
-	if q.g.cfg.CountRun == nil || q.team == nil {
-		return
+	if q.g.cfg.CountRun != nil && q.team != nil && q.counted.CompareAndSwap(false, true) {
+		q.g.cfg.CountRun(q.team.Name)
 	}
-	q.counted.Do(func() { q.g.cfg.CountRun(q.team.Name) })
 }
 
 // confirmCaller ends the request if its caller has left. It is called when the
