--- a/core/awduty/awduty_test.go
+++ b/core/awduty/awduty_test.go
@@ -1,6 +1,7 @@
 package awduty_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -297,10 +298,15 @@
 	switch s.rng.IntN(7) {
 	case 0:
 		n.frozenUntil = s.now + time.Duration(s.rng.Int64N(int64(12*time.Second)))
-	case 1: // restarted in place; what it has asked of the store may still happen
+	case 1: // restarted or replaced; what it has asked of the store may still happen
 		n.dead = true
 		s.nodes = append(s.nodes[:i:i], s.nodes[i+1:]...)
-		s.add(n.name)
+		name := n.name
+		if s.rng.IntN(3) == 0 {
+			s.gone = append(s.gone, name)
+			name = fmt.Sprintf("%c%d", name[0], 10+len(s.gone))
+		}
+		s.add(name)
 		s.registered()
 	case 2:
 		n.step = time.Duration(s.rng.Int64N(int64(20*time.Second))) - 10*time.Second
--- a/core/awduty/sim_test.go
+++ b/core/awduty/sim_test.go
@@ -28,6 +28,7 @@
 	now    time.Duration // true time since 1970
 	events []simEvent
 	nodes  []*simNode
+	gone   []string // names of instances that were removed for good and stay registered
 
 	row     awduty.Row
 	version uint64
@@ -146,6 +147,9 @@
 	for _, n := range s.nodes {
 		list = append(list, awduty.Peer{Name: n.name, Domain: n.name[:1], Address: n.name})
 	}
+	for _, name := range s.gone {
+		list = append(list, awduty.Peer{Name: name, Domain: name[:1], Address: name})
+	}
 	for _, n := range s.nodes {
 		if n.running() {
 			n.usage.SetPeers(n.local(), list)
