--- a/core/awduty/lease_test.go
+++ b/core/awduty/lease_test.go
@@ -91,3 +91,19 @@
 	require.True(t, ok && takeOver.Write)
 	require.Equal(t, "scale/s/z0", awduty.Subject{Duty: "scale", Name: "s/z0"}.Key())
 }
+
+// Guards against a token that falls after the store was set back.
+func TestTokenIsAboveAllHeardOf(t *testing.T) {
+	need := awduty.Need{Orders: orderOfReplicas, Overdue: true}
+	b, now := newCandidate("b"), time.Hour
+	b.Hear(now, awduty.Claim{Holder: "a", Token: 9, Version: 50, Through: 8})
+	now += time.Second
+	_, ok := b.NextStoreCall(now, need)
+	require.True(t, ok)
+	b.ReadDone(now, awduty.Row{Holder: "a", Token: 2, Through: 3}, 20, nil)
+	now += testLease + testMargin
+	write, ok := b.NextStoreCall(now, need)
+	require.True(t, ok && write.Write)
+	require.Equal(t, uint64(10), write.Row.Token)
+	require.Equal(t, int64(9), write.Row.Through, "orders up to 8 may have been sent")
+}
