awduty: show windows whose commit had lost its response

Cause: a commit that was found by reading the row was not shown in logs and metrics, and dropped reports were counted again after a failed write. Change: the windows of a write are shown once the row confirms them. Result: tests of core/awduty pass.

--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -242,6 +242,7 @@
 }
 
 func (c *Candidate) write(now time.Duration, token uint64, orders []Order) (StoreCall, bool) {
+	c.dropped = nil
 	pending := append(c.open(), orders...)
 	if n := len(pending) - c.cfg.MaxPending; n > 0 {
 		for _, o := range pending[:n] {
--- a/core/awduty/usage.go
+++ b/core/awduty/usage.go
@@ -1,6 +1,7 @@
 package awduty
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -118,10 +119,11 @@
 	ledger    *ledger
 	peers     *peers
 	candidate *Candidate
-	planned   map[int64]Event // windows in the write that is running
-	skippedTo int64           // windows below this are skipped by the write
-	leaving   bool
-	closed    bool
+	planned   map[int64]Event // windows in the last write, until its result is known
+	// The write skips the windows from skippedFrom up to skippedTo.
+	skippedFrom, skippedTo int64
+	leaving                bool
+	closed                 bool
 }
 
 // NewUsage returns the part of an instance that starts at the given time of the
@@ -257,6 +259,10 @@
 	clear(u.planned)
 	var out []Order
 	u.skippedTo = u.next(now, through, committed)
+	u.skippedFrom = u.skippedTo
+	if committed {
+		u.skippedFrom = through + 1
+	}
 	for id := u.skippedTo; u.ready(now, id); id++ {
 		counts, missing := u.ledger.sum(id)
 		out = append(out, Order{ID: id, Body: u.cfg.Encode(id, counts)})
@@ -292,34 +298,41 @@
 	held, _, token := u.candidate.Holding()
 	u.candidate.ReadDone(now, row, version, err)
 	u.noteHolding(held, token)
+	if holds, _, _ := u.candidate.Holding(); err == nil && holds {
+		u.noteCommitted(row.Through) // the row may be that of a write without a response
+	}
 }
 
 // WriteDone records the result of a write and reports whether messages should be
 // sent at once.
 func (u *Usage) WriteDone(now time.Duration, result WriteResult, version uint64) bool {
 	held, _, token := u.candidate.Holding()
-	through, committed := u.candidate.through()
 	u.candidate.WriteDone(now, result, version)
 	u.noteHolding(held, token)
 	if result != WriteDone {
 		return false
 	}
-	if committed && len(u.planned) > 0 && u.skippedTo > through+1 {
-		u.skip(through+1, u.skippedTo-through-1, ReasonTooOld)
+	through, _ := u.candidate.through()
+	u.noteCommitted(through)
+	return true
+}
+
+// noteCommitted reports the windows of the last write if it has been performed.
+// through is the highest window that is committed.
+func (u *Usage) noteCommitted(through int64) {
+	if len(u.planned) == 0 || through < u.skippedTo {
+		return
+	}
+	if u.skippedTo > u.skippedFrom {
+		u.skip(u.skippedFrom, u.skippedTo-u.skippedFrom, ReasonTooOld)
 	}
 	for _, id := range u.candidate.TakeDropped() {
 		u.skip(id, 1, ReasonNoRoom)
 	}
-	ids := make([]int64, 0, len(u.planned))
-	for id := range u.planned {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(u.planned)) {
 		u.cfg.OnEvent(u.planned[id])
 	}
 	clear(u.planned)
-	return true
 }
 
 func (u *Usage) skip(window, windows int64, reason string) {
