--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -55,6 +55,11 @@
 	// BalanceAll has the load of all services balanced by demand, not only that of
 	// the engines of contended services.
 	BalanceAll bool
+	// CountRun is called when a backend server has begun to run a request of a
+	// team, once for each request. Nil if nobody counts.
+	CountRun func(team string)
+	// OnDuties handles messages of other entries about duties. It may be nil.
+	OnDuties func(from netip.AddrPort, payload []byte)
 }
 
 // Gateway serves callers. It is safe for concurrent use.
