Admit requests for contended services by rank, team and time left

Cause: the priority of a team replaces that of the route, and nearly every team has one, so ranks of routes had no effect. Requests waited for a quarter of their objective whatever the engine needs, and ranks held only within the queue of one gateway. Change: requests for contended engine services have a team's priority and a rank. The queue orders by priority, punctuality, rank, start-time fair queueing among teams and arrival, with a floor of one assignment in six for less urgent ranks. Punctual requests wait for the objective less the usual time of the first event, late ones for a twelfth of the time left. Urgent ones may go up to two requests beyond an engine's slots, over all gateways. Result: the tests of awdispatch and awgateway pass; services that are not contended keep their rules. Not measured yet.

--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -97,6 +97,8 @@
 	Service  string
 	Model    string // empty for plain services
 	Priority int    // 0 is the most urgent
+	Rank     int    // orders requests of one priority for a contended service; 0 is the most urgent
+	Team     string // has a fair share of a contended service
 	// MaxWait is how long the request may wait for free capacity.
 	MaxWait time.Duration
 	// Late marks a request that can no longer meet its latency objective.
@@ -107,6 +109,8 @@
 	Version  int64                    // required version of the weights; 0 accepts any current one
 	Avoid    map[awdirectory.Key]bool // backend servers that failed this request before
 	Proven   bool                     // the request needs a backend server that is not silent
+
+	beyond int // requests that may wait in an engine's queue when this one is sent; see beyondSlots
 }
 
 // Outcome is the result of an attempt, as far as it concerns the backend
@@ -150,6 +154,7 @@
 	submissions     uint64
 	evidence        map[string]*serviceEvidence // by service; see Began
 	running         map[*Grant]*runningWork
+	contended       map[string]*contention // by service; see SetContended
 }
 
 // New returns a dispatcher without backend servers.
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -15,6 +15,10 @@
 	Version int64         // version of the model's weights that the backend server holds; 0 if unknown
 	Load    float64       // load of the backend server when it was chosen; 1 is full, to which the slowdown above 1 and silentLoad are added
 	LoadAge time.Duration // age of the report behind Load; 0 if there is none
+	// BeyondSlots tells that the request may have to wait in the queue of the engine.
+	BeyondSlots bool
+
+	sentAt time.Time
 }
 
 // Decision is the result of [Dispatcher.Submit]: a grant or a refusal.
@@ -22,6 +26,7 @@
 	Grant      *Grant // nil if refused
 	Refusal    Refusal
 	RetryAfter time.Duration
+	Waited     bool // the request was queued
 }
 
 // Ticket identifies a submitted request.
@@ -30,7 +35,9 @@
 	submitted time.Time
 	salt      float64 // from 0 to 1; spreads requests over backend servers with a rate limit
 	waitUntil time.Time
+	startTag  int64 // place among the requests of other teams for a contended service; see fairness
 	decide    func(Decision)
+	queued    bool // it has been in the queue
 	done      bool
 }
 
@@ -76,8 +83,12 @@
 	if req.Deadline.Before(t.waitUntil) {
 		t.waitUntil = req.Deadline
 	}
+	d.setStartTag(t)
 	queue := d.queues[req.Service]
-	if (len(queue) == 0 || req.before(&queue[0].req)) && d.assign(t, now) {
+	if d.floorDue(&t.req) {
+		d.assignFloor(&t.req, now)
+	}
+	if (len(queue) == 0 || d.before(t, queue[0])) && d.assign(t, now) {
 		return t
 	}
 	if !d.anyUsable(&req, now) {
@@ -89,14 +100,16 @@
 		return t
 	}
 	position := len(queue)
-	for position > 0 && req.before(&queue[position-1].req) {
+	for position > 0 && d.before(t, queue[position-1]) {
 		position--
 	}
-	if wait := d.expectedWait(req.Service, position); now.Add(wait).After(t.waitUntil) {
+	if wait := d.expectedWait(req.Service, d.position(t, position)); now.Add(wait).After(t.waitUntil) {
 		d.refuseNoRoom(t, now)
 		return t
 	}
+	t.queued = true
 	d.queues[req.Service] = slices.Insert(queue, position, t)
+	d.limitQueue(req.Service, now)
 	d.updateWants(req.Service, now)
 	return t
 }
@@ -146,8 +159,12 @@
 	}
 }
 
+// Waiting reports whether the request has neither been decided on nor canceled.
+func (t *Ticket) Waiting() bool { return !t.done }
+
 func (t *Ticket) finish(dec Decision) {
 	t.done = true
+	dec.Waited = t.queued
 	t.decide(dec)
 }
 
@@ -203,7 +220,11 @@
 	now := d.cfg.Clock.Now()
 	queue := d.queues[service]
 	kept := queue[:0]
+	tryFloor := true
 	for _, t := range queue {
+		if tryFloor && !t.done && d.floorDue(&t.req) {
+			tryFloor = d.assignFloor(&t.req, now)
+		}
 		switch {
 		case t.done, d.assign(t, now):
 		case !now.Before(t.waitUntil):
@@ -221,13 +242,18 @@
 // false if there is none. It considers servers that are not related to this entry
 // only if no related one may run the request.
 func (d *Dispatcher) assign(t *Ticket, now time.Time) bool {
-	c := d.best(&t.req, now, true)
+	c, related := d.best(&t.req, now, true), true
 	if !c.usable {
-		c = d.best(&t.req, now, false)
+		c, related = d.best(&t.req, now, false), false
 	}
 	if c.throttled != nil && c.server != nil {
 		d.cfg.Throttle.WantSpare(c.throttled.info.Key())
 	}
+	beyond := false
+	if c.server == nil {
+		c = d.bestBeyondSlots(&t.req, now, related)
+		beyond = c.server != nil
+	}
 	best, load := c.server, c.load
 	if best == nil || d.keptForOthers(best, &t.req, now) {
 		return false
@@ -239,7 +265,10 @@
 		best.coldSends = append(best.coldSends, now)
 	}
 	d.assignmentRate(t.req.Service).observe(now)
-	grant := &Grant{Server: best.info, Version: best.versions(now)[t.req.Model], Load: load}
+	if contended := d.contended[t.req.Service]; contended != nil {
+		contended.recordAssignment(t, d.queues[t.req.Service])
+	}
+	grant := &Grant{Server: best.info, Version: best.versions(now)[t.req.Model], Load: load, BeyondSlots: beyond, sentAt: now}
 	if best.hasFreshLoad(now) {
 		grant.LoadAge = now.Sub(best.load.At)
 	}
@@ -321,7 +350,7 @@
 		return 0, false
 	}
 	svc := d.services[req.Service]
-	free, load := s.capacity(now, svc, d.entryCount)
+	free, load := s.capacity(now, svc, d.entryCount, d.beyondSlotsAt(s, req, now))
 	ok := free > 0 && (!s.cold(now) || s.mayTakeColdRequest(now, svc, d.entryCount, len(d.sharers) > 0)) && s.fitsMemory(now, req.Tokens)
 	return load, ok
 }
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -32,7 +32,8 @@
 	otherRequests int       // requests of other entries, from the last report
 	allowance     int       // requests that this entry may still send before the next report
 	quota         int       // if load.Shared: requests of this entry that may be in flight until the next report
-	ownRequests   int       // requests of this entry in flight
+	extra         extraShares
+	ownRequests   int // requests of this entry in flight
 	coldUntil     time.Time
 	rejectedUntil time.Time
 	refusals      int         // connections refused in a row
@@ -64,6 +65,7 @@
 	free := max(0, s.info.Slots-l.Active-l.Queued)
 	s.allowance = int(float64(free)/float64(entries) + roundUpChance)
 	s.quota = s.ownRequests + l.Share
+	s.updateExtraShares(entries, roundUpChance)
 }
 
 // refusedConnection records a refused connection.
@@ -156,8 +158,8 @@
 
 // capacity returns how many more requests this entry may send now, and the load
 // of the backend server: 1 is full. The part of the slowdown above 1 is added to
-// the load.
-func (s *server) capacity(now time.Time, svc awdirectory.Service, allEntries int) (int, float64) {
+// the load. beyond is the number of requests that may wait in the server's queue.
+func (s *server) capacity(now time.Time, svc awdirectory.Service, allEntries, beyond int) (int, float64) {
 	slowdown := s.slowdown(now)
 	slots := max(1, int(float64(s.info.Slots)/slowdown))
 	limit := slots
@@ -174,7 +176,7 @@
 	switch {
 	case s.hasFreshLoad(now):
 		total := s.otherRequests + s.ownRequests
-		free = min(limit-total, s.unsent())
+		free = min(limit+beyond-total, s.unsent()+s.extra[beyond])
 		load = float64(total) / float64(limit)
 	case s.reported:
 		load += silentLoad
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -75,6 +75,7 @@
 	exchange       exchange
 	throttle       *awthrottle.Throttle
 	balance        balance
+	admission      admission
 	noticeTargets  map[string]netip.AddrPort // addresses of other entries by name
 	noticesWanted  bool                      // other entries are to be asked for their notices
 
@@ -117,6 +118,8 @@
 		return c.Version == old.Version
 	}
 	g.dispatch.SetServices(c.Services)
+	g.admission.ranks = contendedRanks(c)
+	g.dispatch.SetContended(g.admission.ranks)
 	g.config.Store(c)
 	return true
 }
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awdispatch"
 	"arbutuswind/core/awretry"
@@ -31,6 +33,7 @@
 	route         *awdirectory.Route
 	team          *awdirectory.Team
 	service       string
+	ranks         *awdispatch.Ranks // of the service; nil if it is not contended
 	model         string
 	start         time.Time
 	deadline      time.Time     // by which the caller gets the final response
@@ -154,6 +157,7 @@
 			q.model = svc.Model.Name
 		}
 	}
+	q.ranks = g.admission.ranksOf(q.service)
 	q.priorWait = g.callerTimeouts.PriorWait(q.route.Name, q.info.Timeout, now)
 	g.retryBudget(q.service).CountRequest(now)
 }
@@ -168,6 +172,7 @@
 	return b
 }
 
+// priority returns the priority for services that are not contended.
 func (q *request) priority() int {
 	if q.team != nil && q.team.HasPriority {
 		return q.team.Priority
@@ -180,29 +185,34 @@
 	q         *request
 	ticket    *awdispatch.Ticket
 	decisions chan awdispatch.Decision
+	counted   *metrics.Gauge // of the waiting requests of its rank; nil if it is not among them
 }
 
 // requestSlot asks the dispatcher for a backend server.
 func (q *request) requestSlot() *pendingSlot {
 	g := q.g
-	maxWait, late := awdispatch.WaitLimit(q.route.LatencyObjective, q.priorWait+g.cfg.Clock.Now().Sub(q.start))
 	state := q.streamState()
 	req := awdispatch.Request{
-		Service: q.service, Model: q.model, Priority: q.priority(), MaxWait: maxWait, Deadline: q.deadline,
-		Late:   late && !state.headerSent, // a stream being resumed has precedence over new requests
+		Service: q.service, Model: q.model, Priority: q.priority(), Deadline: q.deadline,
 		Tokens: q.info.PromptTokens + q.info.MaxTokens, Version: state.weightVersion, Avoid: q.avoid,
 		Allowed: func(region string) bool { return awdirectory.RegionAllowed(q.route, q.team, region) },
 	}
-	if len(q.running) > 0 {
-		req.Late, req.Proven, req.MaxWait = false, true, awretry.HedgeWait // what was begun has precedence
-	}
+	q.setRank(&req)
+	now := g.cfg.Clock.Now()
 	p := &pendingSlot{q: q, decisions: make(chan awdispatch.Decision, 1)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	req.MaxWait, req.Late = g.dispatch.WaitLimit(q.service, q.route.LatencyObjective, q.priorWait+now.Sub(q.start), q.deadline.Sub(now))
+	req.Late = req.Late && !state.headerSent // a stream being resumed has precedence over new requests
+	if len(q.running) > 0 {
+		req.Late, req.Proven, req.MaxWait = false, true, awretry.HedgeWait // what was begun has precedence
+	}
 	p.ticket = g.dispatch.Submit(req, func(d awdispatch.Decision) {
 		g.recordDecision(q, d)
+		p.recordDecided(d)
 		p.decisions <- d
 	})
+	p.recordWaiting()
 	g.signalNotices()
 	return p
 }
@@ -211,6 +221,7 @@
 func (p *pendingSlot) cancel() {
 	p.q.g.mu.Lock()
 	p.q.g.dispatch.Cancel(p.ticket)
+	p.endWait()
 	p.q.g.mu.Unlock()
 	select {
 	case d := <-p.decisions: // decided before the cancellation
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -111,7 +111,7 @@
 	state := q.streamState()
 	info := ForwardInfo{
 		Server: s.grant.Server, Remaining: q.deadline.Sub(q.g.cfg.Clock.Now()), ResumeAfter: q.info.ResumeAfter,
-		Version: state.weightVersion, Priority: min(q.priority(), lowestPriority),
+		Version: state.weightVersion, Priority: q.enginePriority(),
 	}
 	if q.team != nil {
 		info.Team = q.team.Name
@@ -229,7 +229,12 @@
 func (s *send) forwardStream(ctx context.Context, resp *awbackend.Response, respInfo ResponseInfo, begun func()) sendResult {
 	q := s.q
 	var proof awquarantine.Proof
+	first := q.ranks != nil
 	err := s.copyStream(resp, respInfo, func() {
+		if first {
+			first = false
+			s.recordFirstEvent()
+		}
 		begun()
 		if proof.Event(q.g.cfg.Clock.Now()) {
 			q.recordSound()
