Tests of admission to contended services

The simulation lets entries sleep and engines admit by priority; both are off in the existing tests.

--- a/core/awdispatch/load_test.go
+++ b/core/awdispatch/load_test.go
@@ -31,8 +31,11 @@
 	retriesOnce        bool            // refused callers retry once, after RetryAfter
 	retries            []retry
 	shares             shareSimulation
-	uneven             bool // lengths have a heavy tail, and prompts differ tenfold
-	estimated          bool // entries estimate the work of requests
+	uneven             bool         // lengths have a heavy tail, and prompts differ tenfold
+	estimated          bool         // entries estimate the work of requests
+	onStep             func()       // replaces the requests of run
+	asleep             map[int]bool // entries that neither decide nor see the end of requests
+	ended              []*job       // of entries that are asleep
 }
 
 // retry is a pending retry of a refused request.
@@ -62,6 +65,8 @@
 	started        bool
 	hint           int // estimate of tokens
 	events         int
+	priority       int // order in the queue of the engine
+	onFirstToken   func()
 }
 
 const (
@@ -140,11 +145,16 @@
 		s.sendClaims()
 		s.deliverDue()
 		s.sample()
+		if s.onStep != nil {
+			s.onStep()
+		}
 		for i := range s.entries {
 			for range s.arrivals(rate(i) * simStep.Seconds()) {
 				s.submit(i)
 			}
-			s.entries[i].Tick()
+			if !s.asleep[i] {
+				s.entries[i].Tick()
+			}
 		}
 		s.submitRetries()
 		s.clock.Advance(simStep)
@@ -220,17 +230,23 @@
 			}
 			return
 		}
-		j.grant = dec.Grant
-		s.began(j)
-		for _, e := range s.engines {
-			if e.info.ID == dec.Grant.Server.ID {
-				e.queued = append(e.queued, j)
-				e.arrivals = append(e.arrivals, s.clock.Now())
-			}
-		}
+		s.send(j, dec.Grant)
 	})
 }
 
+// send sends a job to the engine of its grant.
+func (s *simulation) send(j *job, g *Grant) {
+	j.grant = g
+	s.began(j)
+	for _, e := range s.engines {
+		if e.info.ID == g.Server.ID {
+			e.queued = append(e.queued, j)
+			slices.SortStableFunc(e.queued, func(a, b *job) int { return a.priority - b.priority })
+			e.arrivals = append(e.arrivals, s.clock.Now())
+		}
+	}
+}
+
 // runPasses runs the passes of an engine up to the current time. A pass reads the
 // prompts of new requests at 31.9 tokens a millisecond and then generates six
 // tokens for each running request.
@@ -261,19 +277,31 @@
 			if !j.started {
 				j.started = true
 				s.firstTokens = append(s.firstTokens, e.busyUntil.Sub(j.firstSubmitted))
+				if j.onFirstToken != nil {
+					j.onFirstToken()
+				}
 			}
 			s.progressed(j)
 			if j.tokens -= stride; j.tokens > 0 {
 				kept = append(kept, j)
 				continue
 			}
-			s.entries[j.entry].Ended(j.grant, Succeeded)
-			s.entries[j.entry].Release(j.grant, Succeeded)
+			s.end(j)
 		}
 		e.running = kept
 	}
 }
 
+// end tells the entry of a job that it has ended, once the entry is awake.
+func (s *simulation) end(j *job) {
+	if s.asleep[j.entry] {
+		s.ended = append(s.ended, j)
+		return
+	}
+	s.entries[j.entry].Ended(j.grant, Succeeded)
+	s.entries[j.entry].Release(j.grant, Succeeded)
+}
+
 // onTimeShare returns the share of all requests whose first token met the
 // objective.
 func (s *simulation) onTimeShare() float64 {
