Document admission to contended services, and test more of its limits

Tests cover cold and rate limited engines, late requests beyond the slots, and teams that were just served.

--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -18,7 +18,8 @@
 //
 // An engine is never sent more requests than it runs at once. A request queued
 // inside an engine can no longer go to another one, and under overload such
-// queues delay all requests.
+// queues delay all requests. The exception are a few urgent requests for a contended
+// service; see beyondSlots.
 //
 // A request that finds no free capacity is queued for as long as it can still
 // meet its latency objective, and refused at once if its turn is expected
@@ -28,6 +29,9 @@
 // are therefore queued behind the others of their priority. They also get nothing
 // that one of the others was refused for lack of a moment before: capacity becomes
 // free at one entry while another entry, or the same one shortly before, refuses.
+//
+// Contended services have an order, waits and a floor of their own; see
+// [Dispatcher.SetContended].
 package awdispatch
 
 import (
--- a/core/awdispatch/contended_test.go
+++ b/core/awdispatch/contended_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"arbutuswind/core/awdirectory"
+	"arbutuswind/core/awthrottle"
 )
 
 // contendedEngine is an entry before one full engine whose service has ranks 0 to 2.
@@ -78,6 +79,16 @@
 	require.Equal(t, []string{"b 0", "a", "b 1"}, e.serve(3))
 }
 
+// Guards against a team that was just served and comes before one that was not.
+func TestServedTeamsComeLater(t *testing.T) {
+	e := newContendedEngine(true)
+	e.submit("a", Request{Team: "a"})
+	e.serve(1)
+	e.submit("a again", Request{Team: "a"})
+	e.submit("b", Request{Team: "b"})
+	require.Equal(t, []string{"b", "a again"}, e.serve(2))
+}
+
 // Guards against starving less urgent ranks: one assignment in six is theirs.
 func TestFloorOfLessUrgentRanks(t *testing.T) {
 	e := newContendedEngine(true)
@@ -147,7 +158,7 @@
 }
 
 // Guards against requests beyond the slots of late callers, of the least urgent rank,
-// and at engines that are cold or silent.
+// and at engines that are cold, silent or have a rate limit.
 func TestRequestsBeyondTheSlots(t *testing.T) {
 	e := newContendedEngine(true)
 	south := e.running["south"].Server
@@ -161,6 +172,7 @@
 		return e.grant != nil && e.grant.BeyondSlots
 	}
 	require.False(t, sent(Request{}), "no report")
+	e.wait(keptForOthersTime) // so that late requests may have what is free
 	report(1)
 	require.False(t, sent(Request{Late: true}))
 	require.False(t, sent(Request{Rank: 2}))
@@ -176,10 +188,16 @@
 	require.False(t, sent(Request{}), "silent")
 
 	e = newContendedEngine(true)
+	e.SetServices([]awdirectory.Service{{Name: "s", Engine: true, ColdRate: 100}})
 	south.ColdRemaining = time.Minute
 	e.SetServers([]awdirectory.Server{south})
 	report(1)
 	require.False(t, sent(Request{}), "cold")
+	e.wait(time.Minute)
+	report(1)
+	require.True(t, sent(Request{}), "warm")
+	e.cfg.Throttle.Observe(south.Key(), awthrottle.Signals{Limited: true, RateLimit: 100}, e.clock.Now())
+	require.Zero(t, e.beyondSlotsAt(e.servers[south.Key()], &Request{beyond: 2}, e.clock.Now()), "rate limit")
 }
 
 // Guards against new rules for services that are not contended.
