awgateway: test a stream of a contended service through the gateway

Cause: no test showed that the priority reaches the engine and that first events reach the estimate of the wait. Change: a test sends a request of each rank through the gateway to an engine. The test of the metrics by rank can be repeated in one process. Result: both pass ten times with the race detector; without the priority or without the record of first events the new one fails.

--- a/io/awgateway/admission_test.go
+++ b/io/awgateway/admission_test.go
@@ -1,15 +1,24 @@
 package awgateway
 
 import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
 	"github.com/stretchr/testify/require"
 
+	"arbutuswind/core/awclock"
 	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awdispatch"
+	"arbutuswind/core/awretry"
+	"arbutuswind/io/awbackend"
 	"arbutuswind/io/awload"
+	"arbutuswind/io/awwatch"
 )
 
 func rankedRequest(g *Gateway, team *awdirectory.Team, priority int) *request {
@@ -64,7 +73,14 @@
 func TestMetricsByRank(t *testing.T) {
 	g, clock := newBalanceGateway(t, false, 7, 8)
 	q := rankedRequest(g, nil, 8)
-	count := func(name string) uint64 { return metrics.GetOrCreateCounter(q.rankMetric(name)).Get() }
+	counter := func(name string, rank int) func() uint64 {
+		q.route.Priority = rank
+		c := metrics.GetOrCreateCounter(q.rankMetric(name))
+		before := c.Get() // of an earlier run
+		return func() uint64 { return c.Get() - before }
+	}
+	sent, beyond := counter("sent_total", 7), counter("sent_beyond_slots_total", 7)
+	atOnce, afterWaiting := counter("refused_at_once_total", 8), counter("refused_after_waiting_total", 8)
 	waiting := metrics.GetOrCreateGauge(q.rankMetric("waiting"), nil)
 	full := func() {
 		for _, address := range []string{"127.0.0.1:1", "127.0.0.1:2"} {
@@ -81,13 +97,57 @@
 	clock.Advance(time.Second)
 	full()
 	require.Zero(t, waiting.Get())
-	require.Equal(t, uint64(1), count("refused_after_waiting_total"))
+	require.Equal(t, uint64(1), afterWaiting())
 	q.deadline = clock.Now().Add(-time.Second)
 	q.requestSlot()
-	require.Equal(t, uint64(1), count("refused_at_once_total"))
+	require.Equal(t, uint64(1), atOnce())
 
 	q.route.Priority, q.start, q.deadline = 7, clock.Now(), clock.Now().Add(time.Second)
 	q.requestSlot()
-	require.Equal(t, uint64(1), count("sent_beyond_slots_total"))
-	require.Zero(t, count("sent_total"))
+	require.Equal(t, uint64(1), beyond())
+	require.Zero(t, sent())
+}
+
+// priorityHeaders passes the priority for the engine on.
+type priorityHeaders struct{ plainHeaders }
+
+func (priorityHeaders) ForwardHeaders(h http.Header, info ForwardInfo) http.Header {
+	h.Set("X-Priority", strconv.Itoa(info.Priority))
+	return h
+}
+
+// Guards against priorities that do not reach the engine, and against first events that
+// do not reach the estimate of the wait.
+func TestStreamOfContendedService(t *testing.T) {
+	got := make(chan string, 3)
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		got <- req.Header.Get("X-Priority")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+	}))
+	defer engine.Close()
+	g := New(Config{
+		Clock: awclock.System{}, Logger: log.NewNopLogger(), Headers: priorityHeaders{}, Instance: "e", Domain: "d", Region: "r",
+		Pool: awbackend.NewPool(awbackend.Config{Clock: awclock.System{}}), Retry: awretry.WindowConfig{MinRetries: 100, Window: 10 * time.Second},
+	})
+	c := &awdirectory.Config{Version: 1, Services: []awdirectory.Service{{Name: "s", Engine: true}}}
+	for p, prefix := range []string{"/a", "/b", "/c"} {
+		c.Routes = append(c.Routes, awdirectory.Route{
+			Name: prefix, Host: "h", Prefix: prefix, Kind: awdirectory.Stream, Priority: p, Public: true, MaxAttempts: 1,
+			Timeout: 20 * time.Second, LatencyObjective: time.Minute, Targets: []awdirectory.Target{{Service: "s", Weight: 1}},
+		})
+	}
+	require.True(t, g.Configure(c.Index()))
+	server := awdirectory.Server{ID: "a", Service: "s", Address: engine.Listener.Addr().String(), Slots: 1, Domain: "d", Region: "r"}
+	g.Apply(awwatch.State{Servers: []awdirectory.Server{server}, Entries: []awdirectory.Entry{{Name: "e"}}})
+	for i, path := range []string{"/a", "/b", "/c"} {
+		w := httptest.NewRecorder()
+		req := httptest.NewRequest(http.MethodGet, path, nil)
+		req.Host = "h"
+		g.ServeHTTP(w, req)
+		require.Equal(t, http.StatusOK, w.Code)
+		require.Equal(t, strconv.Itoa(3+i), <-got)
+	}
+	wait, late := g.dispatch.WaitLimit("s", time.Second, 0, time.Second)
+	require.False(t, late)
+	require.NotEqual(t, 800*time.Millisecond, wait, "the wait of an estimate without any response")
 }
