--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -18,7 +18,8 @@
 //
 // An engine is never sent more requests than it runs at once. A request queued
 // inside an engine can no longer go to another one, and under overload such
-// queues delay all requests.
+// queues delay all requests. The exception are a few urgent requests for a contended
+// service; see beyondSlots.
 //
 // A request that finds no free capacity is queued for as long as it can still
 // meet its latency objective, and refused at once if its turn is expected
@@ -28,6 +29,9 @@
 // are therefore queued behind the others of their priority. They also get nothing
 // that one of the others was refused for lack of a moment before: capacity becomes
 // free at one entry while another entry, or the same one shortly before, refuses.
+//
+// Contended services have an order, waits and a floor of their own; see
+// [Dispatcher.SetContended].
 package awdispatch
 
 import (
@@ -97,6 +101,8 @@
 	Service  string
 	Model    string // empty for plain services
 	Priority int    // 0 is the most urgent
+	Rank     int    // orders requests of one priority for a contended service; 0 is the most urgent
+	Team     string // has a fair share of a contended service
 	// MaxWait is how long the request may wait for free capacity.
 	MaxWait time.Duration
 	// Late marks a request that can no longer meet its latency objective.
@@ -107,6 +113,8 @@
 	Version  int64                    // required version of the weights; 0 accepts any current one
 	Avoid    map[awdirectory.Key]bool // backend servers that failed this request before
 	Proven   bool                     // the request needs a backend server that is not silent
+
+	beyond int // requests that may wait in an engine's queue when this one is sent; see beyondSlots
 }
 
 // Outcome is the result of an attempt, as far as it concerns the backend
@@ -150,6 +158,7 @@
 	submissions     uint64
 	evidence        map[string]*serviceEvidence // by service; see Began
 	running         map[*Grant]*runningWork
+	contended       map[string]*contention // by service; see SetContended
 }
 
 // New returns a dispatcher without backend servers.
