awdispatch: let punctual requests wait for half of their objective

Cause: the wait of a punctual request for a contended service is its objective less the time to the first event, which grows under overload; the most urgent kind was then refused after 100 ms while less urgent ones waited for longer. Late requests that wait longer are served no more often and are refused later. Change: a punctual request may wait for at least half of its objective, a late one for 150 ms as elsewhere.

--- a/core/awdispatch/contended.go
+++ b/core/awdispatch/contended.go
@@ -18,10 +18,11 @@
 	// firstEventStep is the share of the estimate by which one response can raise it
 	// at most. A faster estimate follows single slow responses.
 	firstEventStep = 0.05
-	// lateWaitShare is the divisor of the time that a late request has left: the rest
-	// of the quotient is for its response and for others. In trials with waits of 1.5 s
-	// the responses were worth less (0.258 against 0.291).
-	lateWaitShare = 12
+	// minPunctualWaitShare is the least share of the latency objective that a request
+	// may wait. Under overload the first events are late as well, and waits that only
+	// shrink with them refuse the most urgent requests while less urgent ones, with
+	// looser objectives, still wait.
+	minPunctualWaitShare = 0.5
 	// floorPeriod is the number of assignments of which one goes to a less urgent rank
 	// than that of the head of the queue, while punctual requests of such a rank wait.
 	floorPeriod = 6
@@ -68,18 +69,17 @@
 
 // WaitLimit returns how long a request for a service may wait for free capacity, and
 // whether it is already too late for its latency objective. Age is the time that the
-// caller has waited so far, including earlier attempts, and left is the time until the
-// deadline.
-func (d *Dispatcher) WaitLimit(service string, objective, age, left time.Duration) (maxWait time.Duration, late bool) {
+// caller has waited so far, including earlier attempts.
+func (d *Dispatcher) WaitLimit(service string, objective, age time.Duration) (maxWait time.Duration, late bool) {
 	c := d.contended[service]
 	if c == nil {
 		return WaitLimit(objective, age)
 	}
-	quarter := time.Duration(maxWaitShare * float64(objective))
-	if wait := max(objective-c.firstEventTime(), quarter) - age; wait > 0 {
+	least := time.Duration(minPunctualWaitShare * float64(objective))
+	if wait := max(objective-c.firstEventTime(), least) - age; wait > 0 {
 		return wait, false
 	}
-	return max(lateMaxWait, left/lateWaitShare), true
+	return lateMaxWait, true
 }
 
 // firstEventTime returns the time that the service takes from the send of a request to
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -204,7 +204,7 @@
 	p := &pendingSlot{q: q, decisions: make(chan awdispatch.Decision, 1)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	req.MaxWait, req.Late = g.dispatch.WaitLimit(q.service, q.route.LatencyObjective, q.priorWait+now.Sub(q.start), q.deadline.Sub(now))
+	req.MaxWait, req.Late = g.dispatch.WaitLimit(q.service, q.route.LatencyObjective, q.priorWait+now.Sub(q.start))
 	req.Late = req.Late && !state.headerSent // a stream being resumed has precedence over new requests
 	if len(q.running) > 0 {
 		req.Late, req.Proven, req.MaxWait = false, true, awretry.HedgeWait // what was begun has precedence
