Add awctl check, and validate without an entry

Cause: a sheet could be checked only by a running entry, which reports what it refuses as text and not what has no effect. Entries accept and refuse the same sheets as before; the response to a check has the findings in addition.

--- a/core/awsheet/awsheet.go
+++ b/core/awsheet/awsheet.go
@@ -40,14 +40,18 @@
 // count characters, not bytes.
 type Fault struct {
 	Line, Column int
+	Field        string `json:",omitempty"` // heading of the column; empty if the fault is not in one field
 	Message      string // what is wrong and what is allowed
 }
 
 // String formats the fault as line:column: message.
 func (f Fault) String() string { return fmt.Sprintf("%d:%d: %s", f.Line, f.Column, f.Message) }
 
+// VersionField is the heading of the column with the versions.
+const VersionField = "Version"
+
 // Columns lists the column headings of a sheet in the required order.
-var Columns = []string{"Model", "Version", "Replicas", "Domains", "TeamShares", "Fencing"}
+var Columns = []string{"Model", VersionField, "Replicas", "Domains", "TeamShares", "Fencing"}
 
 const (
 	colModel = iota
@@ -63,6 +67,10 @@
 	Domains   []string       // known failure domains
 	Instances map[string]int // number of instances with an engine, by domain
 	Unfenced  map[string]int // number of instances whose settings say that the engine ignores fencing tokens, by domain
+
+	Unknown bool            // the fleet is not known: domain names, capacity and fencing settings are not checked
+	Out     map[string]bool // domains that operators took out of service
+	Drained map[string]int  // number of the Instances that operators drained, by domain
 }
 
 // Parse parses a sheet and returns either its rows or its faults, sorted by
@@ -79,9 +87,23 @@
 // that have all fields. This lets callers run more checks on them and report
 // all faults together.
 func ParsePartial(data []byte, inv Inventory) ([]Row, []Fault) {
+	result := Check(data, inv)
+	return result.Rows, result.Faults
+}
+
+// Result is the outcome of [Check].
+type Result struct {
+	Rows     []Row   // rows that have all fields
+	Faults   []Fault // reasons to refuse the sheet, sorted by position
+	Warnings []Fault // entries of an acceptable sheet that have no effect or cannot be fulfilled now, sorted by position
+}
+
+// Check parses a sheet and reports its faults like [ParsePartial]. It also
+// returns warnings, which are no reason to refuse the sheet.
+func Check(data []byte, inv Inventory) Result {
 	data, fault := checkText(data)
 	if fault != nil {
-		return nil, []Fault{*fault}
+		return Result{Faults: []Fault{*fault}}
 	}
 	p := &parser{inventory: inv, modelLines: map[string]int{}}
 	p.checkEncoding(data)
@@ -89,7 +111,7 @@
 	heading, ok := s.record()
 	if !ok || !isHeading(heading) {
 		p.addFault(1, 1, "headings must be %s", strings.Join(Columns, ", "))
-		return nil, p.sortedFaults()
+		return Result{Faults: sortFaults(p.faults)}
 	}
 	for {
 		rec, ok := s.record()
@@ -102,8 +124,10 @@
 		}
 		p.parseRow(rec)
 	}
-	p.checkCapacity()
-	return p.rows, p.sortedFaults()
+	if !inv.Unknown {
+		p.checkCapacity()
+	}
+	return Result{Rows: p.rows, Faults: sortFaults(p.faults), Warnings: sortFaults(p.warnings)}
 }
 
 func isHeading(rec []field) bool {
--- a/core/awsheet/parser.go
+++ b/core/awsheet/parser.go
@@ -19,6 +19,7 @@
 	rows       []Row
 	demand     []demand
 	faults     []Fault
+	warnings   []Fault
 	modelLines map[string]int // line of the first row of each model
 }
 
@@ -34,19 +35,24 @@
 }
 
 func (p *parser) addFaultAt(f field, format string, args ...any) {
-	p.addFault(f.line, f.column, format, args...)
+	p.faults = append(p.faults, newFault(f, format, args...))
 }
 
-func (p *parser) sortedFaults() []Fault {
-	slices.SortStableFunc(p.faults, func(a, b Fault) int {
+func newFault(f field, format string, args ...any) Fault {
+	return Fault{Line: f.line, Column: f.column, Field: f.heading, Message: fmt.Sprintf(format, args...)}
+}
+
+// sortFaults sorts faults by position and cuts the list after [MaxFaults].
+func sortFaults(list []Fault) []Fault {
+	slices.SortStableFunc(list, func(a, b Fault) int {
 		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
 	})
-	if more := len(p.faults) - MaxFaults; more > 0 {
-		p.faults = append(p.faults[:MaxFaults], Fault{
-			Line: p.faults[MaxFaults].Line, Column: 1, Message: fmt.Sprintf("%d more faults are not shown", more),
+	if more := len(list) - MaxFaults; more > 0 {
+		list = append(list[:MaxFaults], Fault{
+			Line: list[MaxFaults].Line, Column: 1, Message: fmt.Sprintf("%d more faults are not shown", more),
 		})
 	}
-	return p.faults
+	return list
 }
 
 func (p *parser) parseRow(rec []field) {
@@ -54,6 +60,9 @@
 		p.addFaultAt(rec[min(len(rec), len(Columns)+1)-1], "%d fields; want %d: %s", len(rec), len(Columns), strings.Join(Columns, ", "))
 		return
 	}
+	for i := range rec {
+		rec[i].heading = Columns[i]
+	}
 	row := Row{
 		Line: rec[colModel].line, VersionColumn: rec[colVersion].column,
 		Model: p.parseName(rec[colModel], "model"), Version: p.parseName(rec[colVersion], "version"),
@@ -68,6 +77,7 @@
 	row.TeamShares = p.parseShares(rec[colTeamShares])
 	row.Fencing = p.parseFencing(rec[colFencing], row.Domains)
 	p.rows = append(p.rows, row)
+	p.checkEffect(rec, row)
 	if row.Replicas > 0 {
 		p.demand = append(p.demand, demand{field: rec[colReplicas], replicas: row.Replicas, domains: row.Domains})
 	}
@@ -115,7 +125,7 @@
 	itemColumn := column
 	endItem := func(end int) {
 		if start >= 0 {
-			list = append(list, field{text: f.text[start:end], line: line, column: itemColumn})
+			list = append(list, field{text: f.text[start:end], line: line, column: itemColumn, heading: f.heading})
 			start = -1
 		}
 	}
@@ -144,24 +154,27 @@
 		switch {
 		case slices.Contains(domains, item.text):
 			p.addFaultAt(item, "domain %q is listed twice; want each domain once", item.text)
-		case !slices.Contains(p.inventory.Domains, item.text):
-			p.addFaultAt(item, "unknown domain %q; want %s", item.text, domainChoices(p.inventory.Domains))
+		case !p.inventory.Unknown && !slices.Contains(p.inventory.Domains, item.text):
+			p.addFaultAt(item, "unknown domain %q; want %s", item.text, p.domainChoices())
 		default:
 			domains = append(domains, item.text)
 		}
 	}
 	if len(splitList(f)) == 0 {
-		p.addFaultAt(f, "no domain; want %s", domainChoices(p.inventory.Domains))
+		p.addFaultAt(f, "no domain; want %s", p.domainChoices())
 	}
 	return domains
 }
 
 // domainChoices says for a fault which domains are allowed.
-func domainChoices(names []string) string {
-	if len(names) == 0 {
+func (p *parser) domainChoices() string {
+	switch {
+	case p.inventory.Unknown:
+		return "one or more domains with instances"
+	case len(p.inventory.Domains) == 0:
 		return "a domain with instances (the instance list has none)"
 	}
-	return "one or more of " + strings.Join(names, ", ")
+	return "one or more of " + strings.Join(p.inventory.Domains, ", ")
 }
 
 func (p *parser) parseShares(f field) map[string]int {
@@ -204,6 +217,40 @@
 	return v
 }
 
+// checkEffect warns of fields that have no effect or cannot be fulfilled in the
+// present state of the fleet. The domains of each row are considered alone, not
+// together with other rows.
+func (p *parser) checkEffect(rec []field, row Row) {
+	if row.Replicas == 0 {
+		if len(row.TeamShares) > 0 {
+			p.addWarning(rec[colTeamShares], "team shares have no effect on a model without replicas")
+		}
+		return
+	}
+	if len(row.Domains) == 0 {
+		return // already reported as a fault
+	}
+	listed, inService, out := 0, 0, 0
+	for _, d := range row.Domains {
+		listed += p.inventory.Instances[d]
+		if p.inventory.Out[d] {
+			out++
+			continue
+		}
+		inService += p.inventory.Instances[d] - p.inventory.Drained[d]
+	}
+	switch {
+	case out == len(row.Domains):
+		p.addWarning(rec[colDomains], "every domain of the model is out of service; no replica can serve")
+	case !p.inventory.Unknown && row.Replicas <= listed && row.Replicas > inService:
+		p.addWarning(rec[colReplicas], "%d replicas are requested, but %d of the %d instances in these domains are in service", row.Replicas, inService, listed)
+	}
+}
+
+func (p *parser) addWarning(f field, format string, args ...any) {
+	p.warnings = append(p.warnings, newFault(f, format, args...))
+}
+
 // checkCapacity reports rows that want more replicas than their domains have
 // instances. All rows fit only if, for each set of domains, the rows that may
 // use no other domains fit into the set together. With few domains, every union
--- a/core/awsheet/scanner.go
+++ b/core/awsheet/scanner.go
@@ -69,6 +69,7 @@
 type field struct {
 	text         string
 	line, column int
+	heading      string // heading of its column; empty until the record is known to have all fields
 	quoted       bool
 }
 
--- a/io/awcommand/ctl.go
+++ b/io/awcommand/ctl.go
@@ -17,7 +17,7 @@
 )
 
 type ctlOptions struct {
-	Entry  string `long:"entry" value-name:"URL" env:"AWCTL_ENTRY" required:"true" description:"URL of the operators' listener of any entry, e.g. http://127.0.0.1:8081"`
+	Entry  string `long:"entry" value-name:"URL" env:"AWCTL_ENTRY" description:"URL of the operators' listener of any entry, e.g. http://127.0.0.1:8081"`
 	Output string `short:"o" long:"output" choice:"text" choice:"json" default:"text" description:"format of the output"`
 	Actor  string `long:"actor" env:"USER" default:"operator" description:"name recorded with changes"`
 }
@@ -55,6 +55,10 @@
 	if code, ok := parse(p, &c.opts, args, stdout, stderr); !ok {
 		return code
 	}
+	if c.opts.Entry == "" && chosen.needsEntry() {
+		fmt.Fprintln(stderr, "the required flag `--entry' was not specified")
+		return ExitUsage
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), chosen.limit())
 	defer cancel()
 	err := chosen.run(ctx)
@@ -67,6 +71,10 @@
 	default:
 		fmt.Fprintln(stderr, "awctl:", err)
 	}
+	var unreadable *unreadableError
+	if errors.As(err, &unreadable) {
+		return ExitUsage
+	}
 	return ExitFailed
 }
 
@@ -88,6 +96,7 @@
 type ctlCommand interface {
 	run(ctx context.Context) error
 	limit() time.Duration // timeout of the whole command, including --wait
+	needsEntry() bool     // the command cannot run without --entry
 }
 
 // command implements [flags.Commander] for the commands that embed it. Their
@@ -101,11 +110,15 @@
 
 func (command) limit() time.Duration { return callTimeout }
 
+func (command) needsEntry() bool { return true }
+
 const ctlHelp = `awctl manages a fleet through the operators' listener of any entry.
 
-Exit codes: 0 success, 1 failure or refusal, 2 invalid usage.
+Exit codes: 0 success, 1 failure or refusal, 2 invalid usage. For check: 0 no
+findings, 1 findings, 2 invalid usage or an input that cannot be read.
 
 Examples:
+  awctl check sheet.csv
   export AWCTL_ENTRY=http://127.0.0.1:8081
   awctl validate sheet.csv
   awctl diff sheet.csv
@@ -127,7 +140,8 @@
 func (c *ctl) register(p *flags.Parser) error {
 	change := func(kind awconfig.Kind) ctlCommand { return &changeCommand{ctl: c, kind: kind} }
 	for _, sub := range []subcommand{
-		{"validate", "Check a sheet", "Reports every error with its line and column. Exit code 1 if there is any.\n\nExample: awctl validate sheet.csv", &validateCommand{ctl: c}},
+		{"check", "Check a sheet without an entry, or against what is in force", "Reports errors, entries without effect, limits that cannot be met, and differences. Differences do not change the exit code.\n\nExample: awctl check sheet.csv --against http://127.0.0.1:8081 -o json", &checkCommand{ctl: c}},
+		{"validate", "Check a sheet", "Reports every error with its line and column. Exit code 1 if there is any. Without --entry, checks only what needs no fleet.\n\nExample: awctl validate sheet.csv", &validateCommand{ctl: c}},
 		{"diff", "Show what a sheet would change", "Changes nothing.\n\nExample: awctl diff sheet.csv -o json", &diffCommand{ctl: c}},
 		{"apply", "Apply a sheet, either whole or not at all", "Example: awctl apply sheet.csv --wait --wait-timeout 30s", &applyCommand{ctl: c}},
 		{"status", "Show the fleet", "Example: awctl status -o json", &statusCommand{ctl: c}},
@@ -186,10 +200,15 @@
 }
 
 func (s *sheetArgs) read() ([]byte, error) {
-	if s.Args.Sheet == "-" {
+	return readInput(s.Args.Sheet)
+}
+
+// readInput reads a file, or the standard input if the name is "-".
+func readInput(name string) ([]byte, error) {
+	if name == "-" {
 		return io.ReadAll(os.Stdin)
 	}
-	return os.ReadFile(s.Args.Sheet)
+	return os.ReadFile(name)
 }
 
 // waitOptions holds the options of commands that can wait until their change is
--- a/io/awcommand/ctlcommands.go
+++ b/io/awcommand/ctlcommands.go
@@ -16,7 +16,12 @@
 	ctl *ctl
 }
 
+func (*validateCommand) needsEntry() bool { return false }
+
 func (a *validateCommand) run(ctx context.Context) error {
+	if a.ctl.opts.Entry == "" {
+		return a.runLocally()
+	}
 	report, err := a.ctl.check(ctx, &a.sheetArgs)
 	if err != nil {
 		return err
@@ -31,6 +36,19 @@
 	return a.ctl.print(report, text)
 }
 
+// runLocally checks the sheet without an entry.
+func (a *validateCommand) runLocally() error {
+	data, err := a.read()
+	if err != nil {
+		return err
+	}
+	report, _ := checkLocally(data, nil)
+	if !report.Valid {
+		return a.ctl.invalid(report)
+	}
+	return a.ctl.print(report, "the sheet is valid; not checked without an entry: "+strings.Join(report.NotChecked, ", "))
+}
+
 func (c *ctl) check(ctx context.Context, sheet *sheetArgs) (awcontrol.SheetReport, error) {
 	data, err := sheet.read()
 	if err != nil {
--- a/io/awcontrol/api.go
+++ b/io/awcontrol/api.go
@@ -154,10 +154,10 @@
 }
 
 // readSheet reads and parses the sheet in the body of a request.
-func (s *Server) readSheet(r *http.Request) ([]awconfig.Model, error) {
+func (s *Server) readSheet(r *http.Request) ([]awconfig.Model, []awsheet.Fault, error) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, awsheet.MaxBytes+1))
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	// Compare the sheet with the newest configuration. If the store is
 	// unreachable, use the one held by this process.
@@ -167,22 +167,28 @@
 
 // check validates a sheet and reports what it would change, without applying it.
 func (s *Server) check(w http.ResponseWriter, r *http.Request) {
-	models, err := s.readSheet(r)
+	models, warnings, err := s.readSheet(r)
 	st := s.Holder.State()
 	report := SheetReport{Revision: st.Revision, Faults: []string{}, Differences: []awconfig.Difference{}}
 	var sheetErr *SheetError
 	switch {
 	case errors.As(err, &sheetErr):
 		report.Faults = sheetErr.lines()
+		report.Findings = NewFindings(sheetErr.Faults, warnings)
 	case err != nil:
 		replyError(w, err)
 		return
 	default:
 		report.Valid = true
+		report.Findings = NewFindings(nil, warnings)
 		report.RemovedShare = awconfig.RemovedShare(st, models)
 		report.RemovalOK = report.RemovedShare <= s.MaxRemovedShare
 		report.Differences = append(report.Differences, awconfig.DiffSheet(st, models)...)
 	}
+	if report.Valid && !report.RemovalOK {
+		refusal := &RemovalError{Share: report.RemovedShare, Limit: s.MaxRemovedShare}
+		report.Findings = append(report.Findings, Finding{Severity: SeverityWarning, Fault: awsheet.Fault{Message: refusal.Error()}})
+	}
 	reply(w, http.StatusOK, report)
 }
 
@@ -193,7 +199,7 @@
 		reply(w, http.StatusBadRequest, Refusal{Error: "Base must be a revision"})
 		return
 	}
-	models, err := s.readSheet(r)
+	models, _, err := s.readSheet(r)
 	if err != nil {
 		replyError(w, err)
 		return
--- a/io/awcontrol/sheet.go
+++ b/io/awcontrol/sheet.go
@@ -60,25 +60,26 @@
 const maxParallelPins = 8
 
 // parseSheet parses a sheet and resolves its versions to manifest digests. If the
-// sheet is invalid, it returns a [SheetError] with all errors found.
-func (s *Server) parseSheet(ctx context.Context, sheet []byte) ([]awconfig.Model, error) {
+// sheet is invalid, it returns a [SheetError] with all errors found. The warnings
+// are returned for an invalid sheet, too.
+func (s *Server) parseSheet(ctx context.Context, sheet []byte) (models []awconfig.Model, warnings []awsheet.Fault, err error) {
 	inv, err := s.inventory(ctx)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	rows, faults := awsheet.ParsePartial(sheet, inv)
-	models, unpublished, err := s.pinAll(ctx, rows)
-	if err != nil && len(faults) == 0 {
-		return nil, err
+	result := awsheet.Check(sheet, inv)
+	models, unpublished, err := s.pinAll(ctx, result.Rows)
+	if err != nil && len(result.Faults) == 0 {
+		return nil, nil, err
 	}
-	faults = append(faults, unpublished...)
+	faults := append(result.Faults, unpublished...)
 	if len(faults) > 0 {
 		slices.SortStableFunc(faults, func(a, b awsheet.Fault) int {
 			return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
 		})
-		return nil, &SheetError{Faults: faults}
+		return nil, result.Warnings, &SheetError{Faults: faults}
 	}
-	return models, nil
+	return models, result.Warnings, nil
 }
 
 // pinAll pins the versions of the rows and returns a fault for each version that
@@ -115,12 +116,21 @@
 	if err != nil {
 		return awsheet.Inventory{}, eris.Wrap(err, "read instance list")
 	}
-	inv := awsheet.Inventory{Instances: map[string]int{}, Unfenced: map[string]int{}}
+	inv := awsheet.Inventory{
+		Instances: map[string]int{}, Unfenced: map[string]int{}, Out: map[string]bool{}, Drained: map[string]int{},
+	}
+	st := s.Holder.State()
+	for name, d := range st.Domains {
+		inv.Out[name] = d.Out
+	}
 	engines := map[string]bool{}
 	for _, in := range list {
 		if in.Role == "agent" && in.Service == "" {
 			inv.Instances[in.Domain]++
 			engines[in.ID] = true
+			if st.Instances[in.ID].Drained {
+				inv.Drained[in.Domain]++
+			}
 		}
 	}
 	for _, a := range s.Fleet() {
@@ -135,7 +145,7 @@
 // pin reads the manifest of the row's version from the origin and returns the
 // model with its digest and size, or a fault if there is no valid manifest.
 func (s *Server) pin(ctx context.Context, row awsheet.Row) (awconfig.Model, *awsheet.Fault, error) {
-	fault := &awsheet.Fault{Line: row.Line, Column: row.VersionColumn}
+	fault := &awsheet.Fault{Line: row.Line, Column: row.VersionColumn, Field: awsheet.VersionField}
 	data, err := s.Platform.Manifest(ctx, row.Model, row.Version)
 	if errors.Is(err, awstore.ErrNotFound) {
 		fault.Message = fmt.Sprintf("unknown version %q of model %q; the version must be published", row.Version, row.Model)
--- a/io/awcontrol/types.go
+++ b/io/awcontrol/types.go
@@ -1,6 +1,9 @@
 package awcontrol
 
-import "arbutuswind/core/awconfig"
+import (
+	"arbutuswind/core/awconfig"
+	"arbutuswind/core/awsheet"
+)
 
 // AgentStatus is the latest status of an agent that an entry has received.
 type AgentStatus struct {
@@ -92,6 +95,36 @@
 	RemovedShare float64  // share of the desired replicas that the sheet removes, 0 to 1
 	RemovalOK    bool     // RemovedShare is within MaxRemovedShare
 	Differences  []awconfig.Difference
+	Findings     []Finding `json:",omitempty"` // the faults and the warnings, field by field
+	NotChecked   []string  `json:",omitempty"` // what was left out because the check ran without an entry
+}
+
+// Severity states whether a finding prevents a sheet from being accepted.
+type Severity string
+
+// The values of Severity.
+const (
+	SeverityError   Severity = "error"
+	SeverityWarning Severity = "warning"
+)
+
+// Finding is an error or a warning about a sheet. Line and Column are 0 if it
+// concerns the whole sheet.
+type Finding struct {
+	Severity Severity
+	awsheet.Fault
+}
+
+// NewFindings returns the faults and warnings of a sheet, the faults first.
+func NewFindings(faults, warnings []awsheet.Fault) []Finding {
+	list := make([]Finding, 0, len(faults)+len(warnings))
+	for _, f := range faults {
+		list = append(list, Finding{Severity: SeverityError, Fault: f})
+	}
+	for _, f := range warnings {
+		list = append(list, Finding{Severity: SeverityWarning, Fault: f})
+	}
+	return list
 }
 
 func (s Status) fencingConflicts() []string {
