awdispatch: decide each request once, and keep teams fair within their rank

A request that was granted as the floor stayed in the queue until the next assignment and could be refused there when the queue was full: decided twice, and the second decision could block the gateway. It now leaves the queue at once (TestFloorRequestIsDecidedOnce fails without it). One virtual time for all ranks let an urgent rank move it past the tags that wait in the others, so that a large team came before a small one there. Each rank has its own now (TestTeamsAreFairWithinTheirRank). The shares beyond the slots were rounded up at random by each gateway; they are rounded as other shared limits are.

--- a/core/awdispatch/beyond.go
+++ b/core/awdispatch/beyond.go
@@ -6,8 +6,9 @@
 // place in which requests of all entries meet. So that the most urgent ones come first
 // across entries, a few of them may be sent to an engine beyond its slots.
 
-// maxBeyondSlots is the most requests that may wait in the queue of an engine, of all
-// entries together. A request there can no longer go to another engine.
+// maxBeyondSlots is the number of requests that may wait in the queue of an engine, of
+// all entries together. The shares are rounded and reports are late, so a few more may
+// for a moment. A request there can no longer go to another engine.
 const maxBeyondSlots = 2
 
 // extraShares holds how many requests this entry may send to an engine, in addition to
@@ -15,13 +16,13 @@
 type extraShares [maxBeyondSlots + 1]int
 
 // updateExtraShares divides the room in the queue of an engine among its entries after
-// a load report. The fraction is rounded up at random.
-func (s *server) updateExtraShares(entries int, roundUpChance float64) {
+// a load report.
+func (s *server) updateExtraShares(entries int) {
 	over := max(0, s.load.Active+s.load.Queued-s.info.Slots)
 	for k := range s.extra {
 		s.extra[k] = 0
 		if over < k {
-			s.extra[k] = int(float64(k-over)/float64(entries) + roundUpChance)
+			s.extra[k] = s.share(float64(k-over), entries)
 		}
 	}
 }
--- a/core/awdispatch/contended.go
+++ b/core/awdispatch/contended.go
@@ -41,7 +41,7 @@
 type contention struct {
 	ranks      Ranks
 	firstEvent time.Duration // estimated quantile of the time from send to first event; 0 if unknown
-	teams      fairness
+	teams      map[fairClass]*fairness
 	passedOver int // assignments made while less urgent requests waited, less those that the floor repaid
 }
 
@@ -60,7 +60,7 @@
 			if d.contended == nil {
 				d.contended = map[string]*contention{}
 			}
-			c = &contention{}
+			c = &contention{teams: map[fairClass]*fairness{}}
 			d.contended[service] = c
 		}
 		c.ranks = ranks
@@ -143,7 +143,7 @@
 // recordAssignment accounts for the assignment of t in the fairness among teams and in
 // the floor.
 func (c *contention) recordAssignment(t *Ticket, queue []*Ticket) {
-	c.teams.assigned(t.req.Team, t.startTag)
+	c.fairness(&t.req).assigned(t.req.Team, t.startTag)
 	lessUrgentWait := false
 	for _, other := range queue {
 		switch {
@@ -180,6 +180,11 @@
 	return oldest != nil && d.assign(oldest, now)
 }
 
+// removeDecided removes the requests that have been decided from the queue of a service.
+func (d *Dispatcher) removeDecided(service string) {
+	d.queues[service] = slices.DeleteFunc(d.queues[service], func(t *Ticket) bool { return t.done })
+}
+
 // position returns how many assignments of a service are expected before that of t,
 // which is to be inserted into the queue at index i.
 func (d *Dispatcher) position(t *Ticket, i int) int {
@@ -207,12 +212,11 @@
 	}
 	waiting := 0
 	for _, other := range d.queues[t.req.Service] {
-		r := &other.req
-		if r.Team == t.req.Team && r.Priority == t.req.Priority && r.Late == t.req.Late && r.Rank == t.req.Rank {
+		if other.req.Team == t.req.Team && other.req.fairClass() == t.req.fairClass() {
 			waiting++
 		}
 	}
-	t.startTag = c.teams.startTag(t.req.Team, waiting)
+	t.startTag = c.fairness(&t.req).startTag(t.req.Team, waiting)
 }
 
 // limitQueue refuses the last request of a contended service if too many wait.
--- a/core/awdispatch/contended_test.go
+++ b/core/awdispatch/contended_test.go
@@ -157,6 +157,44 @@
 	require.Equal(t, []string{"punctual"}, e.serve(1))
 }
 
+// Guards against a request that is granted as the floor and then refused because the
+// queue is full: it would be decided twice.
+func TestFloorRequestIsDecidedOnce(t *testing.T) {
+	e := newContendedEngine(true)
+	decisions := 0
+	e.Submit(Request{
+		Service: "s", Model: "m", Rank: 2, MaxWait: time.Hour, Deadline: e.clock.Now().Add(time.Hour), Allowed: onlyIn("south"),
+	}, func(dec Decision) {
+		decisions++
+		require.NotNil(t, dec.Grant)
+	})
+	for range maxContendedQueue - 1 {
+		e.submit("urgent", Request{MaxWait: time.Hour})
+	}
+	e.contended["s"].passedOver = floorPeriod - 1
+	south := e.running["south"].Server
+	e.servers[south.Key()].ownRequests-- // a free slot that no queued request has seen
+	e.servers[south.Key()].allowance = 1
+	e.submit("urgent", Request{MaxWait: time.Hour})
+	require.Equal(t, 1, decisions)
+	require.LessOrEqual(t, e.WaitingFor("s"), maxContendedQueue)
+}
+
+// Guards against a large team that crowds out a small one in one rank because another
+// rank has been served meanwhile.
+func TestTeamsAreFairWithinTheirRank(t *testing.T) {
+	e := newContendedEngine(true)
+	for i := range 4 {
+		e.submit(fmt.Sprint("large ", i), Request{Rank: 2, Team: "a"})
+	}
+	for i := range 50 {
+		c := e.contended["s"].fairness(&Request{})
+		c.assigned("c", int64(i))
+	}
+	e.submit("small", Request{Rank: 2, Team: "b"})
+	require.Equal(t, []string{"large 0", "small", "large 1"}, e.serve(3))
+}
+
 // Guards against requests beyond the slots of late callers, of the least urgent rank,
 // and at engines that are cold, silent or have a rate limit.
 func TestRequestsBeyondTheSlots(t *testing.T) {
--- a/core/awdispatch/fairness.go
+++ b/core/awdispatch/fairness.go
@@ -1,6 +1,27 @@
 package awdispatch
 
-// fairness is start-time fair queueing among the teams of a service, at equal weights.
+// fairClass holds what orders requests of a service before the fairness among teams.
+// Each class has tags of its own: with common ones, the requests of an urgent rank
+// would move the virtual time past the tags that wait in the others.
+type fairClass struct {
+	priority, rank int
+	late           bool
+}
+
+func (r *Request) fairClass() fairClass { return fairClass{r.Priority, r.Rank, r.Late} }
+
+// fairness returns the fairness among the teams with requests of the class of r.
+func (c *contention) fairness(r *Request) *fairness {
+	class := r.fairClass()
+	f := c.teams[class]
+	if f == nil {
+		f = &fairness{}
+		c.teams[class] = f
+	}
+	return f
+}
+
+// fairness is start-time fair queueing among the teams of a class, at equal weights.
 // A team whose requests were assigned is behind by as many of them, until the others
 // have caught up. Only assignments count, so a team neither loses its share by requests
 // that are refused nor saves it up while it sends none.
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -84,10 +84,10 @@
 		t.waitUntil = req.Deadline
 	}
 	d.setStartTag(t)
-	queue := d.queues[req.Service]
-	if d.floorDue(&t.req) {
-		d.assignFloor(&t.req, now)
+	if d.floorDue(&t.req) && d.assignFloor(&t.req, now) {
+		d.removeDecided(req.Service)
 	}
+	queue := d.queues[req.Service]
 	if (len(queue) == 0 || d.before(t, queue[0])) && d.assign(t, now) {
 		return t
 	}
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -65,7 +65,7 @@
 	free := max(0, s.info.Slots-l.Active-l.Queued)
 	s.allowance = int(float64(free)/float64(entries) + roundUpChance)
 	s.quota = s.ownRequests + l.Share
-	s.updateExtraShares(entries, roundUpChance)
+	s.updateExtraShares(entries)
 }
 
 // refusedConnection records a refused connection.
