Keep the slot of an abandoned request until the next report

Cause: an entry's share allows for a number of requests in flight, so every released grant made room for another request at once. After an abandoned or failed send the engine may run the request up to 0.5 s longer: a gateway with a quota of 4 whose callers left sent 4 more, and the engine held 8 for one quota. Change: such a release also lowers the quota. Grants that were returned before anything was sent have an outcome of their own, NotSent, and keep it. unsent is now remainingShare. Result: the new test, which fails without the change, passes.

--- a/core/awdispatch/awdispatch.go
+++ b/core/awdispatch/awdispatch.go
@@ -121,6 +121,7 @@
 	Replaced            // another backend server answers at the address
 	Unreachable         // the backend server refused the connection, so its process is not running
 	Abandoned           // the caller disconnected or the deadline passed
+	NotSent             // the grant was returned before anything was sent
 )
 
 // Refusal is the reason why a request was refused.
--- a/core/awdispatch/changes_test.go
+++ b/core/awdispatch/changes_test.go
@@ -56,7 +56,7 @@
 				k := all[rapid.IntRange(0, 3).Draw(t, "answering")].Key()
 				if list := running[k]; len(list) > 0 {
 					running[k] = list[1:]
-					d.Release(list[0], rapid.SampledFrom([]Outcome{Succeeded, Failed, Rejected, Abandoned, Unreachable}).Draw(t, "outcome"))
+					d.Release(list[0], rapid.SampledFrom([]Outcome{Succeeded, Failed, Rejected, Abandoned, Unreachable, NotSent}).Draw(t, "outcome"))
 				}
 			default:
 				r := &submitted{}
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -164,7 +164,10 @@
 		d.forgetUnused(k, s) // its id may belong to a later incarnation
 		return
 	}
-	if outcome != Unreachable && outcome != Abandoned {
+	if s.load.Shared && mayRunOn(outcome) {
+		s.quota--
+	}
+	if outcome != Unreachable && outcome != Abandoned && outcome != NotSent {
 		s.refusals = 0
 	}
 	switch outcome {
@@ -178,7 +181,7 @@
 		s.replaced = true
 	case Unreachable:
 		s.refusedConnection(now)
-	case Abandoned:
+	case Abandoned, NotSent:
 	}
 	d.assignQueued(s.info.Service)
 }
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -52,10 +52,10 @@
 }
 
 // updateLoad records a load report and computes this entry's share of the free
-// slots in it, unless the report holds one. All entries see the same report, so they divide the slots among
-// themselves. The fraction that remains is rounded up at random; roundUpChance
-// is drawn uniformly from 0 to 1. If every entry rounded up, many entries would
-// use the same last slot.
+// slots in it, unless the report holds one. All entries see the same report, so
+// they divide the slots among themselves. The fraction that remains is rounded up
+// at random; roundUpChance is drawn uniformly from 0 to 1. If every entry rounded
+// up, many entries would use the same last slot.
 func (s *server) updateLoad(l Load, entries int, roundUpChance float64) {
 	s.load, s.reported = l, true
 	s.heardAt = later(s.heardAt, l.At)
@@ -174,7 +174,7 @@
 	switch {
 	case s.hasFreshLoad(now):
 		total := s.otherRequests + s.ownRequests
-		free = min(limit-total, s.unsent())
+		free = min(limit-total, s.remainingShare())
 		load = float64(total) / float64(limit)
 	case s.reported:
 		load += silentLoad
--- a/core/awdispatch/share.go
+++ b/core/awdispatch/share.go
@@ -25,12 +25,19 @@
 	return max(1, int(float64(s.info.Slots)/s.slowdown(now))) - s.otherRequests - s.ownRequests
 }
 
-// unsent returns how many more requests this entry may send before the next report. A
-// share allows for a number of requests in flight, so a slot that a request of this
-// entry leaves is used again at once. No other entry can know of it before the next
-// report. With equal shares it is not: an entry that has many slots would keep them
+// mayRunOn reports whether the backend server may still run a request that ended with an
+// outcome. Engines notice up to 0.5 s later that a request was withdrawn, so its slot
+// is not used again before the next report.
+func mayRunOn(outcome Outcome) bool {
+	return outcome == Failed || outcome == Abandoned || outcome == Unreachable
+}
+
+// remainingShare returns how many more requests this entry may send before the next
+// report. A share allows for a number of requests in flight, so a slot that a request
+// of this entry leaves is used again at once. No other entry can know of it before the
+// next report. With equal shares it is not: an entry that has many slots would keep them
 // whatever the others need.
-func (s *server) unsent() int {
+func (s *server) remainingShare() int {
 	if s.load.Shared {
 		return s.quota - s.ownRequests
 	}
--- a/core/awdispatch/share_test.go
+++ b/core/awdispatch/share_test.go
@@ -338,3 +338,37 @@
 	s.run(9*time.Second, demand)
 	require.LessOrEqual(t, s.shares.maxOverLimit, 1)
 }
+
+// Guards against an entry that fills a slot twice: the engine may run a request that
+// was abandoned or failed until its next report. A request that has ended, was turned
+// away or was never sent leaves its slot at once.
+func TestSlotOfAnAbandonedRequestIsNotReused(t *testing.T) {
+	for outcome, again := range map[Outcome]int{Succeeded: 4, Rejected: 4, NotSent: 4, Failed: 0, Abandoned: 0, Unreachable: 0} {
+		s := newSimulation(1, 1, 0)
+		d, info := s.entries[0], s.engines[0].info
+		report := func(active, share int) {
+			d.Report(info.Key(), Load{At: s.clock.Now(), Active: active, Shared: true, Share: share, Versions: info.Versions})
+		}
+		submit := func() (grants []*Grant) {
+			for range 10 {
+				t := d.Submit(Request{Service: "s", Model: "m", Deadline: s.clock.Now().Add(time.Second)}, func(dec Decision) {
+					if dec.Grant != nil {
+						grants = append(grants, dec.Grant)
+					}
+				})
+				d.Cancel(t) // keeps it from the queue
+			}
+			return grants
+		}
+		report(0, 4)
+		grants := submit()
+		require.Len(t, grants, 4)
+		for _, g := range grants {
+			d.Release(g, outcome)
+		}
+		d.servers[info.Key()].rejectedUntil, d.servers[info.Key()].reachableFrom = time.Time{}, time.Time{}
+		require.Len(t, submit(), again, "outcome %d", outcome)
+		report(4, 2)
+		require.Len(t, submit(), 2, "outcome %d", outcome)
+	}
+}
--- a/io/awgateway/balance_test.go
+++ b/io/awgateway/balance_test.go
@@ -80,3 +80,19 @@
 	require.Equal(t, 7, g.dispatch.FreeSlots("s"))
 	require.Equal(t, awdispatch.Spread{Servers: 1, Peak: 0.125, Mean: 0.125}, g.dispatch.Spread("s"))
 }
+
+// Guards against an unused grant that takes a slot until the next load report: nothing
+// was sent, so the next request may use its share.
+func TestUnusedGrantLeavesItsShare(t *testing.T) {
+	g, clock := newBalanceGateway(t, false, 0, 1)
+	g.handleLoadReport(awload.Report{Address: "127.0.0.1:1", Versions: map[string]int64{"m": 1}, Shared: true, Share: 1})
+	for range 3 {
+		q := &request{g: g, service: "s", model: "m", route: &awdirectory.Route{Name: "r"}, start: clock.Now(), deadline: clock.Now().Add(time.Second)}
+		p := q.requestSlot()
+		require.Len(t, p.decisions, 1)
+		d := <-p.decisions
+		require.NotNil(t, d.Grant)
+		p.decisions <- d
+		p.cancel()
+	}
+}
--- a/io/awgateway/hedge.go
+++ b/io/awgateway/hedge.go
@@ -291,7 +291,7 @@
 		return awretry.HedgeRetry
 	}
 	if wait := h.untilSilent(); wait > 0 || ctx.Err() != nil || q.isQuarantined() || !q.allowRetry() {
-		q.release(d.Grant, awdispatch.Abandoned)
+		q.release(d.Grant, awdispatch.NotSent)
 		return max(wait, awretry.HedgeRetry)
 	}
 	s, sendCtx := q.newSend(ctx, d.Grant)
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -215,7 +215,7 @@
 	select {
 	case d := <-p.decisions: // decided before the cancellation
 		if d.Grant != nil {
-			p.q.release(d.Grant, awdispatch.Abandoned)
+			p.q.release(d.Grant, awdispatch.NotSent)
 		}
 	default:
 	}
@@ -268,7 +268,7 @@
 			return
 		}
 		if q.isQuarantined() {
-			q.release(d.Grant, awdispatch.Abandoned) // blocked while it waited
+			q.release(d.Grant, awdispatch.NotSent) // blocked while it waited
 			continue
 		}
 		q.logSend(d.Grant, g.cfg.Clock.Now().Sub(waitStart))
