Learn the output per event from whole streams only

Cause: the dispatcher heard of events at most every 100 ms and not at the end of a response, so it learned the tokens per event from a count up to 100 ms old, and nothing from streams shorter than that. A resumed stream holds only the rest of the events but was compared with the estimate of the whole. Change: the final count is passed on before the request ends, and nothing is learned from resumed streams. The hint of a resumed stream still counts in full in its expected work.

--- a/core/awdispatch/evidence.go
+++ b/core/awdispatch/evidence.go
@@ -28,6 +28,7 @@
 	kind      string
 	began     time.Time
 	events    int
+	resumed   bool // the response is the rest of a stream
 	remaining float64
 }
 
@@ -72,8 +73,17 @@
 	r.remaining = remaining
 }
 
+// Resumed records that a response is only the rest of a stream. Its events say nothing
+// of the tokens per event, since the estimate of its output is that of the whole.
+func (d *Dispatcher) Resumed(g *Grant) {
+	if r := d.running[g]; r != nil {
+		r.resumed = true
+	}
+}
+
 // Ended records how a request for which [Dispatcher.Began] was called has ended. The
-// caller still has to release the grant.
+// number of events must have been recorded with [Dispatcher.Progress]. The caller still
+// has to release the grant.
 func (d *Dispatcher) Ended(g *Grant, outcome Outcome) {
 	r := d.running[g]
 	if r == nil {
@@ -90,7 +100,9 @@
 		return
 	}
 	now := d.cfg.Clock.Now()
-	r.service.estimator.Ended(&r.expected, r.events)
+	if !r.resumed {
+		r.service.estimator.Ended(&r.expected, r.events)
+	}
 	if !r.server.reported {
 		e.answers.Add(r.service.usual.Ratio(r.kind, now.Sub(r.began)), now)
 	}
--- a/io/awgateway/balance_test.go
+++ b/io/awgateway/balance_test.go
@@ -1,6 +1,7 @@
 package awgateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -96,3 +97,64 @@
 		p.cancel()
 	}
 }
+
+// streams sends requests with length hints to the engines of a gateway.
+type streams struct {
+	g     *Gateway
+	clock *awclock.Fake
+}
+
+func newStreams(t *testing.T) *streams {
+	t.Helper()
+	g, clock := newBalanceGateway(t, false, 0, 1)
+	g.cfg.Headers = plainHeaders{}
+	for _, addr := range []string{"127.0.0.1:1", "127.0.0.1:2"} {
+		g.handleLoadReport(awload.Report{Address: addr, Versions: map[string]int64{"m": 1}, Shared: true, Share: 8})
+	}
+	return &streams{g, clock}
+}
+
+// begin begins a send. Its engine accepts no connections.
+func (l *streams) begin(hint int, resumeAfter string) *send {
+	q := &request{
+		g: l.g, service: "s", model: "m", route: &awdirectory.Route{Name: "r"}, start: l.clock.Now(), deadline: l.clock.Now().Add(time.Second),
+		info: RequestInfo{LengthHint: hint, ResumeAfter: resumeAfter}, avoid: map[awdirectory.Key]bool{},
+	}
+	d := <-q.requestSlot().decisions
+	s, ctx := q.newSend(context.Background(), d.Grant)
+	s.run(ctx)
+	return s
+}
+
+// end ends a send with a whole response.
+func (s *send) end(events int64) {
+	s.recordHeard()
+	s.events.Store(events) // less than heardInterval later
+	s.q.settle(s, sendResult{answered: true, outcome: awdispatch.Succeeded})
+}
+
+// prefersBegun reports whether an engine that runs a response with a hint of 300 and
+// 90 events so far gets the next request, instead of one that has begun none of 160.
+// With 1 token per event it has more work left, with 3 it has less.
+func (l *streams) prefersBegun() bool {
+	begun := l.begin(300, "")
+	begun.events.Store(90)
+	begun.recordHeard()
+	l.begin(160, "")
+	return l.begin(160, "").grant.Server.ID == begun.grant.Server.ID
+}
+
+// Guards against tokens per event that are learned from fewer events than have arrived:
+// from those of a count up to heardInterval old, or from the rest of a resumed stream.
+func TestTokensPerEventAreLearnedFromWholeStreams(t *testing.T) {
+	l := newStreams(t)
+	l.begin(300, "").end(100)
+	require.True(t, l.prefersBegun(), "3 tokens per event")
+
+	l = newStreams(t)
+	l.begin(100, "").end(100)
+	for range 22 { // if learned from, 3 tokens per event
+		l.begin(300, "90").end(10)
+	}
+	require.False(t, l.prefersBegun(), "1 token per event")
+}
--- a/io/awgateway/hedge.go
+++ b/io/awgateway/hedge.go
@@ -29,6 +29,8 @@
 	events atomic.Int64 // that have arrived
 	heard  atomic.Int64 // when the dispatcher was last told that bytes arrive, since start
 	silent bool         // the dispatcher knows that the backend server has been silent
+	// resumed is whether the backend server was asked for the rest of a stream.
+	resumed bool
 }
 
 // endedSend is the result of a send, or the panic that ended it.
@@ -62,6 +64,18 @@
 	g.dispatch.Progress(s.grant, int(s.events.Load()))
 }
 
+// recordEvents records the final number of events, which recordHeard passes on only up
+// to heardInterval before.
+func (s *send) recordEvents() {
+	g := s.q.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatch.Progress(s.grant, int(s.events.Load()))
+	if s.resumed {
+		g.dispatch.Resumed(s.grant)
+	}
+}
+
 // silence returns the time since the backend server last sent bytes.
 func (s *send) silence(now time.Time) time.Duration {
 	return now.Sub(s.start) - time.Duration(s.active.Load())
@@ -156,6 +170,7 @@
 	if !res.answered {
 		q.avoidServer(s.grant.Server.Key())
 	}
+	s.recordEvents()
 	q.release(s.grant, res.outcome) // before forward, which a slow caller holds up
 	q.departure.lastSendEnd = q.g.cfg.Clock.Now()
 	q.running = slices.DeleteFunc(q.running, func(other *send) bool { return other == s })
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -65,7 +65,7 @@
 	endTracking := s.trackUnproven()
 	defer endTracking()
 	info := s.forwardInfo()
-	s.version = info.Version
+	s.version, s.resumed = info.Version, info.ResumeAfter != ""
 	resp, err := g.cfg.Pool.Do(ctx, poolKey(&s.grant.Server), s.grant.Server.Address, awbackend.Request{
 		Method: q.method, URI: q.uri, Host: q.host, Header: g.cfg.Headers.ForwardHeaders(q.header.Clone(), info), Body: q.body,
 		IDHeader: g.cfg.Headers.IDHeader(), ID: q.info.ID, BeforeSend: func() error { return s.confirmCaller(ctx) },
