Do not count the time of slow callers against plain servers

Cause: the duration of an answer lasted until the request ended, which includes writing the body to the caller, so a slow caller could mark a plain server as slow; so could an engine's long answers before its first load report, and errors, which are quick, lowered the usual duration. Change: the duration is taken when the whole of a successful response has arrived, and only at services that are no engines. Responses that are written to the caller while they arrive do not count. The test of slow plain servers records the arrival as the gateway does.

--- a/core/awdispatch/evidence.go
+++ b/core/awdispatch/evidence.go
@@ -81,6 +81,19 @@
 	}
 }
 
+// Answered records that the whole of a successful response has arrived from the backend
+// server. It must be called before the response is written to the caller, who may be
+// slow. The duration counts only at services that are no engines, since engines report
+// their load. It is not called for a response that is forwarded while it arrives.
+func (d *Dispatcher) Answered(g *Grant) {
+	r := d.running[g]
+	if r == nil || d.services[r.server.info.Service].Engine {
+		return
+	}
+	now := d.cfg.Clock.Now()
+	r.server.evidence.answers.Add(r.service.usual.Ratio(r.kind, now.Sub(r.began)), now)
+}
+
 // Ended records how a request for which [Dispatcher.Began] was called has ended. The
 // number of events must have been recorded with [Dispatcher.Progress]. The caller still
 // has to release the grant.
@@ -96,16 +109,9 @@
 	if e.running == 0 {
 		e.work = 0 // removes the error of the sums
 	}
-	if outcome != Succeeded {
-		return
-	}
-	now := d.cfg.Clock.Now()
-	if !r.resumed {
+	if outcome == Succeeded && !r.resumed {
 		r.service.estimator.Ended(&r.expected, r.events)
 	}
-	if !r.server.reported {
-		e.answers.Add(r.service.usual.Ratio(r.kind, now.Sub(r.began)), now)
-	}
 }
 
 // evidenceLoad returns what this entry's own requests say about the load of a backend
--- a/core/awdispatch/evidence_test.go
+++ b/core/awdispatch/evidence_test.go
@@ -140,6 +140,7 @@
 		if a.at.After(f.clock.Now()) {
 			return false
 		}
+		a.entry.Answered(a.grant)
 		a.entry.Ended(a.grant, Succeeded)
 		a.entry.Release(a.grant, Succeeded)
 		return true
@@ -216,3 +217,23 @@
 	require.Zero(t, d.servers[a.Server.Key()].evidence.work)
 	require.Zero(t, d.servers[b.Server.Key()].evidence.work)
 }
+
+// Guards against an engine that is taken for slow by the duration of its answers, which
+// depends on their lengths, before its first load report has arrived.
+func TestDurationsOfEnginesDoNotCount(t *testing.T) {
+	s := newSimulation(1, 1, 0)
+	d := s.entries[0]
+	for _, took := range []time.Duration{10, 40, 40, 40} {
+		d.Submit(Request{Service: "s", Model: "m", Deadline: s.clock.Now().Add(time.Second)}, func(dec Decision) {
+			d.Began(dec.Grant, awbalance.Expected{}, "k")
+		})
+		require.Len(t, d.running, 1)
+		for g := range d.running {
+			s.clock.Advance(took * time.Millisecond)
+			d.Answered(g)
+			d.Ended(g, Succeeded)
+			d.Release(g, Succeeded)
+		}
+	}
+	require.Zero(t, d.evidenceLoad(d.byService["s"][0], s.clock.Now()))
+}
--- a/io/awgateway/balance.go
+++ b/io/awgateway/balance.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// recordAnswered records that a whole successful response has arrived.
+func (s *send) recordAnswered() {
+	s.q.g.mu.Lock()
+	defer s.q.g.mu.Unlock()
+	s.q.g.dispatch.Answered(s.grant)
+}
+
 // loaderTarget is a loader that this entry subscribes to.
 type loaderTarget struct {
 	addr           netip.AddrPort
--- a/io/awgateway/balance_test.go
+++ b/io/awgateway/balance_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -158,3 +160,72 @@
 	}
 	require.False(t, l.prefersBegun(), "1 token per event")
 }
+
+// slowCaller takes a second for each piece of a body.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+	clock *awclock.Fake
+}
+
+func (c slowCaller) Write(p []byte) (int, error) {
+	if len(p) > 0 {
+		c.clock.Advance(time.Second)
+	}
+	return len(p), nil
+}
+
+// Guards against a plain server that is taken for slow because its callers are, or
+// because its errors are quick.
+func TestSlowCallersDoNotMakeAServerSlow(t *testing.T) {
+	g, clock := newBalanceGateway(t, true)
+	c := &awdirectory.Config{Version: 2, Services: []awdirectory.Service{{Name: "p"}}}
+	require.True(t, g.Configure(c.Index()))
+	g.Apply(awwatch.State{Entries: []awdirectory.Entry{{Name: "g"}}, Servers: []awdirectory.Server{
+		{ID: "a", Service: "p", Address: "127.0.0.1:1", Slots: 8}, {ID: "b", Service: "p", Address: "127.0.0.1:2", Slots: 8},
+	}})
+	begin := func(server string) *send { // at any server if empty
+		q := &request{
+			g: g, w: slowCaller{httptest.NewRecorder(), clock}, service: "p", route: &awdirectory.Route{Name: "r"}, start: clock.Now(),
+			deadline: clock.Now().Add(time.Second), avoid: map[awdirectory.Key]bool{},
+		}
+		if server != "" {
+			q.avoid[awdirectory.Key{ID: map[string]string{"a": "b", "b": "a"}[server]}] = true
+		}
+		d := <-q.requestSlot().decisions
+		s, _ := q.newSend(context.Background(), d.Grant)
+		return s
+	}
+	answer := func(s *send, status int, took time.Duration, body string) {
+		clock.Advance(took)
+		s.q.settle(s, s.forwardWhole(context.Background(), &awbackend.Response{Status: status, Body: strings.NewReader(body)}))
+	}
+	const usual = 10 * time.Millisecond
+	prefersA := func() bool {
+		b := begin("b")
+		s := begin("")
+		defer answer(b, 200, usual, "")
+		defer answer(s, 200, usual, "")
+		return s.grant.Server.ID == "a"
+	}
+	for range 4 {
+		answer(begin("b"), 200, usual, "")
+	}
+	long := strings.Repeat("x", 2*maxBufferedBody)
+	for _, body := range []string{"x", long} {
+		for range 4 {
+			answer(begin("a"), 200, usual, body)
+		}
+		require.True(t, prefersA())
+	}
+	for range 200 {
+		answer(begin("b"), 404, 0, "")
+	}
+	for range 4 {
+		answer(begin("a"), 200, usual, "")
+	}
+	require.True(t, prefersA())
+	for range 4 {
+		answer(begin("a"), 200, 4*usual, "")
+	}
+	require.False(t, prefersA(), "a slow server")
+}
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -155,6 +155,10 @@
 	if err != nil {
 		return failedResult(ctx, err)
 	}
+	exceedsBuffer := len(body) == maxBufferedBody
+	if resp.Status < 300 && !exceedsBuffer {
+		s.recordAnswered()
+	}
 	q.forward.Lock()
 	defer q.forward.Unlock()
 	switch {
@@ -173,7 +177,6 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps net/http from guessing the type
 	}
-	exceedsBuffer := len(body) == maxBufferedBody
 	if !exceedsBuffer {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
