Do not count refused hedges as demand

Cause: a silent stream asks for a second server again and again, and each refusal counted as refused demand and as refused with room, so its gateway got slots for requests that it did not have. Change: refusals of requests for a second server do not count; grants do. Result: the new test fails without the change and passes.

--- a/io/awgateway/balance_test.go
+++ b/io/awgateway/balance_test.go
@@ -13,6 +13,7 @@
 	"arbutuswind/core/awclock"
 	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awdispatch"
+	"arbutuswind/core/awretry"
 	"arbutuswind/io/awbackend"
 	"arbutuswind/io/awload"
 	"arbutuswind/io/awwatch"
@@ -110,18 +111,28 @@
 	t.Helper()
 	g, clock := newBalanceGateway(t, false, 0, 1)
 	g.cfg.Headers = plainHeaders{}
+	l := &streams{g, clock}
+	l.report(8)
+	return l
+}
+
+// report reports that the engines have free slots, of which the gateway may use some.
+func (l *streams) report(share int) {
 	for _, addr := range []string{"127.0.0.1:1", "127.0.0.1:2"} {
-		g.handleLoadReport(awload.Report{Address: addr, Versions: map[string]int64{"m": 1}, Shared: true, Share: 8})
+		l.g.handleLoadReport(awload.Report{Address: addr, Versions: map[string]int64{"m": 1}, Shared: true, Share: share})
 	}
-	return &streams{g, clock}
 }
 
-// begin begins a send. Its engine accepts no connections.
-func (l *streams) begin(hint int, resumeAfter string) *send {
-	q := &request{
+func (l *streams) newRequest(hint int, resumeAfter string) *request {
+	return &request{
 		g: l.g, service: "s", model: "m", route: &awdirectory.Route{Name: "r"}, start: l.clock.Now(), deadline: l.clock.Now().Add(time.Second),
 		info: RequestInfo{LengthHint: hint, ResumeAfter: resumeAfter}, avoid: map[awdirectory.Key]bool{},
 	}
+}
+
+// begin begins a send. Its engine accepts no connections.
+func (l *streams) begin(hint int, resumeAfter string) *send {
+	q := l.newRequest(hint, resumeAfter)
 	d := <-q.requestSlot().decisions
 	s, ctx := q.newSend(context.Background(), d.Grant)
 	s.run(ctx)
@@ -229,3 +240,30 @@
 	}
 	require.False(t, prefersA(), "a slow server")
 }
+
+// Guards against a silent stream that counts as demand each time that it looks in vain
+// for a second server: its gateway would get slots for requests that it does not have.
+func TestRefusedHedgesAreNoDemand(t *testing.T) {
+	l := newStreams(t)
+	running := l.begin(100, "")
+	other := awdirectory.Key{ID: map[string]string{"a": "b", "b": "a"}[running.grant.Server.ID]}
+	counted := l.g.balance.metrics.refusedWithRoom.Get()
+	refuse := func(q *request) {
+		l.report(0)
+		p := q.requestSlot()
+		l.clock.Advance(awretry.HedgeWait)
+		l.report(0)
+		l.g.dispatch.Tick()
+		require.Equal(t, awdispatch.NoRoom, (<-p.decisions).Refusal)
+	}
+	demand := func() float64 { return l.g.balance.meters["s"].Demand(other, 0, 2, l.clock.Now()) }
+	for range 5 {
+		refuse(running.q)
+	}
+	require.Zero(t, demand())
+	require.Equal(t, counted, l.g.balance.metrics.refusedWithRoom.Get())
+
+	refuse(l.newRequest(100, ""))
+	require.Positive(t, demand())
+	require.Equal(t, counted+1, l.g.balance.metrics.refusedWithRoom.Get())
+}
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -200,7 +200,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p.ticket = g.dispatch.Submit(req, func(d awdispatch.Decision) {
-		p.q.g.recordDecision(p.q, d)
+		if d.Grant != nil || !req.Proven { // a silent stream asks again and again
+			p.q.g.recordDecision(p.q, d)
+		}
 		p.decisions <- d
 	})
 	g.signalNotices()
