Bound the slots in claims and forget the first claim with the last

Cause: the free slots were computed from the largest number of slots in any claim, so one wrong claim gave away slots that the server does not have. The time of the first claim was kept forever: after a pause without claims, the first entry got all slots at once instead of the parts of the others being kept for 3 s. Change: the lower median of the slots counts, since the loader has no view of its own; claims of more than 1024 slots are not valid; the first claim is forgotten when no claim is left.

--- a/core/awbalance/awbalance.go
+++ b/core/awbalance/awbalance.go
@@ -11,6 +11,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -32,6 +33,8 @@
 	// minWeight is the least weight of an entry, in requests a second. It makes the
 	// shares equal while no entry has any demand.
 	minWeight = 0.05
+	// MaxSlots is more than any server runs at once. Claims with more are not valid.
+	MaxSlots = 1024
 )
 
 // Claim is what an entry tells the process beside a backend server about its need
@@ -39,13 +42,13 @@
 // free slots by itself.
 type Claim struct {
 	Demand  float64   // requests a second; see [Meter.Demand]
-	Slots   int       // requests that the backend server runs at once; 0 for an entry that sends no claims
+	Slots   int       // requests that the backend server runs at once; 0 for an entry that sends no claims, at most MaxSlots
 	Sharers int       // entries that share the backend server
 	At      time.Time // when the claim was received
 }
 
-// Valid reports whether the entry has sent a claim.
-func (c *Claim) Valid() bool { return c.Slots > 0 }
+// Valid reports whether the entry has sent a claim that can be right.
+func (c *Claim) Valid() bool { return c.Slots > 0 && c.Slots <= MaxSlots }
 
 // Server is what is known of the backend server beside the process.
 type Server struct {
@@ -69,12 +72,12 @@
 // and decides who gets the slots that cannot be divided, each entry with a probability
 // that makes its mean share exact.
 func Split(s Server, claims []Claim, shares []int, now time.Time, draw float64) {
-	slots, sharers, valid, stale := 0, 0, 0, 0
+	sharers, valid, stale := 0, 0, 0
 	sum := 0.0
 	for i := range claims {
 		c := &claims[i]
 		if c.Valid() {
-			slots, sharers, valid = max(slots, c.Slots), max(sharers, c.Sharers), valid+1
+			sharers, valid = max(sharers, c.Sharers), valid+1
 			if c.stale(now) {
 				stale++
 			} else {
@@ -89,7 +92,8 @@
 	if now.Sub(s.FirstClaim) < SettlingTime {
 		all = max(all, sharers)
 	}
-	divided := float64(s.free(slots)) * float64(valid) / float64(all)
+	free := s.free(usualSlots(claims))
+	divided := float64(free) * float64(valid) / float64(all)
 	even := sum/float64(valid) + minWeight
 	total := sum + even*(evenShare*float64(valid-stale)+staleShare*float64(stale))
 	before, point := 0, draw
@@ -100,11 +104,24 @@
 		}
 		// Rounding the running total instead of each share keeps the sum exact.
 		point += divided * claims[i].weight(even, now) / total
-		after := min(int(math.Floor(point+roundingError)), s.free(slots))
+		after := min(int(math.Floor(point+roundingError)), free)
 		shares[i], before = after-before, after
 	}
 }
 
+// usualSlots returns the lower median of the slots of the valid claims. All entries read
+// them from the same list, so a claim that differs is wrong or out of date.
+func usualSlots(claims []Claim) int {
+	var slots []int
+	for i := range claims {
+		if claims[i].Valid() {
+			slots = append(slots, claims[i].Slots)
+		}
+	}
+	slices.Sort(slots)
+	return slots[(len(slots)-1)/2]
+}
+
 // roundingError is above the error of a sum of shares, which would else be rounded
 // down where it should be a whole number.
 const roundingError = 1e-9
--- a/core/awbalance/awbalance_test.go
+++ b/core/awbalance/awbalance_test.go
@@ -1,6 +1,7 @@
 package awbalance
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -122,3 +123,21 @@
 	m.Retain(func(k awdirectory.Key) bool { return k == b })
 	require.InDelta(t, 40/4, m.Demand(a, 0, 4, now), 0.3)
 }
+
+// Guards against a claim with a wrong number of slots that makes the process give away
+// more than the server has, or keeps the other entries from theirs.
+func TestWrongSlotsOfOneClaim(t *testing.T) {
+	for _, slots := range []int{-1, 1, 17, MaxSlots, MaxSlots + 1, math.MaxInt} {
+		list := claims(10, 10, 10, 10)
+		list[1].Slots = slots
+		got := meanShares(settled(8), list, start)
+		require.LessOrEqual(t, got[0]+got[1]+got[2]+got[3], 8.01, "%d slots", slots)
+		for _, i := range []int{0, 2, 3} {
+			require.InDelta(t, 2, got[i], 0.05, "%d slots", slots)
+		}
+	}
+	wrong := claims(10)
+	wrong[0].Slots = MaxSlots + 1
+	require.False(t, wrong[0].Valid())
+	require.Equal(t, []float64{0}, meanShares(settled(8), wrong, start))
+}
--- a/io/awload/awload.go
+++ b/io/awload/awload.go
@@ -222,7 +222,7 @@
 
 	mu          sync.Mutex
 	subscribers map[netip.AddrPort]subscriber
-	firstClaim  time.Time // zero until a subscriber has sent a claim
+	firstClaim  time.Time // zero while no subscriber has sent a claim
 }
 
 // Listen opens a UDP socket at addr, IP:port.
--- a/io/awload/share.go
+++ b/io/awload/share.go
@@ -77,12 +77,14 @@
 }
 
 // current returns the subscribers, and their claims and the time of the first claim
-// if any of them has ever sent one.
+// if any of them has sent one. The first claim is forgotten with the last one, so that
+// the entries which come later are expected again.
 func (s *Socket) current() (addresses []netip.AddrPort, claims []awbalance.Claim, firstClaim time.Time) {
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	addresses = make([]netip.AddrPort, 0, len(s.subscribers))
+	claimed := false
 	for addr, sub := range s.subscribers {
 		if now.Sub(sub.at) > subscriptionTTL {
 			delete(s.subscribers, addr)
@@ -92,6 +94,10 @@
 		if !s.firstClaim.IsZero() {
 			claims = append(claims, sub.claim)
 		}
+		claimed = claimed || sub.claim.Valid()
+	}
+	if !claimed {
+		s.firstClaim, claims = time.Time{}, nil
 	}
 	return addresses, claims, s.firstClaim
 }
--- a/io/awload/share_test.go
+++ b/io/awload/share_test.go
@@ -63,3 +63,35 @@
 	require.Equal(t, 6, busy.Share+quiet.Share)
 	require.False(t, other.Shared)
 }
+
+// Guards against a process that takes the first claims after a pause for those of
+// entries that it has known for long, and gives all slots to the first one.
+func TestFirstClaimIsForgottenWithTheLastClaim(t *testing.T) {
+	clock := awclock.NewFake(time.Unix(1000, 0))
+	s, err := Listen("127.0.0.1:0", clock)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.conn.Close() })
+	a, b := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
+	claim := awbalance.Claim{Demand: 1, Slots: 8, Sharers: 4}
+	first := clock.Now()
+	s.subscribe(a, claim)
+	for range 5 {
+		clock.Advance(time.Second)
+		s.subscribe(a, claim)
+		_, _, at := s.current()
+		require.Equal(t, first, at)
+	}
+	for range 4 { // another subscriber stays, which sends no claims
+		clock.Advance(time.Second)
+		s.subscribe(b, awbalance.Claim{})
+		addresses, _, _ := s.current()
+		require.Contains(t, addresses, b)
+	}
+	_, claims, at := s.current()
+	require.Zero(t, at)
+	require.Empty(t, claims)
+	s.subscribe(a, claim)
+	_, claims, at = s.current()
+	require.Equal(t, clock.Now(), at)
+	require.Len(t, claims, 2)
+}
