awduties: end a call with its lease

The check before the write did not bound how long the kernel keeps sending what was written. The call's context now ends half of the lease margin after the lease, so that the connection is reset before a challenger may call.

--- a/io/awduties/awduties.go
+++ b/io/awduties/awduties.go
@@ -85,8 +85,12 @@
 
 const (
 	// leaseMargin is added to the lease by challengers. It covers the way of a call
-	// and different rates of clocks.
+	// that was sent before the end of the lease, up to callOverrun, and in the rest
+	// the reset of its connection and different rates of clocks.
 	leaseMargin = 500 * time.Millisecond
+	// callOverrun is how long a call may go on after the end of the lease. Until its
+	// connection is reset, the kernel may send or retransmit what was written.
+	callOverrun = leaseMargin / 2
 	// leaseRenewal is the time by which the lease exceeds a window, so that one write
 	// for each window keeps it.
 	leaseRenewal = 500 * time.Millisecond
@@ -279,7 +283,8 @@
 
 // callPlatform sends a report.
 func (r *Runner) callPlatform(ctx context.Context, call awduty.Call) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	begin := time.Now() // before the lease is read: a pause in between must not extend the call
+	ctx, cancel := context.WithDeadline(ctx, begin.Add(min(callTimeout, call.Until-r.now()+callOverrun)))
 	defer cancel()
 	if call.Repeated {
 		r.repeats.Inc()
--- a/io/awduties/awduties_test.go
+++ b/io/awduties/awduties_test.go
@@ -65,6 +65,7 @@
 	calls   int
 	sent    int
 	pause   time.Duration // between the decision on a call and its bytes
+	limit   time.Duration // for the last call
 }
 
 func (w *world) ReadDuty(context.Context, awduty.Subject) (awduty.Row, uint64, error) {
@@ -86,8 +87,10 @@
 
 func (w *world) Encode(window int64, _ awduty.Counts) []byte { return fmt.Append(nil, window) }
 
-func (w *world) Call(_ context.Context, _ awduty.Subject, _ awduty.Call, allowed func() bool) (awduty.Answer, time.Duration, error) {
+func (w *world) Call(ctx context.Context, _ awduty.Subject, _ awduty.Call, allowed func() bool) (awduty.Answer, time.Duration, error) {
+	deadline, _ := ctx.Deadline()
 	w.mu.Lock()
+	w.limit = time.Until(deadline)
 	pause := w.pause
 	w.mu.Unlock()
 	w.Advance(pause)
@@ -104,6 +107,28 @@
 
 func (w *world) SendDuties(netip.AddrPort, []byte) {}
 
+func newTestRunner(w *world) *Runner {
+	return New(Config{
+		Logger: log.NewNopLogger(), Wall: w, Boot: w, Store: w, Platform: w, Instance: "e1", Incarnation: 1, Lease: 3 * time.Second,
+		Window: 5 * time.Second, Late: 10 * time.Second, Tolerance: 0.05, Settling: time.Second,
+	})
+}
+
+// Guards against a call whose bytes the kernel sends or retransmits after a
+// challenger may have taken over.
+func TestCallEndsWithLease(t *testing.T) {
+	for _, tc := range []struct{ left, limit time.Duration }{
+		{time.Minute, 2500 * time.Millisecond},
+		{100 * time.Millisecond, 100*time.Millisecond + leaseMargin/2},
+		{-time.Minute, 0},
+	} {
+		w := &world{Fake: awclock.NewFake(time.Unix(1_800_000_000, 0))}
+		r := newTestRunner(w)
+		r.callPlatform(context.Background(), awduty.Call{Until: r.now() + tc.left})
+		require.LessOrEqual(t, w.limit, tc.limit)
+	}
+}
+
 // Guards against a call that is sent after a pause in which the lease has run out.
 func TestNoCallAfterPause(t *testing.T) {
 	for _, tc := range []struct {
@@ -111,10 +136,7 @@
 		sent  bool
 	}{{time.Second, true}, {6 * time.Second, false}} {
 		w := &world{Fake: awclock.NewFake(time.Unix(1_800_000_000, 0)), pause: tc.pause}
-		r := New(Config{
-			Logger: log.NewNopLogger(), Wall: w, Boot: w, Store: w, Platform: w, Instance: "e1", Incarnation: 1, Lease: 3 * time.Second,
-			Window: 5 * time.Second, Late: 10 * time.Second, Tolerance: 0.05, Settling: time.Second,
-		})
+		r := newTestRunner(w)
 		for range 150 {
 			w.Advance(tickInterval)
 			r.step(context.Background())
