awduty: wait for the newest commit heard of after a store was set back

A challenger counted the lease from when it had read the older row, although the holder may have committed since. Rows of the same version count as the same only if holder, incarnation and token agree too.

--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -222,13 +222,18 @@
 	}
 }
 
-// challengeAt returns the time from which the holder of the known row cannot be
-// sure of its lease.
+// challengeAt returns the time from which the holder of the newest state known
+// cannot be sure of its lease.
 func (c *Candidate) challengeAt() time.Duration {
 	if c.rowClaim().Released || (c.version == 0 && c.known.Token == 0) {
 		return 0
 	}
-	return c.rowSince + c.cfg.Lease + c.cfg.Margin
+	since := c.rowSince
+	// After the store was set back, the holder may act on a later version.
+	if c.known.Token > 0 && !c.known.Released {
+		since = max(since, c.knownSince)
+	}
+	return since + c.cfg.Lease + c.cfg.Margin
 }
 
 func (c *Candidate) read(now time.Duration) (StoreCall, bool) {
@@ -275,11 +280,12 @@
 	}
 	c.storeDelay, c.unresolved = 0, false
 	c.storeAt = now + minStoreDelay // bounds reads of a store that lags behind
-	sameRow := c.rowKnown && c.version == version
+	// A store that was set back may give the same version to another row.
+	sameRow := c.rowKnown && c.version == version && c.row.Token == row.Token && c.row.Holder == row.Holder && c.row.Incarnation == row.Incarnation
 	c.row, c.version, c.rowKnown = row, version, true
 	switch claim := c.rowClaim(); {
 	case sameRow:
-	case claim.Token == c.known.Token && claim.Version == c.known.Version:
+	case claim.Token == c.known.Token && claim.Version == c.known.Version && claim.Holder == c.known.Holder && claim.Incarnation == c.known.Incarnation:
 		c.rowSince = c.knownSince
 	default:
 		c.rowSince = now
--- a/core/awduty/lease_test.go
+++ b/core/awduty/lease_test.go
@@ -107,3 +107,55 @@
 	require.Equal(t, uint64(10), write.Row.Token)
 	require.Equal(t, int64(9), write.Row.Through, "orders up to 8 may have been sent")
 }
+
+// Guards against a challenger that, after the store was set back, does not wait for
+// the lease of a commit that it has heard of since, while orders are open.
+func TestNewestCommitIsWaitedForAfterSetBack(t *testing.T) {
+	need := awduty.Need{Orders: orderOfReplicas, Overdue: true}
+	old := awduty.Row{Holder: "a", Incarnation: 1, Token: 2, Through: 3, Pending: []awduty.Order{{ID: 3}}}
+	for _, released := range []bool{false, true} {
+		b, begin := newCandidate("b"), time.Hour
+		_, ok := b.NextStoreCall(begin, need)
+		require.True(t, ok)
+		b.ReadDone(begin, old, 20, nil)
+		late := begin + 4*time.Second
+		b.Hear(late, awduty.Claim{Holder: "a", Incarnation: 1, Token: 2, Version: 51, Through: 9, Released: released})
+		read, ok := b.NextStoreCall(late, need)
+		require.True(t, ok && !read.Write)
+		b.ReadDone(late, old, 20, nil)
+		end := late + testLease + testMargin
+		if released {
+			end = begin + testLease + testMargin
+		}
+		_, ok = b.NextStoreCall(end-1, need)
+		require.False(t, ok, "the commit that was heard of may still be acted on")
+		write, ok := b.NextStoreCall(end, need)
+		require.True(t, ok && write.Write)
+		require.Equal(t, int64(10), write.Row.Through)
+		require.Equal(t, old.Pending[0], write.Row.Pending[0])
+	}
+}
+
+// Guards against taking the row of another holder for the one that was seen before,
+// because a store that was set back has given it the same version.
+func TestSameVersionOfAnotherRow(t *testing.T) {
+	need := awduty.Need{Orders: orderOfReplicas, Overdue: true, Suspect: true}
+	for _, other := range []awduty.Row{
+		{Holder: "c", Incarnation: 1, Token: 2, Through: 3},
+		{Holder: "a", Incarnation: 2, Token: 2, Through: 3},
+		{Holder: "a", Incarnation: 1, Token: 3, Through: 3},
+	} {
+		b, now := newCandidate("b"), time.Hour
+		_, _ = b.NextStoreCall(now, need)
+		b.ReadDone(now, awduty.Row{Holder: "a", Incarnation: 1, Token: 2, Through: 3}, 20, nil)
+		now += testLease
+		need.SuspectSince = now
+		_, ok := b.NextStoreCall(now, need)
+		require.True(t, ok)
+		b.ReadDone(now, other, 20, nil)
+		_, ok = b.NextStoreCall(now+testLease+testMargin-1, need)
+		require.False(t, ok, "%+v was first seen less than the lease and the margin ago", other)
+		write, ok := b.NextStoreCall(now+testLease+testMargin, need)
+		require.True(t, ok && write.Write)
+	}
+}
