awduty: keep the lease when the response to a write names a later version

The store's response names its newest version, which a transaction of another writer may have raised above that of the row. The next write then conflicted, and the holder took its own row for an outdated one. A row that names the last write of this start is held as long as no higher token is known.

--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -54,7 +54,8 @@
 	unresolved bool // the row must be read before anything is written
 	inFlight   Row
 	writes     uint64
-	sentAt     map[uint64]time.Duration // of writes that may be performed, by number
+	sentAt     map[uint64]time.Duration // of writes that may be performed, by number, and of lastWrite
+	lastWrite  uint64                   // highest write that is known to be performed
 	storeAt    time.Duration            // earliest time of the next call of the store
 	storeDelay time.Duration
 	maxDelay   time.Duration
@@ -264,7 +265,7 @@
 		Holder: c.cfg.Self, Incarnation: c.cfg.Incarnation, Token: token, Write: c.writes, Through: through, Pending: pending,
 	}
 	c.sentAt[c.writes] = now
-	if old := c.writes - maxUnresolved; c.writes > maxUnresolved {
+	if old := c.writes - maxUnresolved; c.writes > maxUnresolved && old != c.lastWrite {
 		delete(c.sentAt, old)
 	}
 	c.storeBusy = true
@@ -291,6 +292,10 @@
 		c.rowSince = now
 		c.Hear(now, claim)
 	}
+	if c.isNewestOwn(row) {
+		// The response to the write may have named a later version than the row's own.
+		c.known.Version = version
+	}
 	if c.known.newerThan(c.rowClaim()) {
 		if c.knownSince <= c.readSince {
 			c.outdated = c.known
@@ -304,6 +309,7 @@
 	}
 	sent, ok := c.sentAt[row.Write]
 	if ok {
+		c.noteWritten(row.Write, sent)
 		found := c.rowClaim()
 		found.Age = now - sent
 		c.Hear(now, found)
@@ -313,6 +319,28 @@
 	c.hold(now, sent)
 }
 
+// isNewestOwn reports whether a row is from the last write of this instance that is
+// known to be performed or a later one, and no higher token is known.
+func (c *Candidate) isNewestOwn(row Row) bool {
+	if row.Holder != c.cfg.Self || row.Incarnation != c.cfg.Incarnation || row.Token < c.known.Token {
+		return false
+	}
+	_, sent := c.sentAt[row.Write]
+	return sent && row.Write >= c.lastWrite
+}
+
+// noteWritten records that a write was performed. Those before it fail by their
+// precondition or are replaced.
+func (c *Candidate) noteWritten(number uint64, sent time.Duration) {
+	for n := range c.sentAt {
+		if n < number {
+			delete(c.sentAt, n)
+		}
+	}
+	c.lastWrite = number
+	c.sentAt[number] = sent
+}
+
 // hold records that the known row is that of this instance and was written by a
 // write sent at the given time.
 func (c *Candidate) hold(now, sent time.Duration) {
@@ -345,7 +373,7 @@
 	switch result {
 	case WriteDone:
 		sent := c.sentAt[c.inFlight.Write]
-		clear(c.sentAt) // all writes before it fail by their precondition
+		c.noteWritten(c.inFlight.Write, sent)
 		c.storeDelay = 0
 		c.row, c.version, c.rowKnown, c.rowSince = c.inFlight, version, true, sent
 		written := c.rowClaim()
--- a/core/awduty/lease_test.go
+++ b/core/awduty/lease_test.go
@@ -159,3 +159,44 @@
 		require.True(t, ok && write.Write)
 	}
 }
+
+// Guards against a holder that gives up against itself: the store names its newest
+// version in the response to a write, which another writer may have raised.
+func TestVersionOfResponseIsLater(t *testing.T) {
+	need := awduty.Need{Orders: orderOfReplicas, Overdue: true}
+	a, now := newCandidate("a"), time.Hour
+	_, _ = a.NextStoreCall(now, need)
+	a.ReadDone(now, awduty.Row{}, 0, nil)
+	now += time.Second
+	begin := now
+	first, _ := a.NextStoreCall(now, need)
+	a.WriteDone(now, awduty.WriteDone, 8) // the row has version 7
+	now += time.Second
+	second, ok := a.NextStoreCall(now, need)
+	require.True(t, ok && second.Write)
+	a.WriteDone(now, awduty.WriteConflict, 0)
+	read, ok := a.NextStoreCall(now, need)
+	require.True(t, ok && !read.Write)
+	a.ReadDone(now, first.Row, 7, nil)
+	held, _, token := a.Holding()
+	require.True(t, held)
+	require.Equal(t, uint64(1), token)
+	require.True(t, a.Sure(begin+testLease-1))
+	require.False(t, a.Sure(begin+testLease))
+	a.Hear(now, awduty.Claim{Holder: "a", Incarnation: 1, Token: 1, Version: 8, Through: 1}) // from another instance
+	now += time.Second
+	third, ok := a.NextStoreCall(now, need)
+	require.True(t, ok && third.Write)
+	require.Equal(t, uint64(7), third.Precondition)
+	require.Equal(t, uint64(1), third.Row.Token)
+
+	// A row of its own that it has replaced since shows that the store was set back.
+	a.WriteDone(now, awduty.WriteDone, 9)
+	now += time.Second
+	_, _ = a.NextStoreCall(now, need)
+	a.WriteDone(now, awduty.WriteConflict, 0)
+	_, _ = a.NextStoreCall(now, need)
+	a.ReadDone(now, first.Row, 7, nil)
+	held, _, _ = a.Holding()
+	require.False(t, held)
+}
