awduties: count without the runner's lock, and send without it

The first event of a response waited for decisions, encoding, log lines and UDP sends. Counts are now collected under a lock of their own and merged in each step and before each message.

--- a/core/awduty/counter.go
+++ b/core/awduty/counter.go
@@ -9,7 +9,7 @@
 // instance keeps and sends its counts.
 const countedWindows = 4
 
-// maxEarly limits the requests that wait for the clock to be confirmed.
+// maxEarly limits the counts that wait for the clock to be confirmed.
 const maxEarly = 8192
 
 // Counts holds numbers of requests by team.
@@ -45,28 +45,29 @@
 type earlyCount struct {
 	at   time.Duration
 	team string
+	n    int64
 }
 
 func newCounter(window, now time.Duration) *counter {
 	return &counter{window: window, begun: now, windows: map[int64]Counts{}}
 }
 
-// add counts a request of a team.
-func (c *counter) add(clock *Clock, now time.Duration, team string) {
+// add counts n requests of a team.
+func (c *counter) add(clock *Clock, now time.Duration, team string, n int64) {
 	if !c.started && len(c.early) < maxEarly {
-		c.early = append(c.early, earlyCount{now, team})
+		c.early = append(c.early, earlyCount{now, team, n})
 		return
 	}
-	c.count(windowAt(clock.Now(now), c.window), team)
+	c.count(windowAt(clock.Now(now), c.window), team, n)
 }
 
-func (c *counter) count(window int64, team string) {
+func (c *counter) count(window int64, team string, n int64) {
 	counts := c.windows[window]
 	if counts == nil {
 		counts = Counts{}
 		c.windows[window] = counts
 	}
-	counts[team]++
+	counts[team] += n
 }
 
 // start assigns the requests that were counted before the clock was confirmed. It
@@ -77,7 +78,7 @@
 	}
 	c.started, c.first = true, windowAt(clock.Now(c.begun), c.window)
 	for _, e := range c.early {
-		c.count(windowAt(clock.Now(e.at), c.window), e.team)
+		c.count(windowAt(clock.Now(e.at), c.window), e.team, e.n)
 	}
 	c.early = nil
 	return true
--- a/core/awduty/sim_test.go
+++ b/core/awduty/sim_test.go
@@ -199,7 +199,7 @@
 func (n *simNode) tick() {
 	s, u := n.sim, n.usage
 	if s.rng.Float64() < n.rate*simStep.Seconds() {
-		u.Count(n.local(), "team")
+		u.Count(n.local(), "team", 1)
 		s.truth[int64(s.now/simWindow)]++
 	}
 	if urgent := u.Tick(n.local(), n.wall()); urgent || s.now >= n.nextSend {
--- a/core/awduty/usage.go
+++ b/core/awduty/usage.go
@@ -136,8 +136,9 @@
 	}
 }
 
-// Count counts a request that a backend server has begun to run.
-func (u *Usage) Count(now time.Duration, team string) { u.counter.add(u.clock, now, team) }
+// Count counts n requests of a team that backend servers began to run at the given
+// time, which may be a moment ago.
+func (u *Usage) Count(at time.Duration, team string, n int64) { u.counter.add(u.clock, at, team, n) }
 
 // SetPeers replaces the registered instances.
 func (u *Usage) SetPeers(now time.Duration, list []Peer) { u.peers.set(now, list) }
--- a/io/awduties/awduties.go
+++ b/io/awduties/awduties.go
@@ -104,6 +104,7 @@
 type Runner struct {
 	cfg   Config
 	sends chan struct{} // signals messages that should not wait
+	tally tally         // counts that usage does not have yet
 
 	mu       sync.Mutex
 	usage    *awduty.Usage
@@ -149,10 +150,18 @@
 func (r *Runner) wall() time.Duration { return time.Duration(r.cfg.Wall.Now().UnixNano()) }
 
 // Count counts a request of a team that a backend server has begun to run.
-func (r *Runner) Count(team string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.usage.Count(r.now(), team)
+func (r *Runner) Count(team string) { r.tally.add(r.now, team) }
+
+// mergeCounts passes on what was counted; mu must be held. It returns a time up to
+// which that is complete.
+func (r *Runner) mergeCounts() time.Duration {
+	now := r.now()
+	for _, b := range r.tally.take() {
+		for team, n := range b.counts {
+			r.usage.Count(b.at, team, n)
+		}
+	}
+	return now
 }
 
 // SetEntries replaces the registered gateways.
@@ -200,7 +209,7 @@
 	if r.ended {
 		return
 	}
-	now := r.now()
+	now := r.mergeCounts()
 	if urgent := r.usage.Tick(now, r.wall()); urgent || r.cfg.Boot.Now().Sub(r.lastSend) >= sendInterval {
 		r.signalSend()
 	}
@@ -213,30 +222,46 @@
 	r.showHolder(now)
 }
 
+// datagrams are the parts of a message and where they go.
+type datagrams struct {
+	sender   Sender // nil if there is nothing to send
+	targets  []netip.AddrPort
+	payloads [][]byte
+}
+
+func (d datagrams) send() {
+	for _, addr := range d.targets {
+		for _, payload := range d.payloads {
+			d.sender.SendDuties(addr, payload)
+		}
+	}
+}
+
 // sendMessages sends the counts to the candidates.
 func (r *Runner) sendMessages() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.lastSend = r.cfg.Boot.Now()
-	r.sendLocked()
+	d := r.messages()
+	r.mu.Unlock()
+	d.send()
 }
 
-func (r *Runner) sendLocked() {
+// messages returns the counts for the candidates; mu must be held.
+func (r *Runner) messages() datagrams {
 	if r.sender == nil {
-		return
+		return datagrams{}
 	}
-	m, targets := r.usage.Messages(r.now(), r.wall())
+	m, targets := r.usage.Messages(r.mergeCounts(), r.wall())
 	if len(targets) == 0 {
-		return
+		return datagrams{}
 	}
-	payloads := encode(m)
+	d := datagrams{sender: r.sender, payloads: encode(m)}
 	for _, peer := range targets {
 		if addr, err := netip.ParseAddrPort(peer.Address); err == nil { // an address that cannot be read gets nothing
-			for _, payload := range payloads {
-				r.sender.SendDuties(addr, payload)
-			}
+			d.targets = append(d.targets, addr)
 		}
 	}
+	return d
 }
 
 // HandleMessage handles a datagram of another gateway.
@@ -246,18 +271,21 @@
 		r.badMessages.Inc()
 		return
 	}
+	r.reply(from, m).send()
+}
+
+// reply returns the reply to a message.
+func (r *Runner) reply(from netip.AddrPort, m *awduty.Message) datagrams {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ended {
-		return
+		return datagrams{}
 	}
 	reply := r.usage.Receive(r.now(), r.wall(), m, from.String())
 	if reply == nil || r.sender == nil {
-		return
-	}
-	for _, b := range encode(reply) {
-		r.sender.SendDuties(from, b)
+		return datagrams{}
 	}
+	return datagrams{sender: r.sender, targets: []netip.AddrPort{from}, payloads: encode(reply)}
 }
 
 // callStore makes a call of the store.
@@ -319,11 +347,12 @@
 	r.mu.Unlock()
 	r.awaitCalls()
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.usage.Tick(r.now(), r.wall())
+	r.usage.Tick(r.mergeCounts(), r.wall())
 	r.usage.Close()
+	d := r.messages()
+	r.mu.Unlock()
 	for range lastMessages {
-		r.sendLocked()
+		d.send()
 		time.Sleep(lastMessageGap)
 	}
 }
--- a/io/awduties/awduties_test.go
+++ b/io/awduties/awduties_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"arbutuswind/core/awclock"
+	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awduty"
 )
 
@@ -152,3 +153,73 @@
 		require.Equal(t, tc.sent, w.sent == 1)
 	}
 }
+
+// Guards against requests that wait for the runner's decisions, log lines or
+// datagrams, and against counts that are lost or shifted on the way to it.
+func TestCountDoesNotWait(t *testing.T) {
+	w := &world{Fake: awclock.NewFake(time.Unix(1_800_000_000, 0))}
+	r := newTestRunner(w)
+	r.mu.Lock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 3000 { // over 6 s
+			r.Count("team")
+			w.Advance(2 * time.Millisecond)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Error("Count waits for the runner")
+	}
+	r.mu.Unlock()
+	<-done
+	r.step(context.Background())
+	r.calls.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, _ := r.usage.Messages(r.now(), r.wall())
+	require.Len(t, m.Windows, 2)
+	require.InDelta(t, 2500, m.Windows[0].Counts["team"], 5)
+	require.Equal(t, int64(3000), m.Windows[0].Total+m.Windows[1].Total)
+}
+
+// blockedSender is a socket that takes no datagram until it is released.
+type blockedSender struct{ entered, release chan struct{} }
+
+func (s blockedSender) SendDuties(netip.AddrPort, []byte) {
+	s.entered <- struct{}{}
+	<-s.release
+}
+
+// Guards against decisions, and checks before a call, that wait for datagrams.
+func TestSendingDoesNotHoldTheLock(t *testing.T) {
+	w := &world{Fake: awclock.NewFake(time.Unix(1_800_000_000, 0))}
+	r := newTestRunner(w)
+	r.SetEntries([]awdirectory.Entry{{Name: "e2", Address: "127.0.0.1:9"}})
+	s := blockedSender{make(chan struct{}, 8), make(chan struct{})}
+	r.sender = s
+	for _, send := range []func(){r.sendMessages, r.Stop} {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			send()
+		}()
+		<-s.entered
+		require.Eventually(t, func() bool {
+			if !r.mu.TryLock() {
+				return false
+			}
+			r.mu.Unlock()
+			return true
+		}, 5*time.Second, time.Millisecond)
+		for waiting := true; waiting; {
+			select {
+			case s.release <- struct{}{}:
+			case <-done:
+				waiting = false
+			}
+		}
+	}
+}
