--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -54,8 +54,8 @@
 	unresolved bool // the row must be read before anything is written
 	inFlight   Row
 	writes     uint64
-	sentAt     map[uint64]time.Duration // of writes that may be performed, by number, and of lastWrite
-	lastWrite  uint64                   // highest write that is known to be performed
+	sent       map[uint64]sentWrite // writes that may be performed, by number, and lastWrite
+	lastWrite  uint64               // highest write that is known to be performed
 	storeAt    time.Duration            // earliest time of the next call of the store
 	storeDelay time.Duration
 	maxDelay   time.Duration
@@ -66,12 +66,18 @@
 	callAt    time.Duration
 	callDelay time.Duration
 
-	dropped []int64 // orders that were dropped for lack of room
+	dropped []int64 // orders that performed writes dropped for lack of room
+}
+
+// sentWrite is what a write needs once it is known to be performed.
+type sentWrite struct {
+	at      time.Duration
+	dropped []int64 // orders that it drops for lack of room
 }
 
 // NewCandidate returns a candidate that knows nothing of the row.
 func NewCandidate(cfg Config) *Candidate {
-	return &Candidate{cfg: cfg, sentAt: map[uint64]time.Duration{}, done: map[int64]bool{}, called: map[int64]bool{}}
+	return &Candidate{cfg: cfg, sent: map[uint64]sentWrite{}, done: map[int64]bool{}, called: map[int64]bool{}}
 }
 
 // Need is what a duty asks of its candidate at present.
@@ -153,7 +159,8 @@
 	c.holding = false
 }
 
-// TakeDropped returns the orders that were dropped since the last call.
+// TakeDropped returns the orders that performed writes have dropped since the last
+// call.
 func (c *Candidate) TakeDropped() []int64 {
 	dropped := c.dropped
 	c.dropped = nil
@@ -248,11 +255,11 @@
 }
 
 func (c *Candidate) write(now time.Duration, token uint64, orders []Order) (StoreCall, bool) {
-	c.dropped = nil
+	sent := sentWrite{at: now}
 	pending := append(c.open(), orders...)
 	if n := len(pending) - c.cfg.MaxPending; n > 0 {
 		for _, o := range pending[:n] {
-			c.dropped = append(c.dropped, o.ID)
+			sent.dropped = append(sent.dropped, o.ID)
 		}
 		pending = pending[n:]
 	}
@@ -264,9 +271,9 @@
 	c.inFlight = Row{
 		Holder: c.cfg.Self, Incarnation: c.cfg.Incarnation, Token: token, Write: c.writes, Through: through, Pending: pending,
 	}
-	c.sentAt[c.writes] = now
+	c.sent[c.writes] = sent
 	if old := c.writes - maxUnresolved; c.writes > maxUnresolved && old != c.lastWrite {
-		delete(c.sentAt, old)
+		delete(c.sent, old)
 	}
 	c.storeBusy = true
 	return StoreCall{Write: true, Row: c.inFlight, Precondition: c.version, TakeOver: !c.holding}, true
@@ -307,16 +314,15 @@
 		c.holding = false
 		return
 	}
-	sent, ok := c.sentAt[row.Write]
-	if ok {
-		c.noteWritten(row.Write, sent)
+	begin := now - c.cfg.Lease // if the time is unknown, the next write renews the lease
+	if sent, ok := c.sent[row.Write]; ok {
+		begin = sent.at
+		c.noteWritten(row.Write)
 		found := c.rowClaim()
-		found.Age = now - sent
+		found.Age = now - begin
 		c.Hear(now, found)
-	} else {
-		sent = now - c.cfg.Lease // an unknown time; the next write renews the lease
 	}
-	c.hold(now, sent)
+	c.hold(now, begin)
 }
 
 // isNewestOwn reports whether a row is from the last write of this instance that is
@@ -325,20 +331,21 @@
 	if row.Holder != c.cfg.Self || row.Incarnation != c.cfg.Incarnation || row.Token < c.known.Token {
 		return false
 	}
-	_, sent := c.sentAt[row.Write]
+	_, sent := c.sent[row.Write]
 	return sent && row.Write >= c.lastWrite
 }
 
 // noteWritten records that a write was performed. Those before it fail by their
 // precondition or are replaced.
-func (c *Candidate) noteWritten(number uint64, sent time.Duration) {
-	for n := range c.sentAt {
+func (c *Candidate) noteWritten(number uint64) {
+	for n := range c.sent {
 		if n < number {
-			delete(c.sentAt, n)
+			delete(c.sent, n)
 		}
 	}
-	c.lastWrite = number
-	c.sentAt[number] = sent
+	w := c.sent[number]
+	c.dropped = append(c.dropped, w.dropped...)
+	c.lastWrite, c.sent[number] = number, sentWrite{at: w.at}
 }
 
 // hold records that the known row is that of this instance and was written by a
@@ -372,8 +379,8 @@
 	c.storeBusy = false
 	switch result {
 	case WriteDone:
-		sent := c.sentAt[c.inFlight.Write]
-		c.noteWritten(c.inFlight.Write, sent)
+		sent := c.sent[c.inFlight.Write].at
+		c.noteWritten(c.inFlight.Write)
 		c.storeDelay = 0
 		c.row, c.version, c.rowKnown, c.rowSince = c.inFlight, version, true, sent
 		written := c.rowClaim()
--- a/core/awduty/lease_test.go
+++ b/core/awduty/lease_test.go
@@ -200,3 +200,42 @@
 	held, _, _ = a.Holding()
 	require.False(t, held)
 }
+
+// Guards against orders that are shown as dropped before a write without them is
+// performed, or again for each attempt.
+func TestDroppedOnceWritten(t *testing.T) {
+	need := awduty.Need{Orders: orderOfReplicas, Overdue: true}
+	for _, lost := range []bool{false, true} {
+		a := awduty.NewCandidate(awduty.Config{Self: "a", Incarnation: 1, Lease: testLease, Margin: testMargin, MaxPending: 1})
+		now := time.Hour
+		_, _ = a.NextStoreCall(now, need)
+		a.ReadDone(now, awduty.Row{}, 0, nil)
+		now += time.Second
+		first, _ := a.NextStoreCall(now, need)
+		a.WriteDone(now, awduty.WriteDone, 1)
+		require.Empty(t, a.TakeDropped())
+		now += time.Second
+		_, ok := a.NextStoreCall(now, need)
+		require.True(t, ok)
+		require.Empty(t, a.TakeDropped(), "the write has not been performed")
+		a.WriteDone(now, awduty.WriteUnknown, 0)
+		require.Empty(t, a.TakeDropped(), "the write may not have been performed")
+		now += time.Second
+		_, _ = a.NextStoreCall(now, need)
+		a.ReadDone(now, first.Row, 1, nil)
+		require.Empty(t, a.TakeDropped(), "the write has not been performed yet")
+		now += time.Second
+		again, ok := a.NextStoreCall(now, need)
+		require.True(t, ok && again.Write)
+		if lost {
+			a.WriteDone(now, awduty.WriteUnknown, 0)
+			now += time.Second
+			_, _ = a.NextStoreCall(now, need)
+			a.ReadDone(now, again.Row, 2, nil)
+		} else {
+			a.WriteDone(now, awduty.WriteDone, 2)
+		}
+		require.Equal(t, []int64{1}, a.TakeDropped())
+		require.Empty(t, a.TakeDropped())
+	}
+}
--- a/core/awduty/usage.go
+++ b/core/awduty/usage.go
@@ -318,18 +318,19 @@
 	return true
 }
 
-// noteCommitted reports the windows of the last write if it has been performed.
+// noteCommitted reports the windows of the last write if it has been performed, and
+// those that performed writes have dropped.
 // through is the highest window that is committed.
 func (u *Usage) noteCommitted(through int64) {
+	for _, id := range u.candidate.TakeDropped() {
+		u.skip(id, 1, ReasonNoRoom)
+	}
 	if len(u.planned) == 0 || through < u.skippedTo {
 		return
 	}
 	if u.skippedTo > u.skippedFrom {
 		u.skip(u.skippedFrom, u.skippedTo-u.skippedFrom, ReasonTooOld)
 	}
-	for _, id := range u.candidate.TakeDropped() {
-		u.skip(id, 1, ReasonNoRoom)
-	}
 	for _, id := range slices.Sorted(maps.Keys(u.planned)) {
 		u.cfg.OnEvent(u.planned[id])
 	}
