awduty: counts after a correction, and clocks from queued datagrams

Counts in windows ahead of a corrected estimate stayed and were reported with what ran in these windows later; they move back by the correction now. Before the estimate is confirmed, only replies with a checked round trip are used: messages that waited while the process was frozen confirmed a time in the past.

--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -56,7 +56,7 @@
 	writes     uint64
 	sent       map[uint64]sentWrite // writes that may be performed, by number, and lastWrite
 	lastWrite  uint64               // highest write that is known to be performed
-	storeAt    time.Duration            // earliest time of the next call of the store
+	storeAt    time.Duration        // earliest time of the next call of the store
 	storeDelay time.Duration
 	maxDelay   time.Duration
 
--- a/core/awduty/counter.go
+++ b/core/awduty/counter.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 )
 
@@ -84,6 +85,35 @@
 	return true
 }
 
+// setBack moves the counts after the estimate of true time was corrected by a
+// negative time at now. Those that ran in windows that now lie ahead would be
+// reported together with what runs in them later.
+func (c *counter) setBack(clock *Clock, now, by time.Duration) {
+	if !c.started {
+		return
+	}
+	present, began := clock.Now(now), clock.Now(c.begun)
+	c.first = min(c.first, windowAt(began, c.window))
+	before := c.windows
+	c.windows = map[int64]Counts{}
+	for id, counts := range before {
+		from := max(windowEnd(id-1, c.window)+by, began)
+		to := max(min(windowEnd(id, c.window)+by, present), from)
+		first, last := windowAt(from, c.window), windowAt(to, c.window)
+		share := 1.0 // of the requests, taken as even, that ran in the first of the two windows
+		if last > first {
+			share = float64(windowEnd(first, c.window)-from) / float64(to-from)
+		}
+		for team, n := range counts {
+			early := int64(math.Round(share * float64(n)))
+			c.count(first, team, early)
+			if n > early {
+				c.count(last, team, n-early)
+			}
+		}
+	}
+}
+
 // recent returns the counts of the last windows after the given one, the present one
 // included.
 func (c *counter) recent(clock *Clock, now time.Duration, after int64) []WindowCounts {
--- a/core/awduty/ledger.go
+++ b/core/awduty/ledger.go
@@ -1,6 +1,7 @@
 package awduty
 
 import (
+	"maps"
 	"time"
 )
 
@@ -106,6 +107,13 @@
 	w.final = w.final || part.Final
 }
 
+// drop forgets the counts of a source from a window on.
+func (l *ledger) drop(key Source, from int64) {
+	if s := l.sources[key]; s != nil {
+		maps.DeleteFunc(s.windows, func(id int64, _ *sourceWindow) bool { return id >= from })
+	}
+}
+
 // prune forgets windows up to through and sources that ended.
 func (l *ledger) prune(now, wall time.Duration, through int64) {
 	l.floor = max(l.floor, through, windowAt(wall, l.window)-ledgerWindows)
--- a/core/awduty/usage.go
+++ b/core/awduty/usage.go
@@ -154,6 +154,10 @@
 func (u *Usage) Tick(now, wall time.Duration) bool {
 	if by := u.clock.Update(now, wall); by != 0 {
 		u.cfg.OnEvent(Event{Kind: ClockCorrected, By: by})
+		if by < 0 {
+			u.counter.setBack(u.clock, now, by)
+			u.ledger.drop(Source{u.cfg.Candidate.Self, u.cfg.Candidate.Incarnation}, u.Window(now)-countedWindows+1)
+		}
 	}
 	urgent := u.counter.start(u.clock)
 	own := u.message(now, wall)
@@ -199,7 +203,11 @@
 		}
 		return nil
 	}
-	u.clock.ObserveWall(m.Sender, now, m.Wall)
+	// Nothing tells how long this message waited while the process was frozen. A
+	// confirmed estimate follows only a lasting difference.
+	if u.clock.Confirmed() {
+		u.clock.ObserveWall(m.Sender, now, m.Wall)
+	}
 	u.ledger.noteOthers(now)
 	u.ledger.hear(now, u.clock.Now(now), m)
 	if !m.Ask {
