--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -63,6 +63,7 @@
 	calling   bool
 	done      map[int64]bool // orders in row.Pending that need no further call
 	called    map[int64]bool // orders that were sent at least once
+	lastCall  time.Duration  // when a call may have arrived last; 0 if there was none
 	callAt    time.Duration
 	callDelay time.Duration
 
@@ -233,8 +234,14 @@
 // challengeAt returns the time from which the holder of the newest state known
 // cannot be sure of its lease.
 func (c *Candidate) challengeAt() time.Duration {
-	if c.rowClaim().Released || (c.version == 0 && c.known.Token == 0) {
+	switch {
+	case c.version == 0 && c.known.Token == 0:
 		return 0
+	case !c.rowClaim().Released:
+	case c.lastCall == 0:
+		return 0
+	default: // calls of this holder, the one that released the row, and this one again
+		return c.lastCall + c.cfg.Lease
 	}
 	since := c.rowSince
 	// After the store was set back, the holder may act on a later version.
@@ -414,7 +421,7 @@
 	if len(open) == 0 {
 		return Call{}, false
 	}
-	c.calling = true
+	c.calling, c.lastCall = true, now
 	call := Call{Token: c.row.Token, Order: open[0], Until: c.leaseEnd, Repeated: c.called[open[0].ID]}
 	c.called[open[0].ID] = true
 	return call, true
@@ -429,7 +436,7 @@
 // Answered records the answer to the last call. wait is how long the platform asks
 // to wait.
 func (c *Candidate) Answered(now time.Duration, id int64, answer Answer, wait time.Duration) {
-	c.calling = false
+	c.calling, c.lastCall = false, now
 	if answer == Again {
 		c.callDelay = min(max(2*c.callDelay, minCallDelay), maxCallDelay)
 		c.callAt = now + max(c.callDelay, wait, c.cfg.CallGap)
--- a/core/awduty/lease_test.go
+++ b/core/awduty/lease_test.go
@@ -239,3 +239,42 @@
 		require.Empty(t, a.TakeDropped())
 	}
 }
+
+// Guards against calls of holders in the order A, B, A within the lease, where B has
+// released the row soon after it had taken it over from A.
+func TestReleasedRowIsNotTakenBackAtOnce(t *testing.T) {
+	need := awduty.Need{Orders: orderOfReplicas, Overdue: true}
+	a, b := newCandidate("a"), newCandidate("b")
+	begin := time.Hour
+	_, _ = a.NextStoreCall(begin, need)
+	a.ReadDone(begin, awduty.Row{}, 0, nil)
+	begin += time.Second
+	write, _ := a.NextStoreCall(begin, need)
+	a.WriteDone(begin, awduty.WriteDone, 1)
+	last := begin + testLease - time.Millisecond
+	call, ok := a.NextCall(last)
+	require.True(t, ok)
+	last += 200 * time.Millisecond // the call may arrive as late as this
+	a.Answered(last, call.Order.ID, awduty.Again, 0)
+
+	b.Hear(begin, a.Claim(begin))
+	_, _ = b.NextStoreCall(begin, need)
+	b.ReadDone(begin, write.Row, 1, nil)
+	now := begin + testLease + testMargin
+	write, ok = b.NextStoreCall(now, need)
+	require.True(t, ok && write.Write)
+	b.WriteDone(now, awduty.WriteDone, 2)
+	_, ok = b.NextCall(now)
+	require.True(t, ok)
+	b.Answered(now, 1, awduty.Accepted, 0)
+	b.Release()
+
+	a.Hear(now, b.Claim(now))
+	_, ok = a.NextStoreCall(now, need)
+	require.True(t, ok)
+	a.ReadDone(now, write.Row, 2, nil)
+	_, ok = a.NextStoreCall(last+testLease-1, need)
+	require.False(t, ok)
+	write, ok = a.NextStoreCall(last+testLease, need)
+	require.True(t, ok && write.Write)
+}
