--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -212,7 +212,13 @@
 	if len(orders) == 0 {
 		return StoreCall{}, false
 	}
-	return c.write(now, max(c.row.Token, c.known.Token)+1, orders)
+	token := max(c.row.Token, c.known.Token)
+	if token == 0 {
+		// A row without a token was spoilt by another writer. Versions of the store
+		// rise at least as fast as tokens.
+		token = c.version
+	}
+	return c.write(now, token+1, orders)
 }
 
 // isCurrent reports whether the row need not be read again.
--- a/core/awduty/lease_test.go
+++ b/core/awduty/lease_test.go
@@ -278,3 +278,17 @@
 	write, ok = a.NextStoreCall(last+testLease, need)
 	require.True(t, ok && write.Write)
 }
+
+// Guards against a token that falls because another writer has spoilt the row before
+// this instance knew its token.
+func TestTokenAfterSpoiltRow(t *testing.T) {
+	need := awduty.Need{Orders: orderOfReplicas, Overdue: true}
+	b, now := newCandidate("b"), time.Hour
+	_, _ = b.NextStoreCall(now, need)
+	b.ReadDone(now, awduty.Row{}, 70, nil) // the version of any row is at least its token
+	_, ok := b.NextStoreCall(now+testLease+testMargin-1, need)
+	require.False(t, ok, "the holder may still act")
+	write, ok := b.NextStoreCall(now+testLease+testMargin, need)
+	require.True(t, ok && write.Write)
+	require.Equal(t, uint64(71), write.Row.Token)
+}
