awduty: late writes after the store was set back

TestRandomFaultsWithStoreSetBack found two sets of counts for a window and a token of two holders: a late write may take effect on the older row. A token that two holders had is used by neither, and committed windows of a row that is older than what was heard of are dropped, since others may have been sent in their place.

--- a/core/awduty/awduty.go
+++ b/core/awduty/awduty.go
@@ -71,6 +71,10 @@
 	return c.Released && !other.Released
 }
 
+func (c Claim) sameHolder(other Claim) bool {
+	return c.Holder == other.Holder && c.Incarnation == other.Incarnation
+}
+
 // StoreCall is a call of the store that a candidate asks for: a read of the row,
 // or a write of Row if the row still has the version Precondition.
 type StoreCall struct {
--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -36,6 +36,9 @@
 
 	known      Claim         // newest state that was heard of or read
 	knownSince time.Duration // when its write may have begun at the latest
+	// sharedToken is the highest token that two holders had, because the store was
+	// set back and a late write took effect after that. Neither may act with it.
+	sharedToken uint64
 
 	row      Row // content of version, as read or written by this instance
 	version  uint64
@@ -68,12 +71,14 @@
 	callDelay time.Duration
 
 	dropped []int64 // orders that performed writes dropped for lack of room
+	unsure  []int64 // orders that they dropped because the store was set back
 }
 
 // sentWrite is what a write needs once it is known to be performed.
 type sentWrite struct {
 	at      time.Duration
 	dropped []int64 // orders that it drops for lack of room
+	unsure  []int64 // orders that it drops because the store was set back
 }
 
 // NewCandidate returns a candidate that knows nothing of the row.
@@ -116,6 +121,10 @@
 			c.rowSince = min(c.rowSince, since)
 		}
 	}
+	if claim.Token == c.known.Token && !claim.sameHolder(c.known) {
+		c.sharedToken = max(c.sharedToken, claim.Token)
+		c.holding = c.holding && c.row.Token > c.sharedToken
+	}
 	if !claim.newerThan(c.known) {
 		return
 	}
@@ -160,8 +169,16 @@
 	c.holding = false
 }
 
+// TakeUnsure returns the orders that performed writes have dropped since the last
+// call because the store was set back.
+func (c *Candidate) TakeUnsure() []int64 {
+	unsure := c.unsure
+	c.unsure = nil
+	return unsure
+}
+
 // TakeDropped returns the orders that performed writes have dropped since the last
-// call.
+// call for lack of room.
 func (c *Candidate) TakeDropped() []int64 {
 	dropped := c.dropped
 	c.dropped = nil
@@ -269,7 +286,19 @@
 
 func (c *Candidate) write(now time.Duration, token uint64, orders []Order) (StoreCall, bool) {
 	sent := sentWrite{at: now}
-	pending := append(c.open(), orders...)
+	open := c.open()
+	if !c.holding && c.isSuperseded() && (c.row.Token < c.known.Token || c.row.Token <= c.sharedToken || c.row.Through < c.known.Through) {
+		// The store was set back. A late write may have taken effect since, so these
+		// bodies may differ from those that were sent for the same orders. A lower
+		// version alone does not tell: that of a response may be above the row's own.
+		for _, o := range open {
+			if o.ID <= c.known.Through {
+				sent.unsure = append(sent.unsure, o.ID)
+			}
+		}
+		open = slices.DeleteFunc(open, func(o Order) bool { return o.ID <= c.known.Through })
+	}
+	pending := append(open, orders...)
 	if n := len(pending) - c.cfg.MaxPending; n > 0 {
 		for _, o := range pending[:n] {
 			sent.dropped = append(sent.dropped, o.ID)
@@ -306,7 +335,7 @@
 	c.row, c.version, c.rowKnown = row, version, true
 	switch claim := c.rowClaim(); {
 	case sameRow:
-	case claim.Token == c.known.Token && claim.Version == c.known.Version && claim.Holder == c.known.Holder && claim.Incarnation == c.known.Incarnation:
+	case claim.Token == c.known.Token && claim.Version == c.known.Version && claim.sameHolder(c.known):
 		c.rowSince = c.knownSince
 	default:
 		c.rowSince = now
@@ -316,7 +345,7 @@
 		// The response to the write may have named a later version than the row's own.
 		c.known.Version = version
 	}
-	if c.known.newerThan(c.rowClaim()) {
+	if c.isSuperseded() {
 		if c.knownSince <= c.readSince {
 			c.outdated = c.known
 		}
@@ -338,12 +367,22 @@
 	c.hold(now, begin)
 }
 
+// isSuperseded reports whether the known row is older than what was heard of, or
+// another holder has its token, which happens if the store was set back.
+func (c *Candidate) isSuperseded() bool {
+	row := c.rowClaim()
+	return c.known.newerThan(row) || (c.known.Token == row.Token && !c.known.sameHolder(row)) || (row.Token > 0 && row.Token <= c.sharedToken)
+}
+
 // isNewestOwn reports whether a row is from the last write of this instance that is
 // known to be performed or a later one, and no higher token is known.
 func (c *Candidate) isNewestOwn(row Row) bool {
 	if row.Holder != c.cfg.Self || row.Incarnation != c.cfg.Incarnation || row.Token < c.known.Token {
 		return false
 	}
+	if row.Token <= c.sharedToken || (row.Token == c.known.Token && !c.known.sameHolder(c.rowClaim())) {
+		return false
+	}
 	_, sent := c.sent[row.Write]
 	return sent && row.Write >= c.lastWrite
 }
@@ -357,7 +396,7 @@
 		}
 	}
 	w := c.sent[number]
-	c.dropped = append(c.dropped, w.dropped...)
+	c.dropped, c.unsure = append(c.dropped, w.dropped...), append(c.unsure, w.unsure...)
 	c.lastWrite, c.sent[number] = number, sentWrite{at: w.at}
 }
 
@@ -399,8 +438,8 @@
 		written := c.rowClaim()
 		written.Age = now - sent
 		c.Hear(now, written)
-		if c.known.newerThan(c.rowClaim()) {
-			c.holding = false // superseded meanwhile
+		if c.isSuperseded() {
+			c.holding = false // meanwhile
 			return
 		}
 		c.hold(now, sent)
--- a/core/awduty/usage.go
+++ b/core/awduty/usage.go
@@ -64,6 +64,7 @@
 	ReasonTooOld   = "TooOld"   // its counts are not kept any more
 	ReasonNoRoom   = "NoRoom"   // too many reports were waiting
 	ReasonRejected = "Rejected" // by the platform
+	ReasonSetBack  = "SetBack"  // the store was set back, and other counts may have been sent
 )
 
 // Shares of UsageConfig.Late after the end of a window.
@@ -333,6 +334,9 @@
 	for _, id := range u.candidate.TakeDropped() {
 		u.skip(id, 1, ReasonNoRoom)
 	}
+	for _, id := range u.candidate.TakeUnsure() {
+		u.skip(id, 1, ReasonSetBack)
+	}
 	if len(u.planned) == 0 || through < u.skippedTo {
 		return
 	}
