--- a/core/awduty/awduty.go
+++ b/core/awduty/awduty.go
@@ -112,5 +112,5 @@
 const (
 	Accepted Answer = iota
 	Rejected        // it will not be accepted later either
-	Again           // no answer, or one that asks for a repetition
+	Retry           // no answer, or one that asks for a repetition
 )
--- a/core/awduty/awduty_test.go
+++ b/core/awduty/awduty_test.go
@@ -130,7 +130,7 @@
 	from, to := s.now, s.now+3*simWindow
 	s.platform.answer = func(at time.Duration) awduty.Answer {
 		if at >= from && at < to {
-			return awduty.Again // 429, 503 or no answer
+			return awduty.Retry // 429, 503 or no answer
 		}
 		return awduty.Accepted
 	}
@@ -257,7 +257,7 @@
 		}
 		s.platform.answer = func(time.Duration) awduty.Answer {
 			if s.rng.IntN(3) == 0 {
-				return awduty.Again
+				return awduty.Retry
 			}
 			return awduty.Accepted
 		}
@@ -306,7 +306,7 @@
 		}
 		s.platform.answer = func(time.Duration) awduty.Answer {
 			if s.rng.IntN(3) == 0 {
-				return awduty.Again
+				return awduty.Retry
 			}
 			return awduty.Accepted
 		}
@@ -379,7 +379,7 @@
 		s.callLatency, s.slowCalls = 200*time.Millisecond, 1
 		s.platform.answer = func(time.Duration) awduty.Answer {
 			if s.rng.IntN(4) > 0 {
-				return awduty.Again
+				return awduty.Retry
 			}
 			return awduty.Accepted
 		}
--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -154,8 +154,8 @@
 	return c.holding, c.heldSince, c.row.Token
 }
 
-// Sure reports whether the instance holds the duty and nobody else can.
-func (c *Candidate) Sure(now time.Duration) bool { return c.holding && now < c.leaseEnd }
+// LeaseValid reports whether the instance holds the duty and nobody else can.
+func (c *Candidate) LeaseValid(now time.Duration) bool { return c.holding && now < c.leaseEnd }
 
 // Release ends the part of the instance in the duty. It makes no call after that,
 // so that another instance need not wait for the end of the lease.
@@ -459,7 +459,7 @@
 // NextCall returns the call of the platform to make now, if any. Its answer must be
 // passed to Answered.
 func (c *Candidate) NextCall(now time.Duration) (Call, bool) {
-	if c.calling || c.stopped || now < c.callAt || !c.Sure(now) {
+	if c.calling || c.stopped || now < c.callAt || !c.LeaseValid(now) {
 		return Call{}, false
 	}
 	open := c.open()
@@ -475,14 +475,14 @@
 // MayCall reports whether a call may still be sent. The sender asks right before it
 // writes the bytes, since it may have been paused after the call was decided.
 func (c *Candidate) MayCall(now time.Duration, call Call) bool {
-	return c.Sure(now) && now < call.Until && call.Token == c.row.Token
+	return c.LeaseValid(now) && now < call.Until && call.Token == c.row.Token
 }
 
 // Answered records the answer to the last call. wait is how long the platform asks
 // to wait.
 func (c *Candidate) Answered(now time.Duration, id int64, answer Answer, wait time.Duration) {
 	c.calling, c.lastCall = false, now
-	if answer == Again {
+	if answer == Retry {
 		c.callDelay = min(max(2*c.callDelay, minCallDelay), maxCallDelay)
 		c.callAt = now + max(c.callDelay, wait, c.cfg.CallGap)
 		return
--- a/core/awduty/lease_test.go
+++ b/core/awduty/lease_test.go
@@ -44,9 +44,9 @@
 		} else {
 			a.WriteDone(answered, awduty.WriteDone, 1)
 		}
-		require.True(t, a.Sure(answered))
-		require.True(t, a.Sure(begin+testLease-1))
-		require.False(t, a.Sure(begin+testLease))
+		require.True(t, a.LeaseValid(answered))
+		require.True(t, a.LeaseValid(begin+testLease-1))
+		require.False(t, a.LeaseValid(begin+testLease))
 
 		// The other one reads the row, and is told later when it was written.
 		_, ok = b.NextStoreCall(begin+time.Second, need)
@@ -186,8 +186,8 @@
 	held, _, token := a.Holding()
 	require.True(t, held)
 	require.Equal(t, uint64(1), token)
-	require.True(t, a.Sure(begin+testLease-1))
-	require.False(t, a.Sure(begin+testLease))
+	require.True(t, a.LeaseValid(begin+testLease-1))
+	require.False(t, a.LeaseValid(begin+testLease))
 	a.Hear(now, awduty.Claim{Holder: "a", Incarnation: 1, Token: 1, Version: 8, Through: 1}) // from another instance
 	now += time.Second
 	third, ok := a.NextStoreCall(now, need)
@@ -260,7 +260,7 @@
 	call, ok := a.NextCall(last)
 	require.True(t, ok)
 	last += 200 * time.Millisecond // the call may arrive as late as this
-	a.Answered(last, call.Order.ID, awduty.Again, 0)
+	a.Answered(last, call.Order.ID, awduty.Retry, 0)
 
 	b.Hear(begin, a.Claim(begin))
 	_, _ = b.NextStoreCall(begin, need)
--- a/core/awduty/sim_test.go
+++ b/core/awduty/sim_test.go
@@ -315,7 +315,7 @@
 	}
 	s.onNode(0, n, func() {
 		if !n.usage.Candidate().MayCall(n.local(), call) {
-			n.usage.Answered(n.local(), call.Order.ID, awduty.Again, 0)
+			n.usage.Answered(n.local(), call.Order.ID, awduty.Retry, 0)
 			return
 		}
 		var queued time.Duration
@@ -323,7 +323,7 @@
 			queued = time.Duration(s.rng.Int64N(int64(4 * time.Second)))
 		}
 		if left := min(callTimeout, call.Until+callOverrun-n.local()); queued > left {
-			s.onNode(left, n, func() { n.usage.Answered(n.local(), call.Order.ID, awduty.Again, 0) })
+			s.onNode(left, n, func() { n.usage.Answered(n.local(), call.Order.ID, awduty.Retry, 0) })
 			return
 		}
 		s.after(queued+s.latency()+s.callLatency, func() {
@@ -406,7 +406,7 @@
 // holder returns the running instance that is sure of its lease.
 func (s *sim) holder() *simNode {
 	for _, n := range s.nodes {
-		if n.running() && n.usage.Candidate().Sure(n.local()) {
+		if n.running() && n.usage.Candidate().LeaseValid(n.local()) {
 			return n
 		}
 	}
--- a/io/awduties/awduties_test.go
+++ b/io/awduties/awduties_test.go
@@ -100,7 +100,7 @@
 	defer w.mu.Unlock()
 	w.calls++
 	if !ok {
-		return awduty.Again, 0, nil
+		return awduty.Retry, 0, nil
 	}
 	w.sent++
 	return awduty.Accepted, 0, nil
