--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -115,7 +115,7 @@
 	if claim.Token == 0 {
 		return
 	}
-	if claim.Token == c.known.Token && claim.Version == c.known.Version {
+	if claim.Token == c.known.Token && claim.Version == c.known.Version && claim.sameHolder(c.known) {
 		c.knownSince = min(c.knownSince, since)
 		if c.rowKnown && c.version == claim.Version {
 			c.rowSince = min(c.rowSince, since)
