--- a/core/awduty/awduty_test.go
+++ b/core/awduty/awduty_test.go
@@ -130,7 +130,7 @@
 	from, to := s.now, s.now+3*simWindow
 	s.platform.answer = func(at time.Duration) awduty.Answer {
 		if at >= from && at < to {
-			return awduty.Again // 429, 503 or no answer
+			return awduty.Retry // 429, 503 or no answer
 		}
 		return awduty.Accepted
 	}
@@ -227,19 +227,20 @@
 	s.runFor(20 * time.Second)
 	s.holder().frozenUntil = s.now + 15*time.Second
 	s.runFor(20 * time.Second)
-	s.row, s.version = row, version
+	s.row, s.version, s.top = row, version, version
 	s.runFor(40 * time.Second)
 	s.check()
 	s.accepted(s.now-6*simWindow, s.now-4*simWindow)
 }
 
 // Guards against two sets of counts for a window, a falling token and holders that
-// change and change back, and against a fleet that does not recover, in any interleaving of pauses, crashes, restarts, steps
-// of clocks, and a store and a platform in trouble.
+// change and change back, and against a fleet that does not recover, in any
+// interleaving of pauses, crashes, restarts, planned stops, steps of clocks, calls
+// that wait on the sender's machine, and a store and a platform in trouble.
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(60) {
 		s := newSim(t, 100+seed, simNames...)
-		s.callLatency = 250 * time.Millisecond
+		s.callLatency, s.slowCalls = 200*time.Millisecond, 0.25
 		s.runFor(15 * time.Second)
 		s.fate = func(*simNode) writeFate {
 			switch s.rng.IntN(6) {
@@ -256,7 +257,7 @@
 		}
 		s.platform.answer = func(time.Duration) awduty.Answer {
 			if s.rng.IntN(3) == 0 {
-				return awduty.Again
+				return awduty.Retry
 			}
 			return awduty.Accepted
 		}
@@ -275,9 +276,132 @@
 	}
 }
 
+// Guards against a second set of counts, a falling token or A, B, A after the store
+// was set back to an older copy while it and the instances are in trouble. All
+// instances have heard of what is lost and stay in touch until it is replaced: one
+// that starts anew and hears of nobody cannot know of it.
+func TestRandomFaultsWithStoreSetBack(t *testing.T) { testStoreSetBack(t, false) }
+
+// Guards against the same where the store gives versions again that it had given
+// before.
+func TestRandomFaultsWithVersionsReused(t *testing.T) { testStoreSetBack(t, true) }
+
+func testStoreSetBack(t *testing.T, reuse bool) {
+	t.Helper()
+	back := 0
+	for seed := range uint64(60) {
+		s := newSim(t, 500+seed, simNames...)
+		s.callLatency, s.slowCalls = 200*time.Millisecond, 0.25
+		s.runFor(15 * time.Second)
+		s.fate = func(*simNode) writeFate {
+			switch s.rng.IntN(5) {
+			case 0:
+				return writeFate{lost: true, perform: true}
+			case 1:
+				return writeFate{lost: true, perform: true, delay: time.Duration(s.rng.Int64N(int64(8 * time.Second)))}
+			case 2:
+				return writeFate{perform: true, slow: time.Duration(s.rng.Int64N(int64(1900 * time.Millisecond)))}
+			}
+			return writeFate{perform: true}
+		}
+		s.platform.answer = func(time.Duration) awduty.Answer {
+			if s.rng.IntN(3) == 0 {
+				return awduty.Retry
+			}
+			return awduty.Accepted
+		}
+		for range 40 {
+			if s.allHaveHeard() && s.setBack() {
+				back++
+				if reuse {
+					s.top = s.version
+				}
+			}
+			n := s.nodes[s.rng.IntN(len(s.nodes))]
+			if h := s.holder(); h != nil && s.rng.IntN(2) == 0 {
+				n = h
+			}
+			switch s.rng.IntN(5) {
+			case 0:
+				n.frozenUntil = s.now + time.Duration(s.rng.Int64N(int64(12*time.Second)))
+			case 1:
+				n.step = time.Duration(s.rng.Int64N(int64(20*time.Second))) - 10*time.Second
+			case 2:
+				n.step = 0
+			case 3:
+				n.cut = !n.cut
+			case 4:
+				n.mayPause = !n.mayPause
+			}
+			s.runFor(time.Duration(s.rng.Int64N(int64(3 * time.Second))))
+		}
+		s.heal()
+		healed := s.now
+		s.runFor(50 * time.Second)
+		s.check()
+		s.checkCounts(healed+4*simWindow, s.now-4*simWindow)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+	require.Greater(t, back, 60)
+}
+
+// allHaveHeard reports whether all instances know the row as it is.
+func (s *sim) allHaveHeard() bool {
+	for _, n := range s.nodes {
+		claim := n.usage.Candidate().Claim(n.local())
+		if !n.running() || claim.Token < s.row.Token || claim.Version < s.version || claim.Through < s.row.Through {
+			return false
+		}
+	}
+	return true
+}
+
+// setBack sets the store back by up to three writes, and reports whether there were
+// any.
+func (s *sim) setBack() bool {
+	i := len(s.copies) - 1 - s.rng.IntN(3)
+	if i < 0 {
+		return false
+	}
+	s.row, s.version = s.copies[i].row, s.copies[i].version
+	s.copies = s.copies[:i]
+	return true
+}
+
+// Guards against a margin that does not cover calls that were sent at the end of the
+// lease and wait on the sender's machine while another instance takes over.
+func TestSlowCallsAtEndOfLease(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(t, 300+seed, simNames...)
+		s.runFor(18 * time.Second)
+		s.callLatency, s.slowCalls = 200*time.Millisecond, 1
+		s.platform.answer = func(time.Duration) awduty.Answer {
+			if s.rng.IntN(4) > 0 {
+				return awduty.Retry
+			}
+			return awduty.Accepted
+		}
+		for range 8 {
+			if h := s.holder(); h != nil {
+				h.cut = true
+			}
+			s.runFor(12 * time.Second)
+			for _, n := range s.nodes {
+				n.cut = false
+			}
+		}
+		s.check()
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
 // heal ends all faults.
 func (s *sim) heal() {
-	s.fate, s.platform.answer = nil, nil
+	s.fate, s.platform.answer, s.slowCalls = nil, nil, 0
 	for _, n := range s.nodes {
 		n.frozenUntil, n.step, n.cut, n.lone, n.mayPause = min(n.frozenUntil, s.now), 0, false, false, false
 	}
@@ -295,7 +419,7 @@
 		}
 	}
 	n := s.nodes[i]
-	switch s.rng.IntN(7) {
+	switch s.rng.IntN(8) {
 	case 0:
 		n.frozenUntil = s.now + time.Duration(s.rng.Int64N(int64(12*time.Second)))
 	case 1: // restarted or replaced; what it has asked of the store may still happen
@@ -318,5 +442,15 @@
 		n.lone = !n.lone
 	case 6:
 		n.mayPause = !n.mayPause
+	case 7: // planned stop, and a new start
+		if !n.running() {
+			return
+		}
+		n.usage.Close()
+		n.send()
+		n.dead = true
+		s.nodes = append(s.nodes[:i:i], s.nodes[i+1:]...)
+		s.add(n.name)
+		s.registered()
 	}
 }
--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -36,6 +36,9 @@
 
 	known      Claim         // newest state that was heard of or read
 	knownSince time.Duration // when its write may have begun at the latest
+	// sharedToken is the highest token that two holders had, because the store was
+	// set back and a late write took effect after that. Neither may act with it.
+	sharedToken uint64
 
 	row      Row // content of version, as read or written by this instance
 	version  uint64
@@ -54,23 +57,33 @@
 	unresolved bool // the row must be read before anything is written
 	inFlight   Row
 	writes     uint64
-	sentAt     map[uint64]time.Duration // of writes that may be performed, by number
-	storeAt    time.Duration            // earliest time of the next call of the store
+	sent       map[uint64]sentWrite // writes that may be performed, by number, and lastWrite
+	lastWrite  uint64               // highest write that is known to be performed
+	storeAt    time.Duration        // earliest time of the next call of the store
 	storeDelay time.Duration
 	maxDelay   time.Duration
 
 	calling   bool
 	done      map[int64]bool // orders in row.Pending that need no further call
 	called    map[int64]bool // orders that were sent at least once
+	lastCall  time.Duration  // when a call may have arrived last; 0 if there was none
 	callAt    time.Duration
 	callDelay time.Duration
 
-	dropped []int64 // orders that were dropped for lack of room
+	dropped []int64 // orders that performed writes dropped for lack of room
+	unsure  []int64 // orders that they dropped because the store was set back
+}
+
+// sentWrite is what a write needs once it is known to be performed.
+type sentWrite struct {
+	at      time.Duration
+	dropped []int64 // orders that it drops for lack of room
+	unsure  []int64 // orders that it drops because the store was set back
 }
 
 // NewCandidate returns a candidate that knows nothing of the row.
 func NewCandidate(cfg Config) *Candidate {
-	return &Candidate{cfg: cfg, sentAt: map[uint64]time.Duration{}, done: map[int64]bool{}, called: map[int64]bool{}}
+	return &Candidate{cfg: cfg, sent: map[uint64]sentWrite{}, done: map[int64]bool{}, called: map[int64]bool{}}
 }
 
 // Need is what a duty asks of its candidate at present.
@@ -102,12 +115,16 @@
 	if claim.Token == 0 {
 		return
 	}
-	if claim.Token == c.known.Token && claim.Version == c.known.Version {
+	if claim.Token == c.known.Token && claim.Version == c.known.Version && claim.sameHolder(c.known) {
 		c.knownSince = min(c.knownSince, since)
 		if c.rowKnown && c.version == claim.Version {
 			c.rowSince = min(c.rowSince, since)
 		}
 	}
+	if claim.Token == c.known.Token && !claim.sameHolder(c.known) {
+		c.sharedToken = max(c.sharedToken, claim.Token)
+		c.holding = c.holding && c.row.Token > c.sharedToken
+	}
 	if !claim.newerThan(c.known) {
 		return
 	}
@@ -137,8 +154,8 @@
 	return c.holding, c.heldSince, c.row.Token
 }
 
-// Sure reports whether the instance holds the duty and nobody else can.
-func (c *Candidate) Sure(now time.Duration) bool { return c.holding && now < c.leaseEnd }
+// LeaseValid reports whether the instance holds the duty and nobody else can.
+func (c *Candidate) LeaseValid(now time.Duration) bool { return c.holding && now < c.leaseEnd }
 
 // Release ends the part of the instance in the duty. It makes no call after that,
 // so that another instance need not wait for the end of the lease.
@@ -152,7 +169,16 @@
 	c.holding = false
 }
 
-// TakeDropped returns the orders that were dropped since the last call.
+// TakeUnsure returns the orders that performed writes have dropped since the last
+// call because the store was set back.
+func (c *Candidate) TakeUnsure() []int64 {
+	unsure := c.unsure
+	c.unsure = nil
+	return unsure
+}
+
+// TakeDropped returns the orders that performed writes have dropped since the last
+// call for lack of room.
 func (c *Candidate) TakeDropped() []int64 {
 	dropped := c.dropped
 	c.dropped = nil
@@ -203,7 +229,13 @@
 	if len(orders) == 0 {
 		return StoreCall{}, false
 	}
-	return c.write(now, max(c.row.Token, c.known.Token)+1, orders)
+	token := max(c.row.Token, c.known.Token)
+	if token == 0 {
+		// A row without a token was spoilt by another writer. Versions of the store
+		// rise at least as fast as tokens.
+		token = c.version
+	}
+	return c.write(now, token+1, orders)
 }
 
 // isCurrent reports whether the row need not be read again.
@@ -222,13 +254,24 @@
 	}
 }
 
-// challengeAt returns the time from which the holder of the known row cannot be
-// sure of its lease.
+// challengeAt returns the time from which the holder of the newest state known
+// cannot be sure of its lease.
 func (c *Candidate) challengeAt() time.Duration {
-	if c.rowClaim().Released || (c.version == 0 && c.known.Token == 0) {
+	switch {
+	case c.version == 0 && c.known.Token == 0:
+		return 0
+	case !c.rowClaim().Released:
+	case c.lastCall == 0:
 		return 0
+	default: // calls of this holder, the one that released the row, and this one again
+		return c.lastCall + c.cfg.Lease
 	}
-	return c.rowSince + c.cfg.Lease + c.cfg.Margin
+	since := c.rowSince
+	// After the store was set back, the holder may act on a later version.
+	if c.known.Token > 0 && !c.known.Released {
+		since = max(since, c.knownSince)
+	}
+	return since + c.cfg.Lease + c.cfg.Margin
 }
 
 func (c *Candidate) read(now time.Duration) (StoreCall, bool) {
@@ -242,11 +285,23 @@
 }
 
 func (c *Candidate) write(now time.Duration, token uint64, orders []Order) (StoreCall, bool) {
-	c.dropped = nil
-	pending := append(c.open(), orders...)
+	sent := sentWrite{at: now}
+	open := c.open()
+	if !c.holding && c.isSuperseded() && (c.row.Token < c.known.Token || c.row.Token <= c.sharedToken || c.row.Through < c.known.Through) {
+		// The store was set back. A late write may have taken effect since, so these
+		// bodies may differ from those that were sent for the same orders. A lower
+		// version alone does not tell: that of a response may be above the row's own.
+		for _, o := range open {
+			if o.ID <= c.known.Through {
+				sent.unsure = append(sent.unsure, o.ID)
+			}
+		}
+		open = slices.DeleteFunc(open, func(o Order) bool { return o.ID <= c.known.Through })
+	}
+	pending := append(open, orders...)
 	if n := len(pending) - c.cfg.MaxPending; n > 0 {
 		for _, o := range pending[:n] {
-			c.dropped = append(c.dropped, o.ID)
+			sent.dropped = append(sent.dropped, o.ID)
 		}
 		pending = pending[n:]
 	}
@@ -258,9 +313,9 @@
 	c.inFlight = Row{
 		Holder: c.cfg.Self, Incarnation: c.cfg.Incarnation, Token: token, Write: c.writes, Through: through, Pending: pending,
 	}
-	c.sentAt[c.writes] = now
-	if old := c.writes - maxUnresolved; c.writes > maxUnresolved {
-		delete(c.sentAt, old)
+	c.sent[c.writes] = sent
+	if old := c.writes - maxUnresolved; c.writes > maxUnresolved && old != c.lastWrite {
+		delete(c.sent, old)
 	}
 	c.storeBusy = true
 	return StoreCall{Write: true, Row: c.inFlight, Precondition: c.version, TakeOver: !c.holding}, true
@@ -275,17 +330,22 @@
 	}
 	c.storeDelay, c.unresolved = 0, false
 	c.storeAt = now + minStoreDelay // bounds reads of a store that lags behind
-	sameRow := c.rowKnown && c.version == version
+	// A store that was set back may give the same version to another row.
+	sameRow := c.rowKnown && c.version == version && c.row.Token == row.Token && c.row.Holder == row.Holder && c.row.Incarnation == row.Incarnation
 	c.row, c.version, c.rowKnown = row, version, true
 	switch claim := c.rowClaim(); {
 	case sameRow:
-	case claim.Token == c.known.Token && claim.Version == c.known.Version:
+	case claim.Token == c.known.Token && claim.Version == c.known.Version && claim.sameHolder(c.known):
 		c.rowSince = c.knownSince
 	default:
 		c.rowSince = now
 		c.Hear(now, claim)
 	}
-	if c.known.newerThan(c.rowClaim()) {
+	if c.isNewestOwn(row) {
+		// The response to the write may have named a later version than the row's own.
+		c.known.Version = version
+	}
+	if c.isSuperseded() {
 		if c.knownSince <= c.readSince {
 			c.outdated = c.known
 		}
@@ -296,15 +356,48 @@
 		c.holding = false
 		return
 	}
-	sent, ok := c.sentAt[row.Write]
-	if ok {
+	begin := now - c.cfg.Lease // if the time is unknown, the next write renews the lease
+	if sent, ok := c.sent[row.Write]; ok {
+		begin = sent.at
+		c.noteWritten(row.Write)
 		found := c.rowClaim()
-		found.Age = now - sent
+		found.Age = now - begin
 		c.Hear(now, found)
-	} else {
-		sent = now - c.cfg.Lease // an unknown time; the next write renews the lease
 	}
-	c.hold(now, sent)
+	c.hold(now, begin)
+}
+
+// isSuperseded reports whether the known row is older than what was heard of, or
+// another holder has its token, which happens if the store was set back.
+func (c *Candidate) isSuperseded() bool {
+	row := c.rowClaim()
+	return c.known.newerThan(row) || (c.known.Token == row.Token && !c.known.sameHolder(row)) || (row.Token > 0 && row.Token <= c.sharedToken)
+}
+
+// isNewestOwn reports whether a row is from the last write of this instance that is
+// known to be performed or a later one, and no higher token is known.
+func (c *Candidate) isNewestOwn(row Row) bool {
+	if row.Holder != c.cfg.Self || row.Incarnation != c.cfg.Incarnation || row.Token < c.known.Token {
+		return false
+	}
+	if row.Token <= c.sharedToken || (row.Token == c.known.Token && !c.known.sameHolder(c.rowClaim())) {
+		return false
+	}
+	_, sent := c.sent[row.Write]
+	return sent && row.Write >= c.lastWrite
+}
+
+// noteWritten records that a write was performed. Those before it fail by their
+// precondition or are replaced.
+func (c *Candidate) noteWritten(number uint64) {
+	for n := range c.sent {
+		if n < number {
+			delete(c.sent, n)
+		}
+	}
+	w := c.sent[number]
+	c.dropped, c.unsure = append(c.dropped, w.dropped...), append(c.unsure, w.unsure...)
+	c.lastWrite, c.sent[number] = number, sentWrite{at: w.at}
 }
 
 // hold records that the known row is that of this instance and was written by a
@@ -338,15 +431,15 @@
 	c.storeBusy = false
 	switch result {
 	case WriteDone:
-		sent := c.sentAt[c.inFlight.Write]
-		clear(c.sentAt) // all writes before it fail by their precondition
+		sent := c.sent[c.inFlight.Write].at
+		c.noteWritten(c.inFlight.Write)
 		c.storeDelay = 0
 		c.row, c.version, c.rowKnown, c.rowSince = c.inFlight, version, true, sent
 		written := c.rowClaim()
 		written.Age = now - sent
 		c.Hear(now, written)
-		if c.known.newerThan(c.rowClaim()) {
-			c.holding = false // superseded meanwhile
+		if c.isSuperseded() {
+			c.holding = false // meanwhile
 			return
 		}
 		c.hold(now, sent)
@@ -366,14 +459,14 @@
 // NextCall returns the call of the platform to make now, if any. Its answer must be
 // passed to Answered.
 func (c *Candidate) NextCall(now time.Duration) (Call, bool) {
-	if c.calling || c.stopped || now < c.callAt || !c.Sure(now) {
+	if c.calling || c.stopped || now < c.callAt || !c.LeaseValid(now) {
 		return Call{}, false
 	}
 	open := c.open()
 	if len(open) == 0 {
 		return Call{}, false
 	}
-	c.calling = true
+	c.calling, c.lastCall = true, now
 	call := Call{Token: c.row.Token, Order: open[0], Until: c.leaseEnd, Repeated: c.called[open[0].ID]}
 	c.called[open[0].ID] = true
 	return call, true
@@ -382,14 +475,14 @@
 // MayCall reports whether a call may still be sent. The sender asks right before it
 // writes the bytes, since it may have been paused after the call was decided.
 func (c *Candidate) MayCall(now time.Duration, call Call) bool {
-	return c.Sure(now) && now < call.Until && call.Token == c.row.Token
+	return c.LeaseValid(now) && now < call.Until && call.Token == c.row.Token
 }
 
 // Answered records the answer to the last call. wait is how long the platform asks
 // to wait.
 func (c *Candidate) Answered(now time.Duration, id int64, answer Answer, wait time.Duration) {
-	c.calling = false
-	if answer == Again {
+	c.calling, c.lastCall = false, now
+	if answer == Retry {
 		c.callDelay = min(max(2*c.callDelay, minCallDelay), maxCallDelay)
 		c.callAt = now + max(c.callDelay, wait, c.cfg.CallGap)
 		return
--- a/core/awduty/counter.go
+++ b/core/awduty/counter.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 )
 
@@ -9,7 +10,7 @@
 // instance keeps and sends its counts.
 const countedWindows = 4
 
-// maxEarly limits the requests that wait for the clock to be confirmed.
+// maxEarly limits the counts that wait for the clock to be confirmed.
 const maxEarly = 8192
 
 // Counts holds numbers of requests by team.
@@ -45,28 +46,29 @@
 type earlyCount struct {
 	at   time.Duration
 	team string
+	n    int64
 }
 
 func newCounter(window, now time.Duration) *counter {
 	return &counter{window: window, begun: now, windows: map[int64]Counts{}}
 }
 
-// add counts a request of a team.
-func (c *counter) add(clock *Clock, now time.Duration, team string) {
+// add counts n requests of a team.
+func (c *counter) add(clock *Clock, now time.Duration, team string, n int64) {
 	if !c.started && len(c.early) < maxEarly {
-		c.early = append(c.early, earlyCount{now, team})
+		c.early = append(c.early, earlyCount{now, team, n})
 		return
 	}
-	c.count(windowAt(clock.Now(now), c.window), team)
+	c.count(windowAt(clock.Now(now), c.window), team, n)
 }
 
-func (c *counter) count(window int64, team string) {
+func (c *counter) count(window int64, team string, n int64) {
 	counts := c.windows[window]
 	if counts == nil {
 		counts = Counts{}
 		c.windows[window] = counts
 	}
-	counts[team]++
+	counts[team] += n
 }
 
 // start assigns the requests that were counted before the clock was confirmed. It
@@ -77,12 +79,41 @@
 	}
 	c.started, c.first = true, windowAt(clock.Now(c.begun), c.window)
 	for _, e := range c.early {
-		c.count(windowAt(clock.Now(e.at), c.window), e.team)
+		c.count(windowAt(clock.Now(e.at), c.window), e.team, e.n)
 	}
 	c.early = nil
 	return true
 }
 
+// setBack moves the counts after the estimate of true time was corrected by a
+// negative time at now. Those that ran in windows that now lie ahead would be
+// reported together with what runs in them later.
+func (c *counter) setBack(clock *Clock, now, by time.Duration) {
+	if !c.started {
+		return
+	}
+	present, began := clock.Now(now), clock.Now(c.begun)
+	c.first = min(c.first, windowAt(began, c.window))
+	before := c.windows
+	c.windows = map[int64]Counts{}
+	for id, counts := range before {
+		from := max(windowEnd(id-1, c.window)+by, began)
+		to := max(min(windowEnd(id, c.window)+by, present), from)
+		first, last := windowAt(from, c.window), windowAt(to, c.window)
+		share := 1.0 // of the requests, taken as even, that ran in the first of the two windows
+		if last > first {
+			share = float64(windowEnd(first, c.window)-from) / float64(to-from)
+		}
+		for team, n := range counts {
+			early := int64(math.Round(share * float64(n)))
+			c.count(first, team, early)
+			if n > early {
+				c.count(last, team, n-early)
+			}
+		}
+	}
+}
+
 // recent returns the counts of the last windows after the given one, the present one
 // included.
 func (c *counter) recent(clock *Clock, now time.Duration, after int64) []WindowCounts {
--- a/core/awduty/sim_test.go
+++ b/core/awduty/sim_test.go
@@ -32,6 +32,7 @@
 
 	row     awduty.Row
 	version uint64
+	top     uint64 // highest version that the store has given
 	writes  int
 	reads   int
 	// fate decides what happens to a write. Nil performs it.
@@ -40,9 +41,13 @@
 	platform simPlatform
 	// callLatency is how long a call of the platform is on its way.
 	callLatency time.Duration
-	truth       map[int64]int64 // requests by window
-	skipped     map[int64]string
-	doubtful    map[int64]bool
+	// slowCalls is the share of calls that wait for seconds on the sender's machine,
+	// as bytes do that the kernel retransmits.
+	slowCalls float64
+	copies    []simCopy       // of the store, to set it back to
+	truth     map[int64]int64 // requests by window
+	skipped   map[int64]string
+	doubtful  map[int64]bool
 }
 
 type simEvent struct {
@@ -57,6 +62,19 @@
 	delay   time.Duration // before it is performed
 }
 
+// Limits after which the sender resets a call, from its start and from the end of
+// the lease.
+const (
+	callTimeout = 2500 * time.Millisecond
+	callOverrun = 250 * time.Millisecond
+)
+
+// simCopy is a state of the store.
+type simCopy struct {
+	row     awduty.Row
+	version uint64
+}
+
 type simNode struct {
 	sim         *sim
 	name        string
@@ -199,7 +217,7 @@
 func (n *simNode) tick() {
 	s, u := n.sim, n.usage
 	if s.rng.Float64() < n.rate*simStep.Seconds() {
-		u.Count(n.local(), "team")
+		u.Count(n.local(), "team", 1)
 		s.truth[int64(s.now/simWindow)]++
 	}
 	if urgent := u.Tick(n.local(), n.wall()); urgent || s.now >= n.nextSend {
@@ -269,8 +287,9 @@
 			result = awduty.WriteConflict
 			return
 		}
-		s.version++
-		s.row = call.Row
+		s.copies = append(s.copies, simCopy{s.row, s.version})
+		s.top++
+		s.version, s.row = s.top, call.Row
 		result, version = awduty.WriteDone, s.version
 	})
 	wait := 40*time.Millisecond + fate.slow
@@ -296,10 +315,18 @@
 	}
 	s.onNode(0, n, func() {
 		if !n.usage.Candidate().MayCall(n.local(), call) {
-			n.usage.Answered(n.local(), call.Order.ID, awduty.Again, 0)
+			n.usage.Answered(n.local(), call.Order.ID, awduty.Retry, 0)
+			return
+		}
+		var queued time.Duration
+		if s.rng.Float64() < s.slowCalls {
+			queued = time.Duration(s.rng.Int64N(int64(4 * time.Second)))
+		}
+		if left := min(callTimeout, call.Until+callOverrun-n.local()); queued > left {
+			s.onNode(left, n, func() { n.usage.Answered(n.local(), call.Order.ID, awduty.Retry, 0) })
 			return
 		}
-		s.after(s.latency()+s.callLatency, func() {
+		s.after(queued+s.latency()+s.callLatency, func() {
 			answer := awduty.Accepted
 			if s.platform.answer != nil {
 				answer = s.platform.answer(s.now)
@@ -379,7 +406,7 @@
 // holder returns the running instance that is sure of its lease.
 func (s *sim) holder() *simNode {
 	for _, n := range s.nodes {
-		if n.running() && n.usage.Candidate().Sure(n.local()) {
+		if n.running() && n.usage.Candidate().LeaseValid(n.local()) {
 			return n
 		}
 	}
--- a/core/awduty/usage.go
+++ b/core/awduty/usage.go
@@ -64,6 +64,7 @@
 	ReasonTooOld   = "TooOld"   // its counts are not kept any more
 	ReasonNoRoom   = "NoRoom"   // too many reports were waiting
 	ReasonRejected = "Rejected" // by the platform
+	ReasonSetBack  = "SetBack"  // the store was set back, and other counts may have been sent
 )
 
 // Shares of UsageConfig.Late after the end of a window.
@@ -136,8 +137,9 @@
 	}
 }
 
-// Count counts a request that a backend server has begun to run.
-func (u *Usage) Count(now time.Duration, team string) { u.counter.add(u.clock, now, team) }
+// Count counts n requests of a team that backend servers began to run at the given
+// time, which may be a moment ago.
+func (u *Usage) Count(at time.Duration, team string, n int64) { u.counter.add(u.clock, at, team, n) }
 
 // SetPeers replaces the registered instances.
 func (u *Usage) SetPeers(now time.Duration, list []Peer) { u.peers.set(now, list) }
@@ -153,6 +155,10 @@
 func (u *Usage) Tick(now, wall time.Duration) bool {
 	if by := u.clock.Update(now, wall); by != 0 {
 		u.cfg.OnEvent(Event{Kind: ClockCorrected, By: by})
+		if by < 0 {
+			u.counter.setBack(u.clock, now, by)
+			u.ledger.drop(Source{u.cfg.Candidate.Self, u.cfg.Candidate.Incarnation}, u.Window(now)-countedWindows+1)
+		}
 	}
 	urgent := u.counter.start(u.clock)
 	own := u.message(now, wall)
@@ -198,7 +204,11 @@
 		}
 		return nil
 	}
-	u.clock.ObserveWall(m.Sender, now, m.Wall)
+	// Nothing tells how long this message waited while the process was frozen. A
+	// confirmed estimate follows only a lasting difference.
+	if u.clock.Confirmed() {
+		u.clock.ObserveWall(m.Sender, now, m.Wall)
+	}
 	u.ledger.noteOthers(now)
 	u.ledger.hear(now, u.clock.Now(now), m)
 	if !m.Ask {
@@ -317,18 +327,22 @@
 	return true
 }
 
-// noteCommitted reports the windows of the last write if it has been performed.
+// noteCommitted reports the windows of the last write if it has been performed, and
+// those that performed writes have dropped.
 // through is the highest window that is committed.
 func (u *Usage) noteCommitted(through int64) {
+	for _, id := range u.candidate.TakeDropped() {
+		u.skip(id, 1, ReasonNoRoom)
+	}
+	for _, id := range u.candidate.TakeUnsure() {
+		u.skip(id, 1, ReasonSetBack)
+	}
 	if len(u.planned) == 0 || through < u.skippedTo {
 		return
 	}
 	if u.skippedTo > u.skippedFrom {
 		u.skip(u.skippedFrom, u.skippedTo-u.skippedFrom, ReasonTooOld)
 	}
-	for _, id := range u.candidate.TakeDropped() {
-		u.skip(id, 1, ReasonNoRoom)
-	}
 	for _, id := range slices.Sorted(maps.Keys(u.planned)) {
 		u.cfg.OnEvent(u.planned[id])
 	}
--- a/io/awduties/awduties_test.go
+++ b/io/awduties/awduties_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"arbutuswind/core/awclock"
+	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awduty"
 )
 
@@ -65,6 +66,7 @@
 	calls   int
 	sent    int
 	pause   time.Duration // between the decision on a call and its bytes
+	limit   time.Duration // for the last call
 }
 
 func (w *world) ReadDuty(context.Context, awduty.Subject) (awduty.Row, uint64, error) {
@@ -86,8 +88,10 @@
 
 func (w *world) Encode(window int64, _ awduty.Counts) []byte { return fmt.Append(nil, window) }
 
-func (w *world) Call(_ context.Context, _ awduty.Subject, _ awduty.Call, allowed func() bool) (awduty.Answer, time.Duration, error) {
+func (w *world) Call(ctx context.Context, _ awduty.Subject, _ awduty.Call, allowed func() bool) (awduty.Answer, time.Duration, error) {
+	deadline, _ := ctx.Deadline()
 	w.mu.Lock()
+	w.limit = time.Until(deadline)
 	pause := w.pause
 	w.mu.Unlock()
 	w.Advance(pause)
@@ -96,7 +100,7 @@
 	defer w.mu.Unlock()
 	w.calls++
 	if !ok {
-		return awduty.Again, 0, nil
+		return awduty.Retry, 0, nil
 	}
 	w.sent++
 	return awduty.Accepted, 0, nil
@@ -104,6 +108,28 @@
 
 func (w *world) SendDuties(netip.AddrPort, []byte) {}
 
+func newTestRunner(w *world) *Runner {
+	return New(Config{
+		Logger: log.NewNopLogger(), Wall: w, Boot: w, Store: w, Platform: w, Instance: "e1", Incarnation: 1, Lease: 3 * time.Second,
+		Window: 5 * time.Second, Late: 10 * time.Second, Tolerance: 0.05, Settling: time.Second,
+	})
+}
+
+// Guards against a call whose bytes the kernel sends or retransmits after a
+// challenger may have taken over.
+func TestCallEndsWithLease(t *testing.T) {
+	for _, tc := range []struct{ left, limit time.Duration }{
+		{time.Minute, 2500 * time.Millisecond},
+		{100 * time.Millisecond, 100*time.Millisecond + leaseMargin/2},
+		{-time.Minute, 0},
+	} {
+		w := &world{Fake: awclock.NewFake(time.Unix(1_800_000_000, 0))}
+		r := newTestRunner(w)
+		r.callPlatform(context.Background(), awduty.Call{Until: r.now() + tc.left})
+		require.LessOrEqual(t, w.limit, tc.limit)
+	}
+}
+
 // Guards against a call that is sent after a pause in which the lease has run out.
 func TestNoCallAfterPause(t *testing.T) {
 	for _, tc := range []struct {
@@ -111,10 +137,7 @@
 		sent  bool
 	}{{time.Second, true}, {6 * time.Second, false}} {
 		w := &world{Fake: awclock.NewFake(time.Unix(1_800_000_000, 0)), pause: tc.pause}
-		r := New(Config{
-			Logger: log.NewNopLogger(), Wall: w, Boot: w, Store: w, Platform: w, Instance: "e1", Incarnation: 1, Lease: 3 * time.Second,
-			Window: 5 * time.Second, Late: 10 * time.Second, Tolerance: 0.05, Settling: time.Second,
-		})
+		r := newTestRunner(w)
 		for range 150 {
 			w.Advance(tickInterval)
 			r.step(context.Background())
@@ -130,3 +153,73 @@
 		require.Equal(t, tc.sent, w.sent == 1)
 	}
 }
+
+// Guards against requests that wait for the runner's decisions, log lines or
+// datagrams, and against counts that are lost or shifted on the way to it.
+func TestCountDoesNotWait(t *testing.T) {
+	w := &world{Fake: awclock.NewFake(time.Unix(1_800_000_000, 0))}
+	r := newTestRunner(w)
+	r.mu.Lock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 3000 { // over 6 s
+			r.Count("team")
+			w.Advance(2 * time.Millisecond)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Error("Count waits for the runner")
+	}
+	r.mu.Unlock()
+	<-done
+	r.step(context.Background())
+	r.calls.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, _ := r.usage.Messages(r.now(), r.wall())
+	require.Len(t, m.Windows, 2)
+	require.InDelta(t, 2500, m.Windows[0].Counts["team"], 5)
+	require.Equal(t, int64(3000), m.Windows[0].Total+m.Windows[1].Total)
+}
+
+// blockedSender is a socket that takes no datagram until it is released.
+type blockedSender struct{ entered, release chan struct{} }
+
+func (s blockedSender) SendDuties(netip.AddrPort, []byte) {
+	s.entered <- struct{}{}
+	<-s.release
+}
+
+// Guards against decisions, and checks before a call, that wait for datagrams.
+func TestSendingDoesNotHoldTheLock(t *testing.T) {
+	w := &world{Fake: awclock.NewFake(time.Unix(1_800_000_000, 0))}
+	r := newTestRunner(w)
+	r.SetEntries([]awdirectory.Entry{{Name: "e2", Address: "127.0.0.1:9"}})
+	s := blockedSender{make(chan struct{}, 8), make(chan struct{})}
+	r.sender = s
+	for _, send := range []func(){r.sendMessages, r.Stop} {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			send()
+		}()
+		<-s.entered
+		require.Eventually(t, func() bool {
+			if !r.mu.TryLock() {
+				return false
+			}
+			r.mu.Unlock()
+			return true
+		}, 5*time.Second, time.Millisecond)
+		for waiting := true; waiting; {
+			select {
+			case s.release <- struct{}{}:
+			case <-done:
+				waiting = false
+			}
+		}
+	}
+}
