awdispatch: keep waiting requests away from engines that fell silent

Cause: under overload no other engine has room, and the requests that wait longer now all went to the silent one by its static share. Change: at most one request of a gateway goes to an engine that is silent, for contended services; the one shows whether it answers again. The test fails without the change (3 requests instead of 1).

--- a/core/awdispatch/contended.go
+++ b/core/awdispatch/contended.go
@@ -180,6 +180,15 @@
 	return oldest != nil && d.assign(oldest, now)
 }
 
+// mayBeFrozen reports whether a request for a contended service should rather wait than
+// go to this backend server, which has been silent while a request of this entry is there
+// already. Under overload no other has room, so all waiting requests would go to a frozen
+// instance, where they can neither run nor be withdrawn. One request at a time shows
+// whether it answers again.
+func (d *Dispatcher) mayBeFrozen(s *server, req *Request, now time.Time) bool {
+	return s.ownRequests > 0 && d.contended[req.Service] != nil && s.silent(now)
+}
+
 // removeDecided removes the requests that have been decided from the queue of a service.
 func (d *Dispatcher) removeDecided(service string) {
 	d.queues[service] = slices.DeleteFunc(d.queues[service], func(t *Ticket) bool { return t.done })
--- a/core/awdispatch/contended_test.go
+++ b/core/awdispatch/contended_test.go
@@ -195,6 +195,24 @@
 	require.Equal(t, []string{"large 0", "small", "large 1"}, e.serve(3))
 }
 
+// Guards against waiting requests of a full service that all go to an instance that has
+// fallen silent, where they can neither run nor be withdrawn.
+func TestSilentEngineOfContendedServiceGetsOneRequest(t *testing.T) {
+	for contended, want := range map[bool]int{true: 1, false: 3} {
+		e := newContendedEngine(contended)
+		e.Release(e.grant, Succeeded)
+		south := e.running["south"].Server
+		south.Slots = 3
+		e.SetServers([]awdirectory.Server{south})
+		e.Report(south.Key(), Load{At: e.clock.Now(), Active: south.Slots, Versions: south.Versions})
+		e.wait(reportMaxAge)
+		for range 3 {
+			e.submit("", Request{Rank: 2})
+		}
+		require.Len(t, e.order, want)
+	}
+}
+
 // Guards against requests beyond the slots of late callers, of the least urgent rank,
 // and at engines that are cold, silent or have a rate limit.
 func TestRequestsBeyondTheSlots(t *testing.T) {
--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -349,7 +349,7 @@
 // freeCapacity returns the load of a usable backend server, and whether it has
 // free capacity for the request.
 func (d *Dispatcher) freeCapacity(s *server, req *Request, now time.Time) (float64, bool) {
-	if now.Before(s.rejectedUntil) || now.Before(d.pausedUntil(s)) {
+	if now.Before(s.rejectedUntil) || now.Before(d.pausedUntil(s)) || d.mayBeFrozen(s, req, now) {
 		return 0, false
 	}
 	svc := d.services[req.Service]
