--- a/io/awsettings/daemons.go
+++ b/io/awsettings/daemons.go
@@ -33,6 +33,8 @@
 	DefaultDeadline Duration // of requests without a deadline
 	MaxDeadline     Duration
 	MaxRemovedShare float64 // fraction of the desired replicas that one sheet may remove, 0 to 1
+	MemoryMiB       int     // memory above which the process is killed
+	MaxFiles        int     // file descriptors that the process may open; 0 means its resource limit
 }
 
 // EntryTiming holds the intervals and timeouts of an entry.
@@ -81,6 +83,8 @@
 	MemoryBytes   uint64 // engine memory available to running requests
 	BytesPerToken uint64
 	PauseAfter    Duration // how long a stream may lack flow-control credit before the engine's stream is cancelled
+	MemoryMiB     int      // memory of the process besides weights
+	MaxFiles      int      // file descriptors that the process may open; 0 means its resource limit
 }
 
 // Weights limits the memory and bandwidth used to transfer weights.
@@ -129,7 +133,7 @@
 		Trace:    Trace{SampleRatio: 0.01},
 		Limits: EntryLimits{
 			MaxBodyBytes: 1 << 20, HeldBytes: 64 << 20, StreamBytes: 64 << 10,
-			DefaultDeadline: seconds(60), MaxDeadline: seconds(600), MaxRemovedShare: 0.3,
+			DefaultDeadline: seconds(60), MaxDeadline: seconds(600), MaxRemovedShare: 0.3, MemoryMiB: 256,
 		},
 		Claims: defaultClaims(),
 		Timing: EntryTiming{
@@ -149,7 +153,7 @@
 		Backend:  Backend{Fencing: "checked"},
 		Limits: AgentLimits{
 			MaxInFlight: 64, ColdInFlight: 2, MaxQueue: 128, QueueBytes: 8 << 20,
-			MemoryBytes: 1 << 30, BytesPerToken: 128 << 10, PauseAfter: seconds(5),
+			MemoryBytes: 1 << 30, BytesPerToken: 128 << 10, PauseAfter: seconds(5), MemoryMiB: 128,
 		},
 		Weights: Weights{MemoryBytes: 1 << 30, UploadSlots: 4},
 		Timing: AgentTiming{
@@ -181,6 +185,11 @@
 	ps.require(d > 0, key, "%s is not allowed; want a duration above 0s", d.Std())
 }
 
+func (ps *problemList) processLimits(memoryMiB, maxFiles int) {
+	ps.positive("Limits.MemoryMiB", float64(memoryMiB))
+	ps.require(maxFiles >= 0, "Limits.MaxFiles", "%d is not allowed; want 0 or more", maxFiles)
+}
+
 func (ps *problemList) process(p Process) {
 	ps.require(p.Instance != "", "Process.Instance", "missing; want the unique name of the instance")
 	ps.require(p.Domain != "", "Process.Domain", "missing; want the failure domain of the instance")
@@ -211,6 +220,7 @@
 	ps.duration("Limits.MaxDeadline", c.Limits.MaxDeadline)
 	ps.require(c.Limits.MaxRemovedShare >= 0 && c.Limits.MaxRemovedShare <= 1, "Limits.MaxRemovedShare",
 		"%v is not allowed; want 0 to 1", c.Limits.MaxRemovedShare)
+	ps.processLimits(c.Limits.MemoryMiB, c.Limits.MaxFiles)
 	c.Claims.check(&ps, c.Limits.MaxDeadline)
 	ps.duration("Timing.ConfigPoll", c.Timing.ConfigPoll)
 	ps.duration("Timing.ListPoll", c.Timing.ListPoll)
@@ -240,6 +250,7 @@
 	ps.positive("Limits.MemoryBytes", float64(c.Limits.MemoryBytes))
 	ps.positive("Limits.BytesPerToken", float64(c.Limits.BytesPerToken))
 	ps.duration("Limits.PauseAfter", c.Limits.PauseAfter)
+	ps.processLimits(c.Limits.MemoryMiB, c.Limits.MaxFiles)
 	ps.positive("Weights.MemoryBytes", float64(c.Weights.MemoryBytes))
 	ps.positive("Weights.UploadSlots", float64(c.Weights.UploadSlots))
 	ps.duration("Timing.EnginePoll", c.Timing.EnginePoll)
--- a/io/awsettings/document.go
+++ b/io/awsettings/document.go
@@ -58,6 +58,8 @@
 	"Limits.DefaultDeadline": {unitDuration, above0s, "Deadline of requests that do not set one."},
 	"Limits.MaxDeadline":     {unitDuration, above0s, "Longest deadline that a request may set."},
 	"Limits.MaxRemovedShare": {"share", "0 to 1", "Fraction of the desired replicas that one sheet may remove without --allow-removal."},
+	"Limits.MemoryMiB":       {"MiB", above0, "Memory above which the process is killed."},
+	"Limits.MaxFiles":        {unitCount, "0 or more", "File descriptors that the process may open. They bound its connections, see hostile-clients.md; 0 means the resource limit of the process."},
 	"Claims.Keep":            {unitDuration, "above twice Limits.MaxDeadline", "How long the result of an idempotency key is kept."},
 	"Claims.DispatchTime":    {unitDuration, above0s, "Time that an entry has to dispatch an attempt after claiming its key; after that another entry may have the attempt refused and claim the key again."},
 	"Claims.MaxResultBytes":  {unitBytes, "1 to 262144", "Maximum size of a result recorded in a claim; a larger one is recorded as run, without its body."},
@@ -89,6 +91,8 @@
 	"Limits.MemoryBytes":   {unitBytes, above0, "Engine memory available to running requests."},
 	"Limits.BytesPerToken": {unitBytes, above0, "Engine memory used per token of a running request."},
 	"Limits.PauseAfter":    {unitDuration, above0s, "How long a stream may lack flow-control credit before the engine's stream is cancelled, to be resumed later."},
+	"Limits.MemoryMiB":     {"MiB", above0, "Memory of the process besides weights."},
+	"Limits.MaxFiles":      {unitCount, "0 or more", "File descriptors that the process may open. They bound its connections, see hostile-clients.md; 0 means the resource limit of the process."},
 	"Weights.MemoryBytes":  {unitBytes, above0, "Instance memory for weights held by the agent."},
 	"Weights.LinkMbit":     {"Mbit/s", "0 or more", "Bandwidth of the instance's link for weights; 0 means unlimited."},
 	"Weights.RegionMbit":   {"Mbit/s", "0 or more", "Bandwidth for weights from other regions, for the whole region; 0 means unlimited."},
@@ -120,6 +124,7 @@
 	"Bounds.DrainNotice": {unitDuration, above0s, "Time from the notice that a backend server is leaving until it gets no more requests; the server list is read at intervals of 0.37 times this."},
 	"Bounds.Stable":      {unitDuration, above0s, "Time after an outage of the store, or of the path to it, within which a lost notification must be noticed; reads that the store holds open last 1.8 s less than this."},
 	"Limits.MemoryMiB":   {"MiB", above0, "Memory above which the process is killed."},
+	"Limits.MaxFiles":    {unitCount, "0 or more", "File descriptors that the process may open. They bound its connections, see hostile-clients.md; 0 means the resource limit of the process."},
 	"Limits.LinkMbit":    {"Mbit/s", "0 or more", "Bandwidth of the instance's link; 0 means unlimited."},
 }
 
--- a/io/awsettings/fleet.go
+++ b/io/awsettings/fleet.go
@@ -51,9 +51,10 @@
 	Stable      Duration // from the end of an outage until its effects must be over
 }
 
-// FleetLimits holds the memory limit and link bandwidth of the instance.
+// FleetLimits holds the limits of the process and the link bandwidth of the instance.
 type FleetLimits struct {
 	MemoryMiB int     // memory above which the process is killed
+	MaxFiles  int     // file descriptors that the process may open; 0 means its resource limit
 	LinkMbit  float64 // bandwidth of the instance's link; 0 means unlimited
 }
 
@@ -120,7 +121,7 @@
 	ps.duration("Bounds.Grace", c.Bounds.Grace)
 	ps.duration("Bounds.DrainNotice", c.Bounds.DrainNotice)
 	ps.duration("Bounds.Stable", c.Bounds.Stable)
-	ps.positive("Limits.MemoryMiB", float64(c.Limits.MemoryMiB))
+	ps.processLimits(c.Limits.MemoryMiB, c.Limits.MaxFiles)
 	return ps
 }
 
