--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -144,14 +144,16 @@
 // command to the engine.
 func (a *Agent) Run(ctx context.Context) error {
 	s := a.cfg.Settings
+	guard := awhttp.NewGuard(awhttp.GuardConfig{MemoryBytes: int64(s.Limits.MemoryMiB) << 20, Files: s.Limits.MaxFiles, Logger: a.cfg.Logger})
 	inner, err := a.tls.Listen(s.Listen.Inner)
 	if err != nil {
 		return err
 	}
-	local, err := net.Listen("tcp", s.Listen.Local)
+	inner = awrpc.Guard(inner, guard)
+	local, err := guard.Listen(s.Listen.Local)
 	if err != nil {
 		_ = inner.Close()
-		return eris.Wrapf(err, "listen on %s", s.Listen.Local)
+		return err
 	}
 	mux := drpcmux.New()
 	if err := awproto.DRPCRegisterAgent(mux, &innerServer{agent: a}); err != nil {
@@ -166,7 +168,8 @@
 	group, serveCtx := errgroup.WithContext(serveCtx)
 	server := awrpc.NewServer(mux, func(error) {})
 	group.Go(func() error { return server.Serve(serveCtx, inner) })
-	group.Go(func() error { return a.serveLocal(serveCtx, local) })
+	group.Go(func() error { guard.Run(serveCtx); return nil })
+	group.Go(func() error { return a.serveLocal(serveCtx, local, guard) })
 	if s.Backend.Service == "" {
 		group.Go(func() error { a.maintainPlacement(serveCtx); return nil })
 	}
@@ -220,8 +223,9 @@
 	return r, a.changed
 }
 
-func (a *Agent) serveLocal(ctx context.Context, lis net.Listener) error {
+func (a *Agent) serveLocal(ctx context.Context, lis net.Listener, guard *awhttp.Guard) error {
 	srv := awhttp.NewServer(a.localHandler())
+	guard.Protect(srv)
 	go func() {
 		<-ctx.Done()
 		_ = srv.Close()
--- a/io/awcommand/daemon.go
+++ b/io/awcommand/daemon.go
@@ -48,6 +48,7 @@
 	if err != nil || opts.Check {
 		return settingsExitCode(err, stderr)
 	}
+	limitMemory(cfg.Limits.MemoryMiB)
 	forced, stop := secondSignal()
 	defer stop()
 	return runDaemon(stderr, "awentry", cfg.Process, cfg.Trace, func(ctx context.Context, env environment) error {
@@ -68,6 +69,8 @@
 	if err != nil || opts.Check {
 		return settingsExitCode(err, stderr)
 	}
+	// Weights fill what they are given, without garbage.
+	limitMemory(cfg.Limits.MemoryMiB + int(cfg.Weights.MemoryBytes>>20))
 	forced, stop := secondSignal()
 	defer stop()
 	return runDaemon(stderr, "awagent", cfg.Process, cfg.Trace, func(ctx context.Context, env environment) error {
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -127,11 +127,12 @@
 // run serves until ctx ends, and then until all running requests are answered
 // or the grace period ends.
 func (g *gateway) run(ctx context.Context) error {
-	callers, err := awhttp.Listen(g.cfg.Listen.Callers)
+	guard := newGuard(g.cfg.Limits, g.logger)
+	callers, err := guard.Listen(g.cfg.Listen.Callers)
 	if err != nil {
 		return err
 	}
-	ready, err := awhttp.Listen(g.cfg.Listen.Ready)
+	ready, err := guard.Listen(g.cfg.Listen.Ready)
 	if err != nil {
 		return err
 	}
@@ -141,17 +142,19 @@
 	}
 	_ = level.Info(g.logger).Log("Message", "started", "Callers", g.cfg.Listen.Callers)
 	callerServer := &http.Server{Handler: g.router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	awhttp.TrackConnections(callerServer)
+	guard.Protect(callerServer)
 	requestCtx, refuse := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer refuse(nil)
 	callerServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
 	readiness := awhttp.NewServer(http.HandlerFunc(g.router.ServeReady))
+	guard.Protect(readiness)
 	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, _ := errgroup.WithContext(serveCtx)
 	group.Go(func() error { return serve(callerServer, callers) })
 	group.Go(func() error { return serve(readiness, ready) })
-	group.Go(func() error { return serveMetrics(serveCtx, g.cfg, g.logger) })
+	group.Go(func() error { return serveMetrics(serveCtx, g.cfg, g.logger, guard) })
+	group.Go(func() error { guard.Run(serveCtx); return nil })
 	group.Go(func() error { g.watcher.Run(serveCtx); return nil })
 	group.Go(func() error { g.router.Run(serveCtx); return nil })
 	group.Go(func() error {
@@ -234,6 +237,11 @@
 	_ = level.Info(g.logger).Log("Message", "stopped")
 }
 
+// newGuard returns the guard of all listeners of a process.
+func newGuard(l awsettings.FleetLimits, logger log.Logger) *awhttp.Guard {
+	return awhttp.NewGuard(awhttp.GuardConfig{MemoryBytes: int64(l.MemoryMiB) << 20, Files: l.MaxFiles, Logger: logger})
+}
+
 // innerAddress returns the listen address of the internal protocol.
 func innerAddress(cfg awsettings.Fleet) string {
 	return net.JoinHostPort(cfg.Listen.Address, strconv.Itoa(cfg.Listen.InnerPort))
@@ -242,11 +250,11 @@
 // serveMetrics serves the metrics of the process until ctx ends. If it cannot
 // listen on the port, it logs a warning and returns nil, so that a port in use
 // does not keep the process from serving requests.
-func serveMetrics(ctx context.Context, cfg awsettings.Fleet, logger log.Logger) error {
+func serveMetrics(ctx context.Context, cfg awsettings.Fleet, logger log.Logger, guard *awhttp.Guard) error {
 	if cfg.Listen.MetricsPort == 0 {
 		return nil
 	}
-	lis, err := awhttp.Listen(net.JoinHostPort(cfg.Listen.Address, strconv.Itoa(cfg.Listen.MetricsPort)))
+	lis, err := guard.Listen(net.JoinHostPort(cfg.Listen.Address, strconv.Itoa(cfg.Listen.MetricsPort)))
 	if err != nil {
 		_ = level.Warn(logger).Log("Message", "metrics are not served", "Error", err.Error())
 		return nil
@@ -254,6 +262,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", awtelemetry.MetricsHandler)
 	server := awhttp.NewServer(mux)
+	guard.Protect(server)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	return serve(server, lis)
--- a/io/awcommand/loader.go
+++ b/io/awcommand/loader.go
@@ -37,17 +37,20 @@
 }
 
 func runLoader(ctx context.Context, cfg awsettings.Fleet, env environment) error {
+	guard := newGuard(cfg.Limits, env.logger)
 	inner, err := awrpc.Listen(innerAddress(cfg), nil)
 	if err != nil {
 		return err
 	}
+	inner = awrpc.Guard(inner, guard)
 	socket, err := awload.Listen(innerAddress(cfg), awclock.System{})
 	if err != nil {
 		return err
 	}
 	started := incarnation()
+	go guard.Run(ctx)
 	go func() {
-		if err := serveMetrics(ctx, cfg, env.logger); err != nil {
+		if err := serveMetrics(ctx, cfg, env.logger, guard); err != nil {
 			_ = level.Warn(env.logger).Log("Message", "metrics are not served", "Error", err.Error())
 		}
 	}()
--- a/io/awentry/callers.go
+++ b/io/awentry/callers.go
@@ -16,11 +16,11 @@
 	"arbutuswind/io/awtelemetry"
 )
 
-// newCallerServer returns the server for callers. Its listener must be an
-// [awhttp.Listener].
-func (e *Entry) newCallerServer() *http.Server {
+// newCallerServer returns the server for callers. Its listener must be one of the
+// guard.
+func (e *Entry) newCallerServer(guard *awhttp.Guard) *http.Server {
 	srv := awhttp.NewServer(e.callerHandler())
-	awhttp.TrackConnections(srv)
+	guard.Protect(srv)
 	return srv
 }
 
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -126,17 +126,19 @@
 // Run serves requests until ctx ends and then drains.
 func (e *Entry) Run(ctx context.Context) error {
 	s := e.cfg.Settings
+	guard := awhttp.NewGuard(awhttp.GuardConfig{MemoryBytes: int64(s.Limits.MemoryMiB) << 20, Files: s.Limits.MaxFiles, Logger: e.cfg.Logger})
 	inner, err := e.tls.Listen(s.Listen.Inner)
 	if err != nil {
 		return err
 	}
-	callers, err := awhttp.Listen(s.Listen.Callers)
+	inner = awrpc.Guard(inner, guard)
+	callers, err := guard.Listen(s.Listen.Callers)
 	if err != nil {
 		return err
 	}
-	operators, err := net.Listen("tcp", s.Listen.Operators)
+	operators, err := guard.Listen(s.Listen.Operators)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", s.Listen.Operators)
+		return err
 	}
 	mux := drpcmux.New()
 	if err := awproto.DRPCRegisterEntry(mux, &innerServer{entry: e}); err != nil {
@@ -148,10 +150,12 @@
 	base, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, serveCtx := errgroup.WithContext(base)
-	callerServer := e.newCallerServer()
+	callerServer := e.newCallerServer(guard)
 	operatorServer := awhttp.NewServer(e.operatorHandler())
+	guard.Protect(operatorServer)
 	server := awrpc.NewServer(mux, func(error) {})
 	group.Go(func() error { return server.Serve(serveCtx, inner) })
+	group.Go(func() error { guard.Run(serveCtx); return nil })
 	group.Go(func() error { return serveHTTP(callerServer, callers) })
 	group.Go(func() error { return serveHTTP(operatorServer, operators) })
 	group.Go(func() error { e.configLoop(serveCtx); return nil })
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -155,6 +155,7 @@
 	if err != nil {
 		return failedResult(ctx, err)
 	}
+	awhttp.Hold(ctx, len(body))
 	q.forward.Lock()
 	defer q.forward.Unlock()
 	switch {
--- a/io/awhttp/drain.go
+++ b/io/awhttp/drain.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -53,18 +54,27 @@
 	conns map[*trackedConn]struct{}
 }
 
-func (s *connSet) add(tcp *net.TCPConn) (*trackedConn, error) {
+// add returns the connection, or nil if the guard has no room for it.
+func (s *connSet) add(tcp *net.TCPConn, guard *Guard) (*trackedConn, error) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return nil, eris.Wrap(err, "access the socket")
 	}
 	c := &trackedConn{TCPConn: tcp, raw: raw, set: s}
+	if guard != nil {
+		_ = tcp.SetReadBuffer(guard.receiveBuffer()) // a failure only costs kernel memory
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.conns == nil {
 		s.conns = map[*trackedConn]struct{}{}
 	}
 	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	var ok bool
+	if c.account, ok = guard.Track(c.abort, c.unread); !ok {
+		_ = c.Close() // nobody waits for the result
+		return nil, nil
+	}
 	return c, nil
 }
 
@@ -94,8 +104,10 @@
 // trackedConn is a connection that can be closed safely while it is idle.
 type trackedConn struct {
 	*net.TCPConn
-	raw syscall.RawConn
-	set *connSet
+	raw     syscall.RawConn
+	set     *connSet
+	account *Account
+	body    guardedBody // of the current request, if it has one
 
 	mu        sync.Mutex
 	idleSince time.Time // zero unless the last request was answered and nothing has been read since
@@ -140,20 +152,60 @@
 	case n == 0:
 		return 0, io.EOF
 	}
+	c.account.Read(n)
 	return n, nil
 }
 
+// Write implements [io.Writer]. A long response is written in pieces, so that the
+// account shows whether the client takes it.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+sendBufferBytes)]
+		c.account.beginWrite()
+		n, err := c.TCPConn.Write(piece)
+		c.account.endWrite(n)
+		if written += n; err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// ReadFrom implements [io.ReaderFrom] by Write.
+func (c *trackedConn) ReadFrom(r io.Reader) (int64, error) { return io.Copy(struct{ io.Writer }{c}, r) }
+
 // Close implements [io.Closer].
 func (c *trackedConn) Close() error {
 	c.set.remove(c)
+	c.account.Close()
 	return c.TCPConn.Close()
 }
 
+// abort closes the connection and drops what the kernel holds for it.
+func (c *trackedConn) abort() {
+	_ = c.SetLinger(0) // otherwise the kernel keeps what the client does not read
+	_ = c.Close()      // nobody waits for the result
+}
+
+// unread returns the bytes that the kernel has received and the server has not read.
+func (c *trackedConn) unread() int64 {
+	c.mu.Lock()
+	waiting := c.waiting
+	c.mu.Unlock()
+	if waiting {
+		return 0
+	}
+	n := 0
+	_ = c.raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) // 0 if it is closed
+	return int64(n)
+}
+
 func (c *trackedConn) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idleSince = time.Time{}
 	if state == http.StateIdle {
+		c.account.finish()
 		c.idleSince = time.Now()
 		c.waiting = false // the server may hold data that it read with the last request
 	}
--- a/io/awhttp/early.go
+++ b/io/awhttp/early.go
@@ -43,6 +43,9 @@
 	if control.Flush() != nil {
 		return // the caller is gone, which net/http also sees
 	}
+	if c := connOf(r.Context()); c != nil {
+		c.account.discard()
+	}
 	now := time.Now()
 	deadline := now.Add(timeout)
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
--- /dev/null
+++ b/io/awhttp/guard.go
@@ -0,0 +1,200 @@
+package awhttp
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"arbutuswind/core/awguard"
+)
+
+const (
+	// clientShare is the share of a process's memory that clients may make it hold.
+	// The heap may take 0.7 of it, and needs room for garbage and for what the process
+	// itself keeps.
+	clientShare = 0.35
+	// ownFiles is the number of descriptors that are kept for files.
+	ownFiles = 200
+	// connShare is the share of the other descriptors for connections of clients. The
+	// rest is for connections to other processes.
+	connShare = 7. / 8
+	// minConns is the least bound on connections, with any settings.
+	minConns = 32
+	// maxReceiveBuffer and minReceiveBuffer bound what the kernel buffers in the
+	// direction of the process. The kernel doubles the values.
+	maxReceiveBuffer = 64 << 10
+	minReceiveBuffer = 8 << 10
+	// sampleInterval is the time between two looks at what the kernel holds.
+	sampleInterval = 100 * time.Millisecond
+	// logInterval is the least time between two log lines for one reason.
+	logInterval = 5 * time.Second
+)
+
+// GuardConfig configures a [Guard].
+type GuardConfig struct {
+	MemoryBytes int64 // memory above which the process is killed
+	Files       int   // descriptors that the process may open; 0 means its resource limit
+	Logger      log.Logger
+	Now         func() time.Time // nil for the system's clock
+}
+
+// Guard bounds the memory and the descriptors that the clients of a process take. All
+// listeners of a process share one. A nil Guard bounds nothing.
+type Guard struct {
+	limits awguard.Limits
+	logger log.Logger
+	now    func() time.Time
+	held   atomic.Int64 // bytes of all accounts, with connBytes for each
+	closed [awguard.Reasons]*metrics.Counter
+
+	choosing sync.Mutex // held while connections are chosen and closed
+
+	mu       sync.Mutex
+	accounts map[*Account]struct{}
+	logged   [awguard.Reasons]time.Time
+	unlogged [awguard.Reasons]int // connections closed since the last log line
+}
+
+// NewGuard returns a guard that keeps within the limits of the process.
+func NewGuard(cfg GuardConfig) *Guard {
+	g := &Guard{limits: limitsOf(cfg), logger: cfg.Logger, now: cfg.Now, accounts: map[*Account]struct{}{}}
+	if g.now == nil {
+		g.now = time.Now
+	}
+	for r := range g.closed {
+		g.closed[r] = metrics.GetOrCreateCounter(`arbutuswind_clients_closed_total{reason="` + awguard.Reason(r).String() + `"}`)
+	}
+	metrics.GetOrCreateGauge("arbutuswind_clients_held_bytes", func() float64 { return float64(g.held.Load()) })
+	metrics.GetOrCreateGauge("arbutuswind_clients_connections", func() float64 { return float64(g.count()) })
+	metrics.GetOrCreateGauge("arbutuswind_clients_limit_bytes", func() float64 { return float64(g.limits.Bytes) })
+	metrics.GetOrCreateGauge("arbutuswind_clients_limit_connections", func() float64 { return float64(g.limits.Conns) })
+	return g
+}
+
+func limitsOf(cfg GuardConfig) awguard.Limits {
+	files := uint64(cfg.Files)
+	if files == 0 {
+		var r syscall.Rlimit
+		if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil {
+			files = r.Cur
+		}
+	}
+	l := awguard.Limits{Bytes: int64(clientShare * float64(cfg.MemoryBytes))}
+	conns := l.Bytes / connBytes
+	if files > 0 {
+		conns = min(conns, int64(connShare*(float64(files)-ownFiles)))
+	}
+	l.Conns = int(max(conns, minConns))
+	return l
+}
+
+// Track returns the account of a new connection, which close closes at once. unread
+// returns the bytes that the kernel holds for the process, and may be nil. Track
+// returns false if there is no room for the connection.
+func (g *Guard) Track(closeConn func(), unread func() int64) (*Account, bool) {
+	if g == nil {
+		return &Account{}, true
+	}
+	a := &Account{guard: g, close: closeConn, unread: unread, inHeader: true, progress: g.now()}
+	g.held.Add(connBytes)
+	g.mu.Lock()
+	g.accounts[a] = struct{}{}
+	n := len(g.accounts)
+	g.mu.Unlock()
+	if n > g.limits.Conns {
+		g.reclaim(false)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a, !a.closed
+}
+
+func (g *Guard) remove(a *Account) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.accounts, a)
+}
+
+func (g *Guard) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.accounts)
+}
+
+// receiveBuffer returns the size of the receive buffer of the next connection: all of
+// them together should take no more than half of the bytes for clients, and the kernel
+// doubles the size.
+func (g *Guard) receiveBuffer() int {
+	return int(min(max(g.limits.Bytes/4/int64(g.count()+1), minReceiveBuffer), maxReceiveBuffer))
+}
+
+// checkBytes closes connections if all of them together hold too much.
+func (g *Guard) checkBytes() {
+	if g.held.Load() > g.limits.Bytes {
+		g.reclaim(false)
+	}
+}
+
+// Run looks at what the kernel holds for the process until ctx ends.
+func (g *Guard) Run(ctx context.Context) {
+	tick := time.NewTicker(sampleInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			// The kernel may hold twice the buffer size for each connection.
+			if g.held.Load()+int64(g.count())*2*maxReceiveBuffer > g.limits.Bytes {
+				g.reclaim(true)
+			}
+		}
+	}
+}
+
+// reclaim closes the connections that the limits call for. If sample is set, what the
+// kernel holds counts too.
+func (g *Guard) reclaim(sample bool) {
+	g.choosing.Lock()
+	defer g.choosing.Unlock()
+	if !sample && g.held.Load() <= g.limits.Bytes && g.count() <= g.limits.Conns {
+		return // another goroutine has closed some
+	}
+	g.mu.Lock()
+	accounts := make([]*Account, 0, len(g.accounts))
+	for a := range g.accounts {
+		accounts = append(accounts, a)
+	}
+	g.mu.Unlock()
+	now := g.now()
+	states := make([]awguard.Conn, len(accounts))
+	for i, a := range accounts {
+		states[i] = a.state(now, sample)
+	}
+	for _, v := range g.limits.Choose(states) {
+		if accounts[v.Index].shut(states[v.Index].Phase) {
+			g.recordClosed(v.Reason, now)
+		}
+	}
+}
+
+// recordClosed counts a closed connection and writes a log line if the last one for
+// the reason is old enough.
+func (g *Guard) recordClosed(r awguard.Reason, now time.Time) {
+	g.closed[r].Inc()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unlogged[r]++
+	if now.Sub(g.logged[r]) < logInterval {
+		return
+	}
+	_ = level.Warn(g.logger).Log("Message", "connections of clients closed", "Reason", r.String(), "Closed", g.unlogged[r],
+		"Connections", len(g.accounts), "MaxConnections", g.limits.Conns, "HeldBytes", g.held.Load(), "MaxHeldBytes", g.limits.Bytes)
+	g.logged[r], g.unlogged[r] = now, 0
+}
--- a/io/awhttp/left.go
+++ b/io/awhttp/left.go
@@ -21,6 +21,12 @@
 	return ctx
 }
 
+// connOf returns the tracked connection of a request, or nil.
+func connOf(ctx context.Context) *trackedConn {
+	c, _ := ctx.Value(connKey{}).(*trackedConn)
+	return c
+}
+
 // HasLeft reports whether the client of the request with the given context has
 // closed its connection. It asks the socket, whereas the end of the context follows
 // only when a read has returned. It returns false if the server was not passed to
