Bound what clients make a process hold

Clients could make a process hold bodies, headers, buffered responses and connections without a bound: 150 callers with unfinished bodies of 2 MiB took 390 MiB of a gateway.

awhttp.Guard accounts these bytes per connection while they arrive. If they exceed 0.35 of Limits.MemoryMiB, or the connections and those over which requests are passed on exceed 7/8 of the descriptors of Limits.MaxFiles less 200, core/awguard chooses the connections that hold most and move least, and they are closed. Receive buffers are bounded, and what the kernel holds is sampled when memory may be short. awentry counts bodies against Limits.HeldBytes while they arrive instead of ahead.

--- a/core/awguard/awguard.go
+++ b/core/awguard/awguard.go
@@ -30,12 +30,13 @@
 	Quiet    time.Duration // since it last moved a notable number of bytes
 	Blocked  time.Duration // how long a write has waited for the client; 0 if none waits
 	Answered bool          // it has carried a request to its response before
+	Files    int           // descriptors that it takes, with that of a connection over which its request was passed on
 }
 
 // Limits bounds what all connections of a process hold.
 type Limits struct {
 	Bytes int64
-	Conns int
+	Files int
 }
 
 // Reason is why a connection is closed.
@@ -44,7 +45,7 @@
 // Reasons for which connections are closed.
 const (
 	Memory Reason = iota
-	Connections
+	Descriptors
 	reasons
 )
 
@@ -56,7 +57,7 @@
 	if r == Memory {
 		return "memory"
 	}
-	return "connections"
+	return "descriptors"
 }
 
 // Victim is a connection to be closed.
@@ -79,7 +80,7 @@
 	// After a limit is exceeded, connections are closed until a fraction of it is free,
 	// so that the decision is not made again for each byte and each connection.
 	bytesReserve = 8
-	connsReserve = 16
+	filesReserve = 16
 )
 
 // Choose returns the connections to be closed so that the others are within the
@@ -88,21 +89,22 @@
 func (l Limits) Choose(conns []Conn) []Victim {
 	var victims []Victim
 	chosen := make([]bool, len(conns))
-	left, held := len(conns), int64(0)
+	files, held := 0, int64(0)
 	for _, c := range conns {
 		held += c.Bytes
+		files += c.Files
 	}
 	take := func(i int, r Reason) {
 		victims, chosen[i] = append(victims, Victim{i, r}), true
-		left--
+		files -= conns[i].Files
 		held -= conns[i].Bytes
 	}
-	if left > l.Conns {
+	if files > l.Files {
 		for _, i := range ranked(conns, chosen, Conn.descriptorScore) {
-			if left <= l.Conns-l.Conns/connsReserve {
+			if files <= l.Files-l.Files/filesReserve {
 				break
 			}
-			take(i, Connections)
+			take(i, Descriptors)
 		}
 	}
 	if held > l.Bytes {
--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -21,6 +21,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -116,7 +117,7 @@
 // NewPool returns an empty pool.
 func NewPool(cfg Config) *Pool {
 	if cfg.Dial == nil {
-		d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		d := &net.Dialer{Timeout: dialTimeout, Control: limitReceiveBuffer, KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 		}}
 		cfg.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
@@ -470,3 +471,16 @@
 	}
 	return idleTimeout
 }
+
+// receiveBufferBytes limits what the kernel buffers of a response that the caller does
+// not read. The kernel doubles it. One connection then carries 25 Mbit/s at a
+// round-trip time of 20 ms.
+const receiveBufferBytes = 64 << 10
+
+// limitReceiveBuffer is the Control function of the pool's dialer.
+func limitReceiveBuffer(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		// A failure only costs kernel memory.
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+	})
+}
--- a/io/awcommand/daemon.go
+++ b/io/awcommand/daemon.go
@@ -70,7 +70,7 @@
 		return settingsExitCode(err, stderr)
 	}
 	// Weights fill what they are given, without garbage.
-	limitMemory(cfg.Limits.MemoryMiB + int(cfg.Weights.MemoryBytes>>20))
+	debug.SetMemoryLimit(int64(heapShare*float64(cfg.Limits.MemoryMiB<<20)) + int64(cfg.Weights.MemoryBytes))
 	forced, stop := secondSignal()
 	defer stop()
 	return runDaemon(stderr, "awagent", cfg.Process, cfg.Trace, func(ctx context.Context, env environment) error {
--- a/io/awentry/departure_test.go
+++ b/io/awentry/departure_test.go
@@ -35,7 +35,7 @@
 			lis, err := awhttp.Listen("127.0.0.1:0")
 			require.NoError(t, err)
 			gate := &awgate.Listener{Listener: lis}
-			srv := e.newCallerServer()
+			srv := e.newCallerServer(nil)
 			go func() { _ = serveHTTP(srv, gate) }()
 			t.Cleanup(func() { _ = srv.Close() })
 			addr := lis.Addr().String()
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -87,6 +87,10 @@
 	firstTokenSilence, tokenSilence time.Duration // until a standby is sought
 }
 
+// heldShare is the share of Limits.HeldBytes that clients may fill before those that
+// hold most and move least are closed. Above it, new requests would be refused.
+const heldShare = 0.75
+
 // New returns an entry that is started with [Entry.Run].
 func New(cfg Config) *Entry {
 	s := cfg.Settings
@@ -126,7 +130,7 @@
 // Run serves requests until ctx ends and then drains.
 func (e *Entry) Run(ctx context.Context) error {
 	s := e.cfg.Settings
-	guard := awhttp.NewGuard(awhttp.GuardConfig{MemoryBytes: int64(s.Limits.MemoryMiB) << 20, Files: s.Limits.MaxFiles, Logger: e.cfg.Logger})
+	guard := awhttp.NewGuard(awhttp.GuardConfig{MemoryBytes: int64(s.Limits.MemoryMiB) << 20, MaxBytes: int64(heldShare * float64(s.Limits.HeldBytes)), Files: s.Limits.MaxFiles, Logger: e.cfg.Logger})
 	inner, err := e.tls.Listen(s.Listen.Inner)
 	if err != nil {
 		return err
--- a/io/awentry/request.go
+++ b/io/awentry/request.go
@@ -149,19 +149,15 @@
 	if r.ContentLength > int64(limit) {
 		return tooLargeError(limit)
 	}
-	size := limit // reserved for a body of unknown length
-	if r.ContentLength >= 0 {
-		size = int(r.ContentLength)
-	}
-	if !req.reserve(size) {
-		return overloadedError("the entry has reached its limit of held bytes", defaultRetryAfterMs)
-	}
 	stop := context.AfterFunc(e.stopped, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
 	// Unlike http.MaxBytesReader, a LimitReader leaves the connection open.
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	body, err := io.ReadAll(io.LimitReader(&reservingReader{r.Body, req}, int64(limit)+1))
 	if !stop() {
 		return awoutcome.Refuse(awoutcome.Leaving, "the entry stopped before the body had arrived")
 	}
+	if errors.Is(err, errHeldBytes) {
+		return overloadedError("the entry has reached its limit of held bytes", defaultRetryAfterMs)
+	}
 	if err != nil {
 		return bodyError(err)
 	}
@@ -173,6 +169,23 @@
 	return nil
 }
 
+var errHeldBytes = errors.New("limit of held bytes reached")
+
+// reservingReader counts a body against Limits.HeldBytes while it arrives.
+type reservingReader struct {
+	body io.Reader
+	req  *request
+}
+
+// Read implements [io.Reader].
+func (r *reservingReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if n > 0 && !r.req.reserve(n) {
+		return 0, errHeldBytes
+	}
+	return n, err
+}
+
 func tooLargeError(limit int) error {
 	return awoutcome.Refuse(awoutcome.BodyTooLarge, "body is larger than "+strconv.Itoa(limit)+" bytes")
 }
--- a/io/awentry/stop_test.go
+++ b/io/awentry/stop_test.go
@@ -28,7 +28,7 @@
 	go e.sync.pauseCheckLoop(t.Context())
 	lis, err := awhttp.Listen("127.0.0.1:0")
 	require.NoError(t, err)
-	srv := e.newCallerServer()
+	srv := e.newCallerServer(nil)
 	go func() { _ = serveHTTP(srv, lis) }()
 	return lis.Addr().String(), func() {
 		e.drain(lis, srv)
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -151,11 +151,11 @@
 // forwardWhole forwards a response that is not an event stream.
 func (s *send) forwardWhole(ctx context.Context, resp *awbackend.Response) sendResult {
 	q := s.q
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
+	buffered := awhttp.NewHeldReader(ctx, resp.Body, maxBufferedBody)
+	body, err := io.ReadAll(buffered)
 	if err != nil {
 		return failedResult(ctx, err)
 	}
-	awhttp.Hold(ctx, len(body))
 	q.forward.Lock()
 	defer q.forward.Unlock()
 	switch {
@@ -174,7 +174,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps net/http from guessing the type
 	}
-	exceedsBuffer := len(body) == maxBufferedBody
+	exceedsBuffer := buffered.Stopped()
 	if !exceedsBuffer {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
--- a/io/awhttp/account.go
+++ b/io/awhttp/account.go
@@ -47,6 +47,7 @@
 	arrived    int64 // bytes of the current request
 	held       int64 // accounted for the current request
 	header     int64 // of held, for the header
+	passed     bool  // the request is counted in the guard's passed
 	answered   bool
 	messages   bool      // carries a protocol of messages
 	unfinished bool      // the current message is large and not complete
@@ -161,6 +162,14 @@
 // pass records that the request is passed on. It returns false if the connection is
 // being closed; the request must then not run.
 func (a *Account) pass() bool {
+	if !a.markPassed() {
+		return false
+	}
+	a.guard.checkFiles()
+	return true
+}
+
+func (a *Account) markPassed() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed {
@@ -169,10 +178,20 @@
 	if a.phase == awguard.Receiving {
 		a.phase = awguard.Serving
 		a.hold(headerCopies * a.header)
+		a.passed = true
+		a.guard.passed.Add(1)
 	}
 	return true
 }
 
+// end records that the request, if one was passed on, has ended; mu must be held.
+func (a *Account) end() {
+	if a.passed {
+		a.passed = false
+		a.guard.passed.Add(-1)
+	}
+}
+
 // discard records that the request was refused and that the rest of it is not kept.
 func (a *Account) discard() {
 	if a.guard == nil {
@@ -215,6 +234,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.end()
 	if !a.closed {
 		a.hold(-a.held)
 	}
@@ -231,7 +251,10 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c := awguard.Conn{Phase: a.phase, Bytes: connBytes + a.held + unread, Quiet: now.Sub(a.progress), Answered: a.answered}
+	c := awguard.Conn{Phase: a.phase, Bytes: connBytes + a.held + unread, Quiet: now.Sub(a.progress), Answered: a.answered, Files: 1}
+	if a.passed {
+		c.Files = 2
+	}
 	if !a.writing.IsZero() {
 		c.Blocked = now.Sub(a.writing)
 	}
@@ -260,6 +283,7 @@
 func (a *Account) release() {
 	if !a.closed {
 		a.closed = true
+		a.end()
 		a.guard.held.Add(-a.held - connBytes)
 	}
 }
--- a/io/awhttp/drain.go
+++ b/io/awhttp/drain.go
@@ -61,6 +61,7 @@
 		return nil, eris.Wrap(err, "access the socket")
 	}
 	c := &trackedConn{TCPConn: tcp, raw: raw, set: s}
+	c.account = guard.Account(c.abort, c.unread)
 	if guard != nil {
 		_ = tcp.SetReadBuffer(guard.receiveBuffer()) // a failure only costs kernel memory
 	}
@@ -70,9 +71,7 @@
 	}
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
-	var ok bool
-	if c.account, ok = guard.Track(c.abort, c.unread); !ok {
-		_ = c.Close() // nobody waits for the result
+	if !c.account.Admit() {
 		return nil, nil
 	}
 	return c, nil
--- a/io/awhttp/guard.go
+++ b/io/awhttp/guard.go
@@ -21,14 +21,15 @@
 	clientShare = 0.35
 	// ownFiles is the number of descriptors that are kept for files.
 	ownFiles = 200
-	// connShare is the share of the other descriptors for connections of clients. The
-	// rest is for connections to other processes.
-	connShare = 7. / 8
-	// minConns is the least bound on connections, with any settings.
-	minConns = 32
+	// clientFiles is the share of the other descriptors for connections of clients and
+	// those over which their requests are passed on. The rest is for idle connections to
+	// other processes and for the store.
+	clientFiles = 7. / 8
+	// minFiles is the least bound on descriptors, with any settings.
+	minFiles = 32
 	// maxReceiveBuffer and minReceiveBuffer bound what the kernel buffers in the
 	// direction of the process. The kernel doubles the values.
-	maxReceiveBuffer = 64 << 10
+	maxReceiveBuffer = 32 << 10
 	minReceiveBuffer = 8 << 10
 	// sampleInterval is the time between two looks at what the kernel holds.
 	sampleInterval = 100 * time.Millisecond
@@ -39,6 +40,7 @@
 // GuardConfig configures a [Guard].
 type GuardConfig struct {
 	MemoryBytes int64 // memory above which the process is killed
+	MaxBytes    int64 // bound on the bytes of clients, if that is less than a share of the memory; 0 for none
 	Files       int   // descriptors that the process may open; 0 means its resource limit
 	Logger      log.Logger
 	Now         func() time.Time // nil for the system's clock
@@ -51,6 +53,7 @@
 	logger log.Logger
 	now    func() time.Time
 	held   atomic.Int64 // bytes of all accounts, with connBytes for each
+	passed atomic.Int64 // requests that were passed on and are not answered
 	closed [awguard.Reasons]*metrics.Counter
 
 	choosing sync.Mutex // held while connections are chosen and closed
@@ -72,8 +75,9 @@
 	}
 	metrics.GetOrCreateGauge("arbutuswind_clients_held_bytes", func() float64 { return float64(g.held.Load()) })
 	metrics.GetOrCreateGauge("arbutuswind_clients_connections", func() float64 { return float64(g.count()) })
+	metrics.GetOrCreateGauge("arbutuswind_clients_descriptors", func() float64 { return float64(g.files()) })
 	metrics.GetOrCreateGauge("arbutuswind_clients_limit_bytes", func() float64 { return float64(g.limits.Bytes) })
-	metrics.GetOrCreateGauge("arbutuswind_clients_limit_connections", func() float64 { return float64(g.limits.Conns) })
+	metrics.GetOrCreateGauge("arbutuswind_clients_limit_descriptors", func() float64 { return float64(g.limits.Files) })
 	return g
 }
 
@@ -86,33 +90,42 @@
 		}
 	}
 	l := awguard.Limits{Bytes: int64(clientShare * float64(cfg.MemoryBytes))}
-	conns := l.Bytes / connBytes
+	if cfg.MaxBytes > 0 {
+		l.Bytes = min(l.Bytes, cfg.MaxBytes)
+	}
+	bound := l.Bytes / connBytes
 	if files > 0 {
-		conns = min(conns, int64(connShare*(float64(files)-ownFiles)))
+		bound = min(bound, int64(clientFiles*(float64(files)-ownFiles)))
 	}
-	l.Conns = int(max(conns, minConns))
+	l.Files = int(max(bound, minFiles))
 	return l
 }
 
-// Track returns the account of a new connection, which close closes at once. unread
-// returns the bytes that the kernel holds for the process, and may be nil. Track
-// returns false if there is no room for the connection.
-func (g *Guard) Track(closeConn func(), unread func() int64) (*Account, bool) {
+// Account returns the account of a new connection, which closeConn closes at once.
+// unread returns the bytes that the kernel holds for the process, and may be nil.
+// Nothing is bounded before [Account.Admit].
+func (g *Guard) Account(closeConn func(), unread func() int64) *Account {
 	if g == nil {
-		return &Account{}, true
+		return &Account{}
+	}
+	return &Account{guard: g, close: closeConn, unread: unread, inHeader: true, progress: g.now()}
+}
+
+// Admit begins to bound the connection. It returns false if there is no room for it;
+// the connection is then closed.
+func (a *Account) Admit() bool {
+	g := a.guard
+	if g == nil {
+		return true
 	}
-	a := &Account{guard: g, close: closeConn, unread: unread, inHeader: true, progress: g.now()}
 	g.held.Add(connBytes)
 	g.mu.Lock()
 	g.accounts[a] = struct{}{}
-	n := len(g.accounts)
 	g.mu.Unlock()
-	if n > g.limits.Conns {
-		g.reclaim(false)
-	}
+	g.checkFiles()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a, !a.closed
+	return !a.closed
 }
 
 func (g *Guard) remove(a *Account) {
@@ -127,6 +140,16 @@
 	return len(g.accounts)
 }
 
+// files returns the descriptors that the connections take.
+func (g *Guard) files() int { return g.count() + int(g.passed.Load()) }
+
+// checkFiles closes connections if all of them together take too many descriptors.
+func (g *Guard) checkFiles() {
+	if g.files() > g.limits.Files {
+		g.reclaim(false)
+	}
+}
+
 // receiveBuffer returns the size of the receive buffer of the next connection: all of
 // them together should take no more than half of the bytes for clients, and the kernel
 // doubles the size.
@@ -141,6 +164,13 @@
 	}
 }
 
+// shortShare is the part of the bytes for clients above which less of each response is
+// buffered.
+const shortShare = 0.5
+
+// isShort reports whether the clients hold much.
+func (g *Guard) isShort() bool { return float64(g.held.Load()) > shortShare*float64(g.limits.Bytes) }
+
 // Run looks at what the kernel holds for the process until ctx ends.
 func (g *Guard) Run(ctx context.Context) {
 	tick := time.NewTicker(sampleInterval)
@@ -163,7 +193,7 @@
 func (g *Guard) reclaim(sample bool) {
 	g.choosing.Lock()
 	defer g.choosing.Unlock()
-	if !sample && g.held.Load() <= g.limits.Bytes && g.count() <= g.limits.Conns {
+	if !sample && g.held.Load() <= g.limits.Bytes && g.files() <= g.limits.Files {
 		return // another goroutine has closed some
 	}
 	g.mu.Lock()
@@ -195,6 +225,6 @@
 		return
 	}
 	_ = level.Warn(g.logger).Log("Message", "connections of clients closed", "Reason", r.String(), "Closed", g.unlogged[r],
-		"Connections", len(g.accounts), "MaxConnections", g.limits.Conns, "HeldBytes", g.held.Load(), "MaxHeldBytes", g.limits.Bytes)
+		"Connections", len(g.accounts), "MaxDescriptors", g.limits.Files, "HeldBytes", g.held.Load(), "MaxHeldBytes", g.limits.Bytes)
 	g.logged[r], g.unlogged[r] = now, 0
 }
--- a/io/awhttp/protect.go
+++ b/io/awhttp/protect.go
@@ -53,14 +53,49 @@
 	return n, err
 }
 
-// Hold accounts n further bytes for the request with the given context until its
-// response has been written.
-func Hold(ctx context.Context, n int) {
-	if c := connOf(ctx); c != nil {
-		c.account.Hold(n)
+// HeldReader reads a response that is buffered before it is passed on to the client
+// of a request, and accounts it for the request's connection while it arrives.
+type HeldReader struct {
+	reader  io.Reader
+	account *Account // nil if nothing is accounted
+	left    int
+	read    int
+	stopped bool
+}
+
+// NewHeldReader returns a reader of at most limit bytes of r, for the request with the
+// given context. It ends earlier, but not before minHeld bytes, if the process holds
+// much for its clients.
+func NewHeldReader(ctx context.Context, r io.Reader, limit int) *HeldReader {
+	h := &HeldReader{reader: r, left: limit}
+	if c := connOf(ctx); c != nil && c.account.guard != nil {
+		h.account = c.account
 	}
+	return h
 }
 
+// minHeld is how much of a response is buffered in any case.
+const minHeld = 16 << 10
+
+// Read implements [io.Reader].
+func (h *HeldReader) Read(p []byte) (int, error) {
+	if h.left <= 0 || h.read >= minHeld && h.account != nil && h.account.guard.isShort() {
+		h.stopped = true
+		return 0, io.EOF
+	}
+	n, err := h.reader.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	h.read += n
+	if h.account != nil {
+		h.account.Hold(n)
+	}
+	return n, err
+}
+
+// Stopped reports whether the reader ended before the response did, as far as it has
+// seen.
+func (h *HeldReader) Stopped() bool { return h.stopped }
+
 // parsedBytes returns the memory that a parsed header takes.
 func parsedBytes(h http.Header) int64 {
 	n := 0
--- a/io/awrpc/guard.go
+++ b/io/awrpc/guard.go
@@ -25,12 +25,11 @@
 		if c, ok := conn.(interface{ NetConn() net.Conn }); ok {
 			transport = c.NetConn() // the Close of a TLS connection may wait for the client
 		}
-		account, ok := l.guard.Track(func() { _ = transport.Close() }, nil)
-		if ok {
-			return &guardedConn{Conn: conn, account: account}, nil
+		c := &guardedConn{Conn: conn}
+		c.account = l.guard.Account(func() { c.account.Close(); _ = transport.Close() }, nil) // nobody waits for the result
+		if c.account.Admit() {
+			return c, nil
 		}
-		account.Close()
-		_ = transport.Close() // nobody waits for the result
 	}
 }
 
