--- a/core/awguard/awguard.go
+++ b/core/awguard/awguard.go
@@ -81,35 +81,56 @@
 	// so that the decision is not made again for each byte and each connection.
 	bytesReserve = 8
 	filesReserve = 16
+	// freshReserve is the part of the descriptors by which fresh connections may exceed
+	// the limit while the others carry requests. These get "Connection: close" with
+	// their responses meanwhile, so that callers who reconnect are served in turn.
+	freshReserve = 8
+	freshFor     = time.Second
 )
 
+// MaxFiles returns the descriptors that may be taken while fresh connections wait for
+// others to end.
+func (l Limits) MaxFiles() int { return l.Files + l.Files/freshReserve }
+
 // Choose returns the connections to be closed so that the others are within the
 // limits, those that hold most and move least first. Connections that must not be
-// closed may keep a limit exceeded.
+// closed may keep a limit exceeded. The others then keep an eighth of the bytes, so
+// that small requests are still served.
 func (l Limits) Choose(conns []Conn) []Victim {
 	var victims []Victim
 	chosen := make([]bool, len(conns))
-	files, held := 0, int64(0)
+	files, held, pinned := 0, int64(0), int64(0)
 	for _, c := range conns {
 		held += c.Bytes
 		files += c.Files
+		if !c.mayBeClosed() {
+			pinned += c.Bytes
+		}
 	}
+	reserve := l.Bytes / bytesReserve
 	take := func(i int, r Reason) {
 		victims, chosen[i] = append(victims, Victim{i, r}), true
 		files -= conns[i].Files
 		held -= conns[i].Bytes
 	}
 	if files > l.Files {
+		freshLimit := l.MaxFiles()
+		if files > freshLimit {
+			freshLimit -= l.Files / filesReserve
+		}
 		for _, i := range ranked(conns, chosen, Conn.descriptorScore) {
 			if files <= l.Files-l.Files/filesReserve {
 				break
 			}
+			if conns[i].isFresh() && files <= freshLimit {
+				continue
+			}
 			take(i, Descriptors)
 		}
 	}
-	if held > l.Bytes {
+	if held > max(l.Bytes, pinned+reserve) {
 		for _, i := range ranked(conns, chosen, Conn.byteScore) {
-			if held <= l.Bytes-l.Bytes/bytesReserve {
+			if held <= max(l.Bytes-reserve, pinned+reserve/2) {
 				break
 			}
 			take(i, Memory)
@@ -118,6 +139,9 @@
 	return victims
 }
 
+// isFresh reports whether the connection is so new that its request may be on the way.
+func (c Conn) isFresh() bool { return !c.Answered && c.Quiet < freshFor }
+
 // ranked returns the indices of the connections that may be closed, by falling score.
 func ranked(conns []Conn, chosen []bool, score func(Conn) float64) []int {
 	scores, order := make([]float64, len(conns)), []int{}
--- a/io/awentry/request.go
+++ b/io/awentry/request.go
@@ -155,7 +155,7 @@
 	if !stop() {
 		return awoutcome.Refuse(awoutcome.Leaving, "the entry stopped before the body had arrived")
 	}
-	if errors.Is(err, errHeldBytes) {
+	if errors.Is(err, errHeldBytes) || errors.Is(err, awhttp.ErrShort) {
 		return overloadedError("the entry has reached its limit of held bytes", defaultRetryAfterMs)
 	}
 	if err != nil {
--- a/io/awgateway/receive.go
+++ b/io/awgateway/receive.go
@@ -41,6 +41,8 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout, "BodyLate"
+	case errors.Is(err, awhttp.ErrShort):
+		return http.StatusServiceUnavailable, "ClientsHoldTooMuch"
 	case err != nil:
 		return http.StatusBadRequest, "BodyBroken"
 	case q.bodyLimit > 0 && int64(len(data)) > q.bodyLimit:
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -93,7 +93,11 @@
 		return
 	}
 	if status, reason := q.readBody(r); status != 0 {
-		q.refuseEarly(r, status, 0, reason)
+		var retryAfter time.Duration
+		if status == http.StatusServiceUnavailable {
+			retryAfter = minRetryAfter
+		}
+		q.refuseEarly(r, status, retryAfter, reason)
 		return
 	}
 	q.header = endToEndHeaders(r.Header)
--- a/io/awhttp/account.go
+++ b/io/awhttp/account.go
@@ -1,6 +1,8 @@
 package awhttp
 
 import (
+	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -159,21 +161,33 @@
 	}
 }
 
-// pass records that the request is passed on. It returns false if the connection is
-// being closed; the request must then not run.
-func (a *Account) pass() bool {
-	if !a.markPassed() {
-		return false
+// ErrShort is the error of a body that has arrived whole while the clients hold as much
+// as they may. The request must be refused.
+var ErrShort = errors.New("clients hold too much memory")
+
+// smallRequest is the size up to which a request is passed on even then.
+const smallRequest = 16 << 10
+
+// pass records that the request is passed on. If it returns an error, the request must
+// not run: [net.ErrClosed] if the connection is being closed, or [ErrShort].
+func (a *Account) pass() error {
+	if err := a.markPassed(); err != nil {
+		return err
 	}
 	a.guard.checkFiles()
-	return true
+	return nil
 }
 
-func (a *Account) markPassed() bool {
+func (a *Account) markPassed() error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.closed {
-		return false
+	switch {
+	case a.closed:
+		return net.ErrClosed
+	case a.discards:
+		return nil
+	case a.held > smallRequest && a.guard.held.Load() > a.guard.limits.Bytes:
+		return ErrShort
 	}
 	if a.phase == awguard.Receiving {
 		a.phase = awguard.Serving
@@ -181,7 +195,7 @@
 		a.passed = true
 		a.guard.passed.Add(1)
 	}
-	return true
+	return nil
 }
 
 // end records that the request, if one was passed on, has ended; mu must be held.
@@ -199,7 +213,11 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.end()
 	a.phase, a.discards = awguard.Receiving, true
+	if !a.closed {
+		a.hold(-a.held)
+	}
 }
 
 // beginWrite records that a response is being written to the client.
--- a/io/awhttp/guard.go
+++ b/io/awhttp/guard.go
@@ -24,13 +24,16 @@
 	// clientFiles is the share of the other descriptors for connections of clients and
 	// those over which their requests are passed on. The rest is for idle connections to
 	// other processes and for the store.
-	clientFiles = 7. / 8
+	clientFiles = 3. / 4
 	// minFiles is the least bound on descriptors, with any settings.
 	minFiles = 32
 	// maxReceiveBuffer and minReceiveBuffer bound what the kernel buffers in the
 	// direction of the process. The kernel doubles the values.
 	maxReceiveBuffer = 32 << 10
 	minReceiveBuffer = 8 << 10
+	// chooseInterval is the least time between two choices while the descriptors are
+	// between the limit and its reserve.
+	chooseInterval = 20 * time.Millisecond
 	// sampleInterval is the time between two looks at what the kernel holds.
 	sampleInterval = 100 * time.Millisecond
 	// logInterval is the least time between two log lines for one reason.
@@ -53,6 +56,9 @@
 	logger log.Logger
 	now    func() time.Time
 	held   atomic.Int64 // bytes of all accounts, with connBytes for each
+	chosen atomic.Int64 // when connections were last chosen, in Unix ns
+	floor  atomic.Int64 // bytes below which it is of no use to choose again
+	open   atomic.Int64 // accounts
 	passed atomic.Int64 // requests that were passed on and are not answered
 	closed [awguard.Reasons]*metrics.Counter
 
@@ -121,6 +127,7 @@
 	g.held.Add(connBytes)
 	g.mu.Lock()
 	g.accounts[a] = struct{}{}
+	g.open.Store(int64(len(g.accounts)))
 	g.mu.Unlock()
 	g.checkFiles()
 	a.mu.Lock()
@@ -132,20 +139,22 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.accounts, a)
+	g.open.Store(int64(len(g.accounts)))
 }
 
-func (g *Guard) count() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.accounts)
-}
+func (g *Guard) count() int { return int(g.open.Load()) }
 
 // files returns the descriptors that the connections take.
-func (g *Guard) files() int { return g.count() + int(g.passed.Load()) }
+func (g *Guard) files() int { return int(g.open.Load() + g.passed.Load()) }
+
+// isCrowded reports whether the connections take too many descriptors. Responses then
+// end their connections.
+func (g *Guard) isCrowded() bool { return g.files() > g.limits.Files }
 
 // checkFiles closes connections if all of them together take too many descriptors.
 func (g *Guard) checkFiles() {
-	if g.files() > g.limits.Files {
+	files, now := g.files(), g.now().UnixNano()
+	if files > g.limits.MaxFiles() || files > g.limits.Files && now-g.chosen.Load() >= int64(chooseInterval) {
 		g.reclaim(false)
 	}
 }
@@ -159,11 +168,16 @@
 
 // checkBytes closes connections if all of them together hold too much.
 func (g *Guard) checkBytes() {
-	if g.held.Load() > g.limits.Bytes {
+	if held := g.held.Load(); held > g.limits.Bytes && held > g.floor.Load() {
 		g.reclaim(false)
 	}
 }
 
+// floorStep is the part of the bytes for clients by which they must grow until
+// connections are chosen again, while the limit is exceeded by those that must not be
+// closed.
+const floorStep = 64
+
 // shortShare is the part of the bytes for clients above which less of each response is
 // buffered.
 const shortShare = 0.5
@@ -180,6 +194,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			g.floor.Store(0)
 			// The kernel may hold twice the buffer size for each connection.
 			if g.held.Load()+int64(g.count())*2*maxReceiveBuffer > g.limits.Bytes {
 				g.reclaim(true)
@@ -203,6 +218,7 @@
 	}
 	g.mu.Unlock()
 	now := g.now()
+	g.chosen.Store(now.UnixNano())
 	states := make([]awguard.Conn, len(accounts))
 	for i, a := range accounts {
 		states[i] = a.state(now, sample)
@@ -212,6 +228,7 @@
 			g.recordClosed(v.Reason, now)
 		}
 	}
+	g.floor.Store(g.held.Load() + g.limits.Bytes/floorStep)
 }
 
 // recordClosed counts a closed connection and writes a log line if the last one for
--- a/io/awhttp/protect.go
+++ b/io/awhttp/protect.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 )
 
@@ -26,10 +25,17 @@
 func (h guardedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if c := connOf(r.Context()); c != nil && c.account.guard != nil {
 		c.account.headerRead(r.Header)
+		if c.account.guard.isCrowded() {
+			w.Header().Set("Connection", "close")
+		}
 		if r.ContentLength != 0 {
 			c.body = guardedBody{ReadCloser: r.Body, account: c.account}
 			r.Body = &c.body
-		} else if !c.account.pass() {
+		} else if err := c.account.pass(); errors.Is(err, ErrShort) {
+			w.Header().Set("Content-Length", "0")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		} else if err != nil {
 			panic(http.ErrAbortHandler)
 		}
 	}
@@ -43,12 +49,14 @@
 	account *Account
 }
 
-// Read implements [io.Reader]. At the end of the body it fails if the connection is
-// being closed, because the request must then not run.
+// Read implements [io.Reader]. At the end of the body it fails if the request must not
+// run.
 func (b *guardedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && !b.account.pass() {
-		err = net.ErrClosed
+	if errors.Is(err, io.EOF) {
+		if passErr := b.account.pass(); passErr != nil {
+			return n, passErr
+		}
 	}
 	return n, err
 }
