--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 FUZZ_SEED ?= $(shell date +%s)
 FUZZ_CHECKS ?= 20000
 FUZZ_TIME ?= 20s
-FUZZ_TARGETS := FuzzSheet FuzzSettings FuzzChange FuzzView FuzzManifest
+FUZZ_TARGETS := FuzzSheet FuzzSettings FuzzChange FuzzView FuzzManifest \
+	FuzzRequestHeaders FuzzRequestChunks FuzzPipelinedRequests FuzzFrames
 fuzz:
 	@echo "seed $(FUZZ_SEED)"
 	go test ./internal/awproof -count=1 -timeout 30m -run '^TestInvariants$$' \
--- a/io/awhttp/guard.go
+++ b/io/awhttp/guard.go
@@ -135,6 +135,9 @@
 	return !a.closed
 }
 
+// Held returns the bytes that the clients hold, with a fixed size for each connection.
+func (g *Guard) Held() int64 { return g.held.Load() }
+
 func (g *Guard) remove(a *Account) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
