--- /dev/null
+++ b/io/awhttp/guard_test.go
@@ -0,0 +1,115 @@
+package awhttp
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/stretchr/testify/require"
+)
+
+// startGuarded starts a server whose guard has 358 KiB for clients.
+func startGuarded(t *testing.T, files int, h http.HandlerFunc) (*Guard, string) {
+	t.Helper()
+	g := NewGuard(GuardConfig{MemoryBytes: 1 << 20, Files: files, Logger: log.NewNopLogger()})
+	lis, err := g.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	srv := NewServer(h)
+	g.Protect(srv)
+	go func() { _ = srv.Serve(lis) }() // until the end of the test
+	t.Cleanup(func() { _ = srv.Close() })
+	return g, lis.Addr().String()
+}
+
+func serveBody(w http.ResponseWriter, r *http.Request) {
+	_, err := io.Copy(io.Discard, r.Body)
+	switch {
+	case errors.Is(err, ErrShort):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case err != nil:
+		w.WriteHeader(http.StatusBadRequest)
+	}
+}
+
+// exchange sends a request with a body of size bytes on a connection of its own and
+// returns the status, or 0 if the connection was closed.
+func exchange(t *testing.T, addr string, size int) int {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against a client that sends slowly but steadily losing its connection to
+// others that stop short of the end of their bodies.
+func TestSteadyClientOutlastsStoppedOnes(t *testing.T) {
+	g, addr := startGuarded(t, 4096, serveBody)
+	steady, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer steady.Close()
+	const pieces, piece = 25, 4 << 10
+	_, err = fmt.Fprintf(steady, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", pieces*piece)
+	require.NoError(t, err)
+	for range pieces {
+		_, err = steady.Write(make([]byte, piece))
+		require.NoError(t, err)
+		stopped, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		defer stopped.Close()
+		_, _ = fmt.Fprintf(stopped, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n%s", strings.Repeat("x", 150000))
+		time.Sleep(5 * time.Millisecond)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(steady), nil)
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.LessOrEqual(t, g.Held(), g.limits.Bytes)
+}
+
+// Guards against large requests that are passed on while those before them hold all
+// bytes, and against small ones that are refused then.
+func TestLargeRequestIsRefusedWhileOthersHoldAllBytes(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	g, addr := startGuarded(t, 4096, func(w http.ResponseWriter, r *http.Request) {
+		serveBody(w, r)
+		if r.ContentLength > 300_000 {
+			close(running)
+			<-release
+		}
+	})
+	first := make(chan int, 1)
+	go func() { first <- exchange(t, addr, 335_000) }()
+	<-running
+	require.NotEqual(t, http.StatusOK, exchange(t, addr, 30_000))
+	require.Equal(t, http.StatusOK, exchange(t, addr, 1000))
+	close(release)
+	require.Equal(t, http.StatusOK, <-first)
+	require.Eventually(t, func() bool { return g.Held() == 0 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, http.StatusOK, exchange(t, addr, 30_000))
+}
+
+// Guards against idle connections that keep out new ones.
+func TestNewConnectionReplacesIdleOne(t *testing.T) {
+	g, addr := startGuarded(t, ownFiles, serveBody)
+	for range 2 * minFiles {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		defer conn.Close()
+	}
+	require.Equal(t, http.StatusOK, exchange(t, addr, 100))
+	require.LessOrEqual(t, g.files(), g.limits.MaxFiles())
+}
