Give clients seven eighths of the descriptors

A busy gateway may have 1,700 requests running, which take 3,400 descriptors of 3,900 with their connections to backend servers; three quarters would have met the bound.

--- a/io/awhttp/guard.go
+++ b/io/awhttp/guard.go
@@ -24,7 +24,7 @@
 	// clientFiles is the share of the other descriptors for connections of clients and
 	// those over which their requests are passed on. The rest is for idle connections to
 	// other processes and for the store.
-	clientFiles = 3. / 4
+	clientFiles = 7. / 8
 	// minFiles is the least bound on descriptors, with any settings.
 	minFiles = 32
 	// maxReceiveBuffer and minReceiveBuffer bound what the kernel buffers in the
