--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -87,6 +87,10 @@
 	firstTokenSilence, tokenSilence time.Duration // until a standby is sought
 }
 
+// heldShare is the share of Limits.HeldBytes that clients may fill before those that
+// hold most and move least are closed. Above it, new requests would be refused.
+const heldShare = 0.75
+
 // New returns an entry that is started with [Entry.Run].
 func New(cfg Config) *Entry {
 	s := cfg.Settings
@@ -126,17 +130,19 @@
 // Run serves requests until ctx ends and then drains.
 func (e *Entry) Run(ctx context.Context) error {
 	s := e.cfg.Settings
+	guard := awhttp.NewGuard(awhttp.GuardConfig{MemoryBytes: int64(s.Limits.MemoryMiB) << 20, MaxBytes: int64(heldShare * float64(s.Limits.HeldBytes)), Files: s.Limits.MaxFiles, Logger: e.cfg.Logger})
 	inner, err := e.tls.Listen(s.Listen.Inner)
 	if err != nil {
 		return err
 	}
-	callers, err := awhttp.Listen(s.Listen.Callers)
+	inner = awrpc.Guard(inner, guard)
+	callers, err := guard.Listen(s.Listen.Callers)
 	if err != nil {
 		return err
 	}
-	operators, err := net.Listen("tcp", s.Listen.Operators)
+	operators, err := guard.Listen(s.Listen.Operators)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", s.Listen.Operators)
+		return err
 	}
 	mux := drpcmux.New()
 	if err := awproto.DRPCRegisterEntry(mux, &innerServer{entry: e}); err != nil {
@@ -148,10 +154,12 @@
 	base, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, serveCtx := errgroup.WithContext(base)
-	callerServer := e.newCallerServer()
+	callerServer := e.newCallerServer(guard)
 	operatorServer := awhttp.NewServer(e.operatorHandler())
+	guard.Protect(operatorServer)
 	server := awrpc.NewServer(mux, func(error) {})
 	group.Go(func() error { return server.Serve(serveCtx, inner) })
+	group.Go(func() error { guard.Run(serveCtx); return nil })
 	group.Go(func() error { return serveHTTP(callerServer, callers) })
 	group.Go(func() error { return serveHTTP(operatorServer, operators) })
 	group.Go(func() error { e.configLoop(serveCtx); return nil })
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -162,11 +162,12 @@
 	if q.route.Kind != awdirectory.Stream {
 		q.countRun() // a stream that is answered otherwise has not begun
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody))
+	buffered := awhttp.NewHeldReader(ctx, resp.Body, maxBufferedBody)
+	body, err := io.ReadAll(buffered)
 	if err != nil {
 		return failedResult(ctx, err)
 	}
-	exceedsBuffer := len(body) == maxBufferedBody
+	exceedsBuffer := buffered.Stopped()
 	if resp.Status < 300 && !exceedsBuffer {
 		s.recordAnswered()
 	}
--- /dev/null
+++ b/io/awhttp/guard.go
@@ -0,0 +1,250 @@
+package awhttp
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"arbutuswind/core/awguard"
+)
+
+const (
+	// clientShare is the share of a process's memory that clients may make it hold.
+	// The heap may take 0.7 of it, and needs room for garbage and for what the process
+	// itself keeps.
+	clientShare = 0.35
+	// ownFiles is the number of descriptors that are kept for files.
+	ownFiles = 200
+	// clientFiles is the share of the other descriptors for connections of clients and
+	// those over which their requests are passed on. The rest is for idle connections to
+	// other processes and for the store.
+	clientFiles = 7. / 8
+	// minFiles is the least bound on descriptors, with any settings.
+	minFiles = 32
+	// maxReceiveBuffer and minReceiveBuffer bound what the kernel buffers in the
+	// direction of the process. The kernel doubles the values.
+	maxReceiveBuffer = 32 << 10
+	minReceiveBuffer = 8 << 10
+	// chooseInterval is the least time between two choices while the descriptors are
+	// between the limit and its reserve.
+	chooseInterval = 20 * time.Millisecond
+	// sampleInterval is the time between two looks at what the kernel holds.
+	sampleInterval = 100 * time.Millisecond
+	// logInterval is the least time between two log lines for one reason.
+	logInterval = 5 * time.Second
+)
+
+// GuardConfig configures a [Guard].
+type GuardConfig struct {
+	MemoryBytes int64 // memory above which the process is killed
+	MaxBytes    int64 // bound on the bytes of clients, if that is less than a share of the memory; 0 for none
+	Files       int   // descriptors that the process may open; 0 means its resource limit
+	Logger      log.Logger
+	Now         func() time.Time // nil for the system's clock
+}
+
+// Guard bounds the memory and the descriptors that the clients of a process take. All
+// listeners of a process share one. A nil Guard bounds nothing.
+type Guard struct {
+	limits awguard.Limits
+	logger log.Logger
+	now    func() time.Time
+	held   atomic.Int64 // bytes of all accounts, with connBytes for each
+	chosen atomic.Int64 // when connections were last chosen, in Unix ns
+	floor  atomic.Int64 // bytes below which it is of no use to choose again
+	open   atomic.Int64 // accounts
+	passed atomic.Int64 // requests that were passed on and are not answered
+	closed [awguard.Reasons]*metrics.Counter
+
+	choosing sync.Mutex // held while connections are chosen and closed
+
+	mu       sync.Mutex
+	accounts map[*Account]struct{}
+	logged   [awguard.Reasons]time.Time
+	unlogged [awguard.Reasons]int // connections closed since the last log line
+}
+
+// NewGuard returns a guard that keeps within the limits of the process.
+func NewGuard(cfg GuardConfig) *Guard {
+	g := &Guard{limits: limitsOf(cfg), logger: cfg.Logger, now: cfg.Now, accounts: map[*Account]struct{}{}}
+	if g.now == nil {
+		g.now = time.Now
+	}
+	for r := range g.closed {
+		g.closed[r] = metrics.GetOrCreateCounter(`arbutuswind_clients_closed_total{reason="` + awguard.Reason(r).String() + `"}`)
+	}
+	metrics.GetOrCreateGauge("arbutuswind_clients_held_bytes", func() float64 { return float64(g.held.Load()) })
+	metrics.GetOrCreateGauge("arbutuswind_clients_connections", func() float64 { return float64(g.count()) })
+	metrics.GetOrCreateGauge("arbutuswind_clients_descriptors", func() float64 { return float64(g.files()) })
+	metrics.GetOrCreateGauge("arbutuswind_clients_limit_bytes", func() float64 { return float64(g.limits.Bytes) })
+	metrics.GetOrCreateGauge("arbutuswind_clients_limit_descriptors", func() float64 { return float64(g.limits.Files) })
+	return g
+}
+
+func limitsOf(cfg GuardConfig) awguard.Limits {
+	files := uint64(cfg.Files)
+	if files == 0 {
+		var r syscall.Rlimit
+		if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil {
+			files = r.Cur
+		}
+	}
+	l := awguard.Limits{Bytes: int64(clientShare * float64(cfg.MemoryBytes))}
+	if cfg.MaxBytes > 0 {
+		l.Bytes = min(l.Bytes, cfg.MaxBytes)
+	}
+	bound := l.Bytes / connBytes
+	if files > 0 {
+		bound = min(bound, int64(clientFiles*(float64(files)-ownFiles)))
+	}
+	l.Files = int(max(bound, minFiles))
+	return l
+}
+
+// Account returns the account of a new connection, which closeConn closes at once.
+// unread returns the bytes that the kernel holds for the process, and may be nil.
+// Nothing is bounded before [Account.Admit].
+func (g *Guard) Account(closeConn func(), unread func() int64) *Account {
+	if g == nil {
+		return &Account{}
+	}
+	return &Account{guard: g, close: closeConn, unread: unread, inHeader: true, progress: g.now()}
+}
+
+// Admit begins to bound the connection. It returns false if there is no room for it;
+// the connection is then closed.
+func (a *Account) Admit() bool {
+	g := a.guard
+	if g == nil {
+		return true
+	}
+	g.held.Add(connBytes)
+	g.mu.Lock()
+	g.accounts[a] = struct{}{}
+	g.open.Store(int64(len(g.accounts)))
+	g.mu.Unlock()
+	g.checkFiles()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.closed
+}
+
+// Held returns the bytes that the clients hold, with a fixed size for each connection.
+func (g *Guard) Held() int64 { return g.held.Load() }
+
+func (g *Guard) remove(a *Account) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.accounts, a)
+	g.open.Store(int64(len(g.accounts)))
+}
+
+func (g *Guard) count() int { return int(g.open.Load()) }
+
+// files returns the descriptors that the connections take.
+func (g *Guard) files() int { return int(g.open.Load() + g.passed.Load()) }
+
+// isCrowded reports whether the connections take too many descriptors. Responses then
+// end their connections.
+func (g *Guard) isCrowded() bool { return g.files() > g.limits.Files }
+
+// checkFiles closes connections if all of them together take too many descriptors.
+func (g *Guard) checkFiles() {
+	files, now := g.files(), g.now().UnixNano()
+	if files > g.limits.MaxFiles() || files > g.limits.Files && now-g.chosen.Load() >= int64(chooseInterval) {
+		g.reclaim(false)
+	}
+}
+
+// receiveBuffer returns the size of the receive buffer of the next connection: all of
+// them together should take no more than half of the bytes for clients, and the kernel
+// doubles the size.
+func (g *Guard) receiveBuffer() int {
+	return int(min(max(g.limits.Bytes/4/int64(g.count()+1), minReceiveBuffer), maxReceiveBuffer))
+}
+
+// checkBytes closes connections if all of them together hold too much.
+func (g *Guard) checkBytes() {
+	if held := g.held.Load(); held > g.limits.Bytes && held > g.floor.Load() {
+		g.reclaim(false)
+	}
+}
+
+// floorStep is the part of the bytes for clients by which they must grow until
+// connections are chosen again, while the limit is exceeded by those that must not be
+// closed.
+const floorStep = 64
+
+// shortShare is the part of the bytes for clients above which less of each response is
+// buffered.
+const shortShare = 0.5
+
+// isShort reports whether the clients hold much.
+func (g *Guard) isShort() bool { return float64(g.held.Load()) > shortShare*float64(g.limits.Bytes) }
+
+// Run looks at what the kernel holds for the process until ctx ends.
+func (g *Guard) Run(ctx context.Context) {
+	tick := time.NewTicker(sampleInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			g.floor.Store(0)
+			// The kernel may hold twice the buffer size for each connection.
+			if g.held.Load()+int64(g.count())*2*maxReceiveBuffer > g.limits.Bytes {
+				g.reclaim(true)
+			}
+		}
+	}
+}
+
+// reclaim closes the connections that the limits call for. If sample is set, what the
+// kernel holds counts too.
+func (g *Guard) reclaim(sample bool) {
+	g.choosing.Lock()
+	defer g.choosing.Unlock()
+	if !sample && g.held.Load() <= g.limits.Bytes && g.files() <= g.limits.Files {
+		return // another goroutine has closed some
+	}
+	g.mu.Lock()
+	accounts := make([]*Account, 0, len(g.accounts))
+	for a := range g.accounts {
+		accounts = append(accounts, a)
+	}
+	g.mu.Unlock()
+	now := g.now()
+	g.chosen.Store(now.UnixNano())
+	states := make([]awguard.Conn, len(accounts))
+	for i, a := range accounts {
+		states[i] = a.state(now, sample)
+	}
+	for _, v := range g.limits.Choose(states) {
+		if accounts[v.Index].shut(states[v.Index].Phase) {
+			g.recordClosed(v.Reason, now)
+		}
+	}
+	g.floor.Store(g.held.Load() + g.limits.Bytes/floorStep)
+}
+
+// recordClosed counts a closed connection and writes a log line if the last one for
+// the reason is old enough.
+func (g *Guard) recordClosed(r awguard.Reason, now time.Time) {
+	g.closed[r].Inc()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unlogged[r]++
+	if now.Sub(g.logged[r]) < logInterval {
+		return
+	}
+	_ = level.Warn(g.logger).Log("Message", "connections of clients closed", "Reason", r.String(), "Closed", g.unlogged[r],
+		"Connections", len(g.accounts), "MaxDescriptors", g.limits.Files, "HeldBytes", g.held.Load(), "MaxHeldBytes", g.limits.Bytes)
+	g.logged[r], g.unlogged[r] = now, 0
+}
