awhttp: leave the server's request unchanged in Protect

Cause: Protect replaced the body of the request that net/http keeps. net/http looks at the type of that body to decide whether the connection can be used again, so after an early refusal of a request with Expect: 100-continue a body sent late was handled as a new request. Change: the handler gets a copy of the request with the guarded body. Result: the new test, which failed before, sees the connection end.

--- a/io/awhttp/guard_test.go
+++ b/io/awhttp/guard_test.go
@@ -113,3 +113,35 @@
 	require.Equal(t, http.StatusOK, exchange(t, addr, 100))
 	require.LessOrEqual(t, g.files(), g.limits.MaxFiles())
 }
+
+// Guards against a refused body that arrives late and is handled as another request:
+// net/http must see its own kind of body to end the connection.
+func TestLateBodyOfRefusedRequestIsNoRequest(t *testing.T) {
+	refused := make(chan struct{})
+	_, addr := startGuarded(t, 4096, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			t.Errorf("the body was handled as a request for %s", r.URL.Path)
+			return
+		}
+		RespondEarly(w, r, 1<<20, 10*time.Second, func() {
+			w.Header().Set("Content-Length", "0")
+			w.WriteHeader(http.StatusForbidden)
+		})
+		close(refused)
+	})
+	const body = "GET /body HTTP/1.1\r\nHost: a\r\n\r\n"
+	conn, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", len(body))
+	require.NoError(t, err)
+	reader := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	require.Equal(t, http.StatusForbidden, resp.StatusCode)
+	<-refused
+	_, _ = conn.Write([]byte(body)) // fails if the connection has ended
+	_, err = http.ReadResponse(reader, nil)
+	require.Error(t, err, "a second response")
+}
--- a/io/awhttp/protect.go
+++ b/io/awhttp/protect.go
@@ -30,6 +30,9 @@
 		}
 		if r.ContentLength != 0 {
 			c.body = guardedBody{ReadCloser: r.Body, account: c.account}
+			// net/http looks at the type of its own request's body to decide whether the
+			// connection can be used again, so that request stays as it is.
+			r = r.WithContext(r.Context())
 			r.Body = &c.body
 		} else if err := c.account.pass(); errors.Is(err, ErrShort) {
 			w.Header().Set("Content-Length", "0")
