awhttp, awcontrol: decode no body that the guard refuses

Cause: at the end of a body that must not run, the guard returned its last bytes together with the error. The operators' API decoded a complete change from them and never saw the error. Change: the guard returns no bytes with that error, and the operators' API reads the body of a change or reset to its end before it decodes it.

--- a/io/awcontrol/api.go
+++ b/io/awcontrol/api.go
@@ -91,10 +91,31 @@
 	reply(w, http.StatusOK, changes)
 }
 
-func (s *Server) change(w http.ResponseWriter, r *http.Request) {
+// readChange reads and decodes the body of a request. It returns false if it has
+// responded with a refusal. It reads the body to its end before it decodes, because
+// the end may carry the error that the request must not run.
+func readChange(w http.ResponseWriter, r *http.Request) (ChangeRequest, bool) {
 	var req ChangeRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxChangeBytes)).Decode(&req); err != nil {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxChangeBytes+1))
+	if err != nil {
+		replyError(w, eris.Wrap(err, "read change request"))
+		return req, false
+	}
+	if len(data) > maxChangeBytes {
+		err = eris.Errorf("larger than %d bytes", maxChangeBytes)
+	} else {
+		err = json.Unmarshal(data, &req)
+	}
+	if err != nil {
 		reply(w, http.StatusBadRequest, Refusal{Error: "decode change request: " + err.Error()})
+		return req, false
+	}
+	return req, true
+}
+
+func (s *Server) change(w http.ResponseWriter, r *http.Request) {
+	req, ok := readChange(w, r)
+	if !ok {
 		return
 	}
 	switch req.Kind {
@@ -134,9 +155,8 @@
 }
 
 func (s *Server) acceptReset(w http.ResponseWriter, r *http.Request) {
-	var req ChangeRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxChangeBytes)).Decode(&req); err != nil {
-		reply(w, http.StatusBadRequest, Refusal{Error: "decode change request: " + err.Error()})
+	req, ok := readChange(w, r)
+	if !ok {
 		return
 	}
 	if s.PullFromPeers != nil {
--- a/io/awcontrol/log_test.go
+++ b/io/awcontrol/log_test.go
@@ -1,10 +1,13 @@
 package awcontrol_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -402,6 +405,30 @@
 	require.Equal(t, http.StatusServiceUnavailable, refused.Status)
 }
 
+// Guards against a change or a reset that is applied although its body did not arrive
+// whole: the guard of client connections refuses a body by an error at its end.
+func TestChangeWithIncompleteBody(t *testing.T) {
+	pl := newPlatform(t)
+	c, p := newServer(t, pl)
+	for _, path := range []string{"/changes", "/reset"} {
+		body := `{"Kind":"DomainOut","Target":"serra","Actor":"ana"}`
+		conn, err := net.Dial("tcp", strings.TrimPrefix(c.Base, "http://"))
+		require.NoError(t, err)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST %s%s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", awcontrol.APIPrefix, path, len(body)+1, body)
+		require.NoError(t, err)
+		require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		data, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, path)
+		require.Contains(t, string(data), "read change request", path)
+		require.Zero(t, p.holder.State().Revision, path)
+	}
+}
+
 // Guards against a sheet that is applied in part, removes a large share of the
 // replicas by mistake, or overwrites the changes of another operator.
 func TestApplySheet(t *testing.T) {
--- a/io/awhttp/guard_test.go
+++ b/io/awhttp/guard_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -145,3 +146,15 @@
 	_, err = http.ReadResponse(reader, nil)
 	require.Error(t, err, "a second response")
 }
+
+// Guards against a request that is decoded from the bytes that come with a refusal.
+func TestRefusedBodyYieldsNoLastBytes(t *testing.T) {
+	g := NewGuard(GuardConfig{MemoryBytes: 1 << 20, Files: 4096, Logger: log.NewNopLogger()})
+	a := g.Account(func() {}, nil)
+	require.True(t, a.Admit())
+	a.Close()
+	body := &guardedBody{ReadCloser: io.NopCloser(iotest.DataErrReader(strings.NewReader("{}"))), account: a}
+	n, err := body.Read(make([]byte, 10))
+	require.ErrorIs(t, err, net.ErrClosed)
+	require.Zero(t, n)
+}
--- a/io/awhttp/protect.go
+++ b/io/awhttp/protect.go
@@ -53,12 +53,13 @@
 }
 
 // Read implements [io.Reader]. At the end of the body it fails if the request must not
-// run.
+// run. It then returns no bytes, since a decoder that has a complete value from them
+// may never look at the error.
 func (b *guardedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		if passErr := b.account.pass(); passErr != nil {
-			return n, passErr
+			return 0, passErr
 		}
 	}
 	return n, err
