awhttp: check again whether a chosen connection may be closed

Cause: between choice and closing, a connection chosen while a write waited could begin to serve its next request, and one of the internal protocol could receive its next message. Both were closed in spite of it. Change: the state is computed again under the lock, by the function that computed it for the choice, and decides. Result: the new test, whose two cases each failed before, passes.

--- a/core/awguard/awguard.go
+++ b/core/awguard/awguard.go
@@ -103,7 +103,7 @@
 	for _, c := range conns {
 		held += c.Bytes
 		files += c.Files
-		if !c.mayBeClosed() {
+		if !c.MayBeClosed() {
 			pinned += c.Bytes
 		}
 	}
@@ -146,7 +146,7 @@
 func ranked(conns []Conn, chosen []bool, score func(Conn) float64) []int {
 	scores, order := make([]float64, len(conns)), []int{}
 	for i, c := range conns {
-		if !chosen[i] && c.mayBeClosed() {
+		if !chosen[i] && c.MayBeClosed() {
 			scores[i] = score(c)
 			order = append(order, i)
 		}
@@ -155,7 +155,9 @@
 	return order
 }
 
-func (c Conn) mayBeClosed() bool {
+// MayBeClosed reports whether closing the connection interrupts no request that was
+// passed on and whose response the client takes.
+func (c Conn) MayBeClosed() bool {
 	switch c.Phase {
 	case Waiting, Receiving:
 		return true
--- a/core/awguard/awguard_test.go
+++ b/core/awguard/awguard_test.go
@@ -87,14 +87,14 @@
 		gone := map[int]bool{}
 		for _, v := range l.Choose(conns) {
 			require.False(t, gone[v.Index], "chosen twice")
-			require.True(t, conns[v.Index].mayBeClosed())
+			require.True(t, conns[v.Index].MayBeClosed())
 			gone[v.Index] = true
 		}
 		files, held, closable, pinned := 0, int64(0), 0, int64(0)
 		for i, c := range conns {
 			if !gone[i] {
 				files, held = files+c.Files, held+c.Bytes
-				if c.mayBeClosed() {
+				if c.MayBeClosed() {
 					closable++
 				} else {
 					pinned += c.Bytes
--- a/io/awhttp/account.go
+++ b/io/awhttp/account.go
@@ -269,6 +269,12 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.conn(now, unread)
+}
+
+// conn returns what is known of the connection, with the bytes that the kernel holds;
+// mu must be held.
+func (a *Account) conn(now time.Time, unread int64) awguard.Conn {
 	c := awguard.Conn{Phase: a.phase, Bytes: connBytes + a.held + unread, Quiet: now.Sub(a.progress), Answered: a.answered, Files: 1}
 	if a.passed {
 		c.Files = 2
@@ -282,11 +288,11 @@
 	return c
 }
 
-// shut closes the connection unless a request was passed on meanwhile or the client
-// reads again.
-func (a *Account) shut(chosen awguard.Phase) bool {
+// shut closes the connection unless it has moved since it was chosen at the time now,
+// and may no longer be closed.
+func (a *Account) shut(now time.Time) bool {
 	a.mu.Lock()
-	may := !a.closed && (a.phase == chosen || a.phase <= awguard.Receiving || a.messages) && (a.phase != awguard.Responding || !a.writing.IsZero())
+	may := !a.closed && a.conn(now, 0).MayBeClosed()
 	if may {
 		a.release()
 	}
--- a/io/awhttp/guard.go
+++ b/io/awhttp/guard.go
@@ -227,7 +227,7 @@
 		states[i] = a.state(now, sample)
 	}
 	for _, v := range g.limits.Choose(states) {
-		if accounts[v.Index].shut(states[v.Index].Phase) {
+		if accounts[v.Index].shut(now) {
 			g.recordClosed(v.Reason, now)
 		}
 	}
--- a/io/awhttp/guard_test.go
+++ b/io/awhttp/guard_test.go
@@ -158,3 +158,40 @@
 	require.ErrorIs(t, err, net.ErrClosed)
 	require.Zero(t, n)
 }
+
+// Guards against closing a connection that was chosen while it could be closed and has
+// moved since: a peer of the internal protocol whose next message has arrived, and a
+// client whose next response is being written.
+func TestChosenConnectionThatMovesStaysOpen(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	g := NewGuard(GuardConfig{MemoryBytes: 1 << 20, Files: 4096, Logger: log.NewNopLogger(), Now: func() time.Time { return now }})
+	closed := 0
+	open := func() *Account {
+		a := g.Account(func() { closed++ }, nil)
+		require.True(t, a.Admit())
+		return a
+	}
+	peer, client := open(), open()
+	peer.WroteMessage(1)
+	serve := func() {
+		client.Read(10)
+		client.headerRead(nil)
+		require.NoError(t, client.pass())
+		client.beginWrite()
+	}
+	serve()
+	now = now.Add(silentPeer + time.Second)
+	require.True(t, peer.state(now, false).MayBeClosed())
+	require.True(t, client.state(now, false).MayBeClosed())
+	peer.ReadMessage(1, 0, false)
+	client.endWrite(10)
+	client.finish()
+	serve()
+	require.False(t, peer.shut(now))
+	require.False(t, client.shut(now))
+	require.Zero(t, closed)
+	now = now.Add(silentPeer + time.Second)
+	require.True(t, peer.shut(now))
+	require.True(t, client.shut(now))
+	require.Equal(t, 2, closed)
+}
