awhttp, awbackend: fix the size of receive buffers only under pressure

Cause: each connection got a receive buffer of a fixed size, which switches off the sizing by the kernel. A body of 4 MiB over a round-trip time of 50 ms then takes seconds, also in calm conditions. Change: the size is fixed only for new connections above a quarter of the bound on descriptors, or while clients hold more than half of their bytes. awgateway's connections to backend servers follow the same rule. What the kernel holds is sampled as soon as buffers of 6 MiB could exceed the limit. A sample raises the floor of the next choice only above the limit. Result: the new test passes; throughput was not measured.

--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -103,6 +103,9 @@
 type Config struct {
 	Clock awclock.Clock
 	Dial  func(ctx context.Context, addr string) (net.Conn, error) // TCP if nil
+	// LimitBuffer reports whether the receive buffer of a new TCP connection should be
+	// small; nil means never. The kernel sizes it otherwise.
+	LimitBuffer func() bool
 }
 
 // Pool keeps idle connections for reuse, by a key that identifies the backend
@@ -117,7 +120,7 @@
 // NewPool returns an empty pool.
 func NewPool(cfg Config) *Pool {
 	if cfg.Dial == nil {
-		d := &net.Dialer{Timeout: dialTimeout, Control: limitReceiveBuffer, KeepAliveConfig: net.KeepAliveConfig{
+		d := &net.Dialer{Timeout: dialTimeout, Control: cfg.limitReceiveBuffer, KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 		}}
 		cfg.Dial = func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
@@ -478,7 +481,10 @@
 const receiveBufferBytes = 64 << 10
 
 // limitReceiveBuffer is the Control function of the pool's dialer.
-func limitReceiveBuffer(_, _ string, c syscall.RawConn) error {
+func (cfg Config) limitReceiveBuffer(_, _ string, c syscall.RawConn) error {
+	if cfg.LimitBuffer == nil || !cfg.LimitBuffer() {
+		return nil
+	}
 	return c.Control(func(fd uintptr) {
 		// A failure only costs kernel memory.
 		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -88,6 +88,7 @@
 	logger  log.Logger
 	source  *platform.StoreSource
 	router  *awgateway.Gateway
+	guard   *awhttp.Guard
 	watcher *awwatch.Watcher
 	// unlisted signals that the list of entries lacks this start of the entry.
 	unlisted chan struct{}
@@ -97,8 +98,9 @@
 	clock := awclock.System{}
 	self := awdirectory.Entry{Name: cfg.Process.Instance, Address: innerAddress(cfg), Incarnation: incarnation()}
 	g := &gateway{cfg: cfg, self: self, logger: logger, unlisted: make(chan struct{}, 1), source: &platform.StoreSource{Store: platform.NewStore(cfg.Store.Address), Regions: cfg.Regions}}
+	g.guard = newGuard(cfg.Limits, logger)
 	g.router = awgateway.New(awgateway.Config{
-		Clock: clock, Logger: logger, Headers: platform.HeaderCodec{}, Pool: awbackend.NewPool(awbackend.Config{Clock: clock}),
+		Clock: clock, Logger: logger, Headers: platform.HeaderCodec{}, Pool: awbackend.NewPool(awbackend.Config{Clock: clock, LimitBuffer: g.guard.LimitsBuffers}),
 		Instance: cfg.Process.Instance, Domain: cfg.Process.Domain, Region: cfg.Process.Region, Incarnation: self.Incarnation,
 		Retry: retryWindow(cfg.Bounds), Settling: entrySettling,
 	})
@@ -127,7 +129,7 @@
 // run serves until ctx ends, and then until all running requests are answered
 // or the grace period ends.
 func (g *gateway) run(ctx context.Context) error {
-	guard := newGuard(g.cfg.Limits, g.logger)
+	guard := g.guard
 	callers, err := guard.Listen(g.cfg.Listen.Callers)
 	if err != nil {
 		return err
--- a/io/awhttp/drain.go
+++ b/io/awhttp/drain.go
@@ -63,7 +63,9 @@
 	c := &trackedConn{TCPConn: tcp, raw: raw, set: s}
 	c.account = guard.Account(c.abort, c.unread)
 	if guard != nil {
-		_ = tcp.SetReadBuffer(guard.receiveBuffer()) // a failure only costs kernel memory
+		if size := guard.receiveBuffer(); size > 0 {
+			_ = tcp.SetReadBuffer(size) // a failure only costs kernel memory
+		}
 	}
 	s.mu.Lock()
 	if s.conns == nil {
--- a/io/awhttp/guard.go
+++ b/io/awhttp/guard.go
@@ -31,6 +31,13 @@
 	// direction of the process. The kernel doubles the values.
 	maxReceiveBuffer = 32 << 10
 	minReceiveBuffer = 8 << 10
+	// tunedShare is the share of the bound on descriptors up to which the kernel sizes
+	// the receive buffers. A fixed size of 32 KiB lets a body of 4 MiB take seconds at
+	// a round-trip time of 50 ms.
+	tunedShare = 0.25
+	// tunedBuffer is what the kernel may hold for a connection whose buffer it sizes:
+	// the default of Linux for the last value of net.ipv4.tcp_rmem.
+	tunedBuffer = 6 << 20
 	// chooseInterval is the least time between two choices while the descriptors are
 	// between the limit and its reserve.
 	chooseInterval = 20 * time.Millisecond
@@ -162,13 +169,22 @@
 	}
 }
 
-// receiveBuffer returns the size of the receive buffer of the next connection: all of
-// them together should take no more than half of the bytes for clients, and the kernel
-// doubles the size.
+// receiveBuffer returns the size of the receive buffer of the next connection, or 0 if
+// the kernel may size it because there are few connections and they hold little. All
+// buffers of a fixed size together should take no more than half of the bytes for
+// clients, and the kernel doubles the size.
 func (g *Guard) receiveBuffer() int {
-	return int(min(max(g.limits.Bytes/4/int64(g.count()+1), minReceiveBuffer), maxReceiveBuffer))
+	n := g.count() + 1
+	if float64(n) <= tunedShare*float64(g.limits.Files) && !g.isShort() {
+		return 0
+	}
+	return int(min(max(g.limits.Bytes/4/int64(n), minReceiveBuffer), maxReceiveBuffer))
 }
 
+// LimitsBuffers reports whether the receive buffer of a new connection should have a
+// fixed size, because the clients are many or hold much.
+func (g *Guard) LimitsBuffers() bool { return g != nil && g.receiveBuffer() > 0 }
+
 // checkBytes closes connections if all of them together hold too much.
 func (g *Guard) checkBytes() {
 	if held := g.held.Load(); held > g.limits.Bytes && held > g.floor.Load() {
@@ -198,8 +214,7 @@
 			return
 		case <-tick.C:
 			g.floor.Store(0)
-			// The kernel may hold twice the buffer size for each connection.
-			if g.held.Load()+int64(g.count())*2*maxReceiveBuffer > g.limits.Bytes {
+			if g.held.Load()+int64(g.count())*tunedBuffer > g.limits.Bytes {
 				g.reclaim(true)
 			}
 		}
@@ -231,7 +246,9 @@
 			g.recordClosed(v.Reason, now)
 		}
 	}
-	g.floor.Store(g.held.Load() + g.limits.Bytes/floorStep)
+	if held := g.held.Load(); held > g.limits.Bytes {
+		g.floor.Store(held + g.limits.Bytes/floorStep)
+	}
 }
 
 // recordClosed counts a closed connection and writes a log line if the last one for
--- a/io/awhttp/guard_test.go
+++ b/io/awhttp/guard_test.go
@@ -195,3 +195,21 @@
 	require.True(t, client.shut(now))
 	require.Equal(t, 2, closed)
 }
+
+// Guards against small receive buffers in calm conditions, which slow down large bodies,
+// and against buffers that the kernel sizes for a crowd or while clients hold much.
+func TestReceiveBufferIsFixedOnlyUnderPressure(t *testing.T) {
+	g := NewGuard(GuardConfig{MemoryBytes: 64 << 20, Files: 1000, Logger: log.NewNopLogger()})
+	require.Zero(t, g.receiveBuffer())
+	var first *Account
+	for range g.limits.Files / 4 {
+		first = g.Account(func() {}, nil)
+		require.True(t, first.Admit())
+	}
+	require.Equal(t, maxReceiveBuffer, g.receiveBuffer())
+	first.Close()
+	require.Zero(t, g.receiveBuffer())
+	first = g.Account(func() {}, nil)
+	first.Hold(int(g.limits.Bytes / 2))
+	require.NotZero(t, g.receiveBuffer())
+}
