awhttp: refuse requests instead of resetting connections at the bound on descriptors

Cause: while requests that were passed on took all descriptors, and each counts as two although one in a queue holds one, new connections were reset because nothing else could be closed. Change: requests with a body are answered with 503 and Connection: close from a sixteenth above the limit, half of the reserve for new connections. The count and the bounds are unchanged.

--- a/io/awhttp/guard.go
+++ b/io/awhttp/guard.go
@@ -161,6 +161,18 @@
 // end their connections.
 func (g *Guard) isCrowded() bool { return g.files() > g.limits.Files }
 
+// servedReserve is the part of the descriptors by which requests may exceed the limit.
+// It is less than that of fresh connections, so that these can still be answered.
+const servedReserve = 16
+
+// isFull reports whether the requests that were passed on take all descriptors alone.
+// Requests with a body are then refused. Without a refusal their connections would be
+// reset as soon as more arrive, because none of the others may be closed. Requests
+// without a body, such as those for readiness, are still passed on.
+func (g *Guard) isFull() bool {
+	return 2*int(g.passed.Load()) >= g.limits.Files+g.limits.Files/servedReserve
+}
+
 // checkFiles closes connections if all of them together take too many descriptors.
 func (g *Guard) checkFiles() {
 	files, now := g.files(), g.now().UnixNano()
--- a/io/awhttp/guard_test.go
+++ b/io/awhttp/guard_test.go
@@ -20,13 +20,19 @@
 func startGuarded(t *testing.T, files int, h http.HandlerFunc) (*Guard, string) {
 	t.Helper()
 	g := NewGuard(GuardConfig{MemoryBytes: 1 << 20, Files: files, Logger: log.NewNopLogger()})
+	return g, serveGuarded(t, g, h)
+}
+
+// serveGuarded starts a server with the given guard and returns its address.
+func serveGuarded(t *testing.T, g *Guard, h http.HandlerFunc) string {
+	t.Helper()
 	lis, err := g.Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	srv := NewServer(h)
 	g.Protect(srv)
 	go func() { _ = srv.Serve(lis) }() // until the end of the test
 	t.Cleanup(func() { _ = srv.Close() })
-	return g, lis.Addr().String()
+	return lis.Addr().String()
 }
 
 func serveBody(w http.ResponseWriter, r *http.Request) {
@@ -213,3 +219,30 @@
 	first.Hold(int(g.limits.Bytes / 2))
 	require.NotZero(t, g.receiveBuffer())
 }
+
+// Guards against new connections that are reset, instead of refused with a response,
+// while requests that were passed on take all descriptors.
+func TestRequestIsRefusedWhileOthersTakeAllDescriptors(t *testing.T) {
+	running, release := make(chan struct{}, minFiles), make(chan struct{})
+	g := NewGuard(GuardConfig{MemoryBytes: 64 << 20, Files: ownFiles, Logger: log.NewNopLogger()})
+	addr := serveGuarded(t, g, func(w http.ResponseWriter, r *http.Request) {
+		serveBody(w, r)
+		running <- struct{}{}
+		<-release
+	})
+	const served = (minFiles + minFiles/servedReserve) / 2
+	statuses := make(chan int, served)
+	for range served {
+		go func() { statuses <- exchange(t, addr, 100) }()
+		<-running
+	}
+	for range 5 {
+		require.Equal(t, http.StatusServiceUnavailable, exchange(t, addr, 100))
+	}
+	close(release)
+	for range served {
+		require.Equal(t, http.StatusOK, <-statuses)
+	}
+	require.Eventually(t, func() bool { return g.files() == 0 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, http.StatusOK, exchange(t, addr, 100))
+}
--- a/io/awhttp/protect.go
+++ b/io/awhttp/protect.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 // Protect has g bound what the clients of srv make the process hold. It must be
@@ -19,6 +20,10 @@
 	}
 }
 
+// refusalTimeout is how long the rest of a refused body is awaited, so that the client
+// can read the refusal.
+const refusalTimeout = 5 * time.Second
+
 type guardedHandler struct{ next http.Handler }
 
 // ServeHTTP implements [http.Handler].
@@ -28,6 +33,14 @@
 		if c.account.guard.isCrowded() {
 			w.Header().Set("Connection", "close")
 		}
+		if r.ContentLength != 0 && c.account.guard.isFull() {
+			w.Header().Set("Connection", "close")
+			RespondEarly(w, r, 0, refusalTimeout, func() {
+				w.Header().Set("Content-Length", "0")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			return
+		}
 		if r.ContentLength != 0 {
 			c.body = guardedBody{ReadCloser: r.Body, account: c.account}
 			// net/http looks at the type of its own request's body to decide whether the
