awhttp: do not repeat a choice that has just been made

Cause: goroutines that waited for a choice made it again, each over all connections, as the floor and the interval were checked only before the wait. With descriptors above the bound and nothing to close, each new connection and request did so too. Change: the checks are repeated under the lock, and descriptors have a floor like bytes have, valid for the interval between two choices. Result: the new test, which failed before in both cases, passes.

--- a/io/awhttp/guard.go
+++ b/io/awhttp/guard.go
@@ -65,9 +65,12 @@
 	held   atomic.Int64 // bytes of all accounts, with connBytes for each
 	chosen atomic.Int64 // when connections were last chosen, in Unix ns
 	floor  atomic.Int64 // bytes below which it is of no use to choose again
-	open   atomic.Int64 // accounts
-	passed atomic.Int64 // requests that were passed on and are not answered
-	closed [awguard.Reasons]*metrics.Counter
+	// filesFloor is the number of descriptors up to which it is of no use to choose
+	// again within chooseInterval.
+	filesFloor atomic.Int64
+	open       atomic.Int64 // accounts
+	passed     atomic.Int64 // requests that were passed on and are not answered
+	closed     [awguard.Reasons]*metrics.Counter
 
 	choosing sync.Mutex // held while connections are chosen and closed
 
@@ -175,12 +178,20 @@
 
 // checkFiles closes connections if all of them together take too many descriptors.
 func (g *Guard) checkFiles() {
-	files, now := g.files(), g.now().UnixNano()
-	if files > g.limits.MaxFiles() || files > g.limits.Files && now-g.chosen.Load() >= int64(chooseInterval) {
+	if g.lacksFiles() {
 		g.reclaim(false)
 	}
 }
 
+// lacksFiles reports whether connections should be chosen because of their descriptors.
+func (g *Guard) lacksFiles() bool {
+	files := g.files()
+	if files <= g.limits.Files {
+		return false
+	}
+	return files > max(g.limits.MaxFiles(), int(g.filesFloor.Load())) || g.now().UnixNano()-g.chosen.Load() >= int64(chooseInterval)
+}
+
 // receiveBuffer returns the size of the receive buffer of the next connection, or 0 if
 // the kernel may size it because there are few connections and they hold little. All
 // buffers of a fixed size together should take no more than half of the bytes for
@@ -199,11 +210,17 @@
 
 // checkBytes closes connections if all of them together hold too much.
 func (g *Guard) checkBytes() {
-	if held := g.held.Load(); held > g.limits.Bytes && held > g.floor.Load() {
+	if g.lacksBytes() {
 		g.reclaim(false)
 	}
 }
 
+// lacksBytes reports whether connections should be chosen because of their bytes.
+func (g *Guard) lacksBytes() bool {
+	held := g.held.Load()
+	return held > g.limits.Bytes && held > g.floor.Load()
+}
+
 // floorStep is the part of the bytes for clients by which they must grow until
 // connections are chosen again, while the limit is exceeded by those that must not be
 // closed.
@@ -238,8 +255,8 @@
 func (g *Guard) reclaim(sample bool) {
 	g.choosing.Lock()
 	defer g.choosing.Unlock()
-	if !sample && g.held.Load() <= g.limits.Bytes && g.files() <= g.limits.Files {
-		return // another goroutine has closed some
+	if !sample && !g.lacksBytes() && !g.lacksFiles() {
+		return // another goroutine has just chosen
 	}
 	g.mu.Lock()
 	accounts := make([]*Account, 0, len(g.accounts))
@@ -258,6 +275,7 @@
 			g.recordClosed(v.Reason, now)
 		}
 	}
+	g.filesFloor.Store(int64(g.files()))
 	if held := g.held.Load(); held > g.limits.Bytes {
 		g.floor.Store(held + g.limits.Bytes/floorStep)
 	}
--- a/io/awhttp/guard_test.go
+++ b/io/awhttp/guard_test.go
@@ -237,6 +237,8 @@
 		<-running
 	}
 	for range 5 {
+		// The server closes the previous connection after its client has read the refusal.
+		require.Eventually(t, func() bool { return g.files() == 2*served }, 10*time.Second, time.Millisecond)
 		require.Equal(t, http.StatusServiceUnavailable, exchange(t, addr, 100))
 	}
 	close(release)
@@ -246,3 +248,36 @@
 	require.Eventually(t, func() bool { return g.files() == 0 }, 10*time.Second, time.Millisecond)
 	require.Equal(t, http.StatusOK, exchange(t, addr, 100))
 }
+
+// Guards against a choice among all connections by each of many goroutines that wait for
+// the same choice, or again and again while no connection may be closed.
+func TestChoiceIsNotRepeated(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	serve := func(g *Guard, n, bytes int) {
+		for range n {
+			a := g.Account(func() {}, nil)
+			a.Admit()
+			a.Read(1)
+			require.NoError(t, a.pass())
+			a.Hold(bytes)
+		}
+	}
+	for name, tc := range map[string]struct{ memory, conns, bytes int }{
+		"bytes":       {1 << 20, 5, 100_000},
+		"descriptors": {64 << 20, 18, 0},
+	} {
+		g := NewGuard(GuardConfig{MemoryBytes: int64(tc.memory), Files: ownFiles, Logger: log.NewNopLogger(), Now: func() time.Time { return now }})
+		serve(g, tc.conns, tc.bytes)
+		g.passed.Add(1) // as by the next request that is passed on
+		g.checkFiles()
+		require.True(t, g.held.Load() > g.limits.Bytes || g.files() > g.limits.MaxFiles(), name)
+		chosen := g.chosen.Load()
+		require.NotZero(t, chosen, name)
+		now = now.Add(time.Millisecond)
+		g.checkFiles()
+		g.checkBytes()
+		g.reclaim(false) // as a goroutine that has waited
+		require.Equal(t, chosen, g.chosen.Load(), name)
+		now = now.Add(time.Hour)
+	}
+}
