awhttp: do not count a freeze of the process as waiting for clients

Cause: after the process stood still, each write under way seemed blocked and each connection quiet for the length of the freeze, so that requests that had been passed on were closed. Change: the times of connections come from a clock that goes on by at most 200 ms between two ticks of Run.

--- a/io/awhttp/account.go
+++ b/io/awhttp/account.go
@@ -92,7 +92,7 @@
 // recordMoved records bytes in either direction; mu must be held.
 func (a *Account) recordMoved(n int) {
 	if a.moved += int64(n); a.moved >= progressBytes {
-		a.moved, a.progress = 0, a.guard.now()
+		a.moved, a.progress = 0, a.guard.running()
 	}
 }
 
@@ -144,7 +144,7 @@
 		a.recordMoved(n)
 		return
 	}
-	a.phase, a.progress, a.messages = awguard.Serving, a.guard.now(), true
+	a.phase, a.progress, a.messages = awguard.Serving, a.guard.running(), true
 }
 
 // headerRead records that a header has been read. Only a large one is looked at.
@@ -227,7 +227,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.writing = a.guard.now()
+	a.writing = a.guard.running()
 	if a.phase == awguard.Serving { // before, it is a 100 Continue or a refusal
 		a.phase = awguard.Responding
 	}
@@ -258,7 +258,7 @@
 	}
 	a.phase, a.discards, a.inHeader = awguard.Waiting, false, true
 	a.arrived, a.header, a.moved = 0, 0, 0
-	a.progress = a.guard.now()
+	a.progress = a.guard.running()
 }
 
 // state returns what is known of the connection now.
--- a/io/awhttp/guard.go
+++ b/io/awhttp/guard.go
@@ -43,6 +43,9 @@
 	chooseInterval = 20 * time.Millisecond
 	// sampleInterval is the time between two looks at what the kernel holds.
 	sampleInterval = 100 * time.Millisecond
+	// maxTick is the most by which the time of connections goes on between two ticks of
+	// Run. It is less than the time after which a write counts as blocked.
+	maxTick = 2 * sampleInterval
 	// logInterval is the least time between two log lines for one reason.
 	logInterval = 5 * time.Second
 )
@@ -62,9 +65,10 @@
 	limits awguard.Limits
 	logger log.Logger
 	now    func() time.Time
-	held   atomic.Int64 // bytes of all accounts, with connBytes for each
-	chosen atomic.Int64 // when connections were last chosen, in Unix ns
-	floor  atomic.Int64 // bytes below which it is of no use to choose again
+	held   atomic.Int64         // bytes of all accounts, with connBytes for each
+	chosen atomic.Int64         // when connections were last chosen, in Unix ns
+	floor  atomic.Int64         // bytes below which it is of no use to choose again
+	tick   atomic.Pointer[tick] // of Run; nil while it does not run
 	// filesFloor is the number of descriptors up to which it is of no use to choose
 	// again within chooseInterval.
 	filesFloor atomic.Int64
@@ -124,7 +128,7 @@
 	if g == nil {
 		return &Account{}
 	}
-	return &Account{guard: g, close: closeConn, unread: unread, inHeader: true, progress: g.now()}
+	return &Account{guard: g, close: closeConn, unread: unread, inHeader: true, progress: g.running()}
 }
 
 // Admit begins to bound the connection. It returns false if there is no room for it;
@@ -233,11 +237,38 @@
 // isShort reports whether the clients hold much.
 func (g *Guard) isShort() bool { return float64(g.held.Load()) > shortShare*float64(g.limits.Bytes) }
 
+// tick is a time at which the process was seen to run.
+type tick struct {
+	at   time.Time
+	lost time.Duration // for which the process stood still before
+}
+
+// recordTick records that the process runs.
+func (g *Guard) recordTick() {
+	next := &tick{at: g.now()}
+	if last := g.tick.Load(); last != nil {
+		next.lost = last.lost + max(next.at.Sub(last.at)-maxTick, 0)
+	}
+	g.tick.Store(next)
+}
+
+// running returns a time that stands still while the process does. Otherwise each
+// connection would seem blocked or quiet for the length of a freeze.
+func (g *Guard) running() time.Time {
+	now, last := g.now(), g.tick.Load()
+	if last == nil {
+		return now
+	}
+	return now.Add(-last.lost - max(now.Sub(last.at)-maxTick, 0))
+}
+
 // Run looks at what the kernel holds for the process until ctx ends.
 func (g *Guard) Run(ctx context.Context) {
 	tick := time.NewTicker(sampleInterval)
 	defer tick.Stop()
+	defer g.tick.Store(nil)
 	for {
+		g.recordTick()
 		select {
 		case <-ctx.Done():
 			return
@@ -264,14 +295,14 @@
 		accounts = append(accounts, a)
 	}
 	g.mu.Unlock()
-	now := g.now()
+	now, running := g.now(), g.running()
 	g.chosen.Store(now.UnixNano())
 	states := make([]awguard.Conn, len(accounts))
 	for i, a := range accounts {
-		states[i] = a.state(now, sample)
+		states[i] = a.state(running, sample)
 	}
 	for _, v := range g.limits.Choose(states) {
-		if accounts[v.Index].shut(now) {
+		if accounts[v.Index].shut(running) {
 			g.recordClosed(v.Reason, now)
 		}
 	}
--- a/io/awhttp/guard_test.go
+++ b/io/awhttp/guard_test.go
@@ -224,7 +224,8 @@
 // while requests that were passed on take all descriptors.
 func TestRequestIsRefusedWhileOthersTakeAllDescriptors(t *testing.T) {
 	running, release := make(chan struct{}, minFiles), make(chan struct{})
-	g := NewGuard(GuardConfig{MemoryBytes: 64 << 20, Files: ownFiles, Logger: log.NewNopLogger()})
+	now := time.Now() // stands still, so that no connection ceases to count as new
+	g := NewGuard(GuardConfig{MemoryBytes: 64 << 20, Files: ownFiles, Logger: log.NewNopLogger(), Now: func() time.Time { return now }})
 	addr := serveGuarded(t, g, func(w http.ResponseWriter, r *http.Request) {
 		serveBody(w, r)
 		running <- struct{}{}
@@ -281,3 +282,25 @@
 		now = now.Add(time.Hour)
 	}
 }
+
+// Guards against closing connections because the process stood still: a write that is
+// under way has then waited for the process and not for its client.
+func TestFreezeDoesNotCountAsBlocked(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	g := NewGuard(GuardConfig{MemoryBytes: 1 << 20, Files: 4096, Logger: log.NewNopLogger(), Now: func() time.Time { return now }})
+	g.recordTick()
+	a := g.Account(func() {}, nil)
+	require.True(t, a.Admit())
+	a.Read(10)
+	require.NoError(t, a.pass())
+	a.beginWrite()
+	now = now.Add(time.Hour)
+	require.False(t, a.state(g.running(), false).MayBeClosed(), "before the first tick")
+	g.recordTick()
+	require.False(t, a.state(g.running(), false).MayBeClosed(), "after the first tick")
+	for range 5 {
+		now = now.Add(sampleInterval)
+		g.recordTick()
+	}
+	require.True(t, a.state(g.running(), false).MayBeClosed())
+}
