awguard, awhttp: close idle connections with an arrived request last

Cause: an idle connection was chosen like any other although the next request stood in its receive buffer, as it may after a freeze of the process. Change: for idle connections that were used, the socket is asked whether data has arrived, also while the server waits for it, and those with data come last. Result: the new tests, which failed before, pass.

--- a/core/awguard/awguard.go
+++ b/core/awguard/awguard.go
@@ -30,6 +30,7 @@
 	Quiet    time.Duration // since it last moved a notable number of bytes
 	Blocked  time.Duration // how long a write has waited for the client; 0 if none waits
 	Answered bool          // it has carried a request to its response before
+	Arrived  bool          // it idles between requests, and a part of the next one has arrived and was not read
 	Files    int           // descriptors that it takes, with that of a connection over which its request was passed on
 }
 
@@ -143,6 +144,7 @@
 func (c Conn) isFresh() bool { return !c.Answered && c.Quiet < freshFor }
 
 // ranked returns the indices of the connections that may be closed, by falling score.
+// Idle ones on which the next request has arrived are last.
 func ranked(conns []Conn, chosen []bool, score func(Conn) float64) []int {
 	scores, order := make([]float64, len(conns)), []int{}
 	for i, c := range conns {
@@ -151,7 +153,15 @@
 			order = append(order, i)
 		}
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	slices.SortStableFunc(order, func(a, b int) int {
+		if conns[a].Arrived != conns[b].Arrived {
+			if conns[a].Arrived {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(scores[b], scores[a])
+	})
 	return order
 }
 
--- a/core/awguard/awguard_test.go
+++ b/core/awguard/awguard_test.go
@@ -60,6 +60,9 @@
 		{"the connection that has idled longest, and not the newest", Limits{Bytes: 1000, Files: 2}, []Conn{
 			{Phase: Waiting, Files: 1}, {Phase: Waiting, Quiet: 5 * time.Second, Answered: true, Files: 1}, {Phase: Waiting, Quiet: 6 * time.Second, Answered: true, Files: 1},
 		}, []int{2}},
+		{"an idle connection whose next request has arrived last", Limits{Bytes: 1000, Files: 1}, []Conn{
+			{Phase: Waiting, Quiet: 12 * time.Second, Answered: true, Arrived: true, Files: 1}, {Phase: Waiting, Quiet: time.Second, Answered: true, Files: 1},
+		}, []int{1}},
 		{"not the newest while the others carry requests", Limits{Bytes: 1000, Files: 8}, []Conn{
 			{Phase: Serving, Files: 2}, {Phase: Serving, Files: 2}, {Phase: Serving, Files: 2}, {Phase: Serving, Files: 2}, {Phase: Waiting, Files: 1},
 		}, []int{}},
--- a/io/awhttp/account.go
+++ b/io/awhttp/account.go
@@ -38,7 +38,8 @@
 	guard *Guard
 	close func()
 	// unread returns the bytes that the kernel has received and the process has not
-	// read; sampled only when memory may be short.
+	// read. It is called only when memory may be short, and for idle connections when
+	// some are chosen.
 	unread func() int64
 
 	mu         sync.Mutex
@@ -263,8 +264,11 @@
 
 // state returns what is known of the connection now.
 func (a *Account) state(now time.Time, sample bool) awguard.Conn {
+	a.mu.Lock()
+	idle := a.phase == awguard.Waiting && a.answered
+	a.mu.Unlock()
 	var unread int64
-	if sample && a.unread != nil {
+	if a.unread != nil && (sample || idle) {
 		unread = a.unread()
 	}
 	a.mu.Lock()
@@ -276,6 +280,7 @@
 // mu must be held.
 func (a *Account) conn(now time.Time, unread int64) awguard.Conn {
 	c := awguard.Conn{Phase: a.phase, Bytes: connBytes + a.held + unread, Quiet: now.Sub(a.progress), Answered: a.answered, Files: 1}
+	c.Arrived = c.Phase == awguard.Waiting && c.Answered && unread > 0
 	if a.passed {
 		c.Files = 2
 	}
--- a/io/awhttp/drain.go
+++ b/io/awhttp/drain.go
@@ -190,12 +190,6 @@
 
 // unread returns the bytes that the kernel has received and the server has not read.
 func (c *trackedConn) unread() int64 {
-	c.mu.Lock()
-	waiting := c.waiting
-	c.mu.Unlock()
-	if waiting {
-		return 0
-	}
 	n := 0
 	_ = c.raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) // 0 if it is closed
 	return int64(n)
--- a/io/awhttp/guard_test.go
+++ b/io/awhttp/guard_test.go
@@ -304,3 +304,30 @@
 	}
 	require.True(t, a.state(g.running(), false).MayBeClosed())
 }
+
+// Guards against closing idle connections as if no request were on the way, after a
+// freeze in which requests have arrived on them.
+func TestArrivedRequestIsSeenOnIdleConnection(t *testing.T) {
+	g := NewGuard(GuardConfig{MemoryBytes: 1 << 20, Files: 4096, Logger: log.NewNopLogger()})
+	lis, err := g.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	defer lis.Close()
+	client, err := net.Dial("tcp", lis.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	accepted, err := lis.Accept()
+	require.NoError(t, err)
+	defer accepted.Close()
+	c := accepted.(*trackedConn)
+	c.waiting = true // as when the process stands still while the server waits for data
+	a := c.account
+	a.Read(10)
+	require.NoError(t, a.pass())
+	a.beginWrite()
+	a.endWrite(10)
+	a.finish()
+	require.False(t, a.state(g.running(), false).Arrived)
+	_, err = client.Write([]byte("GET"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return a.state(g.running(), false).Arrived }, 10*time.Second, time.Millisecond)
+}
