--- a/core/awguard/awguard.go
+++ b/core/awguard/awguard.go
@@ -30,6 +30,7 @@
 	Quiet    time.Duration // since it last moved a notable number of bytes
 	Blocked  time.Duration // how long a write has waited for the client; 0 if none waits
 	Answered bool          // it has carried a request to its response before
+	Arrived  bool          // it idles between requests, and a part of the next one has arrived and was not read
 	Files    int           // descriptors that it takes, with that of a connection over which its request was passed on
 }
 
@@ -37,6 +38,10 @@
 type Limits struct {
 	Bytes int64
 	Files int
+	// ByteStep is the difference in bytes up to which connections count as alike, 0 for
+	// none. Without it, a small request that has just arrived outweighs many idle
+	// connections, which take nearly as much.
+	ByteStep int64
 }
 
 // Reason is why a connection is closed.
@@ -103,7 +108,7 @@
 	for _, c := range conns {
 		held += c.Bytes
 		files += c.Files
-		if !c.mayBeClosed() {
+		if !c.MayBeClosed() {
 			pinned += c.Bytes
 		}
 	}
@@ -129,7 +134,7 @@
 		}
 	}
 	if held > max(l.Bytes, pinned+reserve) {
-		for _, i := range ranked(conns, chosen, Conn.byteScore) {
+		for _, i := range ranked(conns, chosen, l.byteScore) {
 			if held <= max(l.Bytes-reserve, pinned+reserve/2) {
 				break
 			}
@@ -143,19 +148,30 @@
 func (c Conn) isFresh() bool { return !c.Answered && c.Quiet < freshFor }
 
 // ranked returns the indices of the connections that may be closed, by falling score.
+// Idle ones on which the next request has arrived are last.
 func ranked(conns []Conn, chosen []bool, score func(Conn) float64) []int {
 	scores, order := make([]float64, len(conns)), []int{}
 	for i, c := range conns {
-		if !chosen[i] && c.mayBeClosed() {
+		if !chosen[i] && c.MayBeClosed() {
 			scores[i] = score(c)
 			order = append(order, i)
 		}
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	slices.SortStableFunc(order, func(a, b int) int {
+		if conns[a].Arrived != conns[b].Arrived {
+			if conns[a].Arrived {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(scores[b], scores[a])
+	})
 	return order
 }
 
-func (c Conn) mayBeClosed() bool {
+// MayBeClosed reports whether closing the connection interrupts no request that was
+// passed on and whose response the client takes.
+func (c Conn) MayBeClosed() bool {
 	switch c.Phase {
 	case Waiting, Receiving:
 		return true
@@ -181,6 +197,10 @@
 	return score
 }
 
-func (c Conn) byteScore() float64 {
-	return float64(c.Bytes) * (c.idle() + quietFloor).Seconds()
+func (l Limits) byteScore(c Conn) float64 {
+	bytes := c.Bytes
+	if l.ByteStep > 0 {
+		bytes = c.Bytes/l.ByteStep + 1
+	}
+	return float64(bytes) * (c.idle() + quietFloor).Seconds()
 }
--- a/core/awguard/awguard_test.go
+++ b/core/awguard/awguard_test.go
@@ -60,6 +60,9 @@
 		{"the connection that has idled longest, and not the newest", Limits{Bytes: 1000, Files: 2}, []Conn{
 			{Phase: Waiting, Files: 1}, {Phase: Waiting, Quiet: 5 * time.Second, Answered: true, Files: 1}, {Phase: Waiting, Quiet: 6 * time.Second, Answered: true, Files: 1},
 		}, []int{2}},
+		{"an idle connection whose next request has arrived last", Limits{Bytes: 1000, Files: 1}, []Conn{
+			{Phase: Waiting, Quiet: 12 * time.Second, Answered: true, Arrived: true, Files: 1}, {Phase: Waiting, Quiet: time.Second, Answered: true, Files: 1},
+		}, []int{1}},
 		{"not the newest while the others carry requests", Limits{Bytes: 1000, Files: 8}, []Conn{
 			{Phase: Serving, Files: 2}, {Phase: Serving, Files: 2}, {Phase: Serving, Files: 2}, {Phase: Serving, Files: 2}, {Phase: Waiting, Files: 1},
 		}, []int{}},
@@ -87,14 +90,14 @@
 		gone := map[int]bool{}
 		for _, v := range l.Choose(conns) {
 			require.False(t, gone[v.Index], "chosen twice")
-			require.True(t, conns[v.Index].mayBeClosed())
+			require.True(t, conns[v.Index].MayBeClosed())
 			gone[v.Index] = true
 		}
 		files, held, closable, pinned := 0, int64(0), 0, int64(0)
 		for i, c := range conns {
 			if !gone[i] {
 				files, held = files+c.Files, held+c.Bytes
-				if c.mayBeClosed() {
+				if c.MayBeClosed() {
 					closable++
 				} else {
 					pinned += c.Bytes
--- a/io/awhttp/account.go
+++ b/io/awhttp/account.go
@@ -38,7 +38,8 @@
 	guard *Guard
 	close func()
 	// unread returns the bytes that the kernel has received and the process has not
-	// read; sampled only when memory may be short.
+	// read. It is called only when memory may be short, and for idle connections when
+	// some are chosen.
 	unread func() int64
 
 	mu         sync.Mutex
@@ -92,7 +93,7 @@
 // recordMoved records bytes in either direction; mu must be held.
 func (a *Account) recordMoved(n int) {
 	if a.moved += int64(n); a.moved >= progressBytes {
-		a.moved, a.progress = 0, a.guard.now()
+		a.moved, a.progress = 0, a.guard.running()
 	}
 }
 
@@ -144,7 +145,7 @@
 		a.recordMoved(n)
 		return
 	}
-	a.phase, a.progress, a.messages = awguard.Serving, a.guard.now(), true
+	a.phase, a.progress, a.messages = awguard.Serving, a.guard.running(), true
 }
 
 // headerRead records that a header has been read. Only a large one is looked at.
@@ -227,7 +228,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.writing = a.guard.now()
+	a.writing = a.guard.running()
 	if a.phase == awguard.Serving { // before, it is a 100 Continue or a refusal
 		a.phase = awguard.Responding
 	}
@@ -258,18 +259,28 @@
 	}
 	a.phase, a.discards, a.inHeader = awguard.Waiting, false, true
 	a.arrived, a.header, a.moved = 0, 0, 0
-	a.progress = a.guard.now()
+	a.progress = a.guard.running()
 }
 
 // state returns what is known of the connection now.
 func (a *Account) state(now time.Time, sample bool) awguard.Conn {
+	a.mu.Lock()
+	idle := a.phase == awguard.Waiting && a.answered
+	a.mu.Unlock()
 	var unread int64
-	if sample && a.unread != nil {
+	if a.unread != nil && (sample || idle) {
 		unread = a.unread()
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.conn(now, unread)
+}
+
+// conn returns what is known of the connection, with the bytes that the kernel holds;
+// mu must be held.
+func (a *Account) conn(now time.Time, unread int64) awguard.Conn {
 	c := awguard.Conn{Phase: a.phase, Bytes: connBytes + a.held + unread, Quiet: now.Sub(a.progress), Answered: a.answered, Files: 1}
+	c.Arrived = c.Phase == awguard.Waiting && c.Answered && unread > 0
 	if a.passed {
 		c.Files = 2
 	}
@@ -282,11 +293,11 @@
 	return c
 }
 
-// shut closes the connection unless a request was passed on meanwhile or the client
-// reads again.
-func (a *Account) shut(chosen awguard.Phase) bool {
+// shut closes the connection unless it has moved since it was chosen at the time now,
+// and may no longer be closed.
+func (a *Account) shut(now time.Time) bool {
 	a.mu.Lock()
-	may := !a.closed && (a.phase == chosen || a.phase <= awguard.Receiving || a.messages) && (a.phase != awguard.Responding || !a.writing.IsZero())
+	may := !a.closed && a.conn(now, 0).MayBeClosed()
 	if may {
 		a.release()
 	}
--- a/io/awhttp/drain.go
+++ b/io/awhttp/drain.go
@@ -63,7 +63,9 @@
 	c := &trackedConn{TCPConn: tcp, raw: raw, set: s}
 	c.account = guard.Account(c.abort, c.unread)
 	if guard != nil {
-		_ = tcp.SetReadBuffer(guard.receiveBuffer()) // a failure only costs kernel memory
+		if size := guard.receiveBuffer(); size > 0 {
+			_ = tcp.SetReadBuffer(size) // a failure only costs kernel memory
+		}
 	}
 	s.mu.Lock()
 	if s.conns == nil {
@@ -188,12 +190,6 @@
 
 // unread returns the bytes that the kernel has received and the server has not read.
 func (c *trackedConn) unread() int64 {
-	c.mu.Lock()
-	waiting := c.waiting
-	c.mu.Unlock()
-	if waiting {
-		return 0
-	}
 	n := 0
 	_ = c.raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) // 0 if it is closed
 	return int64(n)
--- a/io/awhttp/guard.go
+++ b/io/awhttp/guard.go
@@ -31,11 +31,21 @@
 	// direction of the process. The kernel doubles the values.
 	maxReceiveBuffer = 32 << 10
 	minReceiveBuffer = 8 << 10
+	// tunedShare is the share of the bound on descriptors up to which the kernel sizes
+	// the receive buffers. A fixed size of 32 KiB lets a body of 4 MiB take seconds at
+	// a round-trip time of 50 ms.
+	tunedShare = 0.25
+	// tunedBuffer is what the kernel may hold for a connection whose buffer it sizes:
+	// the default of Linux for the last value of net.ipv4.tcp_rmem.
+	tunedBuffer = 6 << 20
 	// chooseInterval is the least time between two choices while the descriptors are
 	// between the limit and its reserve.
 	chooseInterval = 20 * time.Millisecond
 	// sampleInterval is the time between two looks at what the kernel holds.
 	sampleInterval = 100 * time.Millisecond
+	// maxTick is the most by which the time of connections goes on between two ticks of
+	// Run. It is less than the time after which a write counts as blocked.
+	maxTick = 2 * sampleInterval
 	// logInterval is the least time between two log lines for one reason.
 	logInterval = 5 * time.Second
 )
@@ -55,12 +65,16 @@
 	limits awguard.Limits
 	logger log.Logger
 	now    func() time.Time
-	held   atomic.Int64 // bytes of all accounts, with connBytes for each
-	chosen atomic.Int64 // when connections were last chosen, in Unix ns
-	floor  atomic.Int64 // bytes below which it is of no use to choose again
-	open   atomic.Int64 // accounts
-	passed atomic.Int64 // requests that were passed on and are not answered
-	closed [awguard.Reasons]*metrics.Counter
+	held   atomic.Int64         // bytes of all accounts, with connBytes for each
+	chosen atomic.Int64         // when connections were last chosen, in Unix ns
+	floor  atomic.Int64         // bytes below which it is of no use to choose again
+	tick   atomic.Pointer[tick] // of Run; nil while it does not run
+	// filesFloor is the number of descriptors up to which it is of no use to choose
+	// again within chooseInterval.
+	filesFloor atomic.Int64
+	open       atomic.Int64 // accounts
+	passed     atomic.Int64 // requests that were passed on and are not answered
+	closed     [awguard.Reasons]*metrics.Counter
 
 	choosing sync.Mutex // held while connections are chosen and closed
 
@@ -95,7 +109,7 @@
 			files = r.Cur
 		}
 	}
-	l := awguard.Limits{Bytes: int64(clientShare * float64(cfg.MemoryBytes))}
+	l := awguard.Limits{Bytes: int64(clientShare * float64(cfg.MemoryBytes)), ByteStep: connBytes}
 	if cfg.MaxBytes > 0 {
 		l.Bytes = min(l.Bytes, cfg.MaxBytes)
 	}
@@ -114,7 +128,7 @@
 	if g == nil {
 		return &Account{}
 	}
-	return &Account{guard: g, close: closeConn, unread: unread, inHeader: true, progress: g.now()}
+	return &Account{guard: g, close: closeConn, unread: unread, inHeader: true, progress: g.running()}
 }
 
 // Admit begins to bound the connection. It returns false if there is no room for it;
@@ -154,28 +168,63 @@
 // end their connections.
 func (g *Guard) isCrowded() bool { return g.files() > g.limits.Files }
 
+// servedReserve is the part of the descriptors by which requests may exceed the limit.
+// It is less than that of fresh connections, so that these can still be answered.
+const servedReserve = 16
+
+// isFull reports whether the requests that were passed on take all descriptors alone.
+// Requests with a body are then refused. Without a refusal their connections would be
+// reset as soon as more arrive, because none of the others may be closed. Requests
+// without a body, such as those for readiness, are still passed on.
+func (g *Guard) isFull() bool {
+	return 2*int(g.passed.Load()) >= g.limits.Files+g.limits.Files/servedReserve
+}
+
 // checkFiles closes connections if all of them together take too many descriptors.
 func (g *Guard) checkFiles() {
-	files, now := g.files(), g.now().UnixNano()
-	if files > g.limits.MaxFiles() || files > g.limits.Files && now-g.chosen.Load() >= int64(chooseInterval) {
+	if g.lacksFiles() {
 		g.reclaim(false)
 	}
 }
 
-// receiveBuffer returns the size of the receive buffer of the next connection: all of
-// them together should take no more than half of the bytes for clients, and the kernel
-// doubles the size.
+// lacksFiles reports whether connections should be chosen because of their descriptors.
+func (g *Guard) lacksFiles() bool {
+	files := g.files()
+	if files <= g.limits.Files {
+		return false
+	}
+	return files > max(g.limits.MaxFiles(), int(g.filesFloor.Load())) || g.now().UnixNano()-g.chosen.Load() >= int64(chooseInterval)
+}
+
+// receiveBuffer returns the size of the receive buffer of the next connection, or 0 if
+// the kernel may size it because there are few connections and they hold little. All
+// buffers of a fixed size together should take no more than half of the bytes for
+// clients, and the kernel doubles the size.
 func (g *Guard) receiveBuffer() int {
-	return int(min(max(g.limits.Bytes/4/int64(g.count()+1), minReceiveBuffer), maxReceiveBuffer))
+	n := g.count() + 1
+	if float64(n) <= tunedShare*float64(g.limits.Files) && !g.isShort() {
+		return 0
+	}
+	return int(min(max(g.limits.Bytes/4/int64(n), minReceiveBuffer), maxReceiveBuffer))
 }
 
+// LimitsBuffers reports whether the receive buffer of a new connection should have a
+// fixed size, because the clients are many or hold much.
+func (g *Guard) LimitsBuffers() bool { return g != nil && g.receiveBuffer() > 0 }
+
 // checkBytes closes connections if all of them together hold too much.
 func (g *Guard) checkBytes() {
-	if held := g.held.Load(); held > g.limits.Bytes && held > g.floor.Load() {
+	if g.lacksBytes() {
 		g.reclaim(false)
 	}
 }
 
+// lacksBytes reports whether connections should be chosen because of their bytes.
+func (g *Guard) lacksBytes() bool {
+	held := g.held.Load()
+	return held > g.limits.Bytes && held > g.floor.Load()
+}
+
 // floorStep is the part of the bytes for clients by which they must grow until
 // connections are chosen again, while the limit is exceeded by those that must not be
 // closed.
@@ -188,18 +237,44 @@
 // isShort reports whether the clients hold much.
 func (g *Guard) isShort() bool { return float64(g.held.Load()) > shortShare*float64(g.limits.Bytes) }
 
+// tick is a time at which the process was seen to run.
+type tick struct {
+	at   time.Time
+	lost time.Duration // for which the process stood still before
+}
+
+// recordTick records that the process runs.
+func (g *Guard) recordTick() {
+	next := &tick{at: g.now()}
+	if last := g.tick.Load(); last != nil {
+		next.lost = last.lost + max(next.at.Sub(last.at)-maxTick, 0)
+	}
+	g.tick.Store(next)
+}
+
+// running returns a time that stands still while the process does. Otherwise each
+// connection would seem blocked or quiet for the length of a freeze.
+func (g *Guard) running() time.Time {
+	now, last := g.now(), g.tick.Load()
+	if last == nil {
+		return now
+	}
+	return now.Add(-last.lost - max(now.Sub(last.at)-maxTick, 0))
+}
+
 // Run looks at what the kernel holds for the process until ctx ends.
 func (g *Guard) Run(ctx context.Context) {
 	tick := time.NewTicker(sampleInterval)
 	defer tick.Stop()
+	defer g.tick.Store(nil)
 	for {
+		g.recordTick()
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 			g.floor.Store(0)
-			// The kernel may hold twice the buffer size for each connection.
-			if g.held.Load()+int64(g.count())*2*maxReceiveBuffer > g.limits.Bytes {
+			if g.held.Load()+int64(g.count())*tunedBuffer > g.limits.Bytes {
 				g.reclaim(true)
 			}
 		}
@@ -211,8 +286,8 @@
 func (g *Guard) reclaim(sample bool) {
 	g.choosing.Lock()
 	defer g.choosing.Unlock()
-	if !sample && g.held.Load() <= g.limits.Bytes && g.files() <= g.limits.Files {
-		return // another goroutine has closed some
+	if !sample && !g.lacksBytes() && !g.lacksFiles() {
+		return // another goroutine has just chosen
 	}
 	g.mu.Lock()
 	accounts := make([]*Account, 0, len(g.accounts))
@@ -220,18 +295,21 @@
 		accounts = append(accounts, a)
 	}
 	g.mu.Unlock()
-	now := g.now()
+	now, running := g.now(), g.running()
 	g.chosen.Store(now.UnixNano())
 	states := make([]awguard.Conn, len(accounts))
 	for i, a := range accounts {
-		states[i] = a.state(now, sample)
+		states[i] = a.state(running, sample)
 	}
 	for _, v := range g.limits.Choose(states) {
-		if accounts[v.Index].shut(states[v.Index].Phase) {
+		if accounts[v.Index].shut(running) {
 			g.recordClosed(v.Reason, now)
 		}
 	}
-	g.floor.Store(g.held.Load() + g.limits.Bytes/floorStep)
+	g.filesFloor.Store(int64(g.files()))
+	if held := g.held.Load(); held > g.limits.Bytes {
+		g.floor.Store(held + g.limits.Bytes/floorStep)
+	}
 }
 
 // recordClosed counts a closed connection and writes a log line if the last one for
--- a/io/awhttp/protect.go
+++ b/io/awhttp/protect.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 )
 
 // Protect has g bound what the clients of srv make the process hold. It must be
@@ -19,6 +20,10 @@
 	}
 }
 
+// refusalTimeout is how long the rest of a refused body is awaited, so that the client
+// can read the refusal.
+const refusalTimeout = 5 * time.Second
+
 type guardedHandler struct{ next http.Handler }
 
 // ServeHTTP implements [http.Handler].
@@ -28,8 +33,19 @@
 		if c.account.guard.isCrowded() {
 			w.Header().Set("Connection", "close")
 		}
+		if r.ContentLength != 0 && c.account.guard.isFull() {
+			w.Header().Set("Connection", "close")
+			RespondEarly(w, r, 0, refusalTimeout, func() {
+				w.Header().Set("Content-Length", "0")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			return
+		}
 		if r.ContentLength != 0 {
 			c.body = guardedBody{ReadCloser: r.Body, account: c.account}
+			// net/http looks at the type of its own request's body to decide whether the
+			// connection can be used again, so that request stays as it is.
+			r = r.WithContext(r.Context())
 			r.Body = &c.body
 		} else if err := c.account.pass(); errors.Is(err, ErrShort) {
 			w.Header().Set("Content-Length", "0")
@@ -50,12 +66,13 @@
 }
 
 // Read implements [io.Reader]. At the end of the body it fails if the request must not
-// run.
+// run. It then returns no bytes, since a decoder that has a complete value from them
+// may never look at the error.
 func (b *guardedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		if passErr := b.account.pass(); passErr != nil {
-			return n, passErr
+			return 0, passErr
 		}
 	}
 	return n, err
