awgateway: second sends of begun streams come before all ranks

Cause: a stream whose engine is silent is sent to another one too, which took precedence by its arrival; with ranks it came behind more urgent requests, and those sent beyond the slots filled each place before it. Change: a second send and a resumed stream have a rank before all others, may wait in the queue of an engine, and go with its highest priority.

--- a/core/awdispatch/beyond.go
+++ b/core/awdispatch/beyond.go
@@ -29,10 +29,10 @@
 
 // beyondSlots returns the number of requests that may wait in the queue of an engine
 // when one of this kind is sent. Late requests and those of the least urgent rank do not
-// wait there, nor those that need an engine that goes on at once.
+// wait there.
 func (d *Dispatcher) beyondSlots(req *Request) int {
 	c := d.contended[req.Service]
-	if c == nil || req.Late || req.Proven || !d.services[req.Service].Engine {
+	if c == nil || req.Late || !d.services[req.Service].Engine {
 		return 0
 	}
 	return max(0, min(maxBeyondSlots, c.ranks.LeastUrgent-req.Rank))
--- a/io/awgateway/admission.go
+++ b/io/awgateway/admission.go
@@ -79,6 +79,9 @@
 	}
 	last := q.ranks.LeastUrgent - q.ranks.MostUrgent
 	rank := min(max(q.route.Priority-q.ranks.MostUrgent, 0), last)
+	if q.sends > 1 {
+		rank = 0 // what was begun has precedence
+	}
 	return min(q.teamPriority()*(last+1)+rank, lowestPriority)
 }
 
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -213,6 +213,11 @@
 	if len(q.running) > 0 {
 		req.Late, req.Proven, req.MaxWait = false, true, awretry.HedgeWait // what was begun has precedence
 	}
+	if q.ranks != nil && (len(q.running) > 0 || state.headerSent) {
+		// Otherwise a stream of a less urgent rank at a frozen instance finds no room
+		// elsewhere, and the instance works on it after its caller has left.
+		req.Rank = q.ranks.MostUrgent - 1
+	}
 	p.ticket = g.dispatch.Submit(req, func(d awdispatch.Decision) {
 		if d.Grant != nil || !req.Proven { // a silent stream asks again and again
 			g.recordDecision(q, d)
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -156,6 +156,17 @@
 	return r
 }
 
+// copyHeader sets the header of the response to that of a backend server.
+func (q *request) copyHeader(from http.Header) {
+	h := q.w.Header()
+	for name, values := range endToEndHeaders(from) {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // keeps net/http from guessing the type
+	}
+}
+
 // forwardWhole forwards a response that is not an event stream.
 func (s *send) forwardWhole(ctx context.Context, resp *awbackend.Response) sendResult {
 	q := s.q
@@ -182,15 +193,9 @@
 		return sendResult{mayHaveRun: true, outcome: awdispatch.Failed, reason: "ServerError"}
 	}
 	s.overtakeOthers()
-	h := q.w.Header()
-	for name, values := range endToEndHeaders(resp.Header) {
-		h[name] = values
-	}
-	if _, ok := h["Content-Type"]; !ok {
-		h["Content-Type"] = nil // keeps net/http from guessing the type
-	}
+	q.copyHeader(resp.Header)
 	if !exceedsBuffer {
-		h.Set("Content-Length", strconv.Itoa(len(body)))
+		q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	q.headerSent = true
 	q.w.WriteHeader(resp.Status)
