--- a/review/lab2/answers.go
+++ b/review/lab2/answers.go
@@ -44,7 +44,7 @@
 	l.store.put("op", "config", operatorConfig(plainService, "non_idempotent"))
 	var servers []*server
 	for i := range plainServers {
-		s, err := newServer(i+1, plainService, plainSlots, l.rec, l.store)
+		s, err := newServer(i+1, plainService, l.rec, l.store)
 		if err != nil {
 			return nil, err
 		}
--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,8 +51,9 @@
 
 // client sends requests over connections that it keeps.
 type client struct {
-	rec  *record
-	http *http.Client
+	rec   *record
+	http  *http.Client
+	trace *httptrace.ClientTrace // of the requests; may be nil
 }
 
 func newClient(rec *record) *client {
@@ -68,6 +70,9 @@
 		c.rec.note("client cannot send %s: %v", attempt, err)
 		return out
 	}
+	if c.trace != nil {
+		req = req.WithContext(httptrace.WithClientTrace(req.Context(), c.trace))
+	}
 	req.Host = hostName
 	req.Header.Set("X-Attempt-Id", attempt)
 	req.Header.Set("X-Deadline-Ms", "1000")
@@ -96,12 +101,12 @@
 
 // order sends one order, and once more, as another attempt, if the answer promises that
 // it has not run. It returns all outcomes.
-func (c *client) order(front, path string, n int) []outcome {
+func (c *client) order(mark, front, path string, n int) []outcome {
 	text := fmt.Sprintf("order %d", n)
-	out := []outcome{c.send(front, path, fmt.Sprintf("a%015x", n), text)}
+	out := []outcome{c.send(front, path, fmt.Sprintf("%sa%014x", mark, n), text)}
 	if out[0].promisesNotRun() {
 		time.Sleep(max(out[0].retryAfter, retryDelay))
-		out = append(out, c.send(front, path, fmt.Sprintf("b%015x", n), text))
+		out = append(out, c.send(front, path, fmt.Sprintf("%sb%014x", mark, n), text))
 	}
 	return out
 }
@@ -109,6 +114,11 @@
 // load sends orders at a steady pace for a time, by turns to the gateways, and returns
 // all outcomes.
 func (c *client) load(fronts []string, path string, perSecond int, length time.Duration) []outcome {
+	return c.loadAs("0", fronts, path, perSecond, length)
+}
+
+// loadAs is like load; the ids of its attempts begin with a mark.
+func (c *client) loadAs(mark string, fronts []string, path string, perSecond int, length time.Duration) []outcome {
 	var (
 		mu  sync.Mutex
 		wg  sync.WaitGroup
@@ -122,7 +132,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			list := c.order(fronts[i%len(fronts)], path, i)
+			list := c.order(mark, fronts[i%len(fronts)], path, i)
 			mu.Lock()
 			defer mu.Unlock()
 			out = append(out, list...)
--- a/review/lab2/foreign.go
+++ b/review/lab2/foreign.go
@@ -1,66 +1,81 @@
 package main
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 const (
-	heartbeat = 1200 * time.Millisecond
-	drain     = 2 * time.Second // drain_ms
-	// drainAt is when a server begins to leave, after the start of the load, and
-	// stayFor how long it goes on serving.
-	drainAt = 5 * time.Second
-	stayFor = 14 * time.Second
+	archiveService = "archive"
+	heartbeat      = 1200 * time.Millisecond
 	// foreignGap is the time between two rows of the other writer, and foreignRows
 	// their number.
 	foreignGap  = 3 * time.Second
-	foreignRows = 3
+	foreignRows = 4
 )
 
-// foreignRow checks DRAIN while another writer writes rows of a server that leaves. They
-// lack the field born, which is in all that a server says of itself.
+// foreignRow checks ROUTE while another writer writes rows of a server of one service.
+// They name another service and lack the field born, which is in all that a server says
+// of itself.
 func foreignRow(l *lab) (int, error) {
-	l.store.put("op", "config", operatorConfig(plainService, "idempotent"))
-	var servers []*server
-	for n := range plainServers {
-		s, err := newServer(n+1, plainService, plainSlots, l.rec, l.store)
+	cfg := operatorConfig(plainService, "idempotent")
+	second := operatorConfig(archiveService, "idempotent")
+	for _, r := range second["routes"].([]map[string]any) {
+		r["name"], r["path_prefix"] = "r-archive", "/archive/"
+	}
+	for _, list := range []string{"routes", "services"} {
+		cfg[list] = append(cfg[list].([]map[string]any), second[list].([]map[string]any)...)
+	}
+	l.store.put("op", "config", cfg)
+	var ledger []*server
+	for i := range plainServers {
+		s, err := newServer(i+1, plainService, l.rec, l.store)
 		if err != nil {
 			return 0, err
 		}
-		servers = append(servers, s)
+		ledger = append(ledger, s)
+		if _, err := newServer(100+i, archiveService, l.rec, l.store); err != nil {
+			return 0, err
+		}
 	}
 	fronts, err := l.startGateways(2)
 	if err != nil {
 		return 0, err
 	}
 	time.Sleep(settleTime)
-	leaver := servers[0]
-	acknowledged := make(chan time.Time, 1)
-	go func() {
-		time.Sleep(drainAt)
-		leaver.register("draining")
-		l.rec.note("the store accepts that server %s is draining", leaver.id)
-		acknowledged <- time.Now()
-		end := time.Now().Add(stayFor)
-		for n := 0; time.Now().Before(end); n++ {
-			time.Sleep(heartbeat)
-			leaver.register("draining")
-		}
-	}()
+	length := (foreignRows + 1) * foreignGap
+	go ledger[0].beat(length)
 	if l.trouble {
-		go func() {
-			time.Sleep(drainAt + foreignGap)
-			for range foreignRows {
-				row := leaver.row("ready")
-				delete(row, "born")
-				l.store.put("servers", leaver.id, row)
-				l.rec.note("another writer writes a row of server %s without the field born", leaver.id)
-				time.Sleep(foreignGap)
-			}
-		}()
+		go l.writeForeignRows(ledger[0])
 	}
-	newClient(l.rec).load(fronts, "/assign/2f", perSecond, drainAt+stayFor)
-	late := leaver.arrivalsSince((<-acknowledged).Add(drain))
-	for _, a := range late {
-		l.rec.note("DRAIN: %s reached server %s at %.3f s", a.attempt, leaver.id, a.at.Sub(l.rec.started).Seconds())
+	done := make(chan []outcome, 1)
+	go func() { done <- newClient(l.rec).load(fronts, "/archive/2f", perSecond, length) }()
+	newClient(l.rec).loadAs("l", fronts, "/assign/2f", perSecond, length)
+	broken := 0
+	for _, o := range <-done {
+		if server := l.rec.ranAt(o.attempt); server == ledger[0].id {
+			broken++
+			l.rec.note("ROUTE: %s for service %s ran at server %s of service %s", o.attempt, archiveService, server, plainService)
+		}
+	}
+	return broken, nil
+}
+
+// beat writes the server's row again and again for a time.
+func (s *server) beat(length time.Duration) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(heartbeat) {
+		s.register("ready")
+	}
+}
+
+// writeForeignRows writes rows of a server as another writer.
+func (l *lab) writeForeignRows(s *server) {
+	for n := range foreignRows {
+		time.Sleep(foreignGap)
+		row := s.row("ready")
+		delete(row, "born")
+		row["service"] = archiveService
+		l.store.put("servers", s.id, row)
+		l.rec.note("%s", fmt.Sprintf("another writer writes row %d of server %s, service %s, without the field born", n+1, s.id, archiveService))
 	}
-	return len(late), nil
 }
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -19,6 +19,7 @@
 	"extra-answer": extraAnswer,
 	"own-503":      own503,
 	"foreign-row":  foreignRow,
+	"header-bytes": headerBytes,
 }
 
 func main() { os.Exit(run()) }
--- a/review/lab2/record.go
+++ b/review/lab2/record.go
@@ -14,7 +14,8 @@
 	mu      sync.Mutex
 	file    *os.File
 	started time.Time
-	runs    map[string]int // by attempt
+	runs    map[string]int    // by attempt
+	last    map[string]string // by attempt: server that ran it last
 }
 
 func newRecord(dir string) (*record, error) {
@@ -22,7 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: file, started: time.Now(), runs: map[string]int{}}, nil
+	return &record{file: file, started: time.Now(), runs: map[string]int{}, last: map[string]string{}}, nil
 }
 
 // note adds a line with the time since the start.
@@ -42,6 +43,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[attempt]++
+	r.last[attempt] = server
 	r.line("server %s runs %s, %s", server, attempt, body)
 }
 
@@ -52,4 +54,11 @@
 	return r.runs[attempt]
 }
 
+// ranAt returns the server that ran an attempt last.
+func (r *record) ranAt(attempt string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.last[attempt]
+}
+
 func (r *record) close() { _ = r.file.Close() }
--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,6 +20,7 @@
 type server struct {
 	id      string
 	service string
+	model   string // served by a model replica; empty for a plain server
 	address string
 	rec     *record
 	slots   chan struct{}
@@ -28,33 +30,6 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	trouble func() reply // chooses how a request is answered; nil for a sound server
-	arrived []arrival
-}
-
-// arrival is a request that a server got and did not answer with 421.
-type arrival struct {
-	attempt string
-	at      time.Time
-}
-
-// arrivalsSince returns the requests that arrived later than a time.
-func (s *server) arrivalsSince(t time.Time) []arrival {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var late []arrival
-	for _, a := range s.arrived {
-		if a.at.After(t) {
-			late = append(late, a)
-		}
-	}
-	return late
-}
-
-// recordArrival records a request that the server does not answer with 421.
-func (s *server) recordArrival(attempt string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.arrived = append(s.arrived, arrival{attempt, time.Now()})
 }
 
 // reply is how a server answers a request that it runs.
@@ -62,7 +37,8 @@
 	// early holds bytes that the server sends late, after the answer to the request
 	// before, when this request has arrived.
 	early  string
-	status int // of its own answer; 0 for 200
+	status int  // of its own answer; 0 for 200
+	lost   bool // the request is run and its answer is lost with a reset of the connection
 }
 
 // setTrouble sets how the server chooses its answers from now on.
@@ -90,14 +66,19 @@
 	return s.rng.Float64() < p
 }
 
-// newServer starts a server of a service.
-func newServer(n int, service string, slots int, rec *record, st *store) (*server, error) {
+// newServer starts a plain server of a service.
+func newServer(n int, service string, rec *record, st *store) (*server, error) {
+	return newModelServer(n, service, "", plainSlots, rec, st)
+}
+
+// newModelServer starts a server of a service that serves a model.
+func newModelServer(n int, service, model string, slots int, rec *record, st *store) (*server, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	s := &server{
-		id: fmt.Sprintf("i-%04d", n), service: service, address: lis.Addr().String(), rec: rec, slots: make(chan struct{}, slots),
+		id: fmt.Sprintf("i-%04d", n), service: service, model: model, address: lis.Addr().String(), rec: rec, slots: make(chan struct{}, slots),
 		store: st, born: time.Now().UnixMilli(), rng: rand.New(rand.NewPCG(1, uint64(n))),
 	}
 	go func() {
@@ -115,10 +96,15 @@
 
 // row returns the server's row in the list.
 func (s *server) row(state string) map[string]any {
-	return map[string]any{
+	row := map[string]any{
 		"service": s.service, "address": s.address, "zone": "zone-a", "version": "v1", "slots": cap(s.slots), "state": state,
 		"cold_remaining_ms": 0, "sequence": 0, "born": s.born,
 	}
+	if s.model != "" {
+		row["phase"] = "hybrid"
+		row["models"] = []map[string]any{{"name": s.model, "version": 1, "adapters": []string{}}}
+	}
+	return row
 }
 
 // register writes the server's row.
@@ -150,7 +136,6 @@
 	if want := req.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
 		return s.write(c, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", attempt, s.id)
 	}
-	s.recordArrival(attempt)
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
@@ -166,14 +151,24 @@
 	}
 	s.rec.ran(s.id, attempt, text)
 	time.Sleep(workTime)
+	if how.lost {
+		s.rec.note("server %s loses its answer to %s", s.id, attempt)
+		_ = c.(*net.TCPConn).SetLinger(0) // only the connection is lost with it
+		return errAnswerLost
+	}
 	if how.status == 0 {
 		how.status = http.StatusOK
 	}
-	body := "answer to " + attempt
-	return s.write(c, "HTTP/1.1 %d %s\r\nX-Attempt-Id: %s\r\nX-Response-Signature: sig-%s\r\nContent-Length: %d\r\n\r\n%s",
-		how.status, http.StatusText(how.status), attempt, attempt, len(body), body)
+	body, kind := "answer to "+attempt, ""
+	if s.model != "" {
+		body, kind = "id: 1\ndata: "+attempt+"\n\n", "Content-Type: text/event-stream\r\nX-Weight-Versions: 1\r\n"
+	}
+	return s.write(c, "HTTP/1.1 %d %s\r\nX-Attempt-Id: %s\r\nX-Response-Signature: sig-%s\r\n%sContent-Length: %d\r\n\r\n%s",
+		how.status, http.StatusText(how.status), attempt, attempt, kind, len(body), body)
 }
 
+var errAnswerLost = errors.New("answer lost")
+
 func (s *server) write(c net.Conn, format string, args ...any) error {
 	_, err := fmt.Fprintf(c, format, args...)
 	return err
