--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -12,6 +12,7 @@
 
 	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awdispatch"
+	"arbutuswind/core/awoutcome"
 	"arbutuswind/core/awquarantine"
 	"arbutuswind/core/awstream"
 	"arbutuswind/io/awbackend"
@@ -47,6 +48,11 @@
 // server delivered the next event.
 const reasonOvertaken = "Overtaken"
 
+// reasonUnprovenRejection is the reason of sends that ended with a status that promises
+// that the request has not run, but without the backend server's statement that it has
+// not. Such a status is not passed on, since the request may have run.
+const reasonUnprovenRejection = "UnprovenRejection"
+
 // reasonOtherVersion is the reason of sends that resume a stream and are turned away,
 // most likely because the backend server has got another version of the weights.
 const reasonOtherVersion = "OtherVersion"
@@ -189,6 +195,8 @@
 		return failedResult(ctx, awstream.ErrOvertaken)
 	case q.headerSent: // the response is an event stream, which only events can continue
 		return sendResult{mayHaveRun: true, outcome: awdispatch.Failed, reason: "NotResumed", detail: http.StatusText(resp.Status)}
+	case awoutcome.PromisesNotRun(resp.Status):
+		return sendResult{mayHaveRun: true, outcome: outcomeOf(resp.Status), reason: reasonUnprovenRejection, detail: "status " + strconv.Itoa(resp.Status)}
 	case resp.Status >= 500 && (q.race.Running() > 1 || s.mayRepeat()):
 		return sendResult{mayHaveRun: true, outcome: awdispatch.Failed, reason: "ServerError"}
 	}
@@ -210,15 +218,22 @@
 			return failedResult(ctx, err)
 		}
 	}
-	out := awdispatch.Succeeded
-	if resp.Status >= 500 {
-		out = awdispatch.Failed
-	} else {
+	out := outcomeOf(resp.Status)
+	if out == awdispatch.Succeeded {
 		q.recordSound()
 	}
 	return sendResult{answered: true, outcome: out, status: resp.Status}
 }
 
+// outcomeOf returns what a whole response shows about the backend server. A client error
+// is no failure of the server.
+func outcomeOf(status int) awdispatch.Outcome {
+	if status >= http.StatusInternalServerError {
+		return awdispatch.Failed
+	}
+	return awdispatch.Succeeded
+}
+
 // mayRepeat reports whether a server error need not be the final response.
 func (s *send) mayRepeat() bool {
 	return s.q.route.Repeatable() && s.number < max(1, s.q.route.MaxAttempts) && s.q.timeForRetry()
