awentry: do not pass on a service's status that promises "not run"

What callers saw: a plain service that had run a call and answered 503 (or 408, 421, 429) was passed on as it was, without an outcome. Callers, and the libraries and proxies in front of them, repeat calls after these statuses. A keyed call was recorded with the status and returned so for the same key.

Services state nothing about calls that they have not run, so none of their statuses proves it.

Change: such a response is told as 502 with outcome "unknown". The record of a keyed call keeps the service's own response, and the call never runs again.

TestUnprovenRejectionIsNoPromise (io/awentry): its 4 cases fail before the change (408, 421, 429 and 503 reach the caller) and pass after it. All tests of io/awentry pass.

--- a/io/awentry/callers.go
+++ b/io/awentry/callers.go
@@ -160,6 +160,5 @@
 	if err := e.dispatch(ctx, req, start, sink); err != nil {
 		return err
 	}
-	sink.writeResponse(w)
-	return nil
+	return sink.writeResponse(w)
 }
--- a/io/awentry/claims.go
+++ b/io/awentry/claims.go
@@ -101,8 +101,7 @@
 	}
 	response := &bufferSink{status: result.Status, contentType: result.ContentType}
 	response.body.Write(result.Body)
-	response.writeResponse(w)
-	return nil
+	return response.writeResponse(w)
 }
 
 // run takes the steps that package awledger decides until the call has a result
--- a/io/awentry/sinks.go
+++ b/io/awentry/sinks.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 
+	"arbutuswind/core/awoutcome"
 	"arbutuswind/core/awstream"
 	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awproto"
@@ -193,10 +195,16 @@
 
 func (s *bufferSink) reportError(error) bool { return false }
 
-func (s *bufferSink) writeResponse(w http.ResponseWriter) {
+// writeResponse writes the response of the service, or returns the error that the caller
+// gets in its place.
+func (s *bufferSink) writeResponse(w http.ResponseWriter) error {
+	if awoutcome.PromisesNotRun(s.status) {
+		return unknownOutcome(awoutcome.EngineFailed, fmt.Sprintf("the service returned status %d, which does not prove that the call did not run", s.status))
+	}
 	if s.contentType != "" {
 		w.Header().Set("Content-Type", s.contentType)
 	}
 	w.WriteHeader(s.status)
 	_, _ = w.Write(s.body.Bytes()) // fails only if the caller has disconnected
+	return nil
 }
