awhttp: a failure whose outcome is not "not run" gets no status that says so

What callers saw: awentry chose the status of a failure by its reason alone. A request that was still running at the end of a planned stop, a resumed stream that was refused or a duplicate attempt got 503, an answer too large to hold 429, each with outcome "unknown". Whoever goes by the status repeats it.

Change: such failures get 502 unless the outcome is "not run".

TestEndOfGraceRefusesRequests demanded 503 for two requests that may have run; it now demands 502 for these and 503 for the three that have not, and fails before the change.

--- a/io/awentry/stop_test.go
+++ b/io/awentry/stop_test.go
@@ -218,7 +218,11 @@
 	conns["header arrives"].write(t, completion[20:])
 	for name, c := range conns {
 		resp, body := c.read(t, name)
-		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, name+body)
+		status := http.StatusServiceUnavailable
+		if requests[name].outcome != awoutcome.NotRun {
+			status = http.StatusBadGateway // 503 would promise that the request did not run
+		}
+		require.Equal(t, status, resp.StatusCode, name+body)
 		var p awhttp.Problem
 		require.NoError(t, json.Unmarshal([]byte(body), &p), name)
 		require.Equal(t, string(awoutcome.Leaving), p.Reason, name+body)
--- a/io/awhttp/awhttp.go
+++ b/io/awhttp/awhttp.go
@@ -65,7 +65,7 @@
 		e = &awoutcome.Error{Outcome: awoutcome.Unknown, Reason: awoutcome.EngineFailed, Detail: err.Error()}
 	}
 	return Problem{
-		Type: "about:blank", Title: string(e.Reason), Status: Status(e.Reason),
+		Type: "about:blank", Title: string(e.Reason), Status: statusOf(e),
 		Detail: e.Detail, Outcome: e.Outcome.String(), Reason: string(e.Reason),
 	}
 }
@@ -87,7 +87,17 @@
 	_, _ = w.Write(body) // the caller may be gone
 }
 
-// Status returns the HTTP status of a reason.
+// statusOf returns the HTTP status of an error. If the request may have run, it is none
+// that promises the opposite.
+func statusOf(e *awoutcome.Error) int {
+	status := Status(e.Reason)
+	if e.Outcome != awoutcome.NotRun && awoutcome.PromisesNotRun(status) {
+		return http.StatusBadGateway
+	}
+	return status
+}
+
+// Status returns the HTTP status of a reason if the request has not run.
 func Status(reason awoutcome.Reason) int {
 	switch reason {
 	case awoutcome.BadRequest:
