awbackend: a response whose status is none of HTTP is no answer

What callers saw here: after a signed 000, 001, 099 or +20 a closed connection, since writing the status panicked; what may be repeated was not sent to another server. A signed 600 or 999 reached them as an answer on routes that run once only and on streams that cannot be resumed.

Cause: net/http parses any number as a status, and the gateway compared it with upper limits only.

Change: a response to the request with a status outside 200 to 599 fails the send as one that may have run. What may be repeated goes to another server, the rest gets a 502 of the gateway's own.

--- a/core/awoutcome/status.go
+++ b/core/awoutcome/status.go
@@ -19,3 +19,8 @@
 	}
 	return false
 }
+
+// IsFinalStatus reports whether an HTTP status can be that of a final response: 200 to
+// 599, by RFC 9110, section 15. A response with another one is no answer, and its request
+// may have run.
+func IsFinalStatus(status int) bool { return status >= 200 && status <= 599 }
--- a/core/awoutcome/status_test.go
+++ b/core/awoutcome/status_test.go
@@ -18,3 +18,15 @@
 	// 429
 	// 503
 }
+
+func ExampleIsFinalStatus() {
+	for _, status := range []int{0, 103, 200, 599, 600} {
+		fmt.Println(status, awoutcome.IsFinalStatus(status))
+	}
+	// Output:
+	// 0 false
+	// 103 false
+	// 200 true
+	// 599 true
+	// 600 false
+}
--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -27,6 +27,7 @@
 	"github.com/rotisserie/eris"
 
 	"arbutuswind/core/awclock"
+	"arbutuswind/core/awoutcome"
 )
 
 const (
@@ -385,7 +386,8 @@
 
 // readResponse reads the header of the response. It skips informational
 // responses and those to earlier requests. A response without an id is accepted
-// only if its status is 300 or above.
+// only if it is no success. One whose status is not that of a final response is an
+// error.
 func (r *Response) readResponse(req Request) error {
 	for range maxResponsesRead {
 		resp, err := r.conn.readHeader(req.Method) //nolint:bodyclose // Response.Close closes the connection unless the body was read to its end
@@ -396,7 +398,10 @@
 			continue
 		}
 		id := resp.Header.Get(req.IDHeader)
-		if req.ID == "" || id == req.ID || (id == "" && resp.StatusCode >= 300) {
+		if req.ID == "" || id == req.ID || (id == "" && resp.StatusCode/100 != 2) {
+			if !awoutcome.IsFinalStatus(resp.StatusCode) {
+				return fmt.Errorf("invalid status %d", resp.StatusCode)
+			}
 			r.Status, r.Header, r.resp = resp.StatusCode, resp.Header, resp
 			r.Body = &bodyReader{r}
 			r.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
