awhttp: clients take no status that is none of HTTP for a success

On a response with 000 or 099 was an acknowledged write, an accepted load order, a staged or fetched chunk, a delivered usage report. awagent passed such a response of a service on, and the handler of awentry panicked at it; with an Idempotency-Key it was recorded first.

Change: awhttp.Transport fails with ErrInvalidStatus. Each of the clients already treats an error as an act that may have been carried out. awentry tells 502 with outcome "unknown" for such a status from an agent of an earlier version or from a record.

--- a/io/awentry/promise_test.go
+++ b/io/awentry/promise_test.go
@@ -42,3 +42,23 @@
 		})
 	}
 }
+
+// Guards WholeAnswer: the status of an agent's response, or of a record, is none of HTTP.
+// Writing it would panic or pass it on.
+func TestInvalidStatusOfAgent(t *testing.T) {
+	for _, status := range []int32{0, 99, 600} {
+		agent := &scriptedAgent{serve: func(_ *scriptedAgent, s awproto.DRPCAgent_ServeStream, _ *awproto.ServeStart) error {
+			return s.Send(&awproto.ServeDown{Body: &awproto.ServeDown_End{End: &awproto.End{Status: status}}})
+		}}
+		e := withAgents(t, agent)
+		go e.claims.writeLoop(t.Context())
+		addr, _ := serveCallers(t, e)
+		for _, header := range []string{"", awhttp.HeaderTeam + ": t\r\n" + awhttp.HeaderKey + ": k\r\n"} {
+			conn := dialEntry(t, addr)
+			conn.write(t, rawRequest("/v1/services/s/x", header, "b"))
+			resp, _ := conn.read(t, header)
+			require.Equal(t, http.StatusBadGateway, resp.StatusCode, status)
+			require.Equal(t, awoutcome.Unknown.String(), resp.Header.Get(awhttp.HeaderOutcome), status)
+		}
+	}
+}
--- a/io/awentry/sinks.go
+++ b/io/awentry/sinks.go
@@ -198,8 +198,11 @@
 // writeResponse writes the response of the service, or returns the error that the caller
 // gets in its place.
 func (s *bufferSink) writeResponse(w http.ResponseWriter) error {
-	if awoutcome.PromisesNotRun(s.status) {
+	switch {
+	case awoutcome.PromisesNotRun(s.status):
 		return unknownOutcome(awoutcome.EngineFailed, fmt.Sprintf("the service returned status %d, which does not prove that the call did not run", s.status))
+	case !awoutcome.IsFinalStatus(s.status):
+		return unknownOutcome(awoutcome.EngineFailed, fmt.Sprintf("the service returned the invalid status %d", s.status))
 	}
 	if s.contentType != "" {
 		w.Header().Set("Content-Type", s.contentType)
--- a/io/awstore/awstore.go
+++ b/io/awstore/awstore.go
@@ -24,6 +24,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awtelemetry"
 )
 
@@ -92,7 +93,7 @@
 		cfg.Timeout = defaultTimeout
 	}
 	tr := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DialContext: countingDial}
-	return &Client{cfg: cfg, http: &http.Client{Transport: tr}}
+	return &Client{cfg: cfg, http: &http.Client{Transport: awhttp.Transport{Transport: tr}}}
 }
 
 var traffic = awtelemetry.NewTraffic("store")
--- a/io/awstore/awstore_test.go
+++ b/io/awstore/awstore_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"arbutuswind/internal/awstandin"
+	"arbutuswind/io/awhttp"
 	"arbutuswind/io/awstore"
 )
 
@@ -57,3 +58,20 @@
 	require.Len(t, list, 2)
 	require.Equal(t, int64(2), full.Load())
 }
+
+// Guards against a commit that counts as done because of a response whose status is none
+// of HTTP.
+func TestInvalidStatusIsNoSuccess(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		_, _ = conn.Write([]byte("HTTP/1.1 000 Status\r\nContent-Length: 0\r\n\r\n"))
+	}))
+	t.Cleanup(srv.Close)
+	c := awstore.New(awstore.Config{TableURL: srv.URL})
+	require.ErrorIs(t, c.Commit(t.Context(), awstore.Txn{}), awhttp.ErrInvalidStatus)
+}
