--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 		-args -rapid.seed=$(FUZZ_SEED) -rapid.checks=$(FUZZ_CHECKS) -rapid.steps=120
 	@for target in $(FUZZ_TARGETS); do \
 		go test ./internal/awproof -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZ_TIME) -parallel 2 || exit 1; done
+	go test ./platform -run '^$$' -fuzz '^FuzzIdentifiers$$' -fuzztime $(FUZZ_TIME) -parallel 2
 
 # Runs the fault soak with more seeds. They start at the current time unless
 # SOAK_FIRST is set.
--- a/io/awagent/agent.go
+++ b/io/awagent/agent.go
@@ -166,7 +166,7 @@
 	serveCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, serveCtx := errgroup.WithContext(serveCtx)
-	server := awrpc.NewServer(mux, func(error) {})
+	server := awrpc.NewServer(mux, awrpc.LogPanics(a.cfg.Logger))
 	group.Go(func() error { return server.Serve(serveCtx, inner) })
 	group.Go(func() error { guard.Run(serveCtx); return nil })
 	group.Go(func() error { return a.serveLocal(serveCtx, local, guard) })
--- a/io/awagent/serve.go
+++ b/io/awagent/serve.go
@@ -120,7 +120,7 @@
 	}
 	defer resp.Body.Close()
 	r.recordServiceStatus(resp.StatusCode)
-	return r.forwardBody(ctx, resp.Body, resp.StatusCode, resp.Header.Get("Content-Type"))
+	return r.forwardBody(ctx, resp.Body, resp.StatusCode, awproto.Text(resp.Header.Get("Content-Type")))
 }
 
 // recordServiceStatus counts every response except a server error as evidence
--- a/io/awagent/settle.go
+++ b/io/awagent/settle.go
@@ -62,7 +62,7 @@
 	}
 	defer resp.Body.Close()
 	r.recordServiceStatus(resp.StatusCode)
-	contentType := resp.Header.Get("Content-Type")
+	contentType := awproto.Text(resp.Header.Get("Content-Type"))
 	head, err := io.ReadAll(io.LimitReader(resp.Body, maxStoredResultBytes+1))
 	if err != nil {
 		return r.sendFailure(ctx, &awoutcome.Error{Outcome: awoutcome.Ran, Reason: awoutcome.EngineFailed, Detail: err.Error()})
--- a/io/awagent/weights.go
+++ b/io/awagent/weights.go
@@ -116,6 +116,6 @@
 	return &awproto.TransferReport{
 		VersionDigest: t.VersionDigest, Chunks: t.Chunks, ChunksHeld: t.ChunksHeld, Peers: t.Peers,
 		BadChunks: t.BadChunks, OriginBytes: t.OriginBytes, RegionBytes: t.RegionBytes, PeerBytes: t.PeerBytes,
-		EtaMs: t.EtaMs, Error: t.Error, NoRoom: t.NoRoom,
+		EtaMs: t.EtaMs, Error: awproto.Text(t.Error), NoRoom: t.NoRoom,
 	}
 }
--- a/io/awentry/callers.go
+++ b/io/awentry/callers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"unicode/utf8"
 
 	"github.com/go-chi/chi/v5"
 	"go.opentelemetry.io/otel/trace"
@@ -145,11 +146,14 @@
 }
 
 func (e *Entry) handleService(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) error {
-	name := chi.URLParam(r, "service")
+	name, path := chi.URLParam(r, "service"), chi.URLParam(r, "*")
+	if !utf8.ValidString(name) || !utf8.ValidString(path) {
+		return awoutcome.Refuse(awoutcome.BadRequest, "the path must be UTF-8")
+	}
 	start := &awproto.ServeStart{
 		Model: awproto.ServicePrefix + name, Body: req.body,
 		Service: &awproto.ServiceCall{
-			Service: name, Method: r.Method, Path: chi.URLParam(r, "*"),
+			Service: name, Method: r.Method, Path: path,
 			ContentType: r.Header.Get("Content-Type"), IdempotencyKey: req.key,
 		},
 	}
--- a/io/awentry/entry.go
+++ b/io/awentry/entry.go
@@ -157,7 +157,7 @@
 	callerServer := e.newCallerServer(guard)
 	operatorServer := awhttp.NewServer(e.operatorHandler())
 	guard.Protect(operatorServer)
-	server := awrpc.NewServer(mux, func(error) {})
+	server := awrpc.NewServer(mux, awrpc.LogPanics(e.cfg.Logger))
 	group.Go(func() error { return server.Serve(serveCtx, inner) })
 	group.Go(func() error { guard.Run(serveCtx); return nil })
 	group.Go(func() error { return serveHTTP(callerServer, callers) })
--- a/io/awentry/request.go
+++ b/io/awentry/request.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 
@@ -203,6 +204,11 @@
 	if len(r.team) > maxTeamBytes || len(r.key) > maxKeyBytes {
 		return awoutcome.Refuse(awoutcome.BadRequest, awhttp.HeaderTeam+" or "+awhttp.HeaderKey+" is too long")
 	}
+	for _, name := range []string{awhttp.HeaderTeam, awhttp.HeaderKey, "Content-Type"} {
+		if !utf8.ValidString(h.Get(name)) {
+			return awoutcome.Refuse(awoutcome.BadRequest, name+" must be UTF-8")
+		}
+	}
 	if v := h.Get(awhttp.HeaderPriority); v != "" {
 		n, err := strconv.ParseUint(v, 10, 32)
 		if err != nil || n > maxPriority {
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -246,20 +246,25 @@
 				g.recordPause(pause)
 			}
 			last = now
-			g.mu.Lock()
-			g.withdrawOutdated()
-			if g.dispatch.Waiting() > 0 {
-				g.dispatch.Tick()
-			}
-			if g.throttle.Limits() > 0 {
-				g.throttle.Tick()
-				signal(g.noticesDue)
-			}
-			g.mu.Unlock()
+			g.contain("dispatch", g.tick)
 		}
 	}
 }
 
+// tick ends sends that have become outdated and dispatches waiting requests.
+func (g *Gateway) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.withdrawOutdated()
+	if g.dispatch.Waiting() > 0 {
+		g.dispatch.Tick()
+	}
+	if g.throttle.Limits() > 0 {
+		g.throttle.Tick()
+		signal(g.noticesDue)
+	}
+}
+
 // ServeReady is the readiness endpoint for load balancers. It responds with 200
 // if the gateway is ready and 503 otherwise.
 func (g *Gateway) ServeReady(w http.ResponseWriter, _ *http.Request) {
--- a/io/awgateway/dialect.go
+++ b/io/awgateway/dialect.go
@@ -25,6 +25,9 @@
 	// OwnPart identifies the part of the prompt that only this request, its
 	// repetitions and its session have. Empty if not known.
 	OwnPart string
+	// Malformed is whether an identifier is no text in UTF-8, which messages between
+	// entries cannot hold.
+	Malformed bool
 }
 
 // ForwardInfo holds the data that a backend server gets in addition to the
--- a/io/awgateway/load.go
+++ b/io/awgateway/load.go
@@ -19,7 +19,7 @@
 // on port. While connected returns true, they learn what they need to know of the
 // store with the subscription.
 func (g *Gateway) CollectLoadReports(ctx context.Context, socket *awload.Socket, port int, connected func() bool) {
-	go socket.Run(ctx, awload.Handlers{Report: g.handleLoadReport, Facts: g.HandleFacts, Notices: g.handleNotices, Duties: g.cfg.OnDuties})
+	go socket.Run(ctx, g.datagramHandlers())
 	tick := time.NewTicker(subscribeInterval)
 	defer tick.Stop()
 	for {
@@ -42,6 +42,21 @@
 	}
 }
 
+// datagramHandlers returns the handlers of datagrams from loaders and other entries.
+func (g *Gateway) datagramHandlers() awload.Handlers {
+	return awload.Handlers{
+		Report: func(r awload.Report) { g.contain("reports", func() { g.handleLoadReport(r) }) },
+		Facts: func(payload []byte) (answers [][]byte) {
+			g.contain("facts", func() { answers = g.HandleFacts(payload) })
+			return answers
+		},
+		Notices: func(from netip.AddrPort, payload []byte) {
+			g.contain("limits", func() { g.handleNotices(from, payload) })
+		},
+		Duties: g.cfg.OnDuties,
+	}
+}
+
 // fleet returns what the loaders of a service need to know, or nil if it is not
 // known.
 func (g *Gateway) fleet(service string) *awload.Fleet {
--- a/io/awgateway/quarantine.go
+++ b/io/awgateway/quarantine.go
@@ -4,12 +4,12 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
@@ -214,18 +214,12 @@
 		case <-ctx.Done():
 			return
 		case <-g.exchange.joined:
-			g.sendFacts(socket, awquarantine.Facts{}, true, g.peers(0))
+			g.sendFacts(socket, nil, true, 0)
 		case <-digest.C:
-			g.mu.Lock()
-			facts := g.exchange.quarantine.Digest()
-			g.mu.Unlock()
-			g.sendFacts(socket, facts, false, g.peers(digestPeers))
+			g.sendFacts(socket, g.exchange.quarantine.Digest, false, digestPeers)
 		case <-g.exchange.changed:
 			time.Sleep(factsDelay)
-			g.mu.Lock()
-			facts := g.exchange.quarantine.TakePending()
-			g.mu.Unlock()
-			g.sendFacts(socket, facts, false, g.peers(0))
+			g.sendFacts(socket, g.exchange.quarantine.TakePending, false, 0)
 		}
 	}
 }
@@ -265,15 +259,30 @@
 	return nil
 }
 
-func (g *Gateway) sendFacts(socket *awload.Socket, facts awquarantine.Facts, wanted bool, peers []netip.AddrPort) {
-	if facts.Empty() && !wanted {
-		return
-	}
-	for _, payload := range encodeFacts(facts, wanted, g.cfg.Clock.Now()) {
-		for _, addr := range peers {
-			socket.SendFacts(addr, payload)
+// sendFacts sends the facts that take returns to n random other entries, or to all if n
+// is 0. A nil take sends none, and asks for theirs if wanted is set.
+func (g *Gateway) sendFacts(socket *awload.Socket, take func() awquarantine.Facts, wanted bool, n int) {
+	g.contain("facts", func() {
+		facts := g.lockedFacts(take)
+		if facts.Empty() && !wanted {
+			return
 		}
+		peers := g.peers(n)
+		for _, payload := range encodeFacts(facts, wanted, g.cfg.Clock.Now()) {
+			for _, addr := range peers {
+				socket.SendFacts(addr, payload)
+			}
+		}
+	})
+}
+
+func (g *Gateway) lockedFacts(take func() awquarantine.Facts) awquarantine.Facts {
+	if take == nil {
+		return awquarantine.Facts{}
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return take()
 }
 
 func signal(c chan struct{}) {
@@ -290,7 +299,7 @@
 	m, size := &awproto.Facts{Wanted: wanted}, 0
 	add := func(item proto.Message, put func()) {
 		if n := proto.Size(item); size > 0 && size+n > maxFactsBytes {
-			out = append(out, mustMarshal(m))
+			out = appendMessage(out, m)
 			m, size = &awproto.Facts{}, 0
 		}
 		put()
@@ -305,19 +314,24 @@
 	for _, c := range all.Crashes {
 		add(c, func() { m.Crashes = append(m.Crashes, c) })
 	}
-	return append(out, mustMarshal(m))
+	return appendMessage(out, m)
 }
 
 // itemOverhead is the size of the tag and length of one fact in a message.
 const itemOverhead = 4
 
-// mustMarshal encodes a message, which has no required fields.
-func mustMarshal(m proto.Message) []byte {
+// unencoded counts messages to other entries that could not be encoded.
+var unencoded = metrics.GetOrCreateCounter("arbutuswind_gateway_messages_unencoded_total")
+
+// appendMessage appends an encoded message to the datagrams. One that cannot be encoded
+// is left out: the texts in it come from requests, of which none may end the process.
+func appendMessage(out [][]byte, m proto.Message) [][]byte {
 	b, err := proto.Marshal(m)
 	if err != nil {
-		panic(fmt.Sprintf("encode message: %v", err))
+		unencoded.Inc()
+		return out
 	}
-	return b
+	return append(out, b)
 }
 
 func decodeFacts(payload []byte, now time.Time) (f awquarantine.Facts, wanted bool, err error) {
--- a/io/awgateway/quarantine_test.go
+++ b/io/awgateway/quarantine_test.go
@@ -99,3 +99,17 @@
 func (noHeaders) ForwardHeaders(h http.Header, _ ForwardInfo) http.Header { return h }
 func (noHeaders) DecodeResponse(int, http.Header) ResponseInfo            { return ResponseInfo{} }
 func (noHeaders) IDHeader() string                                        { return "X-Id" }
+
+// Guards against a panic of a task that serves many requests: it must end neither the
+// process nor the task.
+func TestPanicOfTaskIsContained(t *testing.T) {
+	g := New(Config{Clock: awclock.System{}, Logger: log.NewNopLogger()})
+	before := g.metrics.panics.Get()
+	g.contain("test", func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		panic("bad request")
+	})
+	require.Equal(t, before+1, g.metrics.panics.Get())
+	require.True(t, g.mu.TryLock(), "the lock is released")
+}
--- a/io/awgateway/receive.go
+++ b/io/awgateway/receive.go
@@ -78,6 +78,20 @@
 	awhttp.RespondEarly(q.w, r, q.bodyLimit, q.timeout(), func() { q.refuse(status, retryAfter, reason) })
 }
 
+// contain runs a step of a task that serves many requests. A panic ends the step, not the
+// process with the requests of all callers, so a step must release its locks with defer.
+func (g *Gateway) contain(task string, step func()) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			g.metrics.panics.Inc()
+			if g.metrics.logLimiter.AllowN(g.cfg.Clock.Now(), 1) {
+				_ = level.Error(g.cfg.Logger).Log("Message", "panic", "Task", task, "Fault", fmt.Sprint(fault), "Stack", string(debug.Stack()))
+			}
+		}
+	}()
+	step()
+}
+
 // answerPanic ends a request whose handling panicked. The 502 promises nothing
 // about whether it ran. q is nil if the panic came before it was made.
 func (q *request) answerPanic(g *Gateway, w http.ResponseWriter, fault any) {
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -126,8 +126,8 @@
 // reasonStopping is the reason of requests that end because the gateway stops.
 const reasonStopping = "Stopping"
 
-// resolve finds the route and the team of the request. On failure it returns
-// the HTTP status and the reason, and otherwise status 0.
+// resolve finds the route and the team of the request and checks its identifiers. On
+// failure it returns the HTTP status and the reason, and otherwise status 0.
 func (q *request) resolve(c *awdirectory.Config) (int, string) {
 	path, _, _ := strings.Cut(q.uri, "?")
 	if q.route = c.Route(hostName(q.host), path); q.route == nil {
@@ -138,6 +138,9 @@
 			return http.StatusUnauthorized, "UnknownKey"
 		}
 	}
+	if q.info.Malformed {
+		return http.StatusBadRequest, "BadIdentifier"
+	}
 	return 0, ""
 }
 
--- a/io/awgateway/telemetry.go
+++ b/io/awgateway/telemetry.go
@@ -28,6 +28,7 @@
 	workAfterLeaving              *metrics.Histogram
 	logLinesDropped, badFacts     *metrics.Counter
 	badSignals, badNotices        *metrics.Counter
+	panics                        *metrics.Counter // steps of background tasks that have panicked
 	silentSends                   *metrics.Counter
 	pauseTime                     *metrics.Histogram
 	serversLeaving, pauses        *metrics.Counter
@@ -50,6 +51,7 @@
 		silentSends:      counter("arbutuswind_gateway_silent_sends_total"),
 		pauseTime:        histogram("arbutuswind_gateway_pause_seconds"),
 		badSignals:       counter("arbutuswind_gateway_bad_signals_total"),
+		panics:           counter("arbutuswind_gateway_task_panics_total"),
 		badNotices:       counter("arbutuswind_gateway_bad_notices_total"),
 		serversLeaving:   counter("arbutuswind_gateway_servers_leaving_total"),
 		pauses:           counter("arbutuswind_gateway_server_pauses_total"),
--- a/io/awgateway/throttle.go
+++ b/io/awgateway/throttle.go
@@ -94,14 +94,21 @@
 		case <-ctx.Done():
 			return
 		case <-g.noticesDue:
-			for _, addr := range g.askedForNotices() {
-				socket.SendNotices(addr, mustMarshal(&awproto.Notices{Sender: g.cfg.Instance, Wanted: true}))
-			}
-			for addr, notices := range g.dueNotices() {
-				for _, payload := range encodeNotices(g.cfg.Instance, notices, g.cfg.Clock.Now()) {
-					socket.SendNotices(addr, payload)
-				}
-			}
+			g.contain("limits", func() { g.sendNotices(socket) })
+		}
+	}
+}
+
+// sendNotices sends what is due to the other entries.
+func (g *Gateway) sendNotices(socket *awload.Socket) {
+	for _, addr := range g.askedForNotices() {
+		for _, payload := range appendMessage(nil, &awproto.Notices{Sender: g.cfg.Instance, Wanted: true}) {
+			socket.SendNotices(addr, payload)
+		}
+	}
+	for addr, notices := range g.dueNotices() {
+		for _, payload := range encodeNotices(g.cfg.Instance, notices, g.cfg.Clock.Now()) {
+			socket.SendNotices(addr, payload)
 		}
 	}
 }
@@ -173,10 +180,10 @@
 		n := awproto.NewNotice(notice, now)
 		bytes := proto.Size(n) + itemOverhead
 		if size > 0 && size+bytes > maxFactsBytes {
-			out = append(out, mustMarshal(m))
+			out = appendMessage(out, m)
 			m, size = &awproto.Notices{Sender: self}, 0
 		}
 		m.Notices, size = append(m.Notices, n), size+bytes
 	}
-	return append(out, mustMarshal(m))
+	return appendMessage(out, m)
 }
--- a/io/awloader/awloader.go
+++ b/io/awloader/awloader.go
@@ -330,7 +330,7 @@
 	if err != nil {
 		return err
 	}
-	err = awrpc.NewServer(mux, func(error) {}).Serve(ctx, inner)
+	err = awrpc.NewServer(mux, awrpc.LogPanics(l.cfg.Logger)).Serve(ctx, inner)
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
--- a/io/awproto/facts.go
+++ b/io/awproto/facts.go
@@ -12,14 +12,14 @@
 	x := &Facts{}
 	for _, c := range f.Crashes {
 		x.Crashes = append(x.Crashes, &CrashFact{
-			Engine: c.Engine, Request: c.Request, Parts: c.Parts, SentAgeUs: age(c.Sent), AgeUs: age(c.At), Cancelled: c.Cancelled,
+			Engine: Text(c.Engine), Request: Text(c.Request), Parts: texts(c.Parts), SentAgeUs: age(c.Sent), AgeUs: age(c.At), Cancelled: c.Cancelled,
 		})
 	}
 	for _, s := range f.Sound {
-		x.Sound = append(x.Sound, &SoundFact{Part: s.Part, AgeUs: age(s.At)})
+		x.Sound = append(x.Sound, &SoundFact{Part: Text(s.Part), AgeUs: age(s.At)})
 	}
 	for _, r := range f.Refuted {
-		x.Refuted = append(x.Refuted, &RefutedFact{Engine: r.Engine, AgeUs: age(r.At)})
+		x.Refuted = append(x.Refuted, &RefutedFact{Engine: Text(r.Engine), AgeUs: age(r.At)})
 	}
 	return x
 }
--- a/io/awproto/notices.go
+++ b/io/awproto/notices.go
@@ -17,7 +17,7 @@
 		return &us
 	}
 	x := &Notice{
-		Server: n.Server.ID, StartUnixMs: n.Server.StartUnixMs, RateLimit: n.Account.Rate,
+		Server: Text(n.Server.ID), StartUnixMs: n.Server.StartUnixMs, RateLimit: n.Account.Rate,
 		NamedAgeUs: age(n.Account.NamedAt), LiftedAgeUs: age(n.Account.LiftedAt),
 	}
 	if a := n.Ask; a != nil {
--- a/io/awproto/outcome.go
+++ b/io/awproto/outcome.go
@@ -31,14 +31,14 @@
 // configuration revision of the refusing process.
 func NewRefusal(e *awoutcome.Error, revision uint64) *Refusal {
 	return &Refusal{
-		Reason: reasonCode(e.Reason), Outcome: outcomeCodes[e.Outcome], Detail: e.Detail,
+		Reason: reasonCode(e.Reason), Outcome: outcomeCodes[e.Outcome], Detail: Text(e.Detail),
 		RetryAfterMs: e.RetryAfterMs, Revision: revision,
 	}
 }
 
 // NewFailure returns the message for a response that ended with an error.
 func NewFailure(e *awoutcome.Error) *Failure {
-	return &Failure{Reason: reasonCode(e.Reason), Outcome: outcomeCodes[e.Outcome], Detail: e.Detail, Engine: e.Engine}
+	return &Failure{Reason: reasonCode(e.Reason), Outcome: outcomeCodes[e.Outcome], Detail: Text(e.Detail), Engine: Text(e.Engine)}
 }
 
 func reasonCode(reason awoutcome.Reason) Reason {
--- a/io/awrpc/awrpc.go
+++ b/io/awrpc/awrpc.go
@@ -10,10 +10,13 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/rotisserie/eris"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
@@ -206,12 +209,43 @@
 	return nil
 }
 
+// ErrPanic is the error of a call that has panicked.
+var ErrPanic = errors.New("panic")
+
+// LogPanics returns a function for [NewServer] that logs calls that have panicked, with
+// their stacks. Other errors are those of connections that end.
+func LogPanics(logger log.Logger) func(error) {
+	return func(err error) {
+		if errors.Is(err, ErrPanic) {
+			_ = logger.Log("Message", "panic", "Error", err.Error())
+		}
+	}
+}
+
 // NewServer returns a server of the internal protocol that dispatches calls to
-// the handler and reports its errors to onError.
+// the handler and reports its errors to onError. A call that panics fails with an
+// error.
 func NewServer(handler drpc.Handler, onError func(error)) *drpcserver.Server {
 	opts := managerOptions()
 	opts.InactivityTimeout = inactivityTimeout
-	return drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: opts, Log: onError})
+	return drpcserver.NewWithOptions(recoveringHandler{handler, onError}, drpcserver.Options{Manager: opts, Log: onError})
+}
+
+// recoveringHandler keeps the panic of one call from ending the process with all others.
+type recoveringHandler struct {
+	drpc.Handler
+	onError func(error)
+}
+
+// HandleRPC implements [drpc.Handler].
+func (h recoveringHandler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			err = fmt.Errorf("%w: call %s: %v", ErrPanic, rpc, fault)
+			h.onError(fmt.Errorf("%w\n%s", err, debug.Stack()))
+		}
+	}()
+	return h.Handler.HandleRPC(stream, rpc)
 }
 
 // Listen returns a listener for the internal protocol on addr. A nil cfg means
