--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -2,9 +2,10 @@
 // connections.
 //
 // A connection carries one request at a time. Each request has an id that the
-// backend server echoes in its response; a response with another id belongs to
-// an earlier request and is skipped. A connection is reused only if request and
-// response were transferred completely and no more data has arrived since.
+// backend server echoes in its response; a response with another id, or without
+// one, belongs to an earlier request or to none and is skipped. A connection is
+// reused only if request and response were transferred completely and no other data
+// has arrived.
 //
 // An [Error] states whether the request may have run.
 package awbackend
@@ -13,7 +14,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -27,7 +27,6 @@
 	"github.com/rotisserie/eris"
 
 	"arbutuswind/core/awclock"
-	"arbutuswind/core/awoutcome"
 )
 
 const (
@@ -93,7 +92,7 @@
 	Header http.Header
 	Body   []byte
 	// IDHeader is the name of the header that the backend server echoes, and ID
-	// its value. With an empty ID, every response is accepted.
+	// its value. With an empty ID, every response on a new connection is accepted.
 	IDHeader, ID string
 	// BeforeSend is called when the request is about to be written, if not nil. If
 	// it fails, nothing is sent.
@@ -134,8 +133,10 @@
 	br      *bufio.Reader
 	header  *headerLimit
 	expires time.Time
-	written atomic.Bool // the current request has been written completely
-	aborted atomic.Bool
+	// requests is the number of requests that were sent on the connection.
+	requests int
+	written  atomic.Bool // the current request has been written completely
+	aborted  atomic.Bool
 }
 
 func newConn(raw net.Conn) *conn {
@@ -226,6 +227,7 @@
 	bodyWritten  chan error // result of writing a long body concurrently; nil for a short one
 	stopCancel   func() bool
 	bodyComplete bool
+	single       bool // the connection is not used again
 }
 
 // Do sends a request over an idle connection of the key, or over a new one to
@@ -233,7 +235,11 @@
 // ctx closes the connection, which makes the backend server abort the request.
 // Its errors are of type [Error].
 func (p *Pool) Do(ctx context.Context, key, addr string, req Request) (*Response, error) {
-	for c := p.takeIdle(key); c != nil; c = p.takeIdle(key) {
+	for req.ID != "" { // otherwise only a new connection shows whose answer arrives
+		c := p.takeIdle(key)
+		if c == nil {
+			break
+		}
 		resp, err := p.exchange(ctx, key, c, req)
 		var e *Error
 		if err == nil || !errors.As(err, &e) || e.Sent || e.Withheld {
@@ -309,6 +315,7 @@
 		return nil, &Error{Withheld: true, Err: err}
 	}
 	c.written.Store(false)
+	c.requests++
 	// On cancellation, closing the connection unblocks reads and writes.
 	stop := context.AfterFunc(ctx, c.abort)
 	r := &Response{pool: p, key: key, conn: c, stopCancel: stop}
@@ -384,43 +391,6 @@
 	return append(b, "\r\n"...)
 }
 
-// readResponse reads the header of the response. It skips informational
-// responses and those to earlier requests. A response without an id is accepted
-// only if it is no success. One whose status is not that of a final response is an
-// error.
-func (r *Response) readResponse(req Request) error {
-	for range maxResponsesRead {
-		resp, err := r.conn.readHeader(req.Method) //nolint:bodyclose // Response.Close closes the connection unless the body was read to its end
-		if err != nil {
-			return eris.Wrap(err, "read response")
-		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			continue
-		}
-		id := resp.Header.Get(req.IDHeader)
-		if req.ID == "" || id == req.ID || (id == "" && resp.StatusCode/100 != 2) {
-			if !awoutcome.IsFinalStatus(resp.StatusCode) {
-				return fmt.Errorf("invalid status %d", resp.StatusCode)
-			}
-			r.Status, r.Header, r.resp = resp.StatusCode, resp.Header, resp
-			r.Body = &bodyReader{r}
-			r.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-			return nil
-		}
-		skipped, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
-		if err == nil && skipped == maxSkippedBytes {
-			err = fmt.Errorf("body of %d bytes or more", maxSkippedBytes)
-		}
-		if err != nil {
-			return eris.Wrap(err, "skip response to an earlier request")
-		}
-		if resp.Close {
-			return eris.New("connection closed after the response to an earlier request")
-		}
-	}
-	return fmt.Errorf("none of %d responses on the connection belongs to the request", maxResponsesRead)
-}
-
 type bodyReader struct{ r *Response }
 
 // Read implements [io.Reader]. It records that the body was read to its end.
@@ -451,7 +421,7 @@
 }
 
 func (r *Response) reusable() bool {
-	if r.resp.Close || r.conn.br.Buffered() > 0 {
+	if r.single || r.resp.Close || r.conn.br.Buffered() > 0 {
 		return false
 	}
 	if r.bodyWritten == nil {
--- a/io/awgateway/send.go
+++ b/io/awgateway/send.go
@@ -77,7 +77,7 @@
 		IDHeader: g.cfg.Headers.IDHeader(), ID: q.info.ID, BeforeSend: func() error { return s.confirmCaller(ctx) },
 	})
 	if err != nil {
-		return failedResult(ctx, err)
+		return s.unansweredResult(ctx, err)
 	}
 	defer resp.Close()
 	s.recordHeard()
@@ -162,6 +162,21 @@
 	return r
 }
 
+// unansweredResult returns the result of a send to which no response with its id has
+// arrived. A rejection without the id shows at most that the backend server is full.
+func (s *send) unansweredResult(ctx context.Context, err error) sendResult {
+	r := failedResult(ctx, err)
+	var unidentified *awbackend.UnidentifiedError
+	if ctx.Err() != nil || !errors.As(err, &unidentified) {
+		return r
+	}
+	r.reason = "Unidentified"
+	if s.q.g.cfg.Headers.DecodeResponse(unidentified.Status, unidentified.Header).NotRun {
+		r.outcome = awdispatch.Rejected
+	}
+	return r
+}
+
 // copyHeader sets the header of the response to that of a backend server.
 func (q *request) copyHeader(from http.Header) {
 	h := q.w.Header()
