--- a/core/awdirectory/awdirectory_test.go
+++ b/core/awdirectory/awdirectory_test.go
@@ -31,12 +31,12 @@
 func TestDeadlineOfPreviousVersion(t *testing.T) {
 	v := VersionTracker{MaxStaleness: 8 * time.Second}
 	require.True(t, v.SetDesired("m", 3, start))
-	v.SetDesiredSince("m", 2, start.Add(-9*time.Second))
+	v.SetDesiredSince("m", map[int64]time.Time{2: start.Add(-9 * time.Second)}, start)
 	require.Equal(t, int64(3), v.Desired("m"))
 	floors := v.Floors()["m"]
 	require.Equal(t, int64(2), FloorAt(floors, start))
 	require.Equal(t, int64(3), FloorAt(floors, start.Add(8*time.Second)))
-	v.SetDesiredSince("m", 3, start.Add(-time.Second))
+	v.SetDesiredSince("m", map[int64]time.Time{3: start.Add(-time.Second)}, start)
 	require.Equal(t, int64(3), FloorAt(v.Floors()["m"], start.Add(6*time.Second)))
 }
 
--- a/core/awdirectory/versions.go
+++ b/core/awdirectory/versions.go
@@ -38,8 +38,9 @@
 	// engine. It covers the delay until this process learns of the version, and that
 	// until the engine learns that a request is withdrawn.
 	withdrawMargin = 300 * time.Millisecond
-	// maxFloors is the maximum number of versions kept per model.
-	maxFloors = 4
+	// maxFloors is the maximum number of floors kept per model. It is reached only if
+	// versions are named faster than 30 a second.
+	maxFloors = 256
 )
 
 // UnknownSince returns since when a version counts as the desired one that a process
@@ -60,28 +61,66 @@
 	if v.models == nil {
 		v.models = map[string][]Floor{}
 	}
-	list := append(v.models[model], newFloor(version, now, v.MaxStaleness))
-	v.models[model] = list[max(0, len(list)-maxFloors):]
+	v.models[model] = pruneFloors(append(v.models[model], newFloor(version, now, v.MaxStaleness)), now)
 	return true
 }
 
-// SetDesiredSince corrects the time at which a version became the desired one. It
+// SetDesiredSince corrects the times at which versions became the desired ones. It
 // also adds versions older than the desired one, which this process does not
 // know if it started after they were replaced; their deadlines still apply. It
 // ignores versions newer than the desired one.
-func (v *VersionTracker) SetDesiredSince(model string, version int64, at time.Time) {
-	if version > v.Desired(model) {
-		return
+func (v *VersionTracker) SetDesiredSince(model string, since map[int64]time.Time, now time.Time) {
+	list, desired := v.models[model], v.Desired(model)
+	for version, at := range since {
+		if version > desired {
+			continue
+		}
+		i, known := slices.BinarySearchFunc(list, version, func(f Floor, version int64) int { return cmp.Compare(f.Version, version) })
+		if !known {
+			list = slices.Insert(list, i, Floor{})
+		}
+		list[i] = newFloor(version, at, v.MaxStaleness)
 	}
-	list := v.models[model]
-	i, known := slices.BinarySearchFunc(list, version, func(f Floor, version int64) int { return cmp.Compare(f.Version, version) })
-	if !known {
-		list = slices.Insert(list, i, Floor{})
+	if desired > 0 {
+		v.models[model] = pruneFloors(list, now)
+	}
+}
+
+// pruneFloors removes the floors that a newer one makes needless from now on: whenever
+// they apply, the newer one does too. No other deadline is given up. If more than
+// maxFloors remain, the nearest ones are merged into the newer version with the earlier
+// deadline. list must be sorted by version.
+func pruneFloors(list []Floor, now time.Time) []Floor {
+	later := func(a, b time.Time) time.Time {
+		if a.After(b) {
+			return a
+		}
+		return b
+	}
+	var kept []Floor // newest first
+	for _, f := range slices.Backward(list) {
+		if n := len(kept); n > 0 && !kept[n-1].From.After(later(f.From, now)) && !kept[n-1].BeginBy.After(later(f.BeginBy, now)) {
+			continue
+		}
+		kept = append(kept, f)
 	}
-	list[i] = newFloor(version, at, v.MaxStaleness)
-	v.models[model] = list[max(0, len(list)-maxFloors):]
+	for len(kept) > maxFloors {
+		nearest := 1
+		for i := 2; i < len(kept); i++ {
+			if gap(kept, i) < gap(kept, nearest) {
+				nearest = i
+			}
+		}
+		kept[nearest].Version = kept[nearest-1].Version
+		kept = slices.Delete(kept, nearest-1, nearest)
+	}
+	slices.Reverse(kept)
+	return kept
 }
 
+// gap returns how much later the floor before i applies; floors are newest first.
+func gap(floors []Floor, i int) time.Duration { return floors[i-1].From.Sub(floors[i].From) }
+
 // Floors returns the floors by model, in the order of their versions.
 func (v *VersionTracker) Floors() map[string][]Floor {
 	out := make(map[string][]Floor, len(v.models))
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -367,12 +367,14 @@
 		if err == nil {
 			now := w.cfg.Clock.Now()
 			w.update(ctx, func() {
+				times := map[int64]time.Time{}
 				for v, age := range ages {
 					if at := now.Add(-age); found || at.Before(since) {
 						w.log("age of version known", "Model", model, "Version", v, "AgeMs", age.Milliseconds())
-						w.versions.SetDesiredSince(model, v, at)
+						times[v] = at
 					}
 				}
+				w.versions.SetDesiredSince(model, times, now)
 				w.publish()
 			})
 			return
