awhttp: close an idle connection without holding the lock of its reader

What callers saw: nothing so far; the review read the code. A request that arrives between the check for data and the close of an idle connection held up a planned stop until the process was killed.

Cause: the close waits until the reader has left its callback, and the callback waits for the lock that the closing goroutine held.

TestCloseOfIdleConnectionDoesNotWaitForReader waited for good before the change and passes after it.

--- a/io/awhttp/drain.go
+++ b/io/awhttp/drain.go
@@ -209,16 +209,22 @@
 // closeIdle closes the connection if it has been idle for idleLinger and no data
 // has arrived. It reports whether the connection is closed.
 func (c *trackedConn) closeIdle(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idleSince.IsZero() || !c.waiting || now.Sub(c.idleSince) < idleLinger || c.dataArrived() {
+	if !c.markClosed(now) {
 		return false
 	}
-	c.closed = true
-	_ = c.Close() // nobody waits for the result
+	_ = c.Close() // waits until the reader has left its callback, which takes mu
 	return true
 }
 
+// markClosed has reads fail if the connection has been idle for idleLinger and no data
+// has arrived. It reports whether it does.
+func (c *trackedConn) markClosed(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = c.closed || !c.idleSince.IsZero() && c.waiting && now.Sub(c.idleSince) >= idleLinger && !c.dataArrived()
+	return c.closed
+}
+
 // dataArrived reports whether the socket holds data that was not read; mu must
 // be held.
 func (c *trackedConn) dataArrived() bool {
