awthrottle, awdispatch: what a server says of itself holds as long as it says

DRAIN sets no end to Server-Leaving, so a start that has said that it is leaving gets no requests any more; it was tried again after five minutes. BUDGET counts a pause to its end, so one of more than five minutes is kept in full. A 421 takes a start out of use, since an address is given to another server only after the one that had it has ended; it no longer does so once the entry names another address.

TestLeavingServerGetsNoRequests, TestLongPauseIsKept and TestReplacedServerIsUsedAtNewAddress fail before the change and pass after it.

--- a/core/awdispatch/queue.go
+++ b/core/awdispatch/queue.go
@@ -195,7 +195,7 @@
 	case Rejected:
 		s.rejectedUntil = now.Add(rejectedBackoff)
 	case Replaced:
-		s.replaced = true
+		s.replaced = s.replaced || g.Server.Address == s.info.Address
 	case Unreachable:
 		s.refusedConnection(now)
 	case Abandoned, NotSent:
--- a/core/awdispatch/server.go
+++ b/core/awdispatch/server.go
@@ -49,6 +49,9 @@
 	if info.ColdRemaining > 0 {
 		s.coldUntil = later(s.coldUntil, now.Add(info.ColdRemaining))
 	}
+	if s.info.Address != info.Address {
+		s.replaced = false // another server answers at the old address
+	}
 	s.info = info
 }
 
--- a/core/awdispatch/throttle_test.go
+++ b/core/awdispatch/throttle_test.go
@@ -360,10 +360,51 @@
 		throttle.Observe(near, awthrottle.Signals{}, clock.Now()) // a response on another connection
 		require.Equal(t, "far", submit().Grant.Server.ID)
 	}
+	for range 100 {
+		clock.Advance(time.Minute)
+		require.Equal(t, "far", submit().Grant.Server.ID, "a start does not come back from leaving")
+	}
 	d.SetServers([]awdirectory.Server{{ID: "near", StartUnixMs: 2, Service: "s", Address: "10.0.0.1:1", Domain: "d", Region: "r", Slots: 4}})
 	require.Equal(t, awdirectory.Key{ID: "near", StartUnixMs: 2}, keyOf(submit()))
 }
 
+// Guards rule BUDGET: a pause that is longer than the time for which it is remembered.
+func TestLongPauseIsKept(t *testing.T) {
+	clock, throttle, _, submit := newSignalled(t)
+	near := awdirectory.Key{ID: "near", StartUnixMs: 1}
+	s := awthrottle.Texts{RetryAfter: "1200"}.Parse()
+	throttle.Observe(near, s, clock.Now())
+	for range 20 {
+		require.Equal(t, "far", submit().Grant.Server.ID)
+		clock.Advance(time.Minute)
+	}
+	clock.Advance(pauseSpread)
+	require.Equal(t, near, keyOf(submit()))
+}
+
+// Guards against a server that is out of use for good although its entry names another
+// address: a 421 shows only that another server answers at the address that was used.
+func TestReplacedServerIsUsedAtNewAddress(t *testing.T) {
+	clock, _, d, submit := newSignalled(t)
+	var first, second Decision
+	d.Submit(Request{Service: "s", Deadline: clock.Now().Add(time.Second)}, func(x Decision) { first = x })
+	d.Submit(Request{Service: "s", Deadline: clock.Now().Add(time.Second)}, func(x Decision) { second = x })
+	require.Equal(t, "near", first.Grant.Server.ID)
+	require.Equal(t, "near", second.Grant.Server.ID)
+	d.Release(first.Grant, Replaced)
+	moved := awdirectory.Server{ID: "near", StartUnixMs: 1, Service: "s", Address: "10.0.0.1:1", Domain: "d", Region: "r", Slots: 4}
+	far := awdirectory.Server{ID: "far", StartUnixMs: 1, Service: "s", Address: "10.0.0.2:1", Domain: "x", Region: "x", Slots: 4}
+	for range 100 {
+		clock.Advance(time.Minute)
+		d.SetServers([]awdirectory.Server{moved, far})
+		require.Equal(t, "far", submit().Grant.Server.ID, "a start does not come back to an address that another one has")
+	}
+	moved.Address = "10.0.0.3:1"
+	d.SetServers([]awdirectory.Server{moved, far})
+	d.Release(second.Grant, Replaced) // the answer of the old address arrives late
+	require.Equal(t, "near", submit().Grant.Server.ID)
+}
+
 func keyOf(dec Decision) awdirectory.Key { return dec.Grant.Server.Key() }
 
 // Guards against requests to a backend server during the pause that it has asked
--- a/core/awthrottle/account.go
+++ b/core/awthrottle/account.go
@@ -57,11 +57,9 @@
 	minRate = 0.2
 	// maxRate is the rate above which a limit is not worth tracking.
 	maxRate = 1e4
-	// maxPause is the longest pause that is kept, and maxLeaving the time after
-	// which a server that is leaving is tried again. A server that says something
-	// wrong once must not be lost for good.
-	maxPause   = 5 * time.Minute
-	maxLeaving = 5 * time.Minute
+	// maxPause is the longest pause that is kept. It only keeps a number that is no
+	// time from overflowing.
+	maxPause = 24 * time.Hour
 )
 
 // Account holds what one incarnation of a backend server has said about itself.
@@ -73,10 +71,11 @@
 	// overtake each other, so a limit is lifted only by a response to a request that
 	// was sent after the limit was known.
 	NamedAt, LiftedAt time.Time
-	// LeavingUntil is until when the server gets no requests because it said that it
-	// is leaving, and PausedUntil because it asked for a pause. A pause concerns this
-	// entry only.
-	LeavingUntil, PausedUntil time.Time
+	// Leaving is whether the server has said that it is leaving, which an incarnation
+	// does not take back. PausedUntil is until when it gets no requests because it asked
+	// for a pause, which concerns this entry only.
+	Leaving     bool
+	PausedUntil time.Time
 }
 
 // WithRate returns the account with a rate in requests per second. Rates that are no
@@ -100,8 +99,8 @@
 func (a *Account) Observe(s Signals, sent, now time.Time) Change {
 	c := Change{Limit: a.observeLimit(s, sent, now)}
 	if s.Leaving {
-		c.Leaving = !now.Before(a.LeavingUntil)
-		a.LeavingUntil = now.Add(maxLeaving)
+		c.Leaving = !a.Leaving
+		a.Leaving = true
 	}
 	if until := now.Add(s.Pause); s.Pause > 0 && until.After(a.PausedUntil) {
 		c.Pause = !now.Before(a.PausedUntil)
--- a/core/awthrottle/awthrottle.go
+++ b/core/awthrottle/awthrottle.go
@@ -193,7 +193,7 @@
 // Leaving reports whether a backend server has said that it is leaving.
 func (t *Throttle) Leaving(k awdirectory.Key) bool {
 	s := t.servers[k]
-	return s != nil && t.cfg.Clock.Now().Before(s.account.LeavingUntil)
+	return s != nil && s.account.Leaving
 }
 
 // PausedUntil returns the end of the pause that a backend server has asked for. It
--- a/io/awagent/rate.go
+++ b/io/awagent/rate.go
@@ -43,7 +43,7 @@
 // or has asked for a pause. The caller holds mu.
 func (a *Agent) checkSignals(now time.Time) *awoutcome.Error {
 	switch left := a.account.PausedUntil.Sub(now); {
-	case now.Before(a.account.LeavingUntil):
+	case a.account.Leaving:
 		return awoutcome.Refuse(awoutcome.Leaving, "backend server is leaving")
 	case left > 0:
 		e := awoutcome.Refuse(awoutcome.QueueFull, "backend server asks for a pause")
