awgateway: reload the grace period, and name the settings that need a restart

What operators saw: "settings reloaded", although a changed Bounds.Grace, Bounds.DrainNotice, Bounds.Stable or address was not in force before the next start. A stop so took longer or shorter than the platform allowed.

Change: Bounds.Grace takes effect at a reload. The log line of the reload names all other changed keys (NeedRestart), and the settings page says which keys are applied.

--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -77,7 +78,9 @@
 	limitMemory(cfg.Limits.MemoryMiB)
 	return runDaemon(stdout, "awgateway", cfg.Process, awsettings.Trace{}, func(ctx context.Context, env environment) error {
 		g := newGateway(cfg, env.logger)
-		watchSettings(ctx, env.logger, opts.Config, awsettings.LoadGateway, g.reload)
+		watchSettings(ctx, settingsWatch{
+			Logger: env.logger, File: opts.Config, Load: awsettings.LoadGateway, Started: cfg, Applied: awsettings.ReloadedKeys(), Apply: g.reload,
+		})
 		return g.run(ctx)
 	})
 }
@@ -93,6 +96,7 @@
 	watcher *awwatch.Watcher
 	// unlisted signals that the list of entries lacks this start of the entry.
 	unlisted chan struct{}
+	grace    atomic.Int64     // Bounds.Grace in nanoseconds, as last reloaded
 	duties   *awduties.Runner // nil if the deployment has no duties
 }
 
@@ -100,6 +104,7 @@
 	clock := awclock.System{}
 	self := awdirectory.Entry{Name: cfg.Process.Instance, Address: innerAddress(cfg), Incarnation: incarnation()}
 	g := &gateway{cfg: cfg, self: self, logger: logger, unlisted: make(chan struct{}, 1), source: &platform.StoreSource{Store: platform.NewStore(cfg.Store.Address), Regions: cfg.Regions}}
+	g.grace.Store(int64(cfg.Bounds.Grace))
 	g.guard = newGuard(cfg.Limits, logger)
 	routerConfig := awgateway.Config{
 		Clock: clock, Logger: logger, Headers: platform.HeaderCodec{}, Pool: awbackend.NewPool(awbackend.Config{Clock: clock, LimitBuffer: g.guard.LimitsBuffers}),
@@ -126,9 +131,9 @@
 	return awretry.WindowConfig{Ratio: b.RetryRatio, MinRetries: b.RetryFloor, Window: b.RetryWindow.Std()}
 }
 
-// reload applies the limits of changed settings. Changed addresses take effect
-// only after a restart.
+// reload applies changed settings, those of [awsettings.ReloadedKeys].
 func (g *gateway) reload(cfg awsettings.Fleet) {
+	g.grace.Store(int64(cfg.Bounds.Grace))
 	g.router.SetRetry(retryWindow(cfg.Bounds))
 	g.watcher.SetMaxStaleness(cfg.Bounds.Version.Std())
 }
@@ -229,7 +234,7 @@
 // and then waits for running requests until the grace period ends. It calls
 // refuse for those that still run then.
 func (g *gateway) stop(callers *awhttp.Listener, callerServer *http.Server, refuse context.CancelCauseFunc) {
-	grace := g.cfg.Bounds.Grace.Std() - stopMargin
+	grace := time.Duration(g.grace.Load()) - stopMargin
 	deadline := time.Now().Add(grace)
 	_ = level.Info(g.logger).Log("Message", "stopping", "Grace", grace.String())
 	g.router.Stop()
--- a/io/awcommand/loader.go
+++ b/io/awcommand/loader.go
@@ -31,7 +31,9 @@
 		// awloader uses Bounds only to spread its loads over time and to time
 		// its reads of the store. Changed settings are validated here and take
 		// effect at the next start.
-		watchSettings(ctx, env.logger, opts.Config, awsettings.LoadLoader, func(awsettings.Fleet) {})
+		watchSettings(ctx, settingsWatch{
+			Logger: env.logger, File: opts.Config, Load: awsettings.LoadLoader, Started: cfg, Apply: func(awsettings.Fleet) {},
+		})
 		return runLoader(ctx, cfg, env)
 	})
 }
--- a/io/awsettings/document.go
+++ b/io/awsettings/document.go
@@ -106,6 +106,9 @@
 	"Timing.Drain":         {unitDuration, above0s, "How long running requests may take to finish on shutdown."},
 }
 
+// appliedAtReload ends the meaning of the keys in [ReloadedKeys].
+const appliedAtReload = " `awgateway` applies a change when it reloads its settings."
+
 var fleetKeys = map[string]keyDoc{
 	"Regions":            {unitText, "one key for each failure domain", "Region of each failure domain."},
 	"Listen.Callers":     {"address", "IP:port; awgateway", "Listener for client requests."},
@@ -116,11 +119,11 @@
 	"Store.Address":      {"address", address, "Address of the platform's store."},
 	"Backend.Address":    {"address", "IP:port; awloader", "Model engine on the same instance."},
 	"Backend.Service":    {unitText, "required; awloader", "Service of the model engine."},
-	"Bounds.RetryRatio":  {"share", "0 or more", "Retries allowed per request of a service, for all entries together."},
-	"Bounds.RetryFloor":  {unitCount, "0 or more", "Retries allowed in a window without any requests, for all entries together."},
-	"Bounds.RetryWindow": {unitDuration, above0s, "Window over which requests and retries are counted."},
-	"Bounds.Version":     {unitDuration, above0s, "Time from when a version is desired until no request may begin on older weights."},
-	"Bounds.Grace":       {unitDuration, above0s, "Time from SIGTERM to SIGKILL."},
+	"Bounds.RetryRatio":  {"share", "0 or more", "Retries allowed per request of a service, for all entries together." + appliedAtReload},
+	"Bounds.RetryFloor":  {unitCount, "0 or more", "Retries allowed in a window without any requests, for all entries together." + appliedAtReload},
+	"Bounds.RetryWindow": {unitDuration, above0s, "Window over which requests and retries are counted." + appliedAtReload},
+	"Bounds.Version":     {unitDuration, above0s, "Time from when a version is desired until no request may begin on older weights." + appliedAtReload},
+	"Bounds.Grace":       {unitDuration, above0s, "Time from SIGTERM to SIGKILL." + appliedAtReload},
 	"Bounds.DrainNotice": {unitDuration, above0s, "Time from the notice that a backend server is leaving until it gets no more requests; the server list is read at intervals of 0.37 times this."},
 	"Bounds.Stable":      {unitDuration, above0s, "Time after an outage of the store, or of the path to it, within which a lost notification must be noticed; reads that the store holds open last 1.8 s less than this."},
 	"Limits.MemoryMiB":   {"MiB", above0, "Memory above which the process is killed."},
@@ -190,6 +193,8 @@
 		"Every daemon reads the TOML file named by `--config`; with `--check` it validates the file and exits. Keys are in Pascal case. " +
 		"Unknown keys and values out of range are rejected with an error that gives the line, key and allowed values. " +
 		"Durations are written as `\"500ms\"` or `\"10s\"`.\n\n" +
+		"awgateway and awloader reload the file on SIGHUP and when it changes. Changes of keys that do not say so take effect at the next start; " +
+		"the log line `settings reloaded` names them as `NeedRestart`.\n\n" +
 		"This page is generated from the package `awsettings`: `UPDATE=1 go test ./io/awsettings`.\n")
 	for _, t := range []struct {
 		title string
