awdirectory: entries that are lost for good stop counting

Cause: a gateway counted as long as its row stood in the store, and nobody but itself removed the row. All shares are divided by the number of rows.

Change: gateways renew their rows. One whose row is not renewed stops counting after 90 s and its row is removed after 120 s.

Cost: a read and a write in 20 s for each gateway.

--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -109,7 +109,8 @@
 	routerConfig := awgateway.Config{
 		Clock: clock, Logger: logger, Headers: platform.HeaderCodec{}, Pool: awbackend.NewPool(awbackend.Config{Clock: clock, LimitBuffer: g.guard.LimitsBuffers}),
 		Instance: cfg.Process.Instance, Domain: cfg.Process.Domain, Region: cfg.Process.Region, Incarnation: self.Incarnation,
-		Retry: retryWindow(cfg.Bounds), Settling: entrySettling, BalanceAll: cfg.Balance.Enabled,
+		Retry: retryWindow(cfg.Bounds), Settling: entrySettling, BalanceAll: cfg.Balance.Enabled, Boot: awclock.Boot{},
+		OnShareAsked: func(entry string) awdirectory.Answer { return g.watcher.EntryAnswer(entry) },
 	}
 	if g.duties = newDuties(cfg, self, g.source.Store, logger); g.duties != nil {
 		g.self.Domain = cfg.Process.Domain
@@ -121,6 +122,8 @@
 		OnConfig:        g.router.Configure,
 		OnState:         g.router.Apply,
 		OnEntries:       g.checkListed,
+		OnLost:          g.removeLost,
+		Self:            self.Name,
 		ServersInterval: time.Duration(serversIntervalShare * float64(cfg.Bounds.DrainNotice)), EntriesInterval: entriesInterval, LongPollTimeout: awwatch.HoldTime(cfg.Bounds.Stable.Std()),
 		MaxRetryDelay: maxRetryDelay, RecordFirstSeen: true,
 	})
@@ -177,6 +180,7 @@
 	})
 	group.Go(func() error { g.router.ShareFacts(serveCtx, socket); return nil })
 	group.Go(func() error { g.router.ShareLimits(serveCtx, socket); return nil })
+	group.Go(func() error { g.router.KeepShare(serveCtx, socket); return nil })
 	if g.duties != nil {
 		group.Go(func() error { g.duties.Run(serveCtx, socket); return nil })
 	}
@@ -199,6 +203,7 @@
 
 // checkListed has this entry register again if a list of entries lacks it.
 func (g *gateway) checkListed(entries []awdirectory.Entry) {
+	g.router.RecordEntriesRead()
 	if g.duties != nil {
 		g.duties.SetEntries(entries)
 	}
@@ -211,16 +216,34 @@
 	}
 }
 
-// keepRegistered keeps this entry in the store's table of entries until ctx ends.
-// Entries divide shared limits by the number of entries.
+// removeLost removes the registrations of lost entries in the background.
+func (g *gateway) removeLost(lost []awdirectory.Registration) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), awdirectory.RenewInterval)
+		defer cancel()
+		for _, r := range lost {
+			_ = level.Info(g.logger).Log("Message", "lost entry removed", "Entry", r.Name, "Incarnation", r.Incarnation)
+			if err := g.source.RemoveLost(ctx, r); err != nil { // it is tried again after the next read
+				_ = level.Warn(g.logger).Log("Message", "failed to remove a lost entry", "Entry", r.Name, "Error", err.Error())
+			}
+		}
+	}()
+}
+
+// keepRegistered keeps this entry in the store's table of entries until ctx ends, and
+// renews its row. Entries divide shared limits by the number of entries.
 func (g *gateway) keepRegistered(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := registerRetryDelay
+		begun := awclock.Boot{}.Now()
 		err := g.source.Register(ctx, g.self)
 		if err == nil {
+			g.router.RecordRenewal(begun)
 			select {
 			case <-g.unlisted:
 				wait = 0
+			case <-time.After(awdirectory.RenewInterval):
+				wait = 0
 			case <-ctx.Done():
 			}
 		} else {
--- a/io/awgateway/awgateway.go
+++ b/io/awgateway/awgateway.go
@@ -60,6 +60,11 @@
 	CountRun func(team string)
 	// OnDuties handles messages of other entries about duties. It may be nil.
 	OnDuties func(from netip.AddrPort, payload []byte)
+	// OnShareAsked returns the answer to an entry that asks whether it counts here. It
+	// may be nil.
+	OnShareAsked func(entry string) awdirectory.Answer
+	// Boot counts the time for which the machine is suspended; Clock if nil.
+	Boot awclock.Clock
 }
 
 // Gateway serves callers. It is safe for concurrent use.
@@ -78,6 +83,7 @@
 	rng            *rand.Rand
 	callerTimeouts *awdispatch.CallerTimeouts
 	exchange       exchange
+	share          share
 	throttle       *awthrottle.Throttle
 	balance        balance
 	admission      admission
@@ -93,6 +99,9 @@
 
 // New returns a gateway without a configuration.
 func New(cfg Config) *Gateway {
+	if cfg.Boot == nil {
+		cfg.Boot = cfg.Clock
+	}
 	rng := rand.New(rand.NewPCG(cfg.Incarnation, uint64(cfg.Clock.Now().UnixNano())))
 	throttle := awthrottle.New(awthrottle.Config{
 		Clock: cfg.Clock, Rand: rng, Self: cfg.Instance, Settling: cfg.Settling,
@@ -103,6 +112,7 @@
 	return &Gateway{
 		cfg: cfg, metrics: newMetrics(), budgets: map[string]*awretry.WindowBudget{}, entryCount: 1, rng: rng,
 		exchange:       newExchange(awquarantine.New(cfg.Clock, cfg.Instance)),
+		share:          newShare(cfg.Boot),
 		throttle:       throttle,
 		balance:        balance{all: cfg.BalanceAll},
 		callerTimeouts: awdispatch.NewCallerTimeouts(), byAddress: map[string]awdirectory.Server{}, resubscribe: make(chan struct{}, 1),
@@ -143,8 +153,8 @@
 // servers that are no longer in it.
 func (g *Gateway) Apply(state awwatch.State) {
 	g.mu.Lock()
-	g.entryCount = max(1, len(state.Entries))
-	g.dispatch.SetEntryCount(g.entryCount)
+	g.share.read = max(1, len(state.Entries))
+	g.updateEntryCount()
 	g.dispatch.SetDomainsOut(state.DomainsOut)
 	if !maps.Equal(newestVersions(g.floors), newestVersions(state.Floors)) {
 		g.signalResubscribe()
@@ -189,9 +199,10 @@
 func (g *Gateway) signalResubscribe() { signal(g.resubscribe) }
 
 // Ready reports whether the gateway should receive requests: it has a
-// configuration and a list of backend servers, and Stop has not been called.
+// configuration, a list of backend servers and a share of the limits, and Stop has not
+// been called.
 func (g *Gateway) Ready() bool {
-	return g.config.Load() != nil && g.serversLoaded.Load() && !g.stopping.Load()
+	return g.config.Load() != nil && g.serversLoaded.Load() && !g.stopping.Load() && g.hasShare()
 }
 
 // Stop makes the gateway unready. It still serves requests that arrive, but
--- a/io/awgateway/load.go
+++ b/io/awgateway/load.go
@@ -53,7 +53,8 @@
 		Notices: func(from netip.AddrPort, payload []byte) {
 			g.contain("limits", func() { g.handleNotices(from, payload) })
 		},
-		Duties: g.cfg.OnDuties,
+		Duties: g.cfg.OnDuties, ShareAsked: g.cfg.OnShareAsked,
+		ShareAnswer: func(a awdirectory.Answer) { g.contain("share", func() { g.handleShareAnswer(a) }) },
 	}
 }
 
--- a/io/awgateway/request.go
+++ b/io/awgateway/request.go
@@ -92,6 +92,11 @@
 		q.refuseEarly(r, status, 0, reason)
 		return
 	}
+	if !g.hasShare() {
+		q.unreadBody = r.ContentLength
+		q.refuseEarly(r, http.StatusServiceUnavailable, minRetryAfter, reasonNoShare)
+		return
+	}
 	if q.mayOutlastStop() {
 		q.unreadBody = r.ContentLength
 		q.refuseEarly(r, http.StatusServiceUnavailable, minRetryAfter, reasonStopping)
@@ -298,6 +303,11 @@
 			q.release(d.Grant, awdispatch.NotSent) // blocked while it waited
 			continue
 		}
+		if !g.hasShare() {
+			q.release(d.Grant, awdispatch.NotSent) // lapsed while it waited
+			q.finishUnanswered(ctx, 0, reasonNoShare)
+			return
+		}
 		q.logSend(d.Grant, g.cfg.Clock.Now().Sub(waitStart))
 		res := q.sendAndAwait(ctx, d.Grant)
 		if res.answered {
@@ -331,6 +341,9 @@
 func (q *request) hasRetry() bool {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
+	if !q.g.checkShare() {
+		return false
+	}
 	return q.g.retryBudget(q.service).HasRetry(q.g.cfg.Clock.Now(), q.g.entryCount)
 }
 
@@ -342,7 +355,7 @@
 	}
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	if !q.g.retryBudget(q.service).AllowRetry(q.g.cfg.Clock.Now(), q.g.entryCount) {
+	if !q.g.checkShare() || !q.g.retryBudget(q.service).AllowRetry(q.g.cfg.Clock.Now(), q.g.entryCount) {
 		return false
 	}
 	q.g.metrics.retries.Inc()
--- a/io/awload/awload.go
+++ b/io/awload/awload.go
@@ -21,6 +21,7 @@
 
 	"arbutuswind/core/awbalance"
 	"arbutuswind/core/awclock"
+	"arbutuswind/core/awdirectory"
 )
 
 const (
@@ -50,6 +51,10 @@
 	fieldFacts
 	fieldNotices
 	fieldDuties
+	fieldShareAsk     // name of the entry that asks
+	fieldShareReadMs  // of the answer
+	fieldShareCount   // of the answer
+	fieldShareCounted // of the answer, which has it: 1 if not, 2 if so
 )
 
 // Report is the load of a backend server as reported by itself.
@@ -116,6 +121,9 @@
 	facts     []byte // nil unless the datagram is one between entries
 	notices   []byte // likewise
 	duties    []byte // likewise
+	shareAsk  string
+	answer    awdirectory.Answer
+	answered  bool // the datagram is an answer
 }
 
 // decode decodes a datagram.
@@ -169,6 +177,8 @@
 		d.notices = []byte(v)
 	case fieldDuties:
 		d.duties = []byte(v)
+	case fieldShareAsk:
+		d.shareAsk = v
 	}
 }
 
@@ -186,6 +196,12 @@
 		d.claim.Slots = int(v)
 	case fieldSharers:
 		d.claim.Sharers = int(v)
+	case fieldShareReadMs:
+		d.answer.ReadFor = time.Duration(min(v, maxReadMs)) * time.Millisecond
+	case fieldShareCount:
+		d.answer.Count = int(min(v, maxEntries))
+	case fieldShareCounted:
+		d.answered, d.answer.Counted = true, v == shareCounted
 	default:
 		d.report.set(f, int64(v), d.fleet.Model)
 	}
@@ -253,6 +269,10 @@
 	Notices func(from netip.AddrPort, payload []byte)
 	// Duties handles what another entry has sent with [Socket.SendDuties].
 	Duties func(from netip.AddrPort, payload []byte)
+	// ShareAsked returns what to answer an entry that has asked with
+	// [Socket.AskShare], and ShareAnswer handles such an answer.
+	ShareAsked  func(entry string) awdirectory.Answer
+	ShareAnswer func(awdirectory.Answer)
 }
 
 // Run receives datagrams until ctx ends and then closes the socket. It records
@@ -267,31 +287,40 @@
 			continue // an unreachable peer or the end of ctx; the loop condition checks ctx
 		}
 		d, err := decode(buf[:n])
-		switch {
-		case err != nil:
+		if err != nil {
 			s.badDatagrams.Inc()
-		case d.subscribe != 0:
-			s.subscribe(from, d.claim)
-			if d.subscribe == subscribeConnected && h.Fleet != nil {
-				h.Fleet(d.fleet)
-			}
-		case d.facts != nil:
-			if h.Facts != nil {
-				for _, answer := range h.Facts(d.facts) {
-					s.SendFacts(from, answer)
-				}
-			}
-		case d.notices != nil:
-			if h.Notices != nil {
-				h.Notices(from, d.notices)
-			}
-		case d.duties != nil:
-			if h.Duties != nil {
-				h.Duties(from, d.duties)
+			continue
+		}
+		s.handle(from, &d, &h)
+	}
+}
+
+// handle passes the content of a datagram to its handler, if there is one.
+func (s *Socket) handle(from netip.AddrPort, d *datagram, h *Handlers) {
+	switch {
+	case d.subscribe != 0:
+		s.subscribe(from, d.claim)
+		if d.subscribe == subscribeConnected && h.Fleet != nil {
+			h.Fleet(d.fleet)
+		}
+	case d.facts != nil:
+		if h.Facts != nil {
+			for _, answer := range h.Facts(d.facts) {
+				s.SendFacts(from, answer)
 			}
-		case h.Report != nil:
-			h.Report(d.report)
 		}
+	case d.notices != nil:
+		if h.Notices != nil {
+			h.Notices(from, d.notices)
+		}
+	case d.duties != nil:
+		if h.Duties != nil {
+			h.Duties(from, d.duties)
+		}
+	case d.shareAsk != "" || d.answered:
+		s.handleShare(from, d, h)
+	case h.Report != nil:
+		h.Report(d.report)
 	}
 }
 
--- a/io/awloader/awloader_test.go
+++ b/io/awloader/awloader_test.go
@@ -184,7 +184,7 @@
 	return awwatch.ServerRows{Put: r.servers}, nil
 }
 
-func (r *fakeSource) Entries(context.Context) ([]awdirectory.Entry, error) { return nil, nil }
+func (r *fakeSource) Entries(context.Context) ([]awdirectory.Registration, error) { return nil, nil }
 
 func (r *fakeSource) VersionAges(context.Context, string, int64, time.Duration) (map[int64]time.Duration, error) {
 	return nil, nil
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -27,7 +28,7 @@
 	Servers    []awdirectory.Server
 	DomainsOut map[string]bool                // failure domains that are out
 	Floors     map[string][]awdirectory.Floor // by model: from when on no request may begin on an older version
-	Entries    []awdirectory.Entry            // registered entries, sorted by name
+	Entries    []awdirectory.Entry            // registered entries that count, sorted by name
 }
 
 // Config configures a [Watcher].
@@ -41,7 +42,12 @@
 	Stable    time.Duration
 	OnConfig  func(*awdirectory.Config) bool // returns whether the configuration was put in force
 	OnState   func(State)                    // called after each read of the operators' or the backend servers' rows
-	OnEntries func([]awdirectory.Entry)      // called after each read of the list of entries; may be nil
+	OnEntries func([]awdirectory.Entry)      // called with those that count after each read of the list of entries; may be nil
+	// OnLost is called with the registrations of lost entries that this one is to
+	// remove; may be nil.
+	OnLost func([]awdirectory.Registration)
+	// Self is the name of this entry, if it is one.
+	Self string
 	// ServersInterval is the time between reads of the list of backend servers.
 	// The store holds such a read open for a third of it while nothing changes. If
 	// it is 0, the list is not read.
@@ -92,7 +98,8 @@
 	outage     outage
 
 	entryCount atomic.Int32 // length of entries, for the polls
-	configs    configPace   // used by readOperator only
+	tracker    entryTracker
+	configs    configPace // used by readOperator only
 
 	mu        sync.Mutex
 	abortRead context.CancelCauseFunc // aborts the current long poll of the operators' rows; nil if there is none
@@ -107,7 +114,7 @@
 	return &Watcher{
 		cfg: cfg, updates: make(chan func()), table: awdirectory.NewTable(),
 		versions: awdirectory.VersionTracker{MaxStaleness: cfg.MaxStaleness}, domainsOut: map[string]bool{},
-		outage: outage{maxWait: maxOutageWait},
+		outage: outage{maxWait: maxOutageWait}, tracker: entryTracker{tracker: awdirectory.EntryTracker{Self: cfg.Self}},
 	}
 }
 
@@ -424,13 +431,17 @@
 func (w *Watcher) readEntries(ctx context.Context, _ uint64, _ bool) (uint64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	entries, err := w.cfg.Source.Entries(callCtx)
+	list, err := w.cfg.Source.Entries(callCtx)
 	if err != nil {
 		return 0, err
 	}
+	entries, removable := w.tracker.observe(list, w.cfg.Clock.Now())
 	if w.cfg.OnEntries != nil {
 		w.cfg.OnEntries(entries)
 	}
+	if w.cfg.OnLost != nil && len(removable) > 0 && awdirectory.Removes(len(entries), rand.Float64()) {
+		w.cfg.OnLost(removable)
+	}
 	w.update(ctx, func() {
 		slices.SortFunc(entries, func(a, b awdirectory.Entry) int { return strings.Compare(a.Name, b.Name) })
 		if w.loaded.entries && slices.Equal(entries, w.entries) {
--- a/io/awwatch/awwatch_test.go
+++ b/io/awwatch/awwatch_test.go
@@ -62,8 +62,8 @@
 	return ServerRows{Revision: 1, Put: s.servers, Unreadable: []string{"forged"}}, nil
 }
 
-func (s *fakeStore) Entries(context.Context) ([]awdirectory.Entry, error) {
-	return []awdirectory.Entry{{Name: "a"}, {Name: "b"}}, nil
+func (s *fakeStore) Entries(context.Context) ([]awdirectory.Registration, error) {
+	return []awdirectory.Registration{{Entry: awdirectory.Entry{Name: "a"}}, {Entry: awdirectory.Entry{Name: "b"}}}, nil
 }
 
 func (s *fakeStore) VersionAges(context.Context, string, int64, time.Duration) (map[int64]time.Duration, error) {
--- a/io/awwatch/source.go
+++ b/io/awwatch/source.go
@@ -65,7 +65,7 @@
 	// up to wait for a change.
 	Servers(ctx context.Context, since uint64, wait time.Duration) (ServerRows, error)
 	// Entries returns all registered entries.
-	Entries(ctx context.Context) ([]awdirectory.Entry, error)
+	Entries(ctx context.Context) ([]awdirectory.Registration, error)
 	// VersionAges returns, for a version of a model and each recorded earlier
 	// one, how long ago an entry first saw it. If no entry has recorded the
 	// version yet, it records that the version was first seen sinceSeen ago, and
