--- a/io/awgateway/quarantine.go
+++ b/io/awgateway/quarantine.go
@@ -320,15 +320,12 @@
 // itemOverhead is the size of the tag and length of one fact in a message.
 const itemOverhead = 4
 
-// unencoded counts messages to other entries that could not be encoded.
-var unencoded = metrics.GetOrCreateCounter("arbutuswind_gateway_messages_unencoded_total")
-
 // appendMessage appends an encoded message to the datagrams. One that cannot be encoded
 // is left out: the texts in it come from requests, of which none may end the process.
 func appendMessage(out [][]byte, m proto.Message) [][]byte {
 	b, err := proto.Marshal(m)
 	if err != nil {
-		unencoded.Inc()
+		metrics.GetOrCreateCounter("arbutuswind_gateway_messages_unencoded_total").Inc()
 		return out
 	}
 	return append(out, b)
