platform, awwatch: readers of a store that comes back from an older copy

Until now a reader compared versions alone: rows between the copy and the version that it held stayed unseen for good, an evacuation or a notice of leaving that the copy lacked was taken back, and starts that had left were used again.

Change: a position is an era and a version, compared as a whole. Responses of older eras are dropped, held reads end, tables are read anew.

Existing tests changed in the type of positions only.

--- a/core/awdirectory/table.go
+++ b/core/awdirectory/table.go
@@ -53,11 +53,24 @@
 	lapsedUntil      map[string]time.Time // by id; when to drop servers that lapsed during an outage
 	unavailableSince time.Time            // first failed read of an outage; zero while the store is available
 	recoveredAt      time.Time            // end of the last outage
+
+	// While the list may be older than what is known, before distrustUntil, an entry does
+	// not take back that its start is leaving or has left. deferred holds, by id, entries
+	// that would.
+	distrustUntil time.Time
+	left          map[Key]time.Time // when starts were removed from the list
+	deferred      map[string]Server
 }
 
+// memoryOfLeft is how long a removal is remembered. A copy from which a store comes back
+// is some seconds old.
+const memoryOfLeft = time.Minute
+
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{servers: map[string]Server{}, lapsedUntil: map[string]time.Time{}}
+	return &Table{
+		servers: map[string]Server{}, lapsedUntil: map[string]time.Time{}, left: map[Key]time.Time{}, deferred: map[string]Server{},
+	}
 }
 
 // MarkStoreUnavailable records that the list could not be read.
@@ -75,12 +88,43 @@
 	t.unavailableSince = time.Time{}
 }
 
+// Distrust records that the store has come back from an older copy, so that the list may
+// be older than what is known until the given time. Rows that the copy lacks are kept
+// like those that lapse during an outage.
+func (t *Table) Distrust(now, until time.Time) {
+	t.distrustUntil, t.recoveredAt = until, now
+}
+
 // Put adds or replaces a backend server.
 func (t *Table) Put(s Server) {
+	delete(t.deferred, s.ID)
+	if !t.distrustUntil.IsZero() && !s.Draining && t.hasLeft(s.Key()) {
+		t.deferred[s.ID] = s
+		s.Draining = true
+	}
 	t.servers[s.ID] = s
 	delete(t.lapsedUntil, s.ID)
 }
 
+// hasLeft reports whether a start has said that it is leaving, or was removed.
+func (t *Table) hasLeft(k Key) bool {
+	if _, removed := t.left[k]; removed {
+		return true
+	}
+	s, ok := t.servers[k.ID]
+	return ok && s.Key() == k && s.Draining
+}
+
+// drop removes a backend server.
+func (t *Table) drop(id string, now time.Time) {
+	if s, ok := t.servers[id]; ok {
+		t.left[s.Key()] = now
+	}
+	delete(t.servers, id)
+	delete(t.lapsedUntil, id)
+	delete(t.deferred, id)
+}
+
 // Remove handles the removal of a backend server from the store's list. Within
 // [ReregistrationGrace] after an outage of the store, the registration may have
 // lapsed only because the backend server could not reach the store either; the
@@ -90,8 +134,7 @@
 	s, ok := t.servers[id]
 	until := t.recoveredAt.Add(ReregistrationGrace)
 	if !ok || s.Draining || t.recoveredAt.IsZero() || !now.Before(until) {
-		delete(t.servers, id)
-		delete(t.lapsedUntil, id)
+		t.drop(id, now)
 		return
 	}
 	t.lapsedUntil[id] = until
@@ -111,18 +154,30 @@
 	}
 }
 
-// Expire removes lapsed servers whose grace period has ended and reports whether
-// it removed any.
+// Expire removes lapsed servers whose grace period has ended, and takes entries as they
+// are when the list is no longer distrusted. It reports whether it changed any.
 func (t *Table) Expire(now time.Time) bool {
-	dropped := false
+	changed := false
 	for id, until := range t.lapsedUntil {
 		if !now.Before(until) {
-			delete(t.lapsedUntil, id)
-			delete(t.servers, id)
-			dropped = true
+			t.drop(id, now)
+			changed = true
+		}
+	}
+	for k, at := range t.left {
+		if now.Sub(at) >= memoryOfLeft {
+			delete(t.left, k)
+		}
+	}
+	if !t.distrustUntil.IsZero() && !now.Before(t.distrustUntil) {
+		t.distrustUntil = time.Time{}
+		for _, s := range t.deferred {
+			t.servers[s.ID] = s
+			changed = true
 		}
+		clear(t.deferred)
 	}
-	return dropped
+	return changed
 }
 
 // Servers returns all backend servers, sorted by id.
--- a/io/awcommand/gateway.go
+++ b/io/awcommand/gateway.go
@@ -38,6 +38,9 @@
 	// only used to divide shared limits, and the shares leave headroom for an
 	// entry that is not counted yet.
 	entriesInterval = 5 * time.Second
+	// eraCaution is the time in which operators and backend servers write again what a
+	// store has lost that came back from an older copy.
+	eraCaution = 10 * time.Second
 	// entrySettling is the time from the start of an entry until all others have
 	// read it from the store.
 	entrySettling = entriesInterval + 2*time.Second
@@ -125,7 +128,7 @@
 		OnLost:          g.removeLost,
 		Self:            self.Name,
 		ServersInterval: time.Duration(serversIntervalShare * float64(cfg.Bounds.DrainNotice)), EntriesInterval: entriesInterval, LongPollTimeout: awwatch.HoldTime(cfg.Bounds.Stable.Std()),
-		MaxRetryDelay: maxRetryDelay, RecordFirstSeen: true,
+		MaxRetryDelay: maxRetryDelay, RecordFirstSeen: true, EraCaution: eraCaution,
 	})
 	return g
 }
--- a/io/awloader/awloader_test.go
+++ b/io/awloader/awloader_test.go
@@ -159,14 +159,14 @@
 	servers []awdirectory.Server
 }
 
-func (r *fakeSource) Operator(ctx context.Context, since uint64, _ time.Duration) (awwatch.OperatorRows, error) {
+func (r *fakeSource) Operator(ctx context.Context, since awdirectory.Position, _ time.Duration) (awwatch.OperatorRows, error) {
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		version := r.version
 		r.mu.Unlock()
-		if uint64(version) != since {
+		if uint64(version) != since.Version {
 			return awwatch.OperatorRows{
-				Revision: uint64(version), DesiredVersions: map[string]int64{"m": version},
+				Revision: awdirectory.Position{Version: uint64(version)}, DesiredVersions: map[string]int64{"m": version},
 				Config: (&awdirectory.Config{Version: 1, Services: []awdirectory.Service{
 					{Name: "s", Engine: true, Model: awdirectory.Model{Name: "m", Chunks: testChunks, ChunkBytes: testChunkBytes}},
 					{Name: "weights", Origin: awdirectory.Origin{Address: "origin", Domain: "d"}},
@@ -178,7 +178,7 @@
 	return awwatch.OperatorRows{}, ctx.Err()
 }
 
-func (r *fakeSource) Servers(context.Context, uint64, time.Duration) (awwatch.ServerRows, error) {
+func (r *fakeSource) Servers(context.Context, awdirectory.Position, time.Duration) (awwatch.ServerRows, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return awwatch.ServerRows{Put: r.servers}, nil
--- a/io/awloader/source.go
+++ b/io/awloader/source.go
@@ -89,8 +89,8 @@
 
 // Operator implements [awwatch.Source]. While the entries send the fleet, it
 // returns a revision from which a later read of the store returns everything.
-func (r *relayedSource) Operator(ctx context.Context, since uint64, wait time.Duration) (awwatch.OperatorRows, error) {
-	if since == 0 && r.returned == nil {
+func (r *relayedSource) Operator(ctx context.Context, since awdirectory.Position, wait time.Duration) (awwatch.OperatorRows, error) {
+	if since.IsZero() && r.returned == nil {
 		r.awaitFirst(ctx)
 	}
 	end := time.NewTimer(wait)
@@ -108,7 +108,7 @@
 			return rows, err
 		}
 		r.logSource(false)
-		if since == 0 || r.returned == nil || !reflect.DeepEqual(fleet, *r.returned) {
+		if since.IsZero() || r.returned == nil || !reflect.DeepEqual(fleet, *r.returned) {
 			r.returned = &fleet
 			return r.rows(fleet), nil
 		}
@@ -118,7 +118,7 @@
 		case <-stale.C:
 		case <-end.C:
 			stale.Stop()
-			return awwatch.OperatorRows{Revision: relayedRevision}, nil
+			return awwatch.OperatorRows{Revision: awdirectory.Position{Version: relayedRevision}}, nil
 		case <-ctx.Done():
 			stale.Stop()
 			return awwatch.OperatorRows{}, ctx.Err()
@@ -165,7 +165,7 @@
 	if f.Origin != "" {
 		c.Services = append(c.Services, awdirectory.Service{Origin: awdirectory.Origin{Address: f.Origin, Domain: f.OriginDomain}})
 	}
-	return awwatch.OperatorRows{Revision: relayedRevision, Config: c.Index(), DesiredVersions: f.Versions}
+	return awwatch.OperatorRows{Revision: awdirectory.Position{Version: relayedRevision}, Config: c.Index(), DesiredVersions: f.Versions}
 }
 
 // serverList is the list of backend servers as last read from the store. After
@@ -174,7 +174,7 @@
 type serverList struct {
 	mu       sync.Mutex
 	table    *awdirectory.Table
-	revision uint64
+	revision awdirectory.Position
 	readAt   time.Time
 }
 
@@ -186,18 +186,18 @@
 func (s *serverList) read(ctx context.Context, source awwatch.Source, now time.Time, maxAge time.Duration) ([]awdirectory.Server, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.revision > 0 && now.Sub(s.readAt) < maxAge {
+	if !s.revision.IsZero() && now.Sub(s.readAt) < maxAge {
 		return s.table.Servers(), nil
 	}
 	rows, err := source.Servers(ctx, s.revision, minWait)
 	if errors.Is(err, awwatch.ErrHistoryGone) {
-		s.revision = 0
-		rows, err = source.Servers(ctx, 0, minWait)
+		s.revision = awdirectory.Position{}
+		rows, err = source.Servers(ctx, s.revision, minWait)
 	}
 	if err != nil {
 		return nil, err
 	}
-	if s.revision == 0 {
+	if s.revision.IsZero() {
 		s.table.Replace(rows.Put, now)
 	} else {
 		for _, server := range rows.Put {
--- a/io/awloader/source_test.go
+++ b/io/awloader/source_test.go
@@ -24,19 +24,19 @@
 	changes       awwatch.ServerRows
 }
 
-func (s *countingSource) Operator(_ context.Context, since uint64, _ time.Duration) (awwatch.OperatorRows, error) {
+func (s *countingSource) Operator(_ context.Context, since awdirectory.Position, _ time.Duration) (awwatch.OperatorRows, error) {
 	s.operatorReads++
 	if s.down != nil {
 		s.down <- struct{}{}
 		return awwatch.OperatorRows{}, errDown
 	}
-	return awwatch.OperatorRows{Revision: since + 1}, nil
+	return awwatch.OperatorRows{Revision: awdirectory.Position{Version: since.Version + 1}}, nil
 }
 
-func (s *countingSource) Servers(_ context.Context, since uint64, _ time.Duration) (awwatch.ServerRows, error) {
-	s.serverReads = append(s.serverReads, since)
-	if since == 0 {
-		return awwatch.ServerRows{Revision: 7, Put: []awdirectory.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}, nil
+func (s *countingSource) Servers(_ context.Context, since awdirectory.Position, _ time.Duration) (awwatch.ServerRows, error) {
+	s.serverReads = append(s.serverReads, since.Version)
+	if since.IsZero() {
+		return awwatch.ServerRows{Revision: awdirectory.Position{Version: 7}, Put: []awdirectory.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}, nil
 	}
 	if s.gone {
 		s.gone = false
@@ -54,15 +54,15 @@
 	store := &countingSource{}
 	source := newRelayedSource(store, clock, log.NewNopLogger(), "s")
 	source.firstWait = 0
-	rows, err := source.Operator(ctx, 0, time.Hour)
+	rows, err := source.Operator(ctx, awdirectory.Position{}, time.Hour)
 	require.NoError(t, err)
-	require.Equal(t, uint64(1), rows.Revision, "no entry has sent anything")
+	require.Equal(t, uint64(1), rows.Revision.Version, "no entry has sent anything")
 	require.Equal(t, 1, store.operatorReads)
 
 	fleet := awload.Fleet{Model: "m", Chunks: 96, ChunkBytes: 10, Origin: "o", OriginDomain: "d", Versions: map[string]int64{"m": 2}}
 	source.firstWait = time.Hour
 	source.relay(fleet)
-	rows, err = source.Operator(ctx, 0, time.Hour)
+	rows, err = source.Operator(ctx, awdirectory.Position{}, time.Hour)
 	require.NoError(t, err)
 	require.Equal(t, awdirectory.Model{Name: "m", Chunks: 96, ChunkBytes: 10}, rows.Config.Service("s").Model)
 	require.Equal(t, awdirectory.Origin{Address: "o", Domain: "d"}, rows.Config.Services[1].Origin)
@@ -96,7 +96,7 @@
 	source.firstWait, source.retryDelay = 0, time.Hour
 	rows := make(chan awwatch.OperatorRows)
 	go func() {
-		got, err := source.Operator(context.Background(), 3, time.Hour)
+		got, err := source.Operator(context.Background(), awdirectory.Position{Version: 3}, time.Hour)
 		require.NoError(t, err)
 		rows <- got
 	}()
@@ -109,7 +109,7 @@
 // list of backend servers each second of a transfer.
 func TestServerListReadsChanges(t *testing.T) {
 	store := &countingSource{changes: awwatch.ServerRows{
-		Revision: 9, Put: []awdirectory.Server{{ID: "d"}}, Removed: []string{"a"}, Unreadable: []string{"b"},
+		Revision: awdirectory.Position{Version: 9}, Put: []awdirectory.Server{{ID: "d"}}, Removed: []string{"a"}, Unreadable: []string{"b"},
 	}}
 	list := serverList{table: awdirectory.NewTable()}
 	now := time.Unix(1000, 0)
--- a/io/awwatch/awwatch.go
+++ b/io/awwatch/awwatch.go
@@ -62,6 +62,10 @@
 	// LongPollTimeout is how long the store holds a read of the operators' rows
 	// open while nothing changes.
 	LongPollTimeout time.Duration
+	// EraCaution is the time after the store has come back from an older copy for which
+	// rows may be older than what is known. Operators and backend servers write again
+	// within seconds.
+	EraCaution time.Duration
 	// MaxRetryDelay is the longest delay between two reads while the store is
 	// unavailable. If the list of entries is read and short, the delay is shorter.
 	MaxRetryDelay time.Duration
@@ -94,8 +98,9 @@
 	versions   awdirectory.VersionTracker
 	domainsOut map[string]bool
 	entries    []awdirectory.Entry
-	loaded     struct{ operator, servers, entries bool } // whether the table has been read in full
-	outage     outage
+	eraState
+	loaded struct{ operator, servers, entries bool } // whether the table has been read in full
+	outage outage
 
 	entryCount atomic.Int32 // length of entries, for the polls
 	tracker    entryTracker
@@ -113,7 +118,7 @@
 func New(cfg Config) *Watcher {
 	return &Watcher{
 		cfg: cfg, updates: make(chan func()), table: awdirectory.NewTable(),
-		versions: awdirectory.VersionTracker{MaxStaleness: cfg.MaxStaleness}, domainsOut: map[string]bool{},
+		versions: awdirectory.VersionTracker{MaxStaleness: cfg.MaxStaleness}, domainsOut: map[string]bool{}, eraState: eraState{carriedOut: map[string]bool{}, named: map[string]namedVersion{}},
 		outage: outage{maxWait: maxOutageWait}, tracker: entryTracker{tracker: awdirectory.EntryTracker{Self: cfg.Self}},
 	}
 }
@@ -140,12 +145,12 @@
 // readFunc reads the changes since a revision and returns the revision that the
 // next read should start from. With probe set it does not wait for changes, in
 // order to find out whether the store is available again.
-type readFunc func(ctx context.Context, since uint64, probe bool) (uint64, error)
+type readFunc func(ctx context.Context, since awdirectory.Position, probe bool) (awdirectory.Position, error)
 
 // poll reads a table repeatedly. It logs when the store becomes unavailable and
 // when it is available again.
 func (w *Watcher) poll(ctx context.Context, table string, interval time.Duration, read readFunc) {
-	since, failures, first := uint64(0), 0, true
+	since, failures, first := awdirectory.Position{}, 0, true
 	for ctx.Err() == nil {
 		w.outage.await(ctx, table)
 		next, err := read(ctx, since, failures > 0)
@@ -153,8 +158,8 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryGone):
-			w.log("change history is no longer available; reading the whole table again", "Table", table, "Since", since)
-			since = 0
+			w.log("change history is no longer available; reading the whole table again", "Table", table, "Since", since.Version, "Era", since.Era)
+			since = awdirectory.Position{}
 			continue
 		case err != nil:
 			failures++
@@ -174,7 +179,7 @@
 		w.outage.end(table)
 		if failures > 0 {
 			failures = 0
-			w.log("store regained", "Table", table, "Revision", next)
+			w.log("store regained", "Table", table, "Revision", next.Version, "Era", next.Era)
 		}
 		since = next
 		if first && table == tableEntries {
@@ -258,32 +263,32 @@
 // Connected reports whether the last read of the store succeeded.
 func (w *Watcher) Connected() bool { return !w.outage.active() }
 
-func (w *Watcher) readOperator(ctx context.Context, since uint64, probe bool) (uint64, error) {
+func (w *Watcher) readOperator(ctx context.Context, since awdirectory.Position, probe bool) (awdirectory.Position, error) {
 	wait := w.cfg.LongPollTimeout
 	if probe {
 		// The changes include every version of the configuration that was in force
 		// during the outage. They can take longer to arrive than the newest is due.
-		wait, since = time.Millisecond, 0
+		wait, since = time.Millisecond, awdirectory.Position{}
 	}
 	if w.configs.inSuccession {
-		since = 0
+		since = awdirectory.Position{}
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
 	callCtx, abort := context.WithCancelCause(callCtx)
 	defer abort(nil)
-	if since > 0 {
+	if !since.IsZero() {
 		w.setAbortRead(abort)
 		defer w.setAbortRead(nil)
 	}
 	rows, err := w.cfg.Source.Operator(callCtx, since, wait)
 	if cause := context.Cause(callCtx); err != nil && errors.Is(cause, errReadAborted) {
-		return 0, cause
+		return awdirectory.Position{}, cause
 	}
 	if err != nil {
-		return 0, err
+		return awdirectory.Position{}, err
 	}
-	w.update(ctx, func() { w.applyOperator(ctx, rows, since == 0) })
+	w.update(ctx, func() { w.applyOperator(ctx, rows, since.IsZero()) })
 	if w.configs.observe(rows.Config, w.cfg.Clock.Now()) {
 		Sleep(ctx, configPause)
 	}
@@ -329,11 +334,16 @@
 
 func (w *Watcher) applyOperator(ctx context.Context, rows OperatorRows, full bool) {
 	now := w.cfg.Clock.Now()
+	newEra := w.beginEra(&w.eras.operator, rows.Revision.Era, tableOperator)
+	if newEra {
+		w.carryOver(ctx, rows.DomainsOut)
+	}
 	if full {
 		clear(w.domainsOut)
 	}
 	for domain, out := range rows.DomainsOut {
-		w.log("failure domain changed", "Domain", domain, "Out", out, "Revision", rows.Revision)
+		delete(w.carriedOut, domain)
+		w.log("failure domain changed", "Domain", domain, "Out", out, "Revision", rows.Revision.Version)
 		if out {
 			w.domainsOut[domain] = true
 		} else {
@@ -344,10 +354,14 @@
 	if found {
 		since = awdirectory.UnknownSince(now, w.versions.MaxStaleness, w.cfg.Stable)
 	}
+	if newEra {
+		w.recordAgain(ctx)
+	}
 	for model, version := range rows.DesiredVersions {
 		if w.versions.SetDesired(model, version, since) {
-			w.log("version named", "Model", model, "Version", version, "Revision", rows.Revision, "AgeMs", now.Sub(since).Milliseconds())
+			w.log("version named", "Model", model, "Version", version, "Revision", rows.Revision.Version, "AgeMs", now.Sub(since).Milliseconds())
 			if w.cfg.RecordFirstSeen {
+				w.named[model] = namedVersion{version: version, since: since}
 				go w.recordFirstSeen(ctx, model, version, since, found)
 			}
 		}
@@ -357,7 +371,7 @@
 	}
 	if rows.Config != nil {
 		ok := w.cfg.OnConfig(rows.Config)
-		w.log("configuration read", "Version", rows.Config.Version, "InForce", ok, "Revision", rows.Revision)
+		w.log("configuration read", "Version", rows.Config.Version, "InForce", ok, "Revision", rows.Revision.Version)
 	}
 	w.loaded.operator = true
 	w.publish()
@@ -390,7 +404,7 @@
 	}
 }
 
-func (w *Watcher) readServers(ctx context.Context, since uint64, probe bool) (uint64, error) {
+func (w *Watcher) readServers(ctx context.Context, since awdirectory.Position, probe bool) (awdirectory.Position, error) {
 	wait := w.cfg.ServersInterval / serversHoldDivisor
 	if probe {
 		wait = time.Millisecond
@@ -399,14 +413,22 @@
 	defer cancel()
 	rows, err := w.cfg.Source.Servers(callCtx, since, wait)
 	if err != nil {
-		return 0, err
+		return awdirectory.Position{}, err
 	}
-	w.update(ctx, func() { w.applyServers(rows, since == 0) })
+	w.update(ctx, func() { w.applyServers(ctx, rows, since.IsZero()) })
 	return rows.Revision, nil
 }
 
-func (w *Watcher) applyServers(rows ServerRows, full bool) {
+func (w *Watcher) applyServers(ctx context.Context, rows ServerRows, full bool) {
 	now := w.cfg.Clock.Now()
+	if w.beginEra(&w.eras.servers, rows.Revision.Era, tableServers) {
+		w.table.Distrust(now, now.Add(w.cfg.EraCaution))
+		go w.later(ctx, func() {
+			if w.table.Expire(w.cfg.Clock.Now()) {
+				w.publish()
+			}
+		})
+	}
 	w.table.MarkStoreAvailable(now)
 	if full {
 		w.table.Replace(rows.Put, now)
@@ -415,7 +437,7 @@
 			w.table.Put(s)
 		}
 		for _, id := range rows.Removed {
-			w.log("backend server removed from the list", "Server", id, "Revision", rows.Revision)
+			w.log("backend server removed from the list", "Server", id, "Revision", rows.Revision.Version)
 			w.table.Remove(id, now)
 		}
 	}
@@ -428,12 +450,12 @@
 	w.publish()
 }
 
-func (w *Watcher) readEntries(ctx context.Context, _ uint64, _ bool) (uint64, error) {
+func (w *Watcher) readEntries(ctx context.Context, _ awdirectory.Position, _ bool) (awdirectory.Position, error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	list, err := w.cfg.Source.Entries(callCtx)
 	if err != nil {
-		return 0, err
+		return awdirectory.Position{}, err
 	}
 	entries, removable := w.tracker.observe(list, w.cfg.Clock.Now())
 	if w.cfg.OnEntries != nil {
@@ -453,7 +475,7 @@
 		w.entryCount.Store(int32(len(entries)))
 		w.publish()
 	})
-	return 0, nil
+	return awdirectory.Position{}, nil
 }
 
 // publish passes the state to OnState once all watched tables have been read. An
@@ -468,5 +490,8 @@
 	for domain := range w.domainsOut {
 		s.DomainsOut[domain] = true
 	}
+	for domain := range w.carriedOut {
+		s.DomainsOut[domain] = true
+	}
 	w.cfg.OnState(s)
 }
--- a/io/awwatch/awwatch_test.go
+++ b/io/awwatch/awwatch_test.go
@@ -29,15 +29,15 @@
 	longPolls      chan struct{} // receives a value when a long poll starts
 }
 
-func (s *fakeStore) Operator(ctx context.Context, since uint64, wait time.Duration) (OperatorRows, error) {
+func (s *fakeStore) Operator(ctx context.Context, since awdirectory.Position, wait time.Duration) (OperatorRows, error) {
 	s.mu.Lock()
-	s.sinceRevisions = append(s.sinceRevisions, since)
+	s.sinceRevisions = append(s.sinceRevisions, since.Version)
 	config, down := s.config, s.down
 	s.mu.Unlock()
 	switch {
 	case down && wait <= time.Millisecond:
 		return OperatorRows{}, errStoreDown
-	case since == config:
+	case since.Version == config:
 		// Nothing has changed: the long poll never returns.
 		select {
 		case s.longPolls <- struct{}{}:
@@ -50,16 +50,16 @@
 			return OperatorRows{}, ctx.Err()
 		}
 	}
-	return OperatorRows{Revision: config, Config: &awdirectory.Config{Version: config}, DesiredVersions: s.modelVersions}, nil
+	return OperatorRows{Revision: awdirectory.Position{Version: config}, Config: &awdirectory.Config{Version: config}, DesiredVersions: s.modelVersions}, nil
 }
 
-func (s *fakeStore) Servers(context.Context, uint64, time.Duration) (ServerRows, error) {
+func (s *fakeStore) Servers(context.Context, awdirectory.Position, time.Duration) (ServerRows, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return ServerRows{}, errStoreDown
 	}
-	return ServerRows{Revision: 1, Put: s.servers, Unreadable: []string{"forged"}}, nil
+	return ServerRows{Revision: awdirectory.Position{Version: 1}, Put: s.servers, Unreadable: []string{"forged"}}, nil
 }
 
 func (s *fakeStore) Entries(context.Context) ([]awdirectory.Registration, error) {
--- a/io/awwatch/source.go
+++ b/io/awwatch/source.go
@@ -37,7 +37,7 @@
 // OperatorRows holds rows that operators have written: all, or those changed
 // since a revision.
 type OperatorRows struct {
-	Revision        uint64
+	Revision        awdirectory.Position
 	Config          *awdirectory.Config // nil if unchanged
 	DomainsOut      map[string]bool     // true if the failure domain was taken out, false if it was returned
 	DesiredVersions map[string]int64    // version to serve, by model
@@ -47,23 +47,24 @@
 // ServerRows holds rows that backend servers have written: all, or those changed
 // since a revision.
 type ServerRows struct {
-	Revision   uint64
+	Revision   awdirectory.Position
 	Put        []awdirectory.Server
 	Removed    []string // ids of backend servers whose row was deleted
 	Unreadable []string // keys of rows that could not be decoded; not listed in Put
 }
 
-// Source reads the store. Operator and Servers return all rows if since is 0,
+// Source reads the store. Operator and Servers return all rows if since is zero,
 // and otherwise only those changed since that revision, with every intermediate
-// version of a row. A call fails with [ErrSilent] if the store sends nothing
+// version of a row. They fail with [ErrHistoryGone] if the store has begun a new era
+// since, and drop what arrives of an era older than one that was seen. A call fails with [ErrSilent] if the store sends nothing
 // for [SilenceTimeout] longer than it may hold the read open.
 type Source interface {
 	// Operator returns operators' rows. If nothing has changed, it waits up to
 	// wait for a change.
-	Operator(ctx context.Context, since uint64, wait time.Duration) (OperatorRows, error)
+	Operator(ctx context.Context, since awdirectory.Position, wait time.Duration) (OperatorRows, error)
 	// Servers returns the rows of backend servers. If nothing has changed, it waits
 	// up to wait for a change.
-	Servers(ctx context.Context, since uint64, wait time.Duration) (ServerRows, error)
+	Servers(ctx context.Context, since awdirectory.Position, wait time.Duration) (ServerRows, error)
 	// Entries returns all registered entries.
 	Entries(ctx context.Context) ([]awdirectory.Registration, error)
 	// VersionAges returns, for a version of a model and each recorded earlier
