awdirectory: no entry gives up its share while the store takes no writes

Found by reading: while the store is read but takes no writes, no row is renewed. All entries would have stopped counting each other, and all would have refused after 60 s.

Change: an entry whose own row does not change stops counting nobody, and tells the others how long ago it changed. One that has not written later than they have, by 30 s, cannot have taken their shares.

--- a/core/awdirectory/lapse.go
+++ b/core/awdirectory/lapse.go
@@ -38,6 +38,7 @@
 	seen      map[string]seenRow
 	firstRead time.Time // since when the list has been read without a gap
 	lastRead  time.Time
+	own       seenRow // the row of Self, and since when it has been seen, also over gaps
 }
 
 // seenRow is a version of a row, and since when it has been seen without a gap.
@@ -49,7 +50,9 @@
 // Observe records a read of the list. It returns the entries that count, and the
 // registrations that may be removed.
 func (t *EntryTracker) Observe(list []Registration, now time.Time) (counting []Entry, removable []Registration) {
-	restart := t.lastRead.IsZero() || now.Sub(t.lastRead) > maxReadGap
+	t.observeOwn(list, now)
+	// While this entry cannot write its own row, others may not be able to either.
+	restart := t.lastRead.IsZero() || now.Sub(t.lastRead) > maxReadGap || t.WrittenAgo(now) >= ownLapse
 	if t.lastRead = now; restart {
 		t.firstRead = now
 	}
@@ -71,6 +74,24 @@
 	return counting, removable
 }
 
+// observeOwn records when the row of Self has changed.
+func (t *EntryTracker) observeOwn(list []Registration, now time.Time) {
+	for _, r := range list {
+		if r.Name == t.Self && (t.own.since.IsZero() || r.RowVersion != t.own.version) {
+			t.own = seenRow{version: r.RowVersion, since: now}
+		}
+	}
+}
+
+// WrittenAgo returns the time since the row of Self was last seen to have changed, or
+// entryLapse if it never was.
+func (t *EntryTracker) WrittenAgo(now time.Time) time.Duration {
+	if t.own.since.IsZero() {
+		return entryLapse
+	}
+	return now.Sub(t.own.since)
+}
+
 // ReadFor returns the time for which the list has been read without a gap. No entry stops
 // counting before it has been longer than [OwnShare] waits.
 func (t *EntryTracker) ReadFor(now time.Time) time.Duration {
@@ -110,6 +131,8 @@
 	Counted bool          // the other entry counts there
 	Count   int           // entries that count there
 	ReadFor time.Duration // see [EntryTracker.ReadFor]
+	// WrittenAgo is the time since its own row has changed; see [EntryTracker.WrittenAgo].
+	WrittenAgo time.Duration
 }
 
 // NewOwnShare returns the share of an entry that starts now.
@@ -131,15 +154,16 @@
 	return now.Sub(s.renewed) >= askAfter || now.Sub(s.read) >= askUnread
 }
 
-// Heard records the answer of another entry. One that has read the list for long takes
-// the share of an entry that has not renewed its row. While the store is away from all,
-// and soon after, nobody does.
+// Heard records the answer of another entry. One that has read the list for long, and has
+// written its own row well after this one, takes this one's share. While the store is
+// away from all, or takes no writes, nobody does.
 func (s *OwnShare) Heard(a Answer, now time.Time) {
 	s.count = max(s.count, a.Count)
+	age := now.Sub(s.renewed)
 	switch {
-	case a.Counted && a.ReadFor < ownLapse:
+	case a.Counted && (a.ReadFor < ownLapse || a.WrittenAgo > age-(entryLapse-ownLapse)):
 		s.harmless = now
-	case now.Sub(s.renewed) >= ownLapse:
+	case age >= ownLapse:
 		s.lapsed = true
 	}
 }
--- a/core/awdirectory/lapse_test.go
+++ b/core/awdirectory/lapse_test.go
@@ -27,6 +27,7 @@
 type entrySim struct {
 	now     time.Time
 	down    bool // the store
+	full    bool // the store takes no writes
 	version uint64
 	rng     *rand.Rand
 	rows    map[string]uint64
@@ -47,7 +48,7 @@
 		}
 		e.own.Usable(len(s.entries)-1, s.now) // before answers to this step's questions
 		reaches := !s.down && !e.cut
-		if reaches && !s.now.Before(e.nextOp) {
+		if reaches && !s.full && !s.now.Before(e.nextOp) {
 			s.version++
 			s.rows[e.name] = s.version
 			if e.unknown {
@@ -77,7 +78,7 @@
 		if e.own.Asks(s.now) {
 			for _, other := range s.entries {
 				if other != e && !other.lost && !other.frozen {
-					e.own.Heard(Answer{Counted: other.counts == nil || other.counts[e.name], Count: len(other.counts), ReadFor: other.tracker.ReadFor(s.now)}, s.now)
+					e.own.Heard(Answer{Counted: other.counts == nil || other.counts[e.name], Count: len(other.counts), ReadFor: other.tracker.ReadFor(s.now), WrittenAgo: other.tracker.WrittenAgo(s.now)}, s.now)
 				}
 			}
 		}
@@ -141,9 +142,13 @@
 		s := newEntrySim(6)
 		for range 40 {
 			e := s.entries[rng.IntN(len(s.entries))]
-			switch rng.IntN(6) {
+			switch rng.IntN(8) {
 			case 5:
 				s.restart(e)
+			case 6:
+				s.full = true
+			case 7:
+				s.full = false
 			case 0:
 				e.frozen = !e.frozen
 			case 1:
@@ -162,6 +167,17 @@
 		}
 	}
 	s := newEntrySim(6)
+	for i, e := range s.entries { // writes at different times
+		e.nextOp = s.now.Add(time.Duration(3*i) * time.Second)
+	}
+	s.run(time.Minute)
+	s.full = true
+	for range 600 {
+		s.step()
+		require.InDelta(t, 1, s.used(), 0.0001, "the store takes no writes")
+	}
+	s.full = false
+	s.run(time.Minute)
 	for _, outage := range []time.Duration{time.Minute, 10 * time.Minute} {
 		s.down = true
 		for range int(outage / time.Second) {
--- a/io/awload/awload.go
+++ b/io/awload/awload.go
@@ -51,10 +51,11 @@
 	fieldFacts
 	fieldNotices
 	fieldDuties
-	fieldShareAsk     // name of the entry that asks
-	fieldShareReadMs  // of the answer
-	fieldShareCount   // of the answer
-	fieldShareCounted // of the answer, which has it: 1 if not, 2 if so
+	fieldShareAsk    // name of the entry that asks
+	fieldShareReadMs // of the answer, as are those that follow
+	fieldShareWrittenMs
+	fieldShareCount
+	fieldShareCounted // in each answer
 )
 
 // Report is the load of a backend server as reported by itself.
@@ -198,6 +199,8 @@
 		d.claim.Sharers = int(v)
 	case fieldShareReadMs:
 		d.answer.ReadFor = time.Duration(min(v, maxReadMs)) * time.Millisecond
+	case fieldShareWrittenMs:
+		d.answer.WrittenAgo = time.Duration(min(v, maxReadMs)) * time.Millisecond
 	case fieldShareCount:
 		d.answer.Count = int(min(v, maxEntries))
 	case fieldShareCounted:
--- a/io/awwatch/entries.go
+++ b/io/awwatch/entries.go
@@ -32,5 +32,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	// An entry that has not read the list knows of no loss.
-	return awdirectory.Answer{Counted: t.counting == nil || t.counting[name], Count: len(t.counting), ReadFor: t.tracker.ReadFor(w.cfg.Clock.Now())}
+	now := w.cfg.Clock.Now()
+	return awdirectory.Answer{
+		Counted: t.counting == nil || t.counting[name], Count: len(t.counting), ReadFor: t.tracker.ReadFor(now), WrittenAgo: t.tracker.WrittenAgo(now),
+	}
 }
--- a/io/awwatch/era_test.go
+++ b/io/awwatch/era_test.go
@@ -113,7 +113,7 @@
 // that has just started, and knows no list, does not count them.
 func TestEntryWithoutListCountsAll(t *testing.T) {
 	w := New(Config{Clock: awclock.System{}, Self: "a"})
-	require.Equal(t, awdirectory.Answer{Counted: true}, w.EntryAnswer("b"))
+	require.True(t, w.EntryAnswer("b").Counted)
 	w.tracker.observe([]awdirectory.Registration{{Entry: awdirectory.Entry{Name: "a"}}}, time.Now())
 	require.False(t, w.EntryAnswer("b").Counted)
 	require.True(t, w.EntryAnswer("a").Counted)
