--- a/io/awload/ask.go
+++ b/io/awload/ask.go
@@ -36,8 +36,10 @@
 		number protowire.Number
 		value  uint64
 	}{
-		{fieldShareReadMs, uint64(max(0, a.ReadFor.Milliseconds()))}, {fieldShareWrittenMs, uint64(max(0, a.WrittenAgo.Milliseconds()))},
-		{fieldShareCount, uint64(a.Count)}, {fieldShareCounted, counted},
+		{fieldShareReadMs, uint64(max(0, a.ReadFor.Milliseconds()))},
+		{fieldShareWrittenMs, uint64(max(0, a.WrittenAgo.Milliseconds()))},
+		{fieldShareCount, uint64(a.Count)},
+		{fieldShareCounted, counted},
 	} {
 		b = protowire.AppendTag(b, f.number, protowire.VarintType)
 		b = protowire.AppendVarint(b, f.value)
