--- a/core/awdirectory/lapse_test.go
+++ b/core/awdirectory/lapse_test.go
@@ -209,6 +209,7 @@
 	now := time.Unix(1000, 0)
 	var counting []Entry
 	for range 60 {
+		list[0].RowVersion++
 		counting, _ = tracker.Observe(list, now)
 		now = now.Add(5 * time.Second)
 	}
