Tests: servers that send a raw response read the request and close the connection

Other raw servers closed connections with unread bytes, which resets them. They now read the request and send Connection: close; the checks are the same.

--- a/io/awengine/status_test.go
+++ b/io/awengine/status_test.go
@@ -1,6 +1,7 @@
 package awengine_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -15,14 +16,15 @@
 // load command as accepted.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	for _, status := range []string{"000", "099", "600"} {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // a close with unread bytes resets the connection
 			conn, _, err := w.(http.Hijacker).Hijack()
 			if err != nil {
 				t.Error(err)
 				return
 			}
 			defer conn.Close()
-			_, _ = conn.Write([]byte("HTTP/1.1 " + status + " Status\r\nContent-Length: 0\r\n\r\n"))
+			_, _ = conn.Write([]byte("HTTP/1.1 " + status + " Status\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
 		}))
 		defer server.Close()
 		c := awengine.New(server.URL)
--- a/io/awstore/awstore_test.go
+++ b/io/awstore/awstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -62,14 +63,15 @@
 // Guards against a commit that counts as done because of a response whose status is none
 // of HTTP.
 func TestInvalidStatusIsNoSuccess(t *testing.T) {
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // a close with unread bytes resets the connection
 		conn, _, err := w.(http.Hijacker).Hijack()
 		if err != nil {
 			t.Error(err)
 			return
 		}
 		defer conn.Close()
-		_, _ = conn.Write([]byte("HTTP/1.1 000 Status\r\nContent-Length: 0\r\n\r\n"))
+		_, _ = conn.Write([]byte("HTTP/1.1 000 Status\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
 	}))
 	t.Cleanup(srv.Close)
 	c := awstore.New(awstore.Config{TableURL: srv.URL})
