awbackend: test without a header of the platform

Cause: a stray response in the test named a header that belongs to platform/ and that awbackend does not read. Change: the header is dropped; the assertions are unchanged. Result: go test ./io/awbackend passes.

--- a/io/awbackend/identify_test.go
+++ b/io/awbackend/identify_test.go
@@ -14,7 +14,7 @@
 	"arbutuswind/core/awclock"
 )
 
-const strayRejection = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+const strayRejection = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
 // serveScript accepts connections and answers the n-th request of each with the n-th
 // response.
