awhttp: choose connections again before a request is refused for lack of bytes

Cause: a read adds its bytes before connections are chosen to be closed, and another goroutine may be doing that. A request that was passed on in between saw the limit exceeded by bytes that were about to be freed, and was refused.

Change: before ErrShort, connections are chosen, which waits for a choice that is being made; then the limit is looked at again.

TestRequestIsNotRefusedForBytesThatMayBeFreed holds the choice open. Before: "clients hold too much memory". After: passes, with all tests of the package.

--- a/io/awhttp/account.go
+++ b/io/awhttp/account.go
@@ -172,7 +172,13 @@
 // pass records that the request is passed on. If it returns an error, the request must
 // not run: [net.ErrClosed] if the connection is being closed, or [ErrShort].
 func (a *Account) pass() error {
-	if err := a.markPassed(); err != nil {
+	err := a.markPassed()
+	if errors.Is(err, ErrShort) {
+		// Connections may still be about to be closed for the bytes that exceed the limit.
+		a.guard.checkBytes()
+		err = a.markPassed()
+	}
+	if err != nil {
 		return err
 	}
 	a.guard.checkFiles()
--- a/io/awhttp/guard_test.go
+++ b/io/awhttp/guard_test.go
@@ -87,6 +87,35 @@
 	require.LessOrEqual(t, g.Held(), g.limits.Bytes)
 }
 
+// Guards against the refusal of a request because of bytes whose connection is being
+// chosen to be closed.
+func TestRequestIsNotRefusedForBytesThatMayBeFreed(t *testing.T) {
+	g := NewGuard(GuardConfig{MemoryBytes: 1 << 20, Files: 4096, Logger: log.NewNopLogger()})
+	account := func() *Account {
+		a := g.Account(func() {}, nil)
+		require.True(t, a.Admit())
+		return a
+	}
+	steady, stopped := account(), account()
+	steady.Read(100)
+	steady.headerRead(nil)
+	steady.Read(2 * smallRequest)
+
+	g.choosing.Lock()
+	chosen, passed := make(chan struct{}), make(chan error, 1)
+	go func() {
+		stopped.Read(int(g.limits.Bytes))
+		close(chosen)
+	}()
+	require.Eventually(t, func() bool { return g.Held() > g.limits.Bytes }, 10*time.Second, time.Millisecond)
+	go func() { passed <- steady.pass() }()
+	time.Sleep(50 * time.Millisecond) // an early refusal shows in this time
+	g.choosing.Unlock()
+	require.NoError(t, <-passed)
+	<-chosen
+	require.LessOrEqual(t, g.Held(), g.limits.Bytes)
+}
+
 // Guards against large requests that are passed on while those before them hold all
 // bytes, and against small ones that are refused then.
 func TestLargeRequestIsRefusedWhileOthersHoldAllBytes(t *testing.T) {
