awquarantine: blame the narrower of two parts that explain the same crashes

Callers saw all their requests refused with 503, for 30 s until the first probe.

Cause: while no part is known to be sound, which is so at the start, the part that all requests share explains the same crashes as the deadly one, and the tie went to the part with more requests. Nothing was sent any more that could have cleared it. Engines that do not come back were the other hypothesis; the log has no such refusal.

Change: of two parts that explain the same crashes, the one whose requests all hold the other too is blamed. If the wider one is the cause, its next crash explains more.

--- a/core/awquarantine/awquarantine_test.go
+++ b/core/awquarantine/awquarantine_test.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// Guards against sound requests that are all refused because nothing is known yet of
+// the part that they share with deadly ones.
+func TestNarrowerOfTwoPartsIsBlocked(t *testing.T) {
+	f := newFixture()
+	for n := range 3 {
+		engine := fmt.Sprint("e", n)
+		f.crash(engine, fmt.Sprint("dead", n), "shared", "dead")
+		f.crash(engine, fmt.Sprint("sound", n), "shared")
+	}
+	require.True(t, f.blocked("shared", "dead"))
+	require.False(t, f.blocked("shared"))
+}
+
 // Guards against blame for requests beside a send that was cancelled too late.
 func TestCancelledSendExplainsCrash(t *testing.T) {
 	f := newFixture()
--- a/core/awquarantine/evaluate.go
+++ b/core/awquarantine/evaluate.go
@@ -120,12 +120,40 @@
 // strongest returns the suspicion that explains the crashes best, or nil if none is
 // sufficient.
 func (q *Quarantine) strongest(explained map[string]bool) *suspicion {
+	all := q.suspicions(explained)
 	var best *suspicion
-	for _, s := range q.suspicions(explained) {
+	for _, s := range all {
 		if s.sufficient() && (best == nil || s.compare(best) > 0) {
 			best = s
 		}
 	}
+	for best != nil {
+		narrower := best.narrowed(all)
+		if narrower == nil {
+			break
+		}
+		best = narrower
+	}
+	return best
+}
+
+// narrowed returns the suspicion that explains the same crashes by fewer requests, all
+// of them with the part of s, or nil if there is none. Blame for the wider part would
+// refuse the sound requests too that could clear it. If the wider part is the cause,
+// its next crash shows it.
+func (s *suspicion) narrowed(all map[string]*suspicion) *suspicion {
+	var best *suspicion
+	for _, other := range all {
+		if other.isRequest != s.isRequest || other.knownSound != s.knownSound || other.events != s.events || !other.sufficient() {
+			continue
+		}
+		if !slices.Contains(other.with, s.part) || len(other.requests) >= len(s.requests) {
+			continue
+		}
+		if best == nil || other.compare(best) > 0 {
+			best = other
+		}
+	}
 	return best
 }
 
--- a/core/awquarantine/load_test.go
+++ b/core/awquarantine/load_test.go
@@ -38,6 +38,7 @@
 	// again and again, in place of the requests with a deadly part.
 	deadlyRequest string
 	perStep       float64 // requests
+	deadlyStart   time.Duration
 
 	running      []*loadRequest
 	sent         int
@@ -62,7 +63,7 @@
 func newLoad(seed uint64, entries, engines int, perSecond, share float64, deadly ...string) *load {
 	l := &load{
 		rng: rand.New(rand.NewPCG(seed, 0)), losses: rand.New(rand.NewPCG(seed, 1)), clock: awclock.NewFake(time.Unix(1000, 0)), deadly: deadly, share: share,
-		perStep: perSecond * loadStep.Seconds(), crashes: map[string][]time.Time{}, late: map[string]int{},
+		deadlyStart: deadlyStart, perStep: perSecond * loadStep.Seconds(), crashes: map[string][]time.Time{}, late: map[string]int{},
 	}
 	for n := range entries {
 		l.names = append(l.names, fmt.Sprint("entry", n))
@@ -98,7 +99,7 @@
 func (l *load) play(settle time.Duration, disturb func(l *load, since time.Duration)) {
 	for since := time.Duration(0); since < loadLength; since += loadStep {
 		for n := l.perStep; n > 0 && l.rng.Float64() < n; n-- {
-			l.arrive(since >= deadlyStart)
+			l.arrive(since >= l.deadlyStart)
 		}
 		l.advanceRequests(settle)
 		if disturb != nil {
@@ -287,3 +288,17 @@
 		}
 	}
 }
+
+// Guards against sound requests that are refused because entries which have just been
+// started know no part to be sound yet.
+func TestLoadWithDeadlyPartFromTheStart(t *testing.T) {
+	for _, share := range []float64{0.05, 0.3} {
+		for seed := range uint64(60) {
+			l := newLoad(seed, 5, 9, 60, share, "dead")
+			l.deadlyStart = 0
+			l.play(3*time.Second, nil)
+			require.Zero(t, l.late["dead"], "share %g, seed %d", share, seed)
+			require.LessOrEqual(t, l.soundRefused, 5+l.sent/500, "share %g, seed %d", share, seed)
+		}
+	}
+}
