Duties: a row for each era of the store

A store that comes back from an older copy gives versions out again.

Change: each era has a row of its own, so that a write of an older era has no effect on a newer one, whenever it is performed. Positions are compared with their era. A holder that is sure of its lease writes its row again; others read first and wait for the whole lease, and drop committed windows up to the highest that they have heard of. A store that names no era is read and written as before, with as many calls.

The simulated store names its era where it gives versions again, as the platform's does; without one nobody could tell. Its check that all instances know the row compares the era too.

Measured: all tests of core/awduty pass. Mutations are caught: one row for all eras, versions compared alone, holding by an older row, trusting an outdated response, keeping windows that may differ, no read in a new era, not waiting for the whole lease.

--- a/core/awdirectory/position.go
+++ b/core/awdirectory/position.go
@@ -10,3 +10,11 @@
 
 // IsZero reports whether nothing has been read.
 func (p Position) IsZero() bool { return p == Position{} }
+
+// After reports whether p is later than other.
+func (p Position) After(other Position) bool {
+	if p.Era != other.Era {
+		return p.Era > other.Era
+	}
+	return p.Version > other.Version
+}
--- a/core/awduty/awduty.go
+++ b/core/awduty/awduty.go
@@ -11,7 +11,11 @@
 // the machine that also counts suspends, unless they are named wall times.
 package awduty
 
-import "time"
+import (
+	"time"
+
+	"arbutuswind/core/awdirectory"
+)
 
 // Subject is what one lease covers: a duty, or a part of it. Usage reports are a
 // single subject, and each service in a zone is one for orders of replicas.
@@ -50,8 +54,8 @@
 type Claim struct {
 	Holder      string
 	Incarnation uint64
-	Token       uint64 // 0 if no row is known
-	Version     uint64 // of the row
+	Token       uint64               // 0 if no row is known
+	Position    awdirectory.Position // of the row
 	Through     int64
 	Released    bool // the holder has ended and does not act on this version any more
 	// Age is the time since the write of this version began, as far as the instance
@@ -65,8 +69,8 @@
 	if c.Token != other.Token {
 		return c.Token > other.Token
 	}
-	if c.Version != other.Version {
-		return c.Version > other.Version
+	if c.Position != other.Position {
+		return c.Position.After(other.Position)
 	}
 	return c.Released && !other.Released
 }
@@ -75,13 +79,24 @@
 	return c.Holder == other.Holder && c.Incarnation == other.Incarnation
 }
 
+// Stored is where a row was found or written.
+type Stored struct {
+	Position awdirectory.Position // of the row; zero if there is none
+	Era      uint64               // of the store
+}
+
 // StoreCall is a call of the store that a candidate asks for: a read of the row,
-// or a write of Row if the row still has the version Precondition.
+// or a write of Row if the row still has the version of Precondition.
+//
+// Each era of the store has a row of its own, so that a write of an older era which is
+// performed late cannot replace the row of a newer one. A read returns the row of the
+// newest era that has one.
 type StoreCall struct {
 	Write        bool
 	Row          Row
-	Precondition uint64 // 0: there is no row
-	TakeOver     bool   // the write changes the holder
+	Precondition awdirectory.Position // era of the row that is written; version 0: it has none
+	Replaces     awdirectory.Position // row of an older era that the write replaces; zero for none
+	TakeOver     bool                 // the write changes the holder
 }
 
 // Call is a call of the platform.
@@ -102,7 +117,8 @@
 const (
 	WriteDone WriteResult = iota
 	WriteConflict
-	WriteUnknown // it may have been performed or may be later
+	WriteUnknown  // it may have been performed or may be later
+	WriteOutdated // the store is in a newer era, in which the write has no effect
 )
 
 // Answer is the platform's answer to a call.
--- a/core/awduty/awduty_test.go
+++ b/core/awduty/awduty_test.go
@@ -283,7 +283,7 @@
 func TestRandomFaultsWithStoreSetBack(t *testing.T) { testStoreSetBack(t, false) }
 
 // Guards against the same where the store gives versions again that it had given
-// before.
+// before and names its era.
 func TestRandomFaultsWithVersionsReused(t *testing.T) { testStoreSetBack(t, true) }
 
 func testStoreSetBack(t *testing.T, reuse bool) {
@@ -291,6 +291,7 @@
 	back := 0
 	for seed := range uint64(60) {
 		s := newSim(t, 500+seed, simNames...)
+		s.namesEra = reuse
 		s.callLatency, s.slowCalls = 200*time.Millisecond, 0.25
 		s.runFor(15 * time.Second)
 		s.fate = func(*simNode) writeFate {
@@ -351,7 +352,8 @@
 func (s *sim) allHaveHeard() bool {
 	for _, n := range s.nodes {
 		claim := n.usage.Candidate().Claim(n.local())
-		if !n.running() || claim.Token < s.row.Token || claim.Version < s.version || claim.Through < s.row.Through {
+		at := claim.Position
+		if !n.running() || claim.Token < s.row.Token || at.Era < s.rowEra || at.Version < s.version || claim.Through < s.row.Through {
 			return false
 		}
 	}
@@ -365,8 +367,12 @@
 	if i < 0 {
 		return false
 	}
-	s.row, s.version = s.copies[i].row, s.copies[i].version
+	back := s.copies[i]
+	s.row, s.version, s.rowEra, s.older = back.row, back.version, back.rowEra, back.older
 	s.copies = s.copies[:i]
+	if s.namesEra {
+		s.era++
+	}
 	return true
 }
 
--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"arbutuswind/core/awdirectory"
 )
 
 // Config configures a [Candidate].
@@ -40,10 +42,12 @@
 	// set back and a late write took effect after that. Neither may act with it.
 	sharedToken uint64
 
-	row      Row // content of version, as read or written by this instance
-	version  uint64
+	row      Row // at position, as read or written by this instance
+	position awdirectory.Position
 	rowKnown bool
-	rowSince time.Duration // when the write of version may have begun at the latest
+	rowSince time.Duration // when the write at position may have begun at the latest
+	era      uint64        // newest one of the store that is known
+	rowEra   uint64        // of the store when the row was read or written
 	// outdated is the newest state that was heard of before a read showed an older
 	// one, because the store was set back.
 	outdated  Claim
@@ -56,6 +60,7 @@
 	storeBusy  bool
 	unresolved bool // the row must be read before anything is written
 	inFlight   Row
+	writeEra   uint64 // of the row that the last write is for
 	writes     uint64
 	sent       map[uint64]sentWrite // writes that may be performed, by number, and lastWrite
 	lastWrite  uint64               // highest write that is known to be performed
@@ -115,9 +120,10 @@
 	if claim.Token == 0 {
 		return
 	}
-	if claim.Token == c.known.Token && claim.Version == c.known.Version && claim.sameHolder(c.known) {
+	c.era = max(c.era, claim.Position.Era)
+	if claim.Token == c.known.Token && claim.Position == c.known.Position && claim.sameHolder(c.known) {
 		c.knownSince = min(c.knownSince, since)
-		if c.rowKnown && c.version == claim.Version {
+		if c.rowKnown && c.position == claim.Position && c.position.Era == c.rowEra {
 			c.rowSince = min(c.rowSince, since)
 		}
 	}
@@ -129,7 +135,7 @@
 		return
 	}
 	own := claim.Holder == c.cfg.Self && claim.Incarnation == c.cfg.Incarnation
-	if claim.Token != c.known.Token || claim.Version != c.known.Version {
+	if claim.Token != c.known.Token || claim.Position != c.known.Position {
 		c.knownSince = since
 	}
 	claim.Through = max(claim.Through, c.known.Through)
@@ -200,7 +206,7 @@
 	if need.Patient {
 		c.maxDelay = maxPatientDelay
 	}
-	if c.unresolved {
+	if c.unresolved || (c.holding && c.rowEra < c.era && !c.LeaseValid(now)) {
 		return c.read(now)
 	}
 	if c.holding {
@@ -233,14 +239,14 @@
 	if token == 0 {
 		// A row without a token was spoilt by another writer. Versions of the store
 		// rise at least as fast as tokens.
-		token = c.version
+		token = c.position.Version
 	}
 	return c.write(now, token+1, orders)
 }
 
 // isCurrent reports whether the row need not be read again.
 func (c *Candidate) isCurrent(need Need) bool {
-	if !c.rowKnown || (need.Suspect && c.readSince < need.SuspectSince) {
+	if !c.rowKnown || c.rowEra < c.era || (need.Suspect && c.readSince < need.SuspectSince) {
 		return false
 	}
 	return c.known == c.outdated || !c.known.newerThan(c.rowClaim())
@@ -248,9 +254,9 @@
 
 // rowClaim returns the claim that corresponds to the known row.
 func (c *Candidate) rowClaim() Claim {
-	released := c.known.Released && c.known.Version == c.version && c.known.Token == c.row.Token
+	released := c.known.Released && c.known.Position == c.position && c.known.Token == c.row.Token && c.position.Era == c.rowEra
 	return Claim{
-		Holder: c.row.Holder, Incarnation: c.row.Incarnation, Token: c.row.Token, Version: c.version, Through: c.row.Through, Released: released,
+		Holder: c.row.Holder, Incarnation: c.row.Incarnation, Token: c.row.Token, Position: c.position, Through: c.row.Through, Released: released,
 	}
 }
 
@@ -258,7 +264,7 @@
 // cannot be sure of its lease.
 func (c *Candidate) challengeAt() time.Duration {
 	switch {
-	case c.version == 0 && c.known.Token == 0:
+	case c.position.IsZero() && c.known.Token == 0:
 		return 0
 	case !c.rowClaim().Released:
 	case c.lastCall == 0:
@@ -287,7 +293,8 @@
 func (c *Candidate) write(now time.Duration, token uint64, orders []Order) (StoreCall, bool) {
 	sent := sentWrite{at: now}
 	open := c.open()
-	if !c.holding && c.isSuperseded() && (c.row.Token < c.known.Token || c.row.Token <= c.sharedToken || c.row.Through < c.known.Through) {
+	superseded := c.isSuperseded() && (c.row.Token < c.known.Token || c.row.Token <= c.sharedToken || c.row.Through < c.known.Through)
+	if !c.holding && (superseded || c.position.Era < c.era) {
 		// The store was set back. A late write may have taken effect since, so these
 		// bodies may differ from those that were sent for the same orders. A lower
 		// version alone does not tell: that of a response may be above the row's own.
@@ -318,11 +325,16 @@
 		delete(c.sent, old)
 	}
 	c.storeBusy = true
-	return StoreCall{Write: true, Row: c.inFlight, Precondition: c.version, TakeOver: !c.holding}, true
+	call := StoreCall{Write: true, Row: c.inFlight, Precondition: c.position, TakeOver: !c.holding}
+	if c.position.Era < c.era {
+		call.Precondition, call.Replaces = awdirectory.Position{Era: c.era}, c.position
+	}
+	c.writeEra = call.Precondition.Era
+	return call, true
 }
 
-// ReadDone records the row and its version, 0 if there is none.
-func (c *Candidate) ReadDone(now time.Duration, row Row, version uint64, err error) {
+// ReadDone records the row and where it was found.
+func (c *Candidate) ReadDone(now time.Duration, row Row, at Stored, err error) {
 	c.storeBusy = false
 	if err != nil {
 		c.delayStore(now)
@@ -330,20 +342,10 @@
 	}
 	c.storeDelay, c.unresolved = 0, false
 	c.storeAt = now + minStoreDelay // bounds reads of a store that lags behind
-	// A store that was set back may give the same version to another row.
-	sameRow := c.rowKnown && c.version == version && c.row.Token == row.Token && c.row.Holder == row.Holder && c.row.Incarnation == row.Incarnation
-	c.row, c.version, c.rowKnown = row, version, true
-	switch claim := c.rowClaim(); {
-	case sameRow:
-	case claim.Token == c.known.Token && claim.Version == c.known.Version && claim.sameHolder(c.known):
-		c.rowSince = c.knownSince
-	default:
-		c.rowSince = now
-		c.Hear(now, claim)
-	}
+	c.replaceRow(now, row, at)
 	if c.isNewestOwn(row) {
 		// The response to the write may have named a later version than the row's own.
-		c.known.Version = version
+		c.known.Position = at.Position
 	}
 	if c.isSuperseded() {
 		if c.knownSince <= c.readSince {
@@ -352,7 +354,7 @@
 		c.holding = false // its token may have been exceeded
 		return
 	}
-	if row.Token == 0 || row.Holder != c.cfg.Self || row.Incarnation != c.cfg.Incarnation {
+	if row.Token == 0 || row.Holder != c.cfg.Self || row.Incarnation != c.cfg.Incarnation || at.Position.Era < c.era {
 		c.holding = false
 		return
 	}
@@ -367,6 +369,23 @@
 	c.hold(now, begin)
 }
 
+// replaceRow records a row that was read and what it says of its holder.
+func (c *Candidate) replaceRow(now time.Duration, row Row, at Stored) {
+	// A store that was set back may give the same version to another row. Its holder
+	// may have written until then, however old the row is.
+	sameRow := c.rowKnown && c.rowEra == at.Era && c.position == at.Position && c.row.Token == row.Token && c.row.Holder == row.Holder && c.row.Incarnation == row.Incarnation
+	inEra := at.Position.Era == at.Era
+	c.row, c.position, c.rowKnown, c.rowEra, c.era = row, at.Position, true, at.Era, max(c.era, at.Era)
+	switch claim := c.rowClaim(); {
+	case sameRow:
+	case inEra && claim.Token == c.known.Token && claim.Position == c.known.Position && claim.sameHolder(c.known):
+		c.rowSince = c.knownSince
+	default:
+		c.rowSince = now
+		c.Hear(now, claim)
+	}
+}
+
 // isSuperseded reports whether the known row is older than what was heard of, or
 // another holder has its token, which happens if the store was set back.
 func (c *Candidate) isSuperseded() bool {
@@ -425,30 +444,38 @@
 	}
 }
 
-// WriteDone records the result of the last write, and the version of the row that
-// it has written.
-func (c *Candidate) WriteDone(now time.Duration, result WriteResult, version uint64) {
+// WriteDone records the result of the last write, and where it was performed. It
+// reports whether the write is in force.
+func (c *Candidate) WriteDone(now time.Duration, result WriteResult, at Stored) bool {
 	c.storeBusy = false
+	c.era = max(c.era, at.Era)
+	if result != WriteUnknown && at.Era > c.writeEra {
+		result = WriteOutdated
+	}
 	switch result {
 	case WriteDone:
 		sent := c.sent[c.inFlight.Write].at
 		c.noteWritten(c.inFlight.Write)
 		c.storeDelay = 0
-		c.row, c.version, c.rowKnown, c.rowSince = c.inFlight, version, true, sent
+		c.row, c.position, c.rowKnown, c.rowSince, c.rowEra = c.inFlight, at.Position, true, sent, at.Era
 		written := c.rowClaim()
 		written.Age = now - sent
 		c.Hear(now, written)
 		if c.isSuperseded() {
 			c.holding = false // meanwhile
-			return
+			return true
 		}
 		c.hold(now, sent)
 	case WriteConflict:
 		c.holding, c.unresolved = false, true // another write was performed; it may be a lost one of this instance
+	case WriteOutdated:
+		// A holder that is sure of its lease writes the row again as it knows it.
+		c.unresolved = !c.LeaseValid(now)
 	case WriteUnknown:
 		c.unresolved = true
 		c.delayStore(now)
 	}
+	return result == WriteDone
 }
 
 func (c *Candidate) delayStore(now time.Duration) {
--- a/core/awduty/sim_test.go
+++ b/core/awduty/sim_test.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"arbutuswind/core/awdirectory"
 	"arbutuswind/core/awduty"
 )
 
@@ -33,8 +35,13 @@
 	row     awduty.Row
 	version uint64
 	top     uint64 // highest version that the store has given
-	writes  int
-	reads   int
+	// namesEra makes the store name its era, which rises when it is set back.
+	namesEra bool
+	era      uint64
+	rowEra   uint64             // of row, the newest one with a row
+	older    map[uint64]simCopy // rows of older eras
+	writes   int
+	reads    int
 	// fate decides what happens to a write. Nil performs it.
 	fate     func(n *simNode) writeFate
 	down     bool // the store is unavailable
@@ -73,6 +80,8 @@
 type simCopy struct {
 	row     awduty.Row
 	version uint64
+	rowEra  uint64
+	older   map[uint64]simCopy
 }
 
 type simNode struct {
@@ -107,7 +116,7 @@
 
 func newSim(t *testing.T, seed uint64, names ...string) *sim {
 	s := &sim{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: simStart, truth: map[int64]int64{}, skipped: map[int64]string{}, doubtful: map[int64]bool{},
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: simStart, older: map[uint64]simCopy{}, truth: map[int64]int64{}, skipped: map[int64]string{}, doubtful: map[int64]bool{},
 	}
 	for _, name := range names {
 		s.add(name)
@@ -260,13 +269,13 @@
 	unavailable := s.down || n.cut
 	if !call.Write {
 		s.reads++
-		row, version := s.row, s.version
+		row, at := s.row, s.stored()
 		s.onNode(s.latency(), n, func() {
 			if unavailable {
-				n.usage.ReadDone(n.local(), awduty.Row{}, 0, errStore)
+				n.usage.ReadDone(n.local(), awduty.Row{}, awduty.Stored{}, errStore)
 				return
 			}
-			n.usage.ReadDone(n.local(), row, version, nil)
+			n.usage.ReadDone(n.local(), row, at, nil)
 		})
 		return
 	}
@@ -278,19 +287,12 @@
 	if unavailable {
 		fate = writeFate{lost: true}
 	}
-	result, version := awduty.WriteUnknown, uint64(0)
+	result, at := awduty.WriteUnknown, awduty.Stored{}
 	s.after(s.latency()+fate.delay, func() {
 		if !fate.perform {
 			return
 		}
-		if s.version != call.Precondition {
-			result = awduty.WriteConflict
-			return
-		}
-		s.copies = append(s.copies, simCopy{s.row, s.version})
-		s.top++
-		s.version, s.row = s.top, call.Row
-		result, version = awduty.WriteDone, s.version
+		result, at = s.write(call)
 	})
 	wait := 40*time.Millisecond + fate.slow
 	if fate.lost {
@@ -298,14 +300,43 @@
 	}
 	s.onNode(wait, n, func() {
 		if fate.lost {
-			result = awduty.WriteUnknown
+			result, at = awduty.WriteUnknown, awduty.Stored{}
 		}
-		if n.usage.WriteDone(n.local(), result, version) {
+		if n.usage.WriteDone(n.local(), result, at) {
 			n.send()
 		}
 	})
 }
 
+// stored returns where the row of the store is.
+func (s *sim) stored() awduty.Stored {
+	return awduty.Stored{Position: awdirectory.Position{Era: s.rowEra, Version: s.version}, Era: s.era}
+}
+
+// write performs a write. One for a row of an older era has no effect on reads.
+func (s *sim) write(call awduty.StoreCall) (awduty.WriteResult, awduty.Stored) {
+	era := call.Precondition.Era
+	current := simCopy{s.row, s.version, s.rowEra, maps.Clone(s.older)}
+	version := current.version
+	if era != s.rowEra {
+		version = s.older[era].version
+	}
+	if version != call.Precondition.Version {
+		return awduty.WriteConflict, awduty.Stored{Era: s.era}
+	}
+	s.copies = append(s.copies, current)
+	s.top++
+	if era < s.rowEra {
+		s.older[era] = simCopy{row: call.Row, version: s.top}
+	} else {
+		if era > s.rowEra {
+			s.older[s.rowEra] = current
+		}
+		s.row, s.version, s.rowEra = call.Row, s.top, era
+	}
+	return awduty.WriteDone, awduty.Stored{Position: awdirectory.Position{Era: era, Version: s.top}, Era: s.era}
+}
+
 // call sends a report. The instance may be paused between the decision and the
 // bytes being written.
 func (n *simNode) call(call awduty.Call) {
--- a/core/awduty/usage.go
+++ b/core/awduty/usage.go
@@ -304,9 +304,9 @@
 }
 
 // ReadDone records the result of a read.
-func (u *Usage) ReadDone(now time.Duration, row Row, version uint64, err error) {
+func (u *Usage) ReadDone(now time.Duration, row Row, at Stored, err error) {
 	held, _, token := u.candidate.Holding()
-	u.candidate.ReadDone(now, row, version, err)
+	u.candidate.ReadDone(now, row, at, err)
 	u.noteHolding(held, token)
 	if holds, _, _ := u.candidate.Holding(); err == nil && holds {
 		u.noteCommitted(row.Through) // the row may be that of a write without a response
@@ -315,11 +315,11 @@
 
 // WriteDone records the result of a write and reports whether messages should be
 // sent at once.
-func (u *Usage) WriteDone(now time.Duration, result WriteResult, version uint64) bool {
+func (u *Usage) WriteDone(now time.Duration, result WriteResult, at Stored) bool {
 	held, _, token := u.candidate.Holding()
-	u.candidate.WriteDone(now, result, version)
+	done := u.candidate.WriteDone(now, result, at)
 	u.noteHolding(held, token)
-	if result != WriteDone {
+	if !done {
 		return false
 	}
 	through, _ := u.candidate.through()
--- a/io/awduties/awduties.go
+++ b/io/awduties/awduties.go
@@ -39,10 +39,11 @@
 
 // Store reads and writes the row of a subject.
 type Store interface {
-	// ReadDuty returns the row and its version, 0 if there is none.
-	ReadDuty(ctx context.Context, subject awduty.Subject) (awduty.Row, uint64, error)
-	// WriteDuty writes the row if it has the given version, and returns the new one.
-	WriteDuty(ctx context.Context, subject awduty.Subject, row awduty.Row, version uint64) (uint64, awduty.WriteResult, error)
+	// ReadDuty returns the row of the newest era that has one, and where it is.
+	ReadDuty(ctx context.Context, subject awduty.Subject) (awduty.Row, awduty.Stored, error)
+	// WriteDuty performs a write, and returns where the row is. The error is nil for a
+	// conflict and for an outdated write.
+	WriteDuty(ctx context.Context, subject awduty.Subject, call awduty.StoreCall) (awduty.WriteResult, awduty.Stored, error)
 }
 
 // Platform makes the calls of duties.
@@ -293,18 +294,18 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if !call.Write {
-		row, version, err := r.cfg.Store.ReadDuty(ctx, usageSubject)
+		row, at, err := r.cfg.Store.ReadDuty(ctx, usageSubject)
 		r.logStoreError("read", err)
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.usage.ReadDone(r.now(), row, version, err)
+		r.usage.ReadDone(r.now(), row, at, err)
 		return
 	}
-	version, result, err := r.cfg.Store.WriteDuty(ctx, usageSubject, call.Row, call.Precondition)
+	result, at, err := r.cfg.Store.WriteDuty(ctx, usageSubject, call)
 	r.logStoreError("write", err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.usage.WriteDone(r.now(), result, version) {
+	if r.usage.WriteDone(r.now(), result, at) {
 		r.signalSend() // the others see the progress before they would challenge
 	}
 }
--- a/io/awduties/awduties_test.go
+++ b/io/awduties/awduties_test.go
@@ -22,7 +22,7 @@
 	want := &awduty.Message{
 		Sender: "e1", Incarnation: 9, Domain: "z0", Wall: 1800000000123456 * time.Microsecond, Median: time.Second, Sources: 5,
 		Counting: true, Since: 4, Last: true, Ask: true, Sent: 77, Echo: 78,
-		Claim: awduty.Claim{Holder: "e2", Incarnation: 8, Token: 3, Version: 99, Through: 5, Released: true, Age: time.Second},
+		Claim: awduty.Claim{Holder: "e2", Incarnation: 8, Token: 3, Position: awdirectory.Position{Era: 2, Version: 99}, Through: 5, Released: true, Age: time.Second},
 	}
 	for id := range int64(4) {
 		counts := awduty.Counts{}
@@ -60,30 +60,30 @@
 // world is a store, a platform and a clock for one runner.
 type world struct {
 	*awclock.Fake
-	mu      sync.Mutex
-	row     awduty.Row
-	version uint64
-	calls   int
-	sent    int
-	pause   time.Duration // between the decision on a call and its bytes
-	limit   time.Duration // for the last call
+	mu       sync.Mutex
+	row      awduty.Row
+	position awdirectory.Position
+	calls    int
+	sent     int
+	pause    time.Duration // between the decision on a call and its bytes
+	limit    time.Duration // for the last call
 }
 
-func (w *world) ReadDuty(context.Context, awduty.Subject) (awduty.Row, uint64, error) {
+func (w *world) ReadDuty(context.Context, awduty.Subject) (awduty.Row, awduty.Stored, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.row, w.version, nil
+	return w.row, awduty.Stored{Position: w.position}, nil
 }
 
-func (w *world) WriteDuty(_ context.Context, _ awduty.Subject, row awduty.Row, version uint64) (uint64, awduty.WriteResult, error) {
+func (w *world) WriteDuty(_ context.Context, _ awduty.Subject, call awduty.StoreCall) (awduty.WriteResult, awduty.Stored, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if version != w.version {
-		return 0, awduty.WriteConflict, nil
+	if call.Precondition != w.position {
+		return awduty.WriteConflict, awduty.Stored{}, nil
 	}
-	w.row = row
-	w.version++
-	return w.version, awduty.WriteDone, nil
+	w.row = call.Row
+	w.position.Version++
+	return awduty.WriteDone, awduty.Stored{Position: w.position}, nil
 }
 
 func (w *world) Encode(window int64, _ awduty.Counts) []byte { return fmt.Append(nil, window) }
--- a/io/awduties/message.go
+++ b/io/awduties/message.go
@@ -32,6 +32,7 @@
 	fieldWindow
 	fieldSent
 	fieldEcho
+	fieldEra // of the claim
 )
 
 const (
@@ -100,7 +101,8 @@
 		b = appendBytes(b, fieldHolder, []byte(m.Claim.Holder))
 		b = appendInt(b, fieldHolderIncarnation, m.Claim.Incarnation)
 		b = appendInt(b, fieldToken, m.Claim.Token)
-		b = appendInt(b, fieldVersion, m.Claim.Version)
+		b = appendInt(b, fieldEra, m.Claim.Position.Era)
+		b = appendInt(b, fieldVersion, m.Claim.Position.Version)
 		b = appendInt(b, fieldThrough, uint64(m.Claim.Through))
 		b = appendInt(b, fieldAgeMicros, uint64(m.Claim.Age.Microseconds()))
 	}
@@ -219,7 +221,9 @@
 	case fieldToken:
 		m.Claim.Token = n
 	case fieldVersion:
-		m.Claim.Version = n
+		m.Claim.Position.Version = n
+	case fieldEra:
+		m.Claim.Position.Era = n
 	case fieldThrough:
 		m.Claim.Through = int64(n)
 	case fieldSent:
