Duties: remove an older row only where it was found in the present era

A holder that writes its row again after a drill has not read, so the row of the older era may be gone with the copy. The platform's page does not say what a transaction that removes a row which is not there gets; a refusal would have kept the holder from writing. Read, not seen: our stand-ins accept it.

--- a/core/awduty/awduty.go
+++ b/core/awduty/awduty.go
@@ -95,7 +95,7 @@
 	Write        bool
 	Row          Row
 	Precondition awdirectory.Position // era of the row that is written; version 0: it has none
-	Replaces     awdirectory.Position // row of an older era that the write replaces; zero for none
+	Replaces     awdirectory.Position // row of an older era that was found in the present one, to be removed; zero for none
 	TakeOver     bool                 // the write changes the holder
 }
 
--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -327,7 +327,10 @@
 	c.storeBusy = true
 	call := StoreCall{Write: true, Row: c.inFlight, Precondition: c.position, TakeOver: !c.holding}
 	if c.position.Era < c.era {
-		call.Precondition, call.Replaces = awdirectory.Position{Era: c.era}, c.position
+		call.Precondition = awdirectory.Position{Era: c.era}
+		if c.rowEra == c.era {
+			call.Replaces = c.position
+		}
 	}
 	c.writeEra = call.Precondition.Era
 	return call, true
