platform: remove a lost entry only in the era in which it was read

The removal of a lost entry was conditional on the version of its row alone. After the store has come back from an older copy, the same version may be that of the row which a new start of the entry has written.

--- a/core/awdirectory/lapse.go
+++ b/core/awdirectory/lapse.go
@@ -5,8 +5,8 @@
 // Registration is an entry as it stands in the store.
 type Registration struct {
 	Entry
-	// RowVersion changes with each write of the row.
-	RowVersion uint64
+	// Position of the row changes with each write of it, and with the era of the store.
+	Position Position
 	// Renews is whether the entry writes its row again at each [RenewInterval]. Entries
 	// of earlier versions do not.
 	Renews bool
@@ -41,10 +41,10 @@
 	own       seenRow // the row of Self, and since when it has been seen, also over gaps
 }
 
-// seenRow is a version of a row, and since when it has been seen without a gap.
+// seenRow is the position of a row, and since when it has been seen without a gap.
 type seenRow struct {
-	version uint64
-	since   time.Time
+	position Position
+	since    time.Time
 }
 
 // Observe records a read of the list. It returns the entries that count, and the
@@ -59,8 +59,8 @@
 	seen := make(map[string]seenRow, len(list))
 	for _, r := range list {
 		s, known := t.seen[r.Name]
-		if !known || restart || s.version != r.RowVersion {
-			s = seenRow{version: r.RowVersion, since: now}
+		if !known || restart || s.position != r.Position {
+			s = seenRow{position: r.Position, since: now}
 		}
 		seen[r.Name] = s
 		unchanged := now.Sub(s.since)
@@ -77,8 +77,8 @@
 // observeOwn records when the row of Self has changed.
 func (t *EntryTracker) observeOwn(list []Registration, now time.Time) {
 	for _, r := range list {
-		if r.Name == t.Self && (t.own.since.IsZero() || r.RowVersion != t.own.version) {
-			t.own = seenRow{version: r.RowVersion, since: now}
+		if r.Name == t.Self && (t.own.since.IsZero() || r.Position != t.own.position) {
+			t.own = seenRow{position: r.Position, since: now}
 		}
 	}
 }
--- a/core/awdirectory/lapse_test.go
+++ b/core/awdirectory/lapse_test.go
@@ -62,7 +62,7 @@
 			e.own.Read(s.now)
 			var list []Registration
 			for name, version := range s.rows {
-				list = append(list, Registration{Entry: Entry{Name: name}, RowVersion: version, Renews: true})
+				list = append(list, Registration{Entry: Entry{Name: name}, Position: Position{Version: version}, Renews: true})
 			}
 			counting, removable := e.tracker.Observe(list, s.now)
 			e.counting, e.counts = len(counting), map[string]bool{}
@@ -209,7 +209,7 @@
 	now := time.Unix(1000, 0)
 	var counting []Entry
 	for range 60 {
-		list[0].RowVersion++
+		list[0].Position.Version++
 		counting, _ = tracker.Observe(list, now)
 		now = now.Add(5 * time.Second)
 	}
