awduty: derive the era of the last write from the call

The candidate kept the row of its last write and its era beside each other; both are in the call that it hands out. No behaviour changes; all tests of the package pass unchanged.

--- a/core/awduty/candidate.go
+++ b/core/awduty/candidate.go
@@ -58,9 +58,8 @@
 	leaseEnd  time.Duration
 
 	storeBusy  bool
-	unresolved bool // the row must be read before anything is written
-	inFlight   Row
-	writeEra   uint64 // of the row that the last write is for
+	unresolved bool      // the row must be read before anything is written
+	inFlight   StoreCall // last write
 	writes     uint64
 	sent       map[uint64]sentWrite // writes that may be performed, by number, and lastWrite
 	lastWrite  uint64               // highest write that is known to be performed
@@ -281,7 +280,7 @@
 	if len(orders) > 0 {
 		through = max(through, orders[len(orders)-1].ID)
 	}
-	c.inFlight = Row{
+	row := Row{
 		Holder: c.cfg.Self, Incarnation: c.cfg.Incarnation, Token: token, Write: c.writes, Through: through, Pending: pending,
 	}
 	c.sent[c.writes] = sent
@@ -289,14 +288,14 @@
 		delete(c.sent, old)
 	}
 	c.storeBusy = true
-	call := StoreCall{Write: true, Row: c.inFlight, Precondition: c.position, TakeOver: !c.holding}
+	call := StoreCall{Write: true, Row: row, Precondition: c.position, TakeOver: !c.holding}
 	if c.position.Era < c.era {
 		call.Precondition = awdirectory.Position{Era: c.era}
 		if c.rowEra == c.era {
 			call.Replaces = c.position
 		}
 	}
-	c.writeEra = call.Precondition.Era
+	c.inFlight = call
 	return call, true
 }
 
@@ -379,15 +378,15 @@
 func (c *Candidate) WriteDone(now time.Duration, result WriteResult, at Stored) bool {
 	c.storeBusy = false
 	c.era = max(c.era, at.Era)
-	if result != WriteUnknown && at.Era > c.writeEra {
+	if result != WriteUnknown && at.Era > c.inFlight.Precondition.Era {
 		result = WriteOutdated
 	}
 	switch result {
 	case WriteDone:
-		sent := c.sent[c.inFlight.Write].at
-		c.noteWritten(c.inFlight.Write)
+		sent := c.sent[c.inFlight.Row.Write].at
+		c.noteWritten(c.inFlight.Row.Write)
 		c.storeDelay = 0
-		c.row, c.position, c.rowKnown, c.rowSince, c.rowEra = c.inFlight, at.Position, true, sent, at.Era
+		c.row, c.position, c.rowKnown, c.rowSince, c.rowEra = c.inFlight.Row, at.Position, true, sent, at.Era
 		written := c.rowClaim()
 		written.Age = now - sent
 		c.Hear(now, written)
