--- a/io/awengine/status_test.go
+++ b/io/awengine/status_test.go
@@ -1,13 +1,13 @@
 package awengine_test
 
 import (
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"arbutuswind/internal/awstandin"
 	"arbutuswind/io/awengine"
 	"arbutuswind/io/awhttp"
 )
@@ -17,14 +17,7 @@
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	for _, status := range []string{"000", "099", "600"} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, _ = io.Copy(io.Discard, r.Body) // a close with unread bytes resets the connection
-			conn, _, err := w.(http.Hijacker).Hijack()
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			defer conn.Close()
-			_, _ = conn.Write([]byte("HTTP/1.1 " + status + " Status\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
+			awstandin.RespondRaw(w, r, status, "", "")
 		}))
 		defer server.Close()
 		c := awengine.New(server.URL)
--- a/io/awstore/awstore_test.go
+++ b/io/awstore/awstore_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -64,14 +63,7 @@
 // of HTTP.
 func TestInvalidStatusIsNoSuccess(t *testing.T) {
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body) // a close with unread bytes resets the connection
-		conn, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		defer conn.Close()
-		_, _ = conn.Write([]byte("HTTP/1.1 000 Status\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
+		awstandin.RespondRaw(w, r, "000", "", "")
 	}))
 	t.Cleanup(srv.Close)
 	c := awstore.New(awstore.Config{TableURL: srv.URL})
