awhttp: an end of a connection that broke is no end of an answer

Callers saw (MIXED): a server answers a long upload at once with a 200 without a length, sends part of its body and resets the connection while the upload is being written; the caller gets that part as a complete answer. A stream that has sent events ends as complete. awagent passes on a part of a service's response as whole, and the clients of the store, engines and usage reports count such a response as done.

Cause: the end of such an answer is that of the connection, and io.EOF counted as that. The kernel reports a reset once, to a read or to a write. While the request is being written, the write often gets it, and the read returns io.EOF. The error of the write only decided whether the connection was used again.

Fix: all HTTP clients read through awhttp.Conn, which at the end of the input waits for the writes that are going on (200 ms at most) and returns the error of one that has failed in place of io.EOF. The rule is at the edge where the bytes are read, and all that is behind it treats an error as an answer that broke off. A server that closes only its sending direction and reads on has ended in order; its answer still arrives, as do other unusual answers that the protocol allows (TestOddAnswerIsPassedOn, TestOddResponseIsAnswer). NewTransport is the only way to an awhttp.Transport, so no client can leave the rule out; awctl has one too.

--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -27,6 +27,7 @@
 	"github.com/rotisserie/eris"
 
 	"arbutuswind/core/awclock"
+	"arbutuswind/io/awhttp"
 )
 
 const (
@@ -129,7 +130,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*awhttp.Conn
 	br      *bufio.Reader
 	header  *headerLimit
 	expires time.Time
@@ -140,8 +141,9 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	header := &headerLimit{r: raw}
-	return &conn{Conn: raw, br: bufio.NewReaderSize(header, bufferBytes), header: header}
+	c := awhttp.NewConn(raw)
+	header := &headerLimit{r: c}
+	return &conn{Conn: c, br: bufio.NewReaderSize(header, bufferBytes), header: header}
 }
 
 // abort withdraws the request on the connection. If the backend server may not get
@@ -153,7 +155,7 @@
 	if !c.aborted.CompareAndSwap(false, true) {
 		return
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.NetConn().(*net.TCPConn)
 	if !ok {
 		_ = c.Close()
 		return
--- a/io/awbackend/quiet.go
+++ b/io/awbackend/quiet.go
@@ -27,7 +27,7 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return true // a fake connection in a test
 	}
--- a/io/awcommand/ctl.go
+++ b/io/awcommand/ctl.go
@@ -14,6 +14,7 @@
 
 	"arbutuswind/core/awconfig"
 	"arbutuswind/io/awcontrol"
+	"arbutuswind/io/awhttp"
 )
 
 type ctlOptions struct {
@@ -88,8 +89,12 @@
 	_ = json.NewEncoder(c.stderr).Encode(body)
 }
 
+func newEntryClient() *http.Client {
+	return &http.Client{Transport: awhttp.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+}
+
 func (c *ctl) client() *awcontrol.Client {
-	return &awcontrol.Client{Base: c.opts.Entry, HTTP: http.DefaultClient}
+	return &awcontrol.Client{Base: c.opts.Entry, HTTP: newEntryClient()}
 }
 
 // ctlCommand is a subcommand of awctl.
--- a/io/awcommand/ctlcheck.go
+++ b/io/awcommand/ctlcheck.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -123,7 +122,7 @@
 
 // checkAtEntry lets an entry check a sheet.
 func checkAtEntry(ctx context.Context, address string, sheet []byte) (awcontrol.SheetReport, error) {
-	client := awcontrol.Client{Base: address, HTTP: http.DefaultClient}
+	client := awcontrol.Client{Base: address, HTTP: newEntryClient()}
 	report, err := client.Check(ctx, sheet)
 	if err == nil && !report.Valid && len(report.Findings) == 0 {
 		// Entries of an earlier version return only the text of the faults.
--- a/io/awengine/awengine.go
+++ b/io/awengine/awengine.go
@@ -126,7 +126,7 @@
 func New(base string) *Client {
 	d := &net.Dialer{Control: awhttp.ResetOnClose}
 	tr := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdleConns, ReadBufferSize: 4 << 10}
-	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: awhttp.Transport{Transport: tr}}, clock: awclock.System{}}
+	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{Transport: awhttp.NewTransport(tr)}, clock: awclock.System{}}
 }
 
 // Status returns the current status of the engine.
--- a/io/awengine/status_test.go
+++ b/io/awengine/status_test.go
@@ -1,6 +1,7 @@
 package awengine_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -28,3 +29,42 @@
 		require.ErrorIs(t, c.Load(t.Context(), awengine.LoadCommand{Model: "m"}), awhttp.ErrInvalidStatus, status)
 	}
 }
+
+// Guards WholeAnswer: a part of a response that is broken off while the call is written
+// counts as an answer.
+func TestBrokenResponseIsNoAnswer(t *testing.T) {
+	try := func(t *testing.T, raw awstandin.RawResponse) {
+		server := httptest.NewServer(http.HandlerFunc(raw.Send))
+		defer server.Close()
+		c := awengine.New(server.URL)
+		resp, err := c.Call(t.Context(), awengine.ServiceRequest{Method: http.MethodPost, Path: "/x", Body: make([]byte, awstandin.LongUpload)})
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			require.NoError(t, resp.Body.Close())
+		}
+		require.Error(t, err)
+	}
+	for name, raw := range awstandin.BrokenOff {
+		t.Run(name, func(t *testing.T) {
+			for range 5 {
+				try(t, raw)
+			}
+		})
+	}
+}
+
+// Guards against responses that the protocol allows and that are taken for broken.
+func TestOddResponseIsAnswer(t *testing.T) {
+	for name, odd := range awstandin.OddResponses {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(odd.Send))
+			defer server.Close()
+			resp, err := awengine.New(server.URL).Call(t.Context(), awengine.ServiceRequest{Method: http.MethodPost, Path: "/x", Body: make([]byte, awstandin.LongUpload)})
+			require.NoError(t, err)
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, "odd", string(body))
+		})
+	}
+}
--- a/io/awhttp/transport.go
+++ b/io/awhttp/transport.go
@@ -1,8 +1,10 @@
 package awhttp
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 
 	"arbutuswind/core/awoutcome"
@@ -12,13 +14,30 @@
 // response. Its request may have been carried out.
 var ErrInvalidStatus = errors.New("status is none of HTTP")
 
-// Transport is an [http.Transport] whose RoundTrip fails with [ErrInvalidStatus] where
-// net/http accepts any number, such as 000, which callers would take for a success.
-type Transport struct{ *http.Transport }
+// Transport is an [http.Transport] for HTTP/1 that returns only valid and whole responses,
+// where net/http accepts more. Its RoundTrip fails with [ErrInvalidStatus], and
+// the body of a response that is broken off ends with an error.
+type Transport struct{ transport *http.Transport }
+
+// NewTransport returns a Transport that uses t, and changes how t connects.
+func NewTransport(t *http.Transport) Transport {
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+	return Transport{transport: t}
+}
 
 // RoundTrip implements [http.RoundTripper].
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(req)
+	resp, err := t.transport.RoundTrip(req)
 	if err != nil {
 		return nil, err
 	}
@@ -28,3 +47,6 @@
 	}
 	return resp, nil
 }
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t Transport) CloseIdleConnections() { t.transport.CloseIdleConnections() }
--- a/io/awstore/awstore.go
+++ b/io/awstore/awstore.go
@@ -93,7 +93,7 @@
 		cfg.Timeout = defaultTimeout
 	}
 	tr := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DialContext: countingDial}
-	return &Client{cfg: cfg, http: &http.Client{Transport: awhttp.Transport{Transport: tr}}}
+	return &Client{cfg: cfg, http: &http.Client{Transport: awhttp.NewTransport(tr)}}
 }
 
 var traffic = awtelemetry.NewTraffic("store")
--- a/io/awstore/awstore_test.go
+++ b/io/awstore/awstore_test.go
@@ -69,3 +69,25 @@
 	c := awstore.New(awstore.Config{TableURL: srv.URL})
 	require.ErrorIs(t, c.Commit(t.Context(), awstore.Txn{}), awhttp.ErrInvalidStatus)
 }
+
+// Guards against a write that counts as done, and against a part of an object that counts
+// as whole, because of a broken response.
+func TestBrokenResponseIsNoSuccess(t *testing.T) {
+	for name, raw := range awstandin.BrokenOff {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(raw.Send))
+			defer srv.Close()
+			c := awstore.New(awstore.Config{ObjectURL: srv.URL, OriginURL: srv.URL})
+			for range 5 {
+				require.Error(t, c.PutObject(t.Context(), "o", make([]byte, awstandin.LongUpload)))
+			}
+			if raw.Early {
+				return // a read has no body that is still being written
+			}
+			_, err := c.GetObject(t.Context(), "o")
+			require.Error(t, err)
+			_, err = c.Chunk(t.Context(), "digest")
+			require.Error(t, err)
+		})
+	}
+}
