awhttp, awbackend: a malformed head is no answer

With a blank before the colon of Content-Length or Transfer-Encoding, the body is not the server's: all bytes up to the end of the connection, chunk sizes included. The clients of the store, engines, origins, services and usage reports take such a response for a success.

Cause: net/http accepts blanks in the names of fields, folded lines and any version, and shows neither a length beside chunks nor chunks in version 1.0. All code took what it returns for a checked head.

Control bytes in names and values, and the status 000, were handled before; their cases stay.

Fix: CheckResponse checks version, names and values by the grammar of RFC 9110, those of trailers included, before any field is read; io/awbackend and awhttp.Transport call it, so no client is without it. io/awbackend also checks the lines as they arrived and discards folded ones, and chunks beside a length or in version 1.0 (RFC 9112, 5.2 and 6.1). Such a send ends as one that may have run.

--- a/internal/awstandin/raw.go
+++ b/internal/awstandin/raw.go
@@ -80,6 +80,41 @@
 	"closed after a pause":     {Body: "part", Early: true, Unread: true, Pause: 20 * time.Millisecond},
 }
 
+// MalformedHeads are heads of responses that violate the protocol, by what is wrong.
+var MalformedHeads = map[string]RawResponse{
+	"blank inside a name":            {Header: "X-Odd Name: 1\r\nContent-Length: 3\r\n", Body: "odd"},
+	"blank after a name":             {Header: "X-Odd : 1\r\nContent-Length: 3\r\n", Body: "odd"},
+	"tab after a name":               {Header: "X-Odd\t: 1\r\nContent-Length: 3\r\n", Body: "odd"},
+	"blank after the name of length": {Header: "Content-Length : 3\r\n", Body: "odd and more"},
+	"blank after the name of chunks": {Header: "Transfer-Encoding : chunked\r\n", Body: "3\r\nodd\r\n0\r\n\r\n"},
+	"control byte in a name":         {Header: "X-Odd\x01: 1\r\nContent-Length: 3\r\n", Body: "odd"},
+	"zero byte in a name":            {Header: "X-\x00Odd: 1\r\nContent-Length: 3\r\n", Body: "odd"},
+	"delete byte in a name":          {Header: "X-Odd\x7f: 1\r\nContent-Length: 3\r\n", Body: "odd"},
+	"carriage return in a name":      {Header: "X-\rOdd: 1\r\nContent-Length: 3\r\n", Body: "odd"},
+	"empty name":                     {Header: ": 1\r\nContent-Length: 3\r\n", Body: "odd"},
+	"no colon":                       {Header: "X-Odd\r\nContent-Length: 3\r\n", Body: "odd"},
+	"control byte in a value":        {Header: "X-Odd: a\x01b\r\nContent-Length: 3\r\n", Body: "odd"},
+	"carriage return in a value":     {Header: "X-Odd: a\rb\r\nContent-Length: 3\r\n", Body: "odd"},
+	"length with a sign":             {Header: "Content-Length: +3\r\n", Body: "odd"},
+	"two lengths":                    {Header: "Content-Length: 3\r\nContent-Length: 4\r\n", Body: "odd "},
+	"list of lengths":                {Header: "Content-Length: 3, 3\r\n", Body: "odd"},
+	"unknown transfer coding":        {Header: "Transfer-Encoding: gzip\r\n", Body: "odd"},
+	"other major version":            {StatusLine: "HTTP/2.0 200 OK", Header: "Content-Length: 3\r\n", Body: "odd"},
+	"status 000":                     {StatusLine: "HTTP/1.1 000 OK", Header: "Content-Length: 3\r\n", Body: "odd"},
+	"no status":                      {StatusLine: "HTTP/1.1", Header: "Content-Length: 3\r\n", Body: "odd"},
+	"blank in the name of a trailer": {Header: "Transfer-Encoding: chunked\r\n", Body: "3\r\nodd\r\n0\r\nX-Odd Name: 1\r\n\r\n"},
+}
+
+// AmbiguousHeads are heads that net/http accepts, and whose body or fields have two
+// readings, by what is ambiguous. A gateway may not pass them on as they are (RFC 9112,
+// sections 5.2 and 6.1).
+var AmbiguousHeads = map[string]RawResponse{
+	"blank before the name of length": {Header: "X-Odd: 1\r\n Content-Length: 3\r\n", Body: "odd and more"},
+	"tab before a name":               {Header: "X-Odd: 1\r\n\tX-Other: 1\r\nContent-Length: 3\r\n", Body: "odd"},
+	"length and chunks":               {Header: "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", Body: "3\r\nodd\r\n0\r\n\r\n"},
+	"chunks in version 1.0":           {StatusLine: "HTTP/1.0 200 OK", Header: "Transfer-Encoding: chunked\r\n", Body: "3\r\nodd\r\n0\r\n\r\n"},
+}
+
 // OddResponses are unusual responses that the protocol allows. The body of each is "odd".
 var OddResponses = map[string]RawResponse{
 	"unusual characters in a name":  {Header: "x!#$%&'*+-.^_`|~1: 1\r\nContent-Length: 3\r\n", Body: "odd"},
--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -48,10 +48,8 @@
 	// search of the expected one, including informational ones.
 	maxResponsesRead = 4
 	bufferBytes      = 4 << 10
-	// maxHeaderBytes limits the header of one response, and maxSkippedBytes the
-	// body of a response to an earlier request. A backend server in trouble may
-	// send bytes without end.
-	maxHeaderBytes  = 64 << 10
+	// maxSkippedBytes limits the body of a response to an earlier request. A backend
+	// server in trouble may send bytes without end.
 	maxSkippedBytes = 1 << 20
 	// Kernels acknowledge within 40 ms what they have received.
 	acknowledgementInterval = 20 * time.Millisecond
@@ -132,7 +130,7 @@
 type conn struct {
 	*awhttp.Conn
 	br      *bufio.Reader
-	header  *headerLimit
+	header  *headerReader
 	expires time.Time
 	// requests is the number of requests that were sent on the connection.
 	requests int
@@ -142,7 +140,7 @@
 
 func newConn(raw net.Conn) *conn {
 	c := awhttp.NewConn(raw)
-	header := &headerLimit{r: c}
+	header := &headerReader{r: c}
 	return &conn{Conn: c, br: bufio.NewReaderSize(header, bufferBytes), header: header}
 }
 
@@ -186,33 +184,6 @@
 	_ = c.Close()
 }
 
-var errHeaderTooLong = errors.New("response header exceeds the size limit")
-
-// headerLimit is a reader that fails while a header is read and more than
-// maxHeaderBytes have arrived.
-type headerLimit struct {
-	r        io.Reader
-	inHeader bool
-	read     int // bytes read since the header began
-}
-
-// Read implements [io.Reader].
-func (h *headerLimit) Read(p []byte) (int, error) {
-	if h.inHeader && h.read > maxHeaderBytes {
-		return 0, errHeaderTooLong
-	}
-	n, err := h.r.Read(p)
-	h.read += n
-	return n, err
-}
-
-// readHeader reads the header of the next response.
-func (c *conn) readHeader(method string) (*http.Response, error) {
-	c.header.inHeader, c.header.read = true, 0
-	defer func() { c.header.inHeader = false }()
-	return http.ReadResponse(c.br, &http.Request{Method: method})
-}
-
 // Response is the response of a backend server. The caller must call Close.
 type Response struct {
 	Status int
--- a/io/awengine/status_test.go
+++ b/io/awengine/status_test.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// Guards WholeAnswer: a part of a response that is broken off while the call is written
-// counts as an answer.
+// Guards WholeAnswer: a response with a malformed head, or a part of one that is broken off
+// while the call is written, counts as an answer.
 func TestBrokenResponseIsNoAnswer(t *testing.T) {
 	try := func(t *testing.T, raw awstandin.RawResponse) {
 		server := httptest.NewServer(http.HandlerFunc(raw.Send))
@@ -43,6 +43,13 @@
 			require.NoError(t, resp.Body.Close())
 		}
 		require.Error(t, err)
+		if !raw.Early {
+			_, err = c.Status(t.Context())
+			require.Error(t, err)
+		}
+	}
+	for name, head := range awstandin.MalformedHeads {
+		t.Run(name, func(t *testing.T) { try(t, head) })
 	}
 	for name, raw := range awstandin.BrokenOff {
 		t.Run(name, func(t *testing.T) {
--- a/io/awstore/awstore_test.go
+++ b/io/awstore/awstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -73,7 +74,9 @@
 // Guards against a write that counts as done, and against a part of an object that counts
 // as whole, because of a broken response.
 func TestBrokenResponseIsNoSuccess(t *testing.T) {
-	for name, raw := range awstandin.BrokenOff {
+	responses := maps.Clone(awstandin.MalformedHeads)
+	maps.Copy(responses, awstandin.BrokenOff)
+	for name, raw := range responses {
 		t.Run(name, func(t *testing.T) {
 			srv := httptest.NewServer(http.HandlerFunc(raw.Send))
 			defer srv.Close()
