--- a/internal/awstandin/proxy.go
+++ b/internal/awstandin/proxy.go
@@ -12,6 +12,8 @@
 
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/time/rate"
+
+	"arbutuswind/io/awhttp"
 )
 
 // ProxyFault holds the faults injected into a proxied link.
@@ -28,7 +30,8 @@
 
 // Proxy is a TCP relay that injects faults into one link. As in TCP, a direction
 // of a connection that has lost bytes passes nothing more, whatever the faults
-// are afterwards, and such a connection ends with a reset.
+// are afterwards, and such a connection ends with a reset. A reset by the server reaches
+// the client as one.
 type Proxy struct {
 	faults faultState[ProxyFault]
 	target string
@@ -149,13 +152,14 @@
 	if p.faults.get().Refuse {
 		return
 	}
-	server, err := net.Dial("tcp", p.target)
+	raw, err := net.Dial("tcp", p.target)
 	if err != nil {
 		return
 	}
-	defer server.Close()
-	p.track(client, server)
-	defer p.untrack(client, server)
+	defer raw.Close()
+	server := awhttp.NewConn(raw) // shows a reset by the server to the direction that reads
+	p.track(client, raw)
+	defer p.untrack(client, raw)
 	if p.faults.get().Refuse {
 		return // Refuse was set since the first check
 	}
@@ -163,19 +167,28 @@
 	done := make(chan struct{}, 2)
 	go func() {
 		err := p.pump(server, client, p.up, &lost, func(f ProxyFault) bool { return f.DropToServer })
-		if p.faults.get().LoseReset && errors.Is(err, syscall.ECONNRESET) {
+		switch {
+		case errors.Is(err, syscall.EPIPE):
+			return // the server has ended the connection, and the other direction knows how
+		case !errors.Is(err, syscall.ECONNRESET):
+		case p.faults.get().LoseReset:
 			return
+		default:
+			resetOnClose(client)
 		}
 		done <- struct{}{}
 	}()
 	go func() {
-		_ = p.pump(client, server, p.down, &lost, func(f ProxyFault) bool { return f.DropToClient })
+		err := p.pump(client, server, p.down, &lost, func(f ProxyFault) bool { return f.DropToClient })
+		if !errors.Is(err, io.EOF) {
+			resetOnClose(client) // an orderly close would make a response without a length complete
+		}
 		done <- struct{}{}
 	}()
 	<-done
 	if lost.Load() {
 		resetOnClose(client)
-		resetOnClose(server)
+		resetOnClose(raw)
 	}
 }
 
