--- a/io/awhttp/awhttp.go
+++ b/io/awhttp/awhttp.go
@@ -1,5 +1,5 @@
-// Package awhttp holds what the HTTP servers share, problem documents, limits
-// and the headers of the callers' API, and the transport of the HTTP clients.
+// Package awhttp holds what the HTTP servers share (problem documents, limits and the
+// headers of the callers' API) and the transport of the HTTP clients.
 package awhttp
 
 import (
