awhttp: a reset behind the end of the input breaks an answer too

Cause: all writes have succeeded, and the end of the input comes before the reset with which the server's kernel answers the rest of the request. No write is left that the reset could fail.

Fix: at the end of the input, Conn also asks the kernel for bytes that have not been acknowledged and for an error that the connection holds, and waits for the delivery within the same 200 ms. Connections that are not of TCP are judged by their writes alone.

--- a/io/awhttp/conn.go
+++ b/io/awhttp/conn.go
@@ -6,13 +6,16 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
-	// closeGrace is how long writes may go on after the end of the input. A server that has
-	// closed both directions resets them within a round trip, while one that reads on does
-	// not.
+	// closeGrace is how long the delivery of a request may go on after the end of the input.
+	// A server that has closed both directions resets the connection within a round trip,
+	// while one that reads on does not.
 	closeGrace = 200 * time.Millisecond
 	// writeGap is the longest time between two writes of one request. Requests are written
 	// from memory.
@@ -23,10 +26,10 @@
 // closed it in order, so that a response whose end is that of the connection is whole.
 //
 // The kernel reports the reset of a connection once, to a read or to a write. If a write
-// gets it, reads return what has arrived before and then io.EOF. The same shows if a server
-// closes the connection while the request is being written, because it ended or broke off.
-// An orderly server that does not need the rest of a request first closes only its sending
-// direction, and reads on (RFC 9112, section 9.6).
+// gets it, reads return what has arrived before and then io.EOF. They also do if a server
+// closes the connection before it has got the whole request, as when its process ends; the
+// reset then comes after the end of the input. An orderly server that does not need the rest
+// of a request first closes only its sending direction, and reads on (RFC 9112, section 9.6).
 type Conn struct {
 	net.Conn
 
@@ -54,33 +57,60 @@
 }
 
 // Read implements [io.Reader]. At the end of the input it waits for up to 200 ms until the
-// request has been written. If a write has failed, it returns the error of that write in
-// place of [io.EOF]. Writes fail from then on.
+// request has been delivered. If the connection breaks before that, it returns the error of
+// the write, or of the connection, in place of [io.EOF]. Writes fail from then on.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, io.EOF) {
-		if writeErr := c.awaitWrites(); writeErr != nil {
-			return n, writeErr
+		if breakErr := c.awaitDelivery(); breakErr != nil {
+			return n, breakErr
 		}
 	}
 	return n, err
 }
 
-// awaitWrites waits for the end of the writes that are going on, at most for closeGrace, and
-// returns the error of the first write that failed.
-func (c *Conn) awaitWrites() error {
+// awaitDelivery waits until the server has got all that was written, at most for closeGrace,
+// and returns the error with which writing failed.
+func (c *Conn) awaitDelivery() error {
 	deadline := time.Now().Add(closeGrace)
 	_ = c.SetWriteDeadline(deadline) // fails only if the connection is closed
 	for {
-		c.mu.Lock()
-		err, idle := c.writeErr, time.Since(c.wrote)
-		c.mu.Unlock()
+		delivered, err := c.delivery()
+		inTime := time.Now().Before(deadline)
 		switch {
-		case errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(deadline):
+		case !inTime && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)):
 			return nil // the server has not reset the connection
-		case err != nil || idle >= writeGap:
+		case err != nil || delivered:
 			return err
 		}
-		time.Sleep(writeGap - idle)
+		time.Sleep(writeGap)
+	}
+}
+
+// delivery waits for a write that is going on. It reports whether no further one is expected
+// and the server's kernel has got all bytes, and returns the error with which writing failed.
+func (c *Conn) delivery() (delivered bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := time.Since(c.wrote) >= writeGap
+	sc, ok := c.Conn.(syscall.Conn)
+	if c.writeErr != nil || !ok {
+		return idle, c.writeErr
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	unacknowledged, pending := 0, 0
+	if err := raw.Control(func(fd uintptr) {
+		// Where the kernel tells neither, what was written counts as delivered.
+		unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
+		pending, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
+	}); err != nil {
+		return false, err
+	}
+	if pending != 0 {
+		c.writeErr = syscall.Errno(pending) // the kernel reports it once
 	}
+	return idle && unacknowledged == 0, c.writeErr
 }
