awhttp: a short request does not delay the end of the input

The wait is for requests that net/http writes in several writes of 32 KiB. It now follows only writes of that size, so a short request is judged at once, by what the kernel has not delivered.

--- a/io/awhttp/conn.go
+++ b/io/awhttp/conn.go
@@ -17,9 +17,11 @@
 	// A server that has closed both directions resets the connection within a round trip,
 	// while one that reads on does not.
 	closeGrace = 200 * time.Millisecond
-	// writeGap is the longest time between two writes of one request. Requests are written
+	// longWrite is the size in bytes of the writes, but for the last, in which net/http sends
+	// a long body, and writeGap the longest time between two of them. Requests are written
 	// from memory.
-	writeGap = 5 * time.Millisecond
+	longWrite = 32 << 10
+	writeGap  = 5 * time.Millisecond
 )
 
 // Conn is a connection of a client. Its reads return [io.EOF] only after the server has
@@ -35,7 +37,7 @@
 
 	mu       sync.Mutex // held during writes
 	writeErr error      // of the first write that failed
-	wrote    time.Time  // when the last write ended
+	wrote    time.Time  // when the last long write ended
 }
 
 // NewConn returns a connection that reads from and writes to c.
@@ -52,7 +54,9 @@
 	if c.writeErr == nil {
 		c.writeErr = err
 	}
-	c.wrote = time.Now()
+	if len(b) >= longWrite {
+		c.wrote = time.Now()
+	}
 	return n, err
 }
 
