awhttp: the sender tells when a request is being written

Callers would have seen MIXED as before, rarely: if the answer and the end of the connection come between the write of the head and the first write of the body, no write is going on, and all that was written has been delivered, so the part counted as whole.

Cause: Conn guessed from the size and time of the last write whether more would follow.

Fix: the one who writes says so. awbackend and Transport (by httptrace) call BeginRequest and EndRequest; until the request has ended, its delivery is not complete. A request that has been written is judged at once, without a delay.

--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -337,6 +337,7 @@
 		r.conn.written.Store(err == nil)
 		return n > 0, err
 	}
+	r.conn.BeginRequest()
 	n, err := r.conn.Write(head)
 	if err != nil {
 		return n > 0, err
@@ -346,6 +347,7 @@
 	go func() {
 		_, err := r.conn.Write(req.Body)
 		r.conn.written.Store(err == nil)
+		r.conn.EndRequest()
 		written <- err
 	}()
 	return true, nil
--- a/io/awhttp/conn.go
+++ b/io/awhttp/conn.go
@@ -17,11 +17,8 @@
 	// A server that has closed both directions resets the connection within a round trip,
 	// while one that reads on does not.
 	closeGrace = 200 * time.Millisecond
-	// longWrite is the size in bytes of the writes, but for the last, in which net/http sends
-	// a long body, and writeGap the longest time between two of them. Requests are written
-	// from memory.
-	longWrite = 32 << 10
-	writeGap  = 5 * time.Millisecond
+	// deliveryInterval is the time between two looks at what has been delivered.
+	deliveryInterval = 2 * time.Millisecond
 )
 
 // Conn is a connection of a client. Its reads return [io.EOF] only after the server has
@@ -37,7 +34,7 @@
 
 	mu       sync.Mutex // held during writes
 	writeErr error      // of the first write that failed
-	wrote    time.Time  // when the last long write ended
+	writing  bool       // a request is being written, in one write or several
 }
 
 // NewConn returns a connection that reads from and writes to c.
@@ -46,6 +43,18 @@
 // NetConn returns the underlying connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
+// BeginRequest records that a request will be written.
+func (c *Conn) BeginRequest() { c.setWriting(true) }
+
+// EndRequest records that the request has been written or has failed.
+func (c *Conn) EndRequest() { c.setWriting(false) }
+
+func (c *Conn) setWriting(writing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = writing
+}
+
 // Write implements [io.Writer].
 func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -54,9 +63,6 @@
 	if c.writeErr == nil {
 		c.writeErr = err
 	}
-	if len(b) >= longWrite {
-		c.wrote = time.Now()
-	}
 	return n, err
 }
 
@@ -87,19 +93,18 @@
 		case err != nil || delivered:
 			return err
 		}
-		time.Sleep(writeGap)
+		time.Sleep(deliveryInterval)
 	}
 }
 
-// delivery waits for a write that is going on. It reports whether no further one is expected
-// and the server's kernel has got all bytes, and returns the error with which writing failed.
+// delivery waits for a write that is going on. It reports whether the request has been written
+// and the server's kernel has got all of it, and returns the error with which writing failed.
 func (c *Conn) delivery() (delivered bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	idle := time.Since(c.wrote) >= writeGap
 	sc, ok := c.Conn.(syscall.Conn)
 	if c.writeErr != nil || !ok {
-		return idle, c.writeErr
+		return !c.writing, c.writeErr
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
@@ -116,5 +121,5 @@
 	if pending != 0 {
 		c.writeErr = syscall.Errno(pending) // the kernel reports it once
 	}
-	return idle && unacknowledged == 0, c.writeErr
+	return !c.writing && unacknowledged == 0, c.writeErr
 }
--- a/io/awhttp/transport.go
+++ b/io/awhttp/transport.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 
 	"golang.org/x/net/http/httpguts"
 
@@ -45,7 +47,7 @@
 
 // RoundTrip implements [http.RoundTripper].
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.transport.RoundTrip(req)
+	resp, err := t.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), newWriteTrace())))
 	if err != nil {
 		return nil, err
 	}
@@ -60,6 +62,24 @@
 	return resp, nil
 }
 
+// newWriteTrace returns a trace that tells the connection when a request is being written.
+func newWriteTrace() *httptrace.ClientTrace {
+	var conn atomic.Pointer[Conn] // requests may be tried on several connections
+	return &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*Conn); ok {
+				c.BeginRequest()
+				conn.Store(c)
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if c := conn.Load(); c != nil {
+				c.EndRequest()
+			}
+		},
+	}
+}
+
 // CloseIdleConnections closes the connections that no request uses.
 func (t Transport) CloseIdleConnections() { t.transport.CloseIdleConnections() }
 
