--- a/internal/awstandin/proxy.go
+++ b/internal/awstandin/proxy.go
@@ -167,13 +167,13 @@
 	done := make(chan struct{}, 2)
 	go func() {
 		err := p.pump(server, client, p.up, &lost, func(f ProxyFault) bool { return f.DropToServer })
-		switch {
-		case errors.Is(err, syscall.EPIPE):
+		if errors.Is(err, syscall.EPIPE) {
 			return // the server has ended the connection, and the other direction knows how
-		case !errors.Is(err, syscall.ECONNRESET):
-		case p.faults.get().LoseReset:
-			return
-		default:
+		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			if p.faults.get().LoseReset {
+				return
+			}
 			resetOnClose(client)
 		}
 		done <- struct{}{}
--- a/internal/awstandin/raw.go
+++ b/internal/awstandin/raw.go
@@ -55,14 +55,13 @@
 	}
 }
 
-// RespondRaw answers r with the text of a status and a body of known length. header holds
-// complete lines.
-func RespondRaw(w http.ResponseWriter, r *http.Request, status, header, body string) {
-	RawResponse{
+// RawStatus returns a response with the text of a status and a body of known length.
+func RawStatus(status, body string) RawResponse {
+	return RawResponse{
 		StatusLine: "HTTP/1.1 " + status + " Status",
-		Header:     fmt.Sprintf("Connection: close\r\n%sContent-Length: %d\r\n", header, len(body)),
+		Header:     fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n", len(body)),
 		Body:       body,
-	}.Send(w, r)
+	}
 }
 
 // LongUpload is the size in bytes of a request body that does not fit into the buffers
--- a/io/awengine/status_test.go
+++ b/io/awengine/status_test.go
@@ -17,9 +17,7 @@
 // load command as accepted.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	for _, status := range []string{"000", "099", "600"} {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			awstandin.RespondRaw(w, r, status, "", "")
-		}))
+		server := httptest.NewServer(http.HandlerFunc(awstandin.RawStatus(status, "").Send))
 		defer server.Close()
 		c := awengine.New(server.URL)
 		_, err := c.Call(t.Context(), awengine.ServiceRequest{Method: http.MethodPost, Path: "/x"})
--- a/io/awstore/awstore_test.go
+++ b/io/awstore/awstore_test.go
@@ -63,9 +63,7 @@
 // Guards against a commit that counts as done because of a response whose status is none
 // of HTTP.
 func TestInvalidStatusIsNoSuccess(t *testing.T) {
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		awstandin.RespondRaw(w, r, "000", "", "")
-	}))
+	srv := httptest.NewServer(http.HandlerFunc(awstandin.RawStatus("000", "").Send))
 	t.Cleanup(srv.Close)
 	c := awstore.New(awstore.Config{TableURL: srv.URL})
 	require.ErrorIs(t, c.Commit(t.Context(), awstore.Txn{}), awhttp.ErrInvalidStatus)
