awhttp: one record of whether a request has been written

awbackend's connections kept "written" beside the "writing" of the Conn within them, and Conn asked the kernel for unacknowledged bytes with the same steps as awbackend's isAcknowledged. EndRequest now takes the error, IsWritten replaces both flags, and isAcknowledged calls Unacknowledged. The flag is atomic as awbackend's was, so that a request is withdrawn without waiting for a write.

--- a/io/awbackend/awbackend.go
+++ b/io/awbackend/awbackend.go
@@ -134,7 +134,6 @@
 	expires time.Time
 	// requests is the number of requests that were sent on the connection.
 	requests int
-	written  atomic.Bool // the current request has been written completely
 	aborted  atomic.Bool
 }
 
@@ -159,7 +158,7 @@
 		return
 	}
 	_ = tcp.SetDeadline(time.Unix(1, 0)) // ends reads and writes; fails only if the connection is closed
-	if !c.written.Load() {
+	if !c.IsWritten() {
 		reset(tcp)
 		return
 	}
@@ -287,7 +286,7 @@
 		p.keep(key, c)
 		return nil, &Error{Withheld: true, Err: err}
 	}
-	c.written.Store(false)
+	c.BeginRequest()
 	c.requests++
 	// On cancellation, closing the connection unblocks reads and writes.
 	stop := context.AfterFunc(ctx, c.abort)
@@ -334,10 +333,9 @@
 	head := appendHead(make([]byte, 0, bufferBytes), req)
 	if len(req.Body) <= maxInlineBodyBytes {
 		n, err := r.conn.Write(append(head, req.Body...))
-		r.conn.written.Store(err == nil)
+		r.conn.EndRequest(err)
 		return n > 0, err
 	}
-	r.conn.BeginRequest()
 	n, err := r.conn.Write(head)
 	if err != nil {
 		return n > 0, err
@@ -346,8 +344,7 @@
 	r.bodyWritten = written
 	go func() {
 		_, err := r.conn.Write(req.Body)
-		r.conn.written.Store(err == nil)
-		r.conn.EndRequest()
+		r.conn.EndRequest(err)
 		written <- err
 	}()
 	return true, nil
--- a/io/awbackend/quiet.go
+++ b/io/awbackend/quiet.go
@@ -4,20 +4,14 @@
 	"net"
 	"syscall"
 
-	"golang.org/x/sys/unix"
+	"arbutuswind/io/awhttp"
 )
 
 // isAcknowledged reports whether the peer's kernel has got all bytes that were
 // written.
 func isAcknowledged(c *net.TCPConn) bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unacknowledged := 0
-	var queryErr error
-	err = raw.Control(func(fd uintptr) { unacknowledged, queryErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
-	return err == nil && queryErr == nil && unacknowledged == 0
+	unacknowledged, err := awhttp.Unacknowledged(c)
+	return err == nil && unacknowledged == 0
 }
 
 // usable reports whether an idle connection is still open and has no unread
--- a/io/awhttp/conn.go
+++ b/io/awhttp/conn.go
@@ -6,9 +6,11 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
 
@@ -34,7 +36,8 @@
 
 	mu       sync.Mutex // held during writes
 	writeErr error      // of the first write that failed
-	writing  bool       // a request is being written, in one write or several
+
+	unwritten atomic.Bool // the last request has not been written completely
 }
 
 // NewConn returns a connection that reads from and writes to c.
@@ -43,17 +46,14 @@
 // NetConn returns the underlying connection.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// BeginRequest records that a request will be written.
-func (c *Conn) BeginRequest() { c.setWriting(true) }
+// BeginRequest records that a request will be written, in one write or several.
+func (c *Conn) BeginRequest() { c.unwritten.Store(true) }
 
-// EndRequest records that the request has been written or has failed.
-func (c *Conn) EndRequest() { c.setWriting(false) }
+// EndRequest records that writing the request has ended, and the error if it failed.
+func (c *Conn) EndRequest(err error) { c.unwritten.Store(err != nil) }
 
-func (c *Conn) setWriting(writing bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writing = writing
-}
+// IsWritten reports whether the last request has been written completely.
+func (c *Conn) IsWritten() bool { return !c.unwritten.Load() }
 
 // Write implements [io.Writer].
 func (c *Conn) Write(b []byte) (int, error) {
@@ -102,24 +102,44 @@
 func (c *Conn) delivery() (delivered bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	sc, ok := c.Conn.(syscall.Conn)
-	if c.writeErr != nil || !ok {
-		return !c.writing, c.writeErr
+	socket, ok := c.Conn.(syscall.Conn)
+	if ok && c.writeErr == nil {
+		c.writeErr = pendingError(socket)
+	}
+	if !ok || c.writeErr != nil {
+		return c.IsWritten(), c.writeErr
 	}
-	raw, err := sc.SyscallConn()
+	unacknowledged, _ := Unacknowledged(socket) // where the kernel does not tell, what was written counts as delivered
+	return c.IsWritten() && unacknowledged == 0, nil
+}
+
+// pendingError returns and clears the error that a socket holds for its next operation.
+func pendingError(socket syscall.Conn) error {
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false, err
+		return err
+	}
+	code := 0
+	if err := raw.Control(func(fd uintptr) { code, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) }); err != nil {
+		return err
+	}
+	if code != 0 {
+		return syscall.Errno(code)
 	}
-	unacknowledged, pending := 0, 0
-	if err := raw.Control(func(fd uintptr) {
-		// Where the kernel tells neither, what was written counts as delivered.
-		unacknowledged, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
-		pending, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR)
-	}); err != nil {
-		return false, err
+	return nil
+}
+
+// Unacknowledged returns the number of bytes written to a socket that the peer's kernel has
+// not acknowledged.
+func Unacknowledged(socket syscall.Conn) (int, error) {
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, eris.Wrap(err, "get socket")
 	}
-	if pending != 0 {
-		c.writeErr = syscall.Errno(pending) // the kernel reports it once
+	n := 0
+	var queryErr error
+	if err := raw.Control(func(fd uintptr) { n, queryErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) }); err != nil {
+		return 0, eris.Wrap(err, "query send queue")
 	}
-	return !c.writing && unacknowledged == 0, c.writeErr
+	return n, eris.Wrap(queryErr, "query send queue")
 }
--- a/io/awhttp/transport.go
+++ b/io/awhttp/transport.go
@@ -72,9 +72,9 @@
 				conn.Store(c)
 			}
 		},
-		WroteRequest: func(httptrace.WroteRequestInfo) {
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			if c := conn.Load(); c != nil {
-				c.EndRequest()
+				c.EndRequest(info.Err)
 			}
 		},
 	}
